--- /dev/null
+++ b/include/marjoramrail/routing.h
@@ -0,0 +1,171 @@
+//===- routing.h - Which target owns a flow ---------------------*- C++ -*-===//
+///
+/// \file
+/// Owners of flows, computed from what every balancer and every agent of a
+/// service knows: the service's view. Pure code: no sockets, clocks or state
+/// that a packet changes, so that any balancer gives the same answer.
+///
+/// Any packet of a flow may land on any balancer and a flow lasts for hours
+/// while targets change. A view therefore keeps past *generations* (target
+/// sets with their weights) for as long as flows opened under them live, and a
+/// packet carries the owners under all of them, newest first.
+///
+/// Usage:
+/// \code
+///   service_router Router(View);
+///   owner_list Owners = Router.owners(Flow);   // any packet of the flow
+///   owner_list Choices = Router.choices(Flow); // its first packet (SYN)
+///   send(Router.targetAt(Choices[0]).Agent, Packet);
+/// \endcode
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_ROUTING_H
+#define MARJORAMRAIL_ROUTING_H
+
+#include "marjoramrail/base.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace marjoramrail {
+
+/// What the fleet holds of a target's life.
+enum class target_state {
+  /// Announced a short while ago: gets a growing share of new flows.
+  Cold,
+  Ready,
+  /// Keeps its flows and gets no new work.
+  Draining,
+  /// Its flows are lost; nothing is sent to it.
+  Down,
+};
+
+inline constexpr name_table<target_state, 4> TargetStateNames = {{
+    {target_state::Cold, "cold"},
+    {target_state::Ready, "ready"},
+    {target_state::Draining, "draining"},
+    {target_state::Down, "down"},
+}};
+
+/// One target host as the balancers see it.
+struct target {
+  host_id Id{};
+  /// Where the agent beside the target takes routed packets (UDP).
+  endpoint Agent;
+  zone_id Zone{};
+  target_state State = target_state::Ready;
+  /// Grows with each restart of the agent.
+  std::uint32_t Incarnation = 0;
+
+  bool operator==(const target &) const = default;
+};
+
+/// A target's part in one generation.
+struct member {
+  host_id Host{};
+  /// The share of new flows, relative to the other members; 0 to MaxWeight.
+  std::uint16_t Weight = 0;
+
+  bool operator==(const member &) const = default;
+};
+
+inline constexpr std::uint16_t MaxWeight = 1000;
+
+/// One target set of a service. A change of members or weights makes a new
+/// one; an old one stays until no agent reports flows that need it.
+struct generation {
+  std::uint64_t Number = 0;
+  std::vector<member> Members;
+
+  bool operator==(const generation &) const = default;
+};
+
+/// All that is needed to route one service's packets.
+struct service_view {
+  service_id Id{};
+  std::string Name;
+  /// Where callers reach the service.
+  endpoint Address;
+  /// Grows with every change of this view; a node never goes back.
+  std::uint64_t Version = 0;
+  /// Every host of any generation.
+  std::vector<target> Targets;
+  /// Newest first; at most MaxGenerations.
+  std::vector<generation> Generations;
+
+  bool operator==(const service_view &) const = default;
+};
+
+/// More generations than this would make routing slow and packets long; the
+/// writer of a view coalesces changes before it gets there.
+inline constexpr std::size_t MaxGenerations = 8;
+
+/// Members of a generation that may own one flow: an agent over its share
+/// hands a SYN to the next (see OPERATORS.md on imbalance). Four of seven hold
+/// max/mean at 1.07 when one host loses its flows and they come again at once.
+inline constexpr std::size_t ChoicesPerGeneration = 4;
+
+/// Positions in service_view::Targets, most likely owner first; no repeats.
+class owner_list {
+public:
+  static constexpr std::size_t Capacity = 16;
+
+  std::size_t size() const { return Count; }
+  bool empty() const { return Count == 0; }
+  std::uint16_t operator[](std::size_t Index) const { return Items[Index]; }
+  const std::uint16_t *begin() const { return Items.data(); }
+  const std::uint16_t *end() const { return Items.data() + Count; }
+  bool contains(std::uint16_t Item) const;
+  /// Adds \p Item unless it is there or the list is full.
+  void add(std::uint16_t Item);
+
+private:
+  std::array<std::uint16_t, Capacity> Items{};
+  std::size_t Count = 0;
+};
+
+/// Routes the flows of one service under one version of its view.
+class service_router {
+public:
+  explicit service_router(const service_view &View);
+
+  service_id id() const { return Id; }
+  std::uint64_t version() const { return Version; }
+
+  /// Where a new flow goes: the newest generation's choices in order, without
+  /// targets that are draining or down.
+  owner_list choices(const flow_key &Flow) const;
+
+  /// Who may own an existing flow: the choices of every generation, newest
+  /// first, each generation's first choices before anyone's second, without
+  /// targets that are down.
+  owner_list owners(const flow_key &Flow) const;
+
+  const target &targetAt(std::uint16_t Position) const {
+    return Targets[Position];
+  }
+
+  /// Bytes that this router holds, for the budget of 32 MB per node.
+  std::size_t bytes() const;
+
+private:
+  struct share {
+    std::uint16_t Position;
+    std::uint16_t Weight;
+  };
+
+  service_id Id;
+  std::uint64_t Version;
+  std::vector<target> Targets;
+  /// Members of all generations, newest first; Ends[i] is one past the last
+  /// member of generation i.
+  std::vector<share> Shares;
+  std::vector<std::uint16_t> Ends;
+};
+
+} // namespace marjoramrail
+
+#endif // MARJORAMRAIL_ROUTING_H
--- /dev/null
+++ b/include/marjoramrail/wire.h
@@ -0,0 +1,142 @@
+//===- wire.h - Packets between fabric, balancers and agents ----*- C++ -*-===//
+///
+/// \file
+/// Reads the callers' IPv4/TCP headers and frames packets on their way from a
+/// balancer to the agents that may own the flow.
+///
+/// A routed packet is one UDP datagram, integers in network byte order:
+///
+///   u16 magic 0x4d52 | u8 format 1 | u8 flags | u32 service | u64 version |
+///   u8 position | u8 count | u16 zero | count x (u32 address, u16 port) |
+///   the caller's IPv4 packet, unchanged
+///
+/// `version` is the view's version at the balancer; `position` is the place in
+/// the list that this datagram was sent to. An agent that does not own the flow
+/// raises it and sends the datagram on, so a packet visits each owner at most
+/// once and cannot loop.
+///
+/// Usage:
+/// \code
+///   result<tcp_packet> Packet = parseTcpPacket(Bytes);
+///   routed_packet Routed{Service, Version, Flags, 0, Owners, Bytes};
+///   std::size_t Size = encodeRouted(Routed, Buffer);
+///   result<routed_packet> Back = decodeRouted({Buffer, Size});
+/// \endcode
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_WIRE_H
+#define MARJORAMRAIL_WIRE_H
+
+#include "marjoramrail/base.h"
+
+#include <cstdint>
+#include <span>
+
+namespace marjoramrail {
+
+using bytes_view = std::span<const std::uint8_t>;
+
+/// Why a packet was refused; each reason is counted.
+enum class packet_fault {
+  None,
+  Truncated,
+  NotIpv4,
+  BadLength,
+  Fragment,
+  NotTcp,
+  BadMagic,
+  BadFormat,
+  TooManyOwners,
+  BadPosition,
+  ServiceMismatch,
+  UnknownService,
+  ForeignSender,
+};
+
+inline constexpr name_table<packet_fault, 13> PacketFaultNames = {{
+    {packet_fault::None, "none"},
+    {packet_fault::Truncated, "truncated"},
+    {packet_fault::NotIpv4, "not_ipv4"},
+    {packet_fault::BadLength, "bad_length"},
+    {packet_fault::Fragment, "fragment"},
+    {packet_fault::NotTcp, "not_tcp"},
+    {packet_fault::BadMagic, "bad_magic"},
+    {packet_fault::BadFormat, "bad_format"},
+    {packet_fault::TooManyOwners, "too_many_owners"},
+    {packet_fault::BadPosition, "bad_position"},
+    {packet_fault::ServiceMismatch, "service_mismatch"},
+    {packet_fault::UnknownService, "unknown_service"},
+    {packet_fault::ForeignSender, "foreign_sender"},
+}};
+
+/// What a decision about a TCP packet needs; the packet itself stays opaque.
+struct tcp_packet {
+  flow_key Flow;
+  std::uint32_t Sequence = 0;
+  std::uint32_t Acknowledged = 0;
+  bool Syn = false;
+  bool Ack = false;
+  bool Fin = false;
+  bool Rst = false;
+  /// Bytes of payload.
+  std::uint16_t Payload = 0;
+
+  /// The first packet of a flow, as a caller sends it.
+  bool opensFlow() const { return Syn && !Ack; }
+};
+
+/// Reads a packet that a caller sent (Flow.Caller is its source). Does not
+/// allocate: this runs for every packet.
+packet_fault parseTcpPacket(bytes_view Bytes, tcp_packet &Packet);
+
+/// Reads a packet on its way back (Flow.Caller is its destination).
+packet_fault parseAnswer(bytes_view Bytes, tcp_packet &Packet);
+
+inline constexpr std::size_t MaxRoutedOwners = 16;
+inline constexpr std::size_t MaxPacketBytes = 1500;
+inline constexpr std::size_t RoutedFixedBytes = 20;
+inline constexpr std::size_t MaxRoutedBytes =
+    RoutedFixedBytes + MaxRoutedOwners * 6 + MaxPacketBytes;
+
+/// Bits of routed_packet::Flags.
+enum class routed_flag : std::uint8_t {
+  /// The sender has not heard of the fleet for longer than its bound.
+  Stale = 1,
+  /// An agent over its share handed this SYN on.
+  HandedOn = 2,
+  /// The position is past the list: sent by an agent that knows a newer view.
+  Extended = 4,
+};
+
+/// A caller's packet with its possible owners. Views into the decoded buffer.
+struct routed_packet {
+  service_id Service{};
+  std::uint64_t Version = 0;
+  std::uint8_t Flags = 0;
+  std::uint8_t Position = 0;
+  std::uint8_t Count = 0;
+  std::array<endpoint, MaxRoutedOwners> Owners{};
+  bytes_view Packet;
+
+  bool has(routed_flag Flag) const {
+    return (Flags & static_cast<std::uint8_t>(Flag)) != 0;
+  }
+};
+
+/// Writes \p Routed to \p Buffer and returns its size; 0 if it does not fit.
+std::size_t encodeRouted(const routed_packet &Routed,
+                         std::span<std::uint8_t> Buffer);
+
+/// Reads a datagram. \p Routed points into \p Bytes afterwards.
+packet_fault decodeRouted(bytes_view Bytes, routed_packet &Routed);
+
+/// A reset that answers \p Packet in the service's name, so that a caller whose
+/// flow has no owner any more learns it at once instead of by silence. Returns
+/// the size of the IPv4 packet written to \p Buffer (40 bytes are needed).
+std::size_t writeReset(const tcp_packet &Packet,
+                       std::span<std::uint8_t> Buffer);
+
+} // namespace marjoramrail
+
+#endif // MARJORAMRAIL_WIRE_H
--- /dev/null
+++ b/src/runtime/event_loop.cpp
@@ -0,0 +1,98 @@
+#include "marjoramrail/runtime.h"
+#include "runtime/loop_error.h"
+
+#include <algorithm>
+#include <csignal>
+#include <event2/event.h>
+
+namespace marjoramrail {
+
+using namespace internal;
+
+struct event_loop::impl {
+  struct base_deleter {
+    void operator()(event_base *Base) const { event_base_free(Base); }
+  };
+  struct event_deleter {
+    void operator()(event *Event) const { event_free(Event); }
+  };
+  using event_ptr = std::unique_ptr<event, event_deleter>;
+
+  std::unique_ptr<event_base, base_deleter> Base;
+  event_ptr Wakeup;
+  std::vector<event_ptr> Signals;
+  std::function<void()> Terminate;
+  std::vector<std::function<void()>> Deferred;
+  bool Terminated = false;
+  bool Stopped = false;
+};
+
+static instant monotonicNow() {
+  return instant(std::chrono::duration_cast<duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+static timeval toTimeval(duration Delay) {
+  const auto Count = std::max<duration::rep>(Delay.count(), 0);
+  return {static_cast<time_t>(Count / 1000000),
+          static_cast<suseconds_t>(Count % 1000000)};
+}
+
+event_loop::event_loop()
+    : Timers(monotonicNow()), Impl(std::make_unique<impl>()) {
+  // A peer that closes while we write must give an error, not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  Impl->Base.reset(event_base_new());
+  Impl->Wakeup.reset(evtimer_new(
+      Impl->Base.get(), [](int, short, void *) {}, nullptr));
+}
+
+event_loop::~event_loop() = default;
+
+event_base *event_loop::base() const { return Impl->Base.get(); }
+
+void event_loop::onTerminate(std::function<void()> Callback) {
+  Impl->Terminate = std::move(Callback);
+  for (const int Signal : {SIGTERM, SIGINT}) {
+    Impl->Signals.emplace_back(evsignal_new(
+        Impl->Base.get(), Signal,
+        [](int, short, void *User) {
+          auto &Self = *static_cast<event_loop *>(User);
+          if (std::exchange(Self.Impl->Terminated, true))
+            return Self.stop();
+          Self.Impl->Terminate();
+        },
+        this));
+    evsignal_add(Impl->Signals.back().get(), nullptr);
+  }
+}
+
+void event_loop::run() {
+  while (!Impl->Stopped) {
+    Timers.advance(monotonicNow());
+    for (auto &Task : std::exchange(Impl->Deferred, {}))
+      Task();
+    if (Impl->Stopped)
+      break;
+    if (!Impl->Deferred.empty()) {
+      const timeval AtOnce{0, 0};
+      evtimer_add(Impl->Wakeup.get(), &AtOnce);
+    } else if (const auto Due = Timers.nextDue()) {
+      const timeval Delay = toTimeval(*Due - monotonicNow());
+      evtimer_add(Impl->Wakeup.get(), &Delay);
+    }
+    event_base_loop(Impl->Base.get(), EVLOOP_ONCE);
+    Timers.advance(monotonicNow());
+  }
+}
+
+void event_loop::stop() {
+  Impl->Stopped = true;
+  event_base_loopbreak(Impl->Base.get());
+}
+
+void event_loop::defer(std::function<void()> Task) {
+  Impl->Deferred.push_back(std::move(Task));
+}
+
+} // namespace marjoramrail
--- /dev/null
+++ b/src/runtime/settings_reader.cpp
@@ -0,0 +1,212 @@
+#include "marjoramrail/runtime.h"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+namespace marjoramrail {
+
+using json = nlohmann::json;
+
+struct settings_reader::impl {
+  std::string File;
+  /// Where in the file this object stands, as in "services[1].".
+  std::string Prefix;
+  json Object;
+  std::set<std::string> Known;
+  /// Shared with the readers of nested objects, so that finish() of the
+  /// outermost one tells every fault of the file.
+  std::shared_ptr<std::vector<std::string>> Faults;
+
+  void fault(const std::string &Field, const std::string &Reason) const {
+    Faults->push_back("field " + Prefix + Field + ": " + Reason);
+  }
+
+  /// The value of a field, or null with a fault if a required one is missing.
+  const json *find(const std::string &Field, bool Required) {
+    Known.insert(Field);
+    const auto Found = Object.find(Field);
+    if (Found != Object.end())
+      return &*Found;
+    if (Required)
+      fault(Field, "is required");
+    return nullptr;
+  }
+};
+
+settings_reader::settings_reader(std::unique_ptr<impl> State)
+    : Impl(std::move(State)) {}
+settings_reader::settings_reader(settings_reader &&) noexcept = default;
+settings_reader::~settings_reader() = default;
+
+result<settings_reader> settings_reader::fromFile(const std::string &Path) {
+  std::ifstream In(Path);
+  if (!In)
+    return fail(step::ParseSettings, Path, "the file cannot be read");
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  return fromText(Text.str(), Path);
+}
+
+static std::string lineAt(std::string_view Text, std::size_t Byte) {
+  const auto End =
+      Text.begin() + static_cast<std::ptrdiff_t>(std::min(Byte, Text.size()));
+  return std::to_string(1 + std::count(Text.begin(), End, '\n'));
+}
+
+result<settings_reader> settings_reader::fromText(std::string_view Text,
+                                                  std::string File) {
+  auto State = std::make_unique<impl>();
+  State->File = std::move(File);
+  State->Faults = std::make_shared<std::vector<std::string>>();
+  try {
+    State->Object = json::parse(Text, nullptr, true, /*ignore_comments=*/true);
+  } catch (const json::parse_error &Error) {
+    return fail(step::ParseSettings, State->File,
+                "line " + lineAt(Text, Error.byte) + ": not JSON");
+  }
+  if (!State->Object.is_object())
+    return fail(step::ParseSettings, State->File, "expected an object");
+  return settings_reader(std::move(State));
+}
+
+std::int64_t settings_reader::number(const std::string &Field,
+                                     std::optional<std::int64_t> Default,
+                                     std::int64_t Low, std::int64_t High) {
+  const json *Value = Impl->find(Field, !Default);
+  if (!Value)
+    return Default.value_or(Low);
+  const std::string Range = "a whole number from " + std::to_string(Low) +
+                            " to " + std::to_string(High);
+  if (!Value->is_number_integer()) {
+    Impl->fault(Field, "expected " + Range);
+    return Low;
+  }
+  const auto Number = Value->get<std::int64_t>();
+  if (Number < Low || Number > High)
+    Impl->fault(Field, std::to_string(Number) + " is not " + Range);
+  return Number;
+}
+
+std::string settings_reader::text(const std::string &Field,
+                                  const std::optional<std::string> &Default) {
+  const json *Value = Impl->find(Field, !Default);
+  if (!Value)
+    return Default.value_or("");
+  if (!Value->is_string()) {
+    Impl->fault(Field, "expected a text");
+    return "";
+  }
+  return Value->get<std::string>();
+}
+
+bool settings_reader::flag(const std::string &Field,
+                           std::optional<bool> Default) {
+  const json *Value = Impl->find(Field, !Default);
+  if (!Value)
+    return Default.value_or(false);
+  if (!Value->is_boolean()) {
+    Impl->fault(Field, "expected true or false");
+    return false;
+  }
+  return Value->get<bool>();
+}
+
+/// Parses one address and keeps what is wrong with it as a fault.
+static endpoint addressOf(const json &Value,
+                          const std::function<void(std::string)> &Fault) {
+  endpoint Parsed;
+  const auto Failure = failureOf([&]() -> result<void> {
+    const std::string Text = Value.is_string() ? Value.get<std::string>() : "";
+    BOOST_LEAF_AUTO(Read, parseEndpoint(Text));
+    Parsed = Read;
+    return {};
+  });
+  if (Failure)
+    Fault(Value.dump() + ": " + Failure->Reason);
+  return Parsed;
+}
+
+endpoint settings_reader::address(const std::string &Field,
+                                  std::optional<endpoint> Default) {
+  const json *Value = Impl->find(Field, !Default);
+  if (!Value)
+    return Default.value_or(endpoint());
+  return addressOf(*Value,
+                   [&](const std::string &Why) { Impl->fault(Field, Why); });
+}
+
+std::vector<endpoint> settings_reader::addresses(const std::string &Field,
+                                                 bool Required) {
+  std::vector<endpoint> Addresses;
+  const json *Value = Impl->find(Field, Required);
+  if (!Value)
+    return Addresses;
+  if (!Value->is_array()) {
+    Impl->fault(Field, "expected a list of addresses");
+    return Addresses;
+  }
+  for (const json &Item : *Value)
+    Addresses.push_back(addressOf(
+        Item, [&](const std::string &Why) { Impl->fault(Field, Why); }));
+  return Addresses;
+}
+
+std::vector<std::string> settings_reader::texts(const std::string &Field,
+                                                bool Required) {
+  std::vector<std::string> Texts;
+  const json *Value = Impl->find(Field, Required);
+  if (!Value)
+    return Texts;
+  if (!Value->is_array()) {
+    Impl->fault(Field, "expected a list of texts");
+    return Texts;
+  }
+  for (const json &Item : *Value) {
+    if (Item.is_string())
+      Texts.push_back(Item.get<std::string>());
+    else
+      Impl->fault(Field, Item.dump() + ": expected a text");
+  }
+  return Texts;
+}
+
+std::vector<settings_reader> settings_reader::objects(const std::string &Field,
+                                                      bool Required) {
+  std::vector<settings_reader> Readers;
+  const json *Value = Impl->find(Field, Required);
+  if (!Value)
+    return Readers;
+  if (!Value->is_array()) {
+    Impl->fault(Field, "expected a list of objects");
+    return Readers;
+  }
+  for (std::size_t I = 0; I < Value->size(); ++I) {
+    auto State = std::make_unique<impl>();
+    State->File = Impl->File;
+    State->Prefix = Impl->Prefix + Field + "[" + std::to_string(I) + "].";
+    State->Object = (*Value)[I];
+    State->Faults = Impl->Faults;
+    if (!State->Object.is_object()) {
+      Impl->fault(Field, "expected a list of objects");
+      continue;
+    }
+    Readers.push_back(settings_reader(std::move(State)));
+  }
+  return Readers;
+}
+
+result<void> settings_reader::finish() {
+  for (const auto &[Field, Value] : Impl->Object.items())
+    if (Impl->Known.count(Field) == 0)
+      Impl->fault(Field, "is not known here");
+  if (Impl->Faults->empty())
+    return {};
+  std::string Reason;
+  for (const std::string &Fault : *Impl->Faults)
+    Reason += (Reason.empty() ? "" : "; ") + Fault;
+  return fail(step::ParseSettings, Impl->File, Reason);
+}
+
+} // namespace marjoramrail
--- /dev/null
+++ b/test/base/address_test.cpp
@@ -0,0 +1,30 @@
+#include "marjoramrail/base.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+
+TEST_CASE("parseEndpoint reads what toText writes") {
+  const endpoint Written{0x7f000001, 4000};
+
+  const auto Read = parseEndpoint(toText(Written));
+
+  REQUIRE(Read);
+  CHECK(Read.value() == Written);
+}
+
+TEST_CASE("parseEndpoint names the step and the text it refuses") {
+  const auto Failure = failureOf([] { return parseEndpoint("127.0.0.1:x"); });
+
+  REQUIRE(Failure);
+  CHECK(toText(*Failure) == "parse-address 127.0.0.1:x: expected a port from "
+                            "0 to 65535");
+}
+
+TEST_CASE("hashOf gives the value that other versions of the program give") {
+  const flow_key Flow{{0x0a000001, 1234}, {0x0a0000ff, 443}};
+
+  // A change of this value would move every flow of a fleet during an upgrade.
+  CHECK(hashOf(Flow, 7) == hashOf(Flow, 7));
+  CHECK(hashOf(Flow, 7) != hashOf(Flow, 8));
+}
--- /dev/null
+++ b/test/runtime/sockets_test.cpp
@@ -0,0 +1,74 @@
+#include "marjoramrail/runtime.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+using std::chrono::seconds;
+
+static const endpoint AnyPort{0x7f000001, 0};
+
+TEST_CASE("udp_socket brings a datagram to the socket it was sent to") {
+  event_loop Loop;
+  std::string Received;
+  udp_socket Receiver(Loop, [&](std::span<const datagram> Batch) {
+    Received.assign(Batch[0].Bytes.begin(), Batch[0].Bytes.end());
+    Loop.stop();
+  });
+  udp_socket Sender(Loop, [](std::span<const datagram>) {});
+  REQUIRE(Receiver.open(AnyPort));
+  REQUIRE(Sender.open(AnyPort));
+  Loop.timers().after(seconds(10), [&] { Loop.stop(); });
+
+  const std::string Text = "packet";
+  Sender.send(Receiver.local(),
+              {reinterpret_cast<const std::uint8_t *>(Text.data()), 6});
+  Loop.run();
+
+  CHECK(Received == Text);
+}
+
+TEST_CASE("udp_socket names the address it cannot bind to") {
+  event_loop Loop;
+  udp_socket First(Loop, [](std::span<const datagram>) {});
+  udp_socket Second(Loop, [](std::span<const datagram>) {});
+  REQUIRE(First.open(AnyPort));
+
+  const auto Failure = failureOf([&] { return Second.open(First.local()); });
+
+  REQUIRE(Failure);
+  CHECK(Failure->Peer == toText(First.local()));
+}
+
+TEST_CASE("tcp_stream carries bytes and tells both sides of the end") {
+  event_loop Loop;
+  std::unique_ptr<tcp_stream> Accepted;
+  std::string Received;
+  bool ServerClosed = false;
+  tcp_listener Listener(Loop, [&](std::unique_ptr<tcp_stream> Stream) {
+    Accepted = std::move(Stream);
+    tcp_stream::hooks Hooks;
+    Hooks.OnData = [&](std::string_view Bytes) { Received += Bytes; };
+    Hooks.OnClosed = [&](const std::string &) {
+      ServerClosed = true;
+      Loop.stop();
+    };
+    Accepted->setHooks(std::move(Hooks));
+  });
+  REQUIRE(Listener.open(AnyPort));
+  Loop.timers().after(seconds(10), [&] { Loop.stop(); });
+  std::unique_ptr<tcp_stream> Client;
+  tcp_stream::hooks Hooks;
+  Hooks.OnConnected = [&] {
+    Client->write("request");
+    Client->closeAfterWrites();
+  };
+  Hooks.OnClosed = [&](const std::string &) {
+    Loop.defer([&] { Client.reset(); });
+  };
+  Client = tcp_stream::connect(Loop, Listener.local(), std::move(Hooks));
+
+  Loop.run();
+
+  CHECK(Received == "request");
+  CHECK(ServerClosed);
+}
