--- /dev/null
+++ b/include/marjoramrail/platform.h
@@ -0,0 +1,151 @@
+//===- platform.h - Client of the platform's object API ---------*- C++ -*-===//
+///
+/// \file
+/// The only place where anything lasts: the users' object API with versions,
+/// conditional updates and watches. Cores take a platform_api, a set of hooks,
+/// so that a test puts a fake in its place; platform_client fills it over HTTP.
+///
+/// Usage:
+/// \code
+///   platform_client Client(Loop, {.Servers = {Address}, .Writer =
+///   "balancer-1"}); platform_api Api = Client.api(); Api.Read({"service",
+///   "ledger"}, [&](const platform_reply &Reply) {
+///     platform_object Next = Reply.Object;
+///     Next.Body = ...;
+///     Api.Write({Next, Reply.Object.Version}, [&](const platform_reply &) {});
+///   });
+/// \endcode
+///
+/// The HTTP form, bodies in JSON:
+///   GET    /v1/objects/KIND/NAME               one object
+///   GET    /v1/objects/KIND                    all of a kind
+///   PUT    /v1/objects/KIND/NAME  If-Match: V  write if the version is V;
+///                                              If-Match: 0 creates
+///   DELETE /v1/objects/KIND/NAME  If-Match: V
+///   GET    /v1/watch?since=V&wait_ms=N         changes after store version V
+/// Answers: 200; 404; 409 with the object that stands; 400 with a reason;
+/// 429 and 503 with retry-after.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_PLATFORM_H
+#define MARJORAMRAIL_PLATFORM_H
+
+#include "marjoramrail/runtime.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace marjoramrail {
+
+struct object_key {
+  std::string Kind;
+  std::string Name;
+
+  auto operator<=>(const object_key &) const = default;
+};
+
+/// One object of the platform. Versions come from one counter of the store, so
+/// they also order changes of different objects.
+struct platform_object {
+  object_key Key;
+  /// The store version at which it was last written; 0 = not there.
+  std::uint64_t Version = 0;
+  /// JSON text of at most 1 MB.
+  std::string Body;
+  /// Who wrote it, and the writer's own count: after a lost answer the writer
+  /// reads the object back and finds out whether its write took effect.
+  std::string Writer;
+  std::uint64_t WriterSequence = 0;
+  /// In a watch: the object is gone.
+  bool Deleted = false;
+
+  bool operator==(const platform_object &) const = default;
+};
+
+enum class platform_outcome {
+  Ok,
+  NotFound,
+  /// Another version stands; the reply holds it. Nothing was written.
+  Conflict,
+  /// The platform refused the object; Reason says why.
+  Invalid,
+  /// Nothing was done; ask again after RetryAfter.
+  Unavailable,
+  /// A write may or may not have taken effect: read back.
+  Unknown,
+};
+
+inline constexpr name_table<platform_outcome, 6> PlatformOutcomeNames = {{
+    {platform_outcome::Ok, "ok"},
+    {platform_outcome::NotFound, "not found"},
+    {platform_outcome::Conflict, "conflict"},
+    {platform_outcome::Invalid, "invalid"},
+    {platform_outcome::Unavailable, "unavailable"},
+    {platform_outcome::Unknown, "unknown"},
+}};
+
+struct platform_reply {
+  platform_outcome Outcome = platform_outcome::Unavailable;
+  /// What stands after the call (Ok) or instead (Conflict).
+  platform_object Object;
+  /// For lists and watches, in order of version.
+  std::vector<platform_object> Objects;
+  /// The store version that a list or watch reflects.
+  std::uint64_t StoreVersion = 0;
+  std::string Reason;
+  duration RetryAfter = duration::zero();
+};
+
+using platform_callback = std::function<void(const platform_reply &)>;
+
+struct platform_write {
+  platform_object Object;
+  /// The version that must stand for the write to happen; 0 creates.
+  std::uint64_t Expected = 0;
+};
+
+/// The calls that cores make. Each callback runs exactly once, later.
+struct platform_api {
+  std::function<void(const object_key &, platform_callback)> Read;
+  std::function<void(const std::string &Kind, platform_callback)> List;
+  std::function<void(const platform_write &, platform_callback)> Write;
+  std::function<void(const object_key &, std::uint64_t Expected,
+                     platform_callback)>
+      Remove;
+  /// Waits up to \p Wait for changes after \p Since.
+  std::function<void(std::uint64_t Since, duration Wait, platform_callback)>
+      Watch;
+};
+
+struct platform_client_settings {
+  std::vector<endpoint> Servers;
+  /// The name under which this process writes.
+  std::string Writer;
+  duration Timeout = std::chrono::seconds(2);
+};
+
+/// platform_api over HTTP/1.1 (libevent).
+class platform_client {
+public:
+  platform_client(event_loop &Loop, platform_client_settings Settings);
+  ~platform_client();
+  platform_client(const platform_client &) = delete;
+  platform_client &operator=(const platform_client &) = delete;
+
+  platform_api api();
+
+  /// Calls made since the start, a waiting watch as one.
+  std::uint64_t calls() const;
+
+private:
+  struct impl;
+  std::unique_ptr<impl> Impl;
+};
+
+} // namespace marjoramrail
+
+#endif // MARJORAMRAIL_PLATFORM_H
--- /dev/null
+++ b/include/marjoramrail/resource.h
@@ -0,0 +1,138 @@
+//===- resource.h - What operators declare ----------------------*- C++ -*-===//
+///
+/// \file
+/// The objects of the resource API, their checks and their JSON forms. Desired
+/// state ("spec") is the operators'; "status" is written by the system. Both
+/// are kept as separate platform objects (KIND and KIND-status), so that an
+/// operator's write and the system's report never race for one version.
+///
+/// Usage:
+/// \code
+///   result<service_spec> Ledger = parseService(JsonText, "ledger");
+///   if (auto Failure = failureOf([&] { return check(*Ledger); })) ...
+/// \endcode
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_RESOURCE_H
+#define MARJORAMRAIL_RESOURCE_H
+
+#include "marjoramrail/base.h"
+#include "marjoramrail/routing.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjoramrail {
+
+/// The kinds that operators write.
+enum class resource_kind { Service, Zone, Drain };
+
+inline constexpr name_table<resource_kind, 3> ResourceKindNames = {{
+    {resource_kind::Service, "service"},
+    {resource_kind::Zone, "zone"},
+    {resource_kind::Drain, "drain"},
+}};
+
+enum class service_protocol {
+  /// Opaque bytes, spliced to the target.
+  Tcp,
+  /// Requests are told apart, refused, relayed and run at most once.
+  Http2,
+};
+
+inline constexpr name_table<service_protocol, 2> ServiceProtocolNames = {{
+    {service_protocol::Tcp, "tcp"},
+    {service_protocol::Http2, "http2"},
+}};
+
+/// A service, the zones it runs in and its rules for spreading connections.
+struct service_spec {
+  std::string Name;
+  /// Chosen by the operator, unique, never reused for another service.
+  service_id Number{};
+  endpoint Address;
+  service_protocol Protocol = service_protocol::Http2;
+  std::vector<std::string> Zones;
+  /// Requests that one target runs at a time.
+  std::uint32_t SlotsPerTarget = 4;
+  /// An agent hands a SYN on when it has more than this share of the mean of
+  /// its service, in percent (100 = never above the mean).
+  std::uint32_t MaxSharePercent = 105;
+  /// How long a new target takes to reach its full share of new flows.
+  std::uint32_t ColdStartSeconds = 10;
+  /// Flows that end silently are closed after this.
+  std::uint32_t SilentFlowSeconds = 60;
+
+  bool operator==(const service_spec &) const = default;
+};
+
+struct zone_spec {
+  std::string Name;
+  zone_id Number{};
+  std::string Region;
+
+  bool operator==(const zone_spec &) const = default;
+};
+
+/// The wish that a target host or a balancer takes no new work, so that its VM
+/// can be stopped. Named after the host.
+struct drain_spec {
+  std::string Host;
+  std::string Reason;
+
+  bool operator==(const drain_spec &) const = default;
+};
+
+result<service_spec> parseService(std::string_view Json,
+                                  const std::string &Name);
+result<zone_spec> parseZone(std::string_view Json, const std::string &Name);
+result<drain_spec> parseDrain(std::string_view Json, const std::string &Name);
+
+std::string toJson(const service_spec &Service);
+std::string toJson(const zone_spec &Zone);
+std::string toJson(const drain_spec &Drain);
+
+/// Checks one service against the others that stand: numbers and addresses are
+/// unique, or a packet for one could be taken for another's.
+result<void> checkAgainst(const service_spec &Service,
+                          const std::vector<service_spec> &Standing);
+
+/// One condition of a status: what, since when, why.
+struct condition {
+  std::string Type;
+  bool Holds = false;
+  std::string Reason;
+  /// Wall clock, milliseconds since 1970.
+  std::int64_t SinceMs = 0;
+
+  bool operator==(const condition &) const = default;
+};
+
+/// What the system reports of a service.
+struct service_status {
+  std::string Name;
+  /// The platform version of the spec that this answers.
+  std::uint64_t AcceptedVersion = 0;
+  /// The version of the view that carries it.
+  std::uint64_t ViewVersion = 0;
+  std::uint32_t InForceOn = 0;
+  std::uint32_t Nodes = 0;
+  /// At most a few names; the count is Nodes - InForceOn.
+  std::vector<std::string> Lagging;
+  std::uint32_t TargetsReady = 0;
+  std::uint32_t TargetsDraining = 0;
+  std::vector<condition> Conditions;
+
+  bool operator==(const service_status &) const = default;
+};
+
+result<service_status> parseServiceStatus(std::string_view Json,
+                                          const std::string &Name);
+std::string toJson(const service_status &Status);
+
+} // namespace marjoramrail
+
+#endif // MARJORAMRAIL_RESOURCE_H
