--- /dev/null
+++ b/standins/target/run_record.cpp
@@ -0,0 +1,33 @@
+#include "run_record.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marjoramrail::standins {
+
+run_record::run_record(std::string Host, std::string Service,
+                       const std::string &Path)
+    : Host(std::move(Host)), Service(std::move(Service)) {
+  if (!Path.empty())
+    Out.open(Path, std::ios::app);
+}
+
+void run_record::add(run_event Event, const request_marks &Marks, duration Work,
+                     instant Now) {
+  if (!Out.is_open())
+    return;
+  const nlohmann::json Line = {
+      {"event", nameOf(RunEventNames, Event)},
+      {"host", Host},
+      {"service", Service},
+      {"meant", Marks.Service},
+      {"request", Marks.Request},
+      {"key", Marks.Key},
+      {"work_us", Work.count()},
+      {"at_us", Now.time_since_epoch().count()},
+  };
+  // Flushed at once: a target that is killed must not lose what it ran, or a
+  // second run elsewhere would look like the first.
+  Out << Line.dump() << std::endl;
+}
+
+} // namespace marjoramrail::standins
