--- /dev/null
+++ b/test/stack/tcp_stack_test.cpp
@@ -0,0 +1,274 @@
+#include "marjoramrail/stack.h"
+
+#include <deque>
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace marjoramrail;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t CallerAddress = 0x0a000001;
+constexpr endpoint Service{0x0a00ff01, 443};
+
+/// Both ends in one stack, joined by a queue of packets that the test moves.
+struct looped_stack {
+  timer_service Timers;
+  std::deque<std::vector<std::uint8_t>> Wire;
+  bool Cut = false;
+  std::unique_ptr<tcp_stack> Stack;
+  std::vector<std::unique_ptr<stack_flow>> Accepted;
+  std::function<stack_flow::hooks(stack_flow &)> HooksOfAccepted;
+
+  explicit looped_stack(const tcp_stack_settings &Settings = {}) {
+    Stack = std::make_unique<tcp_stack>(Timers, Settings, [this](auto Packet) {
+      Wire.emplace_back(Packet.begin(), Packet.end());
+    });
+    Stack->addAddress(CallerAddress);
+    Stack->addAddress(Service.Address);
+    REQUIRE(Stack->listen(Service, [this](std::unique_ptr<stack_flow> Flow) {
+      if (HooksOfAccepted)
+        Flow->setHooks(HooksOfAccepted(*Flow));
+      Accepted.push_back(std::move(Flow));
+    }));
+  }
+
+  ~looped_stack() {
+    Accepted.clear();
+    Stack.reset();
+  }
+
+  void exchange() {
+    while (!Wire.empty()) {
+      const auto Packet = std::move(Wire.front());
+      Wire.pop_front();
+      if (!Cut)
+        Stack->input(Packet);
+    }
+  }
+
+  void pass(duration Time) {
+    const instant End = Timers.now() + Time;
+    while (Timers.now() < End) {
+      Timers.advance(Timers.now() + milliseconds(50));
+      exchange();
+    }
+  }
+
+  std::unique_ptr<stack_flow> open(std::uint16_t Port,
+                                   stack_flow::hooks Hooks = {}) {
+    auto Flow =
+        Stack->connect({CallerAddress, Port}, Service, std::move(Hooks));
+    REQUIRE(Flow);
+    exchange();
+    return std::move(Flow.value());
+  }
+};
+
+stack_flow::hooks echo(stack_flow &Flow) {
+  stack_flow::hooks Hooks;
+  Hooks.OnData = [&Flow](std::string_view Bytes) {
+    CHECK(Flow.write(Bytes) == Bytes.size());
+    Flow.consumed(Bytes.size());
+  };
+  return Hooks;
+}
+
+} // namespace
+
+TEST_CASE("tcp_stack echoes 100 kB between two addresses") {
+  looped_stack Loop;
+  Loop.HooksOfAccepted = echo;
+  std::string Sent(100'000, 'x');
+  for (std::size_t Index = 0; Index < Sent.size(); ++Index)
+    Sent[Index] = static_cast<char>(Index * 7);
+  std::string Received;
+  std::size_t Offered = 0;
+  stack_flow *Flow = nullptr;
+  const auto WriteMore = [&] {
+    Offered += Flow->write(std::string_view(Sent).substr(Offered));
+  };
+  stack_flow::hooks Hooks;
+  Hooks.OnWritable = WriteMore;
+  Hooks.OnData = [&](std::string_view Bytes) {
+    Received += Bytes;
+    Flow->consumed(Bytes.size());
+  };
+  const auto Owner = Loop.open(4000, std::move(Hooks));
+  Flow = Owner.get();
+
+  WriteMore();
+  Loop.pass(seconds(5));
+
+  CHECK(Received == Sent);
+}
+
+TEST_CASE("tcp_stack holds the peer back while data is not consumed") {
+  looped_stack Loop;
+  std::size_t Received = 0;
+  Loop.HooksOfAccepted = [&](stack_flow &) {
+    stack_flow::hooks Hooks;
+    Hooks.OnData = [&](std::string_view Bytes) { Received += Bytes.size(); };
+    return Hooks;
+  };
+  const auto Flow = Loop.open(4000);
+  const std::string Large(60'000, 'x');
+  std::size_t Taken = 0;
+
+  for (int Round = 0; Round < 20; ++Round) {
+    Taken += Flow->write(Large);
+    Loop.pass(milliseconds(500));
+  }
+
+  CHECK(Received <= 0xffff);
+  CHECK(Taken <= 2 * 0xffff);
+}
+
+TEST_CASE("a flow may be destroyed in any of its own hooks") {
+  // A target that refuses a connection makes the agent drop the caller's flow
+  // while lwIP is still delivering its first bytes. Without care lwIP goes on
+  // with freed memory; the agent crashes and takes every flow with it.
+  looped_stack Loop;
+  Loop.HooksOfAccepted = [&](stack_flow &) {
+    stack_flow::hooks Hooks;
+    Hooks.OnData = [&](std::string_view) { Loop.Accepted.clear(); };
+    return Hooks;
+  };
+  std::optional<flow_end> End;
+  stack_flow::hooks Hooks;
+  std::unique_ptr<stack_flow> Flow;
+  Hooks.OnClosed = [&](flow_end Reason) {
+    End = Reason;
+    Flow.reset();
+  };
+  Flow = Loop.open(4000, std::move(Hooks));
+
+  Flow->write("first bytes");
+  Loop.pass(seconds(1));
+
+  CHECK(End == flow_end::Reset);
+  CHECK(Loop.Stack->connections() == 0);
+}
+
+TEST_CASE("both ends hear of an orderly end once each direction is over") {
+  looped_stack Loop;
+  std::optional<flow_end> AcceptedEnd;
+  Loop.HooksOfAccepted = [&](stack_flow &Accepted) {
+    stack_flow::hooks Hooks;
+    Hooks.OnEnd = [&Accepted] {
+      Accepted.write("last words");
+      Accepted.finishWriting();
+    };
+    Hooks.OnClosed = [&](flow_end Reason) { AcceptedEnd = Reason; };
+    return Hooks;
+  };
+  std::string Received;
+  std::optional<flow_end> End;
+  stack_flow::hooks Hooks;
+  Hooks.OnData = [&](std::string_view Bytes) { Received += Bytes; };
+  Hooks.OnClosed = [&](flow_end Reason) { End = Reason; };
+  const auto Flow = Loop.open(4000, std::move(Hooks));
+
+  Flow->finishWriting();
+  Loop.pass(seconds(2));
+
+  CHECK(Received == "last words");
+  CHECK(End == flow_end::Finished);
+  CHECK(AcceptedEnd == flow_end::Finished);
+}
+
+TEST_CASE("a caller may use its port again while the old flow lingers") {
+  // A caller closes a flow and opens the next from the same port. The agent
+  // still keeps the old one for late packets; answered out of it, the caller
+  // would wait for two minutes.
+  looped_stack Loop;
+  Loop.HooksOfAccepted = [](stack_flow &Accepted) {
+    stack_flow::hooks Hooks;
+    Hooks.OnData = [&Accepted](std::string_view) { Accepted.close(); };
+    Hooks.OnEnd = [&Accepted] { Accepted.close(); };
+    return Hooks;
+  };
+  auto First = Loop.open(4000);
+  First->write("close first");
+  Loop.pass(seconds(1));
+  First->close();
+  Loop.pass(seconds(1));
+  REQUIRE(Loop.Stack->connections() == 1);
+  bool Connected = false;
+  stack_flow::hooks Hooks;
+  Hooks.OnConnected = [&] { Connected = true; };
+
+  const auto Second = Loop.open(4000, std::move(Hooks));
+
+  CHECK(Connected);
+}
+
+TEST_CASE("closed flows beyond the bound are freed, the oldest first") {
+  // Thousands of flows a second that the agent closes would each stay for two
+  // minutes, and every packet's search would walk through them.
+  looped_stack Loop({.MaxTimeWait = 10});
+  for (std::uint16_t Port = 4000; Port < 4050; ++Port) {
+    const auto Flow = Loop.open(Port);
+    Loop.Accepted.back()->close();
+    Loop.exchange();
+    Flow->close();
+    Loop.exchange();
+  }
+  CHECK(Loop.Stack->connections() == 50);
+
+  Loop.pass(seconds(1));
+
+  CHECK(Loop.Stack->connections() == 10);
+}
+
+TEST_CASE("keepalives find a peer that has vanished") {
+  // Something between the two ends loses track of the flow. Neither end sends,
+  // so without probes the agent would keep it, and its target busy, for good.
+  looped_stack Loop;
+  std::optional<flow_end> End;
+  Loop.HooksOfAccepted = [&](stack_flow &Accepted) {
+    Accepted.keepAlive(seconds(10), seconds(2), 3);
+    stack_flow::hooks Hooks;
+    Hooks.OnClosed = [&](flow_end Reason) { End = Reason; };
+    return Hooks;
+  };
+  const auto Flow = Loop.open(4000);
+  Loop.pass(seconds(60));
+  REQUIRE(!End);
+
+  Loop.Cut = true;
+  Loop.pass(seconds(30));
+
+  CHECK(End == flow_end::TimedOut);
+}
+
+TEST_CASE("a forgotten flow sends the caller nothing") {
+  // Two agents answered a SYN that was resent, and the caller completed the
+  // other one's handshake. A reset from here would end that flow.
+  looped_stack Loop;
+  const auto Flow = Loop.open(4000);
+  REQUIRE(Loop.Accepted.size() == 1);
+  std::optional<flow_end> End;
+  stack_flow::hooks Hooks;
+  Hooks.OnClosed = [&](flow_end Reason) { End = Reason; };
+  Loop.Accepted[0]->setHooks(std::move(Hooks));
+
+  Loop.Stack->forget(Flow->key());
+
+  CHECK(End == flow_end::Reset);
+  CHECK(Loop.Wire.empty());
+}
+
+TEST_CASE("what is not a whole TCP packet for an address of ours is refused") {
+  looped_stack Loop;
+  const auto Flow =
+      Loop.Stack->connect({CallerAddress, 4000}, {0x0a00ff02, 443}, {});
+  REQUIRE(Flow);
+  const auto Foreign = Loop.Wire.front();
+
+  CHECK_FALSE(Loop.Stack->input(Foreign));
+  CHECK_FALSE(Loop.Stack->input({Foreign.data(), 20}));
+  CHECK_FALSE(Loop.Stack->input({}));
+}
