--- a/include/marjoramrail/resource.h
+++ b/include/marjoramrail/resource.h
@@ -8,10 +8,16 @@
 ///
 /// Usage:
 /// \code
-///   result<service_spec> Ledger = parseService(JsonText, "ledger");
-///   if (auto Failure = failureOf([&] { return check(*Ledger); })) ...
+///   BOOST_LEAF_AUTO(Ledger, parseService(JsonText, "ledger"));
+///   BOOST_LEAF_CHECK(checkAgainst(Ledger, Standing));
+///   Write({{"service", Ledger.Name}, toJson(Ledger)});
 /// \endcode
 ///
+/// Every refusal is one failure with step::ValidateObject whose peer is
+/// KIND/NAME and whose reason names each field at fault, why, and the range
+/// allowed. Unknown fields are refused: a misspelt rule would otherwise leave a
+/// default in force without a word.
+///
 //===----------------------------------------------------------------------===//
 
 #ifndef MARJORAMRAIL_RESOURCE_H
@@ -133,6 +139,37 @@
                                           const std::string &Name);
 std::string toJson(const service_status &Status);
 
+/// What the system reports of a drain: whether the VM can be stopped yet.
+struct drain_status {
+  std::string Host;
+  /// Flows and requests that the host still holds.
+  std::uint32_t Flows = 0;
+  std::uint32_t Requests = 0;
+  /// Stopping the VM now cuts off nothing.
+  bool SafeToStop = false;
+  /// When the drain took hold; wall clock, milliseconds since 1970.
+  std::int64_t SinceMs = 0;
+
+  bool operator==(const drain_status &) const = default;
+};
+
+result<drain_status> parseDrainStatus(std::string_view Json,
+                                      const std::string &Name);
+std::string toJson(const drain_status &Status);
+
+/// The kinds that the system writes, each beside the operators' kind.
+inline constexpr std::string_view ServiceStatusKind = "service-status";
+inline constexpr std::string_view DrainStatusKind = "drain-status";
+
+/// Fails unless \p Name can name an object: 1 to 63 of a-z, 0-9 and "-",
+/// beginning with a letter or digit. Names go into paths, file names and
+/// metrics.
+result<void> checkName(std::string_view Kind, std::string_view Name);
+
+/// Parses and checks an object of any operators' kind by itself.
+result<void> checkObject(resource_kind Kind, std::string_view Json,
+                         const std::string &Name);
+
 } // namespace marjoramrail
 
 #endif // MARJORAMRAIL_RESOURCE_H
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -206,8 +206,11 @@
 class settings_reader {
 public:
   static result<settings_reader> fromFile(const std::string &Path);
+  /// \p Step is what the errors carry; objects of the resource API are read
+  /// with step::ValidateObject.
   static result<settings_reader> fromText(std::string_view Text,
-                                          std::string File);
+                                          std::string File,
+                                          step Step = step::ParseSettings);
   settings_reader(settings_reader &&) noexcept;
   ~settings_reader();
 
@@ -226,6 +229,9 @@
   /// The readers of a list of objects.
   std::vector<settings_reader> objects(const std::string &Field, bool Required);
 
+  /// Keeps a fault that only the caller can find, for finish() to tell.
+  void refuse(const std::string &Field, const std::string &Reason);
+
   /// Fails with every fault found, unknown fields among them.
   result<void> finish();
 
--- a/src/runtime/settings_reader.cpp
+++ b/src/runtime/settings_reader.cpp
@@ -11,6 +11,7 @@
 
 struct settings_reader::impl {
   std::string File;
+  step Step = step::ParseSettings;
   /// Where in the file this object stands, as in "services[1].".
   std::string Prefix;
   json Object;
@@ -56,18 +57,23 @@
 }
 
 result<settings_reader> settings_reader::fromText(std::string_view Text,
-                                                  std::string File) {
+                                                  std::string File, step Step) {
   auto State = std::make_unique<impl>();
+  State->Step = Step;
   State->File = std::move(File);
   State->Faults = std::make_shared<std::vector<std::string>>();
   try {
     State->Object = json::parse(Text, nullptr, true, /*ignore_comments=*/true);
   } catch (const json::parse_error &Error) {
-    return fail(step::ParseSettings, State->File,
+    return fail(Step, State->File,
                 "line " + lineAt(Text, Error.byte) + ": not JSON");
+  } catch (const json::out_of_range &) {
+    // nlohmann::json reports a number such as 1e999 by another exception than
+    // a syntax error; uncaught, it would end the process.
+    return fail(Step, State->File, "a number is too large for JSON");
   }
   if (!State->Object.is_object())
-    return fail(step::ParseSettings, State->File, "expected an object");
+    return fail(Step, State->File, "expected an object");
   return settings_reader(std::move(State));
 }
 
@@ -185,6 +191,7 @@
   for (std::size_t I = 0; I < Value->size(); ++I) {
     auto State = std::make_unique<impl>();
     State->File = Impl->File;
+    State->Step = Impl->Step;
     State->Prefix = Impl->Prefix + Field + "[" + std::to_string(I) + "].";
     State->Object = (*Value)[I];
     State->Faults = Impl->Faults;
@@ -197,6 +204,11 @@
   return Readers;
 }
 
+void settings_reader::refuse(const std::string &Field,
+                             const std::string &Reason) {
+  Impl->fault(Field, Reason);
+}
+
 result<void> settings_reader::finish() {
   for (const auto &[Field, Value] : Impl->Object.items())
     if (Impl->Known.count(Field) == 0)
@@ -206,7 +218,7 @@
   std::string Reason;
   for (const std::string &Fault : *Impl->Faults)
     Reason += (Reason.empty() ? "" : "; ") + Fault;
-  return fail(step::ParseSettings, Impl->File, Reason);
+  return fail(Impl->Step, Impl->File, Reason);
 }
 
 } // namespace marjoramrail
--- /dev/null
+++ b/test/resource/service_test.cpp
@@ -0,0 +1,113 @@
+#include "marjoramrail/resource.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+
+static const std::string Ledger = R"({
+  // Sessions with customs brokers.
+  "number": 1, "address": "10.77.0.1:443", "protocol": "http2",
+  "zones": ["oostende", "brugge"], "slots_per_target": 4})";
+
+static std::string reasonOf(const std::string &Json,
+                            const std::string &Name = "ledger") {
+  const auto Failure = failureOf([&]() -> result<void> {
+    BOOST_LEAF_CHECK(parseService(Json, Name));
+    return {};
+  });
+  return Failure ? toText(*Failure) : "";
+}
+
+static std::string with(const std::string &From, const std::string &To) {
+  std::string Text = Ledger;
+  return Text.replace(Text.find(From), From.size(), To);
+}
+
+TEST_CASE("parseService reads an object with comments and fills in defaults") {
+  const auto Spec = parseService(Ledger, "ledger");
+
+  REQUIRE(Spec);
+  CHECK(Spec->Name == "ledger");
+  CHECK(Spec->Number == service_id(1));
+  CHECK(toText(Spec->Address) == "10.77.0.1:443");
+  CHECK(Spec->Zones.size() == 2);
+  CHECK(Spec->MaxSharePercent == 105);
+}
+
+TEST_CASE("a service survives its JSON form") {
+  const auto Spec = parseService(Ledger, "ledger");
+  REQUIRE(Spec);
+
+  const auto Back = parseService(toJson(*Spec), "ledger");
+
+  REQUIRE(Back);
+  CHECK(*Back == *Spec);
+}
+
+TEST_CASE("parseService names object, field, reason and range") {
+  CHECK(reasonOf(with("\"number\": 1", "\"number\": 0")) ==
+        "validate-object service/ledger: field number: 0 is not a whole number "
+        "from 1 to 4294967295");
+  CHECK(reasonOf(with("\"protocol\": \"http2\"", "\"protocol\": \"udp\"")) ==
+        "validate-object service/ledger: field protocol: expected \"tcp\" or "
+        "\"http2\"");
+  CHECK(reasonOf(with(":443", ":0")).find("a port from 1 to 65535") !=
+        std::string::npos);
+  CHECK(reasonOf(with("\"brugge\"", "\"oostende\"")).find("oostende twice") !=
+        std::string::npos);
+  CHECK(reasonOf(Ledger, "Ledger!").find("field name") != std::string::npos);
+  CHECK(reasonOf("{\n\n\"number\": }").find("line 3") != std::string::npos);
+}
+
+TEST_CASE("parseService refuses a misspelt field") {
+  // An operator writes "slot_per_target"; were it ignored, the default would
+  // stay in force on VMs that no one logs in to.
+  CHECK(reasonOf(with("slots_per_target", "slot_per_target")) ==
+        "validate-object service/ledger: field slot_per_target: is not known "
+        "here");
+}
+
+TEST_CASE("parseService refuses a number too large for JSON") {
+  // The JSON library reports 1e999 by another exception than a syntax error;
+  // uncaught, it ended the process that read the object.
+  CHECK(
+      reasonOf(with("\"number\": 1", "\"number\": 1e999")).find("too large") !=
+      std::string::npos);
+}
+
+TEST_CASE("checkAgainst refuses a number or address that stands elsewhere") {
+  // Two services with one number: a packet for ledger would be taken by an
+  // agent of archive.
+  const auto Spec = parseService(Ledger, "ledger");
+  REQUIRE(Spec);
+  service_spec SameNumber = *Spec;
+  SameNumber.Name = "archive";
+  SameNumber.Address.Port = 444;
+  service_spec SameAddress = *Spec;
+  SameAddress.Name = "archive";
+  SameAddress.Number = service_id(2);
+  service_spec Renumbered = *Spec;
+  Renumbered.Number = service_id(3);
+
+  CHECK(failureOf([&] { return checkAgainst(SameNumber, {*Spec}); }));
+  CHECK(failureOf([&] { return checkAgainst(SameAddress, {*Spec}); }));
+  CHECK(failureOf([&] { return checkAgainst(Renumbered, {*Spec}); }));
+  CHECK(!failureOf([&] { return checkAgainst(*Spec, {*Spec}); }));
+}
+
+TEST_CASE("zones, drains and statuses survive their JSON forms") {
+  const zone_spec Zone{"brugge", zone_id(2), "be-west"};
+  const drain_spec Drain{"ledger-3", "new kernel"};
+  const drain_status Progress{"ledger-3", 12, 1, false, 1700000000000};
+  service_status Status;
+  Status.Name = "ledger";
+  Status.InForceOn = 2;
+  Status.Nodes = 3;
+  Status.Lagging = {"balancer-3"};
+  Status.Conditions = {{"ready", true, "7 targets", 1700000000000}};
+
+  CHECK(parseZone(toJson(Zone), "brugge").value() == Zone);
+  CHECK(parseDrain(toJson(Drain), "ledger-3").value() == Drain);
+  CHECK(parseDrainStatus(toJson(Progress), "ledger-3").value() == Progress);
+  CHECK(parseServiceStatus(toJson(Status), "ledger").value() == Status);
+}
--- /dev/null
+++ b/test/timeline/timeline_test.cpp
@@ -0,0 +1,90 @@
+#include "marjoramrail/timeline.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+
+static timeline_event routed(const std::string &Why) {
+  timeline_event Event;
+  Event.What = event_kind::FlowAccepted;
+  Event.Service = "ledger";
+  Event.Why = Why;
+  return Event;
+}
+
+TEST_CASE("an event survives its JSON line") {
+  std::string Line;
+  timeline Recorder(
+      "agent-1", [] { return 1700000000000; },
+      [&](const std::string &Text) { Line = Text; });
+
+  Recorder.record(routed("first \"choice\""));
+
+  const auto Event = parseJsonLine(Line);
+  REQUIRE(Event);
+  CHECK(Event->Process == "agent-1");
+  CHECK(Event->Clock == 1);
+  CHECK(Event->WallMs == 1700000000000);
+  CHECK(Event->Why == "first \"choice\"");
+}
+
+TEST_CASE("merge puts a cause before its effect where wall clocks disagree") {
+  // The agent's VM runs five seconds behind. By the wall clock alone it would
+  // seem to accept a flow before the balancer had taken the view it came by.
+  std::vector<timeline_event> Events;
+  const auto Keep = [&](const std::string &Line) {
+    Events.push_back(parseJsonLine(Line).value());
+  };
+  timeline Balancer(
+      "balancer-1", [] { return 10000; }, Keep);
+  timeline Agent(
+      "agent-1", [] { return 5000; }, Keep);
+
+  Balancer.record(routed("cause"));
+  Agent.witness(Balancer.clock());
+  Agent.record(routed("effect"));
+
+  const auto Merged = merge({Events[1], Events[0]});
+  CHECK(Merged[0].Why == "cause");
+  CHECK(Merged[1].Why == "effect");
+}
+
+TEST_CASE("a corrupted clock in a message is not followed") {
+  // One forged message with the greatest clock would leave no number for later
+  // events, so that no event after it could be put in order.
+  timeline Recorder(
+      "agent-1", [] { return 0; }, nullptr);
+
+  Recorder.witness(~std::uint64_t(0));
+
+  CHECK(Recorder.clock() == 0);
+}
+
+TEST_CASE("recent keeps the last events and no more") {
+  timeline Recorder(
+      "agent-1", [] { return 0; }, nullptr);
+
+  for (std::size_t I = 0; I < timeline::Kept + 3; ++I)
+    Recorder.record(routed("x"));
+
+  const std::string Text = Recorder.recent();
+  CHECK(std::count(Text.begin(), Text.end(), '\n') == timeline::Kept);
+  CHECK(Text.find("\"clock\":4,") < Text.find("\"clock\":5,"));
+}
+
+TEST_CASE("parseJsonLine names the field at fault") {
+  const auto reasonOf = [](std::string_view Line) {
+    const auto Failure = failureOf([&]() -> result<void> {
+      BOOST_LEAF_CHECK(parseJsonLine(Line));
+      return {};
+    });
+    return Failure ? Failure->Reason : "";
+  };
+
+  CHECK(reasonOf("{") == "not a JSON object");
+  CHECK(reasonOf(R"({"clock":-1})").find("field clock") == 0);
+  CHECK(reasonOf(R"({"clock":1,"wall_ms":1,"event":"nonsense"})")
+            .find("field event") == 0);
+  CHECK(reasonOf(R"({"clock":1,"wall_ms":1,"event":"drain-done","why":3})")
+            .find("field why") == 0);
+}
