--- a/src/resource/object_reader.cpp
+++ b/src/resource/object_reader.cpp
@@ -25,26 +25,28 @@
 result<settings_reader> internal::openObject(std::string_view Kind,
                                              const std::string &Name,
                                              std::string_view Json) {
-  BOOST_LEAF_CHECK(checkName(Kind, Name));
+  if (auto Checked = checkName(Kind, Name); !Checked)
+    return Checked.error();
   return settings_reader::fromText(Json, std::string(Kind) + "/" + Name,
                                    step::ValidateObject);
 }
 
+/// Keeps whether an object could be read and drops the object.
+template <typename Object> static result<void> outcomeOf(result<Object> Read) {
+  if (!Read)
+    return Read.error();
+  return {};
+}
+
 result<void> checkObject(resource_kind Kind, std::string_view Json,
                          const std::string &Name) {
   switch (Kind) {
-  case resource_kind::Service: {
-    BOOST_LEAF_CHECK(parseService(Json, Name));
-    return {};
-  }
-  case resource_kind::Zone: {
-    BOOST_LEAF_CHECK(parseZone(Json, Name));
-    return {};
-  }
-  case resource_kind::Drain: {
-    BOOST_LEAF_CHECK(parseDrain(Json, Name));
-    return {};
-  }
+  case resource_kind::Service:
+    return outcomeOf(parseService(Json, Name));
+  case resource_kind::Zone:
+    return outcomeOf(parseZone(Json, Name));
+  case resource_kind::Drain:
+    return outcomeOf(parseDrain(Json, Name));
   }
   return {};
 }
--- a/src/resource/service.cpp
+++ b/src/resource/service.cpp
@@ -29,7 +29,7 @@
 }
 
 static std::vector<std::string> readZones(settings_reader &Reader) {
-  const std::vector<std::string> Zones = Reader.texts("zones", true);
+  std::vector<std::string> Zones = Reader.texts("zones", true);
   if (Zones.empty() || Zones.size() > MaxZonesPerService)
     Reader.refuse("zones", "expected 1 to " +
                                std::to_string(MaxZonesPerService) +
@@ -64,7 +64,8 @@
   Spec.SilentFlowSeconds =
       Reader.number("silent_flow_seconds", Spec.SilentFlowSeconds,
                     MinSilentFlowSeconds, MaxSilentFlowSeconds);
-  BOOST_LEAF_CHECK(Reader.finish());
+  if (auto Checked = Reader.finish(); !Checked)
+    return Checked.error();
   return Spec;
 }
 
--- a/src/resource/status.cpp
+++ b/src/resource/status.cpp
@@ -37,9 +37,11 @@
   Status.TargetsDraining = Reader.number("targets_draining", 0, 0, MaxCount);
   for (settings_reader &Condition : Reader.objects("conditions", false)) {
     Status.Conditions.push_back(readCondition(Condition));
-    BOOST_LEAF_CHECK(Condition.finish());
+    if (auto Checked = Condition.finish(); !Checked)
+      return Checked.error();
   }
-  BOOST_LEAF_CHECK(Reader.finish());
+  if (auto Checked = Reader.finish(); !Checked)
+    return Checked.error();
   return Status;
 }
 
@@ -72,7 +74,8 @@
   Status.Requests = Reader.number("requests", std::nullopt, 0, MaxCount);
   Status.SafeToStop = Reader.flag("safe_to_stop", std::nullopt);
   Status.SinceMs = Reader.number("since_ms", 0, 0, MaxVersion);
-  BOOST_LEAF_CHECK(Reader.finish());
+  if (auto Checked = Reader.finish(); !Checked)
+    return Checked.error();
   return Status;
 }
 
--- a/src/resource/zone_and_drain.cpp
+++ b/src/resource/zone_and_drain.cpp
@@ -17,7 +17,8 @@
   Spec.Region = Reader.text("region");
   if (!isName(Spec.Region))
     Reader.refuse("region", NameRule);
-  BOOST_LEAF_CHECK(Reader.finish());
+  if (auto Checked = Reader.finish(); !Checked)
+    return Checked.error();
   return Spec;
 }
 
@@ -30,7 +31,8 @@
     Reader.refuse("reason",
                   "expected at most " + std::to_string(MaxReasonLength) +
                       " bytes, got " + std::to_string(Spec.Reason.size()));
-  BOOST_LEAF_CHECK(Reader.finish());
+  if (auto Checked = Reader.finish(); !Checked)
+    return Checked.error();
   return Spec;
 }
 
