--- /dev/null
+++ b/include/marjoramrail/work.h
@@ -0,0 +1,326 @@
+//===- work.h - Decisions under load at one agent ---------------*- C++ -*-===//
+///
+/// \file
+/// What an agent does with each request of its flows: run it now, let it wait,
+/// refuse it at once with an honest time to come back, or relay it to a peer
+/// that has room; which key may run; and when a flow counts as silent. Pure
+/// code: the time comes as an argument and randomness as a seed, so that a test
+/// or a bench drives it without a network.
+///
+/// Usage:
+/// \code
+///   relay_choice Peers(Self, relay_settings(), Seed);
+///   admission Work(admission_settings{.Slots = 4},
+///                  [&](const work_request &Request, relay_reason Why,
+///                      const load_report &Own, instant Now) {
+///                    return Peers.pick(Request, Why, Own, Now);
+///                  }, Seed);
+///   decision First = Work.offer({.Id = Id, .Caller = Hash}, Now);
+///   for (const decision &Next : Work.tick(Now)) // after each event, and often
+///     act(Next);
+///   Work.finished(Id, {.Elapsed = Took}, Now);
+/// \endcode
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_WORK_H
+#define MARJORAMRAIL_WORK_H
+
+#include "marjoramrail/base.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace marjoramrail {
+
+//===----------------------------------------------------------------------===//
+// Requests and what becomes of them
+//===----------------------------------------------------------------------===//
+
+/// The number that an agent gives a request; unique while the request lives.
+enum class request_id : std::uint64_t {};
+
+enum class work_kind {
+  Short,
+  /// Expected to hold a slot far longer than the usual request.
+  Long,
+  /// Lives for hours (status, alerts): counted, but takes no slot.
+  Stream,
+};
+
+inline constexpr std::size_t WorkKinds = 3;
+
+inline constexpr name_table<work_kind, WorkKinds> WorkKindNames = {{
+    {work_kind::Short, "short"},
+    {work_kind::Long, "long"},
+    {work_kind::Stream, "stream"},
+}};
+
+/// One request, before its first byte has gone to the target.
+struct work_request {
+  request_id Id{};
+  /// A hash of the caller's address; callers share slots evenly.
+  std::uint64_t Caller = 0;
+  work_kind Kind = work_kind::Short;
+  /// The Idempotency-Key header; empty for idempotent requests.
+  std::string Key;
+  /// When the answer loses its worth to the caller.
+  std::optional<instant> Deadline;
+  /// Expected time in a slot; zero: the mean of its kind is used.
+  duration Estimate = duration::zero();
+  /// The caller has tried this request before.
+  bool Retry = false;
+  /// Relays so far, and the agent that sent it here.
+  std::uint8_t Hops = 0;
+  std::optional<host_id> RelayedBy;
+};
+
+enum class verdict {
+  /// Begin now; report finished() or cancelled().
+  Run,
+  /// Queued: tick() will say Run or Refuse.
+  Wait,
+  /// Not run and not going to be: 503 with retry-after, or REFUSED_STREAM.
+  Refuse,
+  /// Not run here: send it to Peer.
+  Relay,
+};
+
+inline constexpr name_table<verdict, 4> VerdictNames = {{
+    {verdict::Run, "run"},
+    {verdict::Wait, "wait"},
+    {verdict::Refuse, "refuse"},
+    {verdict::Relay, "relay"},
+}};
+
+enum class refusal {
+  None,
+  /// Would wait longer than the bound, or the queue is full.
+  Overloaded,
+  /// Could not be answered by its deadline.
+  DeadlineTooClose,
+  /// Retries are over their share of the first tries.
+  RetryBudget,
+  Draining,
+  /// The target itself asked for less.
+  TargetShed,
+  TooManyStreams,
+};
+
+inline constexpr name_table<refusal, 7> RefusalNames = {{
+    {refusal::None, "none"},
+    {refusal::Overloaded, "overloaded"},
+    {refusal::DeadlineTooClose, "deadline_too_close"},
+    {refusal::RetryBudget, "retry_budget"},
+    {refusal::Draining, "draining"},
+    {refusal::TargetShed, "target_shed"},
+    {refusal::TooManyStreams, "too_many_streams"},
+}};
+
+struct decision {
+  request_id Id{};
+  verdict Verdict = verdict::Run;
+  refusal Reason = refusal::None;
+  /// With Refuse: when to come back.
+  duration RetryAfter = duration::zero();
+  /// With Relay.
+  host_id Peer{};
+};
+
+enum class work_outcome {
+  Answered,
+  /// The target said 503 or REFUSED_STREAM: not run.
+  Shed,
+  /// No answer: connection lost or timed out.
+  Lost,
+};
+
+struct completion {
+  /// From Run to the end of the answer.
+  duration Elapsed = duration::zero();
+  work_outcome Outcome = work_outcome::Answered;
+  /// With Shed: what the target asked for; zero if it did not say.
+  duration RetryAfter = duration::zero();
+};
+
+//===----------------------------------------------------------------------===//
+// Relay
+//===----------------------------------------------------------------------===//
+
+/// What an agent tells its peers of its load, a few times a second, and with
+/// each answer to a relayed request.
+struct load_report {
+  host_id Host{};
+  /// Share of its slots in use, smoothed over about a second; may pass 1.
+  double Busy = 0;
+  /// (running + waiting) / slots, at this moment.
+  double Pressure = 0;
+  double Slots = 1;
+  /// False while it drains or starts.
+  bool Accepting = true;
+};
+
+enum class relay_reason {
+  Draining,
+  /// The target has just started and takes a growing share.
+  Cold,
+  /// No slot is free here.
+  Overloaded,
+  /// This agent's flows bring more than its share; see relay_choice.
+  Balance,
+};
+
+inline constexpr name_table<relay_reason, 4> RelayReasonNames = {{
+    {relay_reason::Draining, "draining"},
+    {relay_reason::Cold, "cold"},
+    {relay_reason::Overloaded, "overloaded"},
+    {relay_reason::Balance, "balance"},
+}};
+
+struct relay_settings {
+  /// A report older than this is not used.
+  duration Stale = std::chrono::seconds(2);
+  /// A peer that relayed to us gets nothing from us for this long.
+  duration NoReturn = std::chrono::seconds(1);
+  /// A peer must be this much less pressed than we are.
+  double Margin = 0.25;
+  /// How fast the share that is shifted for balance follows the difference in
+  /// Busy, per second.
+  double Gain = 0.5;
+  std::uint8_t MaxHops = 1;
+};
+
+/// Which peer takes a request that has not begun to run.
+class relay_choice {
+public:
+  relay_choice(host_id Self, const relay_settings &Settings,
+               std::uint64_t Seed);
+
+  /// Takes a peer's report.
+  void report(const load_report &Peer, instant Now);
+  /// The peer has left the service.
+  void forget(host_id Peer);
+  /// A request came from \p Peer by relay.
+  void relayedHere(host_id Peer, instant Now);
+  /// \p Peer said "not run": it gets nothing before \p RetryAfter has passed.
+  void notRun(host_id Peer, duration RetryAfter, instant Now);
+
+  /// A peer for \p Request, or none: run, queue or refuse it here. The peer
+  /// chosen counts as loaded by it until its next report.
+  std::optional<host_id> pick(const work_request &Request, relay_reason Why,
+                              const load_report &Own, instant Now);
+
+  /// Share of this agent's requests that is shifted to even out Busy.
+  double shiftedShare() const { return Shifted; }
+
+private:
+  struct peer {
+    load_report Load;
+    instant At;
+    double Sent = 0;
+    instant AvoidUntil;
+  };
+
+  bool usable(const peer &Peer, instant Now) const;
+  double pressureOf(const peer &Peer) const;
+  bool wantsShift(const load_report &Own, instant Now);
+  void adjustShift(const load_report &Own, instant Now);
+  std::optional<host_id> lessLoadedOfTwo(instant Now);
+
+  host_id Self;
+  relay_settings Settings;
+  std::mt19937_64 Random;
+  std::map<host_id, peer> Peers;
+  double Shifted = 0;
+  instant ShiftedAt;
+};
+
+//===----------------------------------------------------------------------===//
+// Admission
+//===----------------------------------------------------------------------===//
+
+/// Each threshold's sweep is in docs/DECISIONS.md.
+struct admission_settings {
+  /// Declared by the service: requests that the target runs at a time.
+  std::uint32_t Slots = 4;
+  /// No request waits longer for its slot than this.
+  duration WaitBound = std::chrono::milliseconds(250);
+  std::size_t MaxWaiting = 256;
+  std::size_t MaxStreams = 8192;
+  /// Callers are kept apart by this many queues.
+  std::size_t CallerQueues = 256;
+  /// This share of the slots, at least one of two, is kept from long work.
+  double ShortShare = 0.25;
+  /// Retries let into the queue per first try.
+  double RetryShare = 0.2;
+  /// The limit may rise to this many times the declared slots.
+  double MaxLimitFactor = 2;
+  /// How long a new target takes to its full limit; zero: it is warm.
+  duration ColdStart = std::chrono::seconds(10);
+  duration MaxRetryAfter = std::chrono::seconds(30);
+  /// What a request is taken to need before its kind has been measured.
+  duration FirstEstimate = std::chrono::milliseconds(20);
+};
+
+struct admission_counts {
+  std::uint64_t Run = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t Relayed = 0;
+  std::uint64_t Cancelled = 0;
+};
+
+/// Decides what becomes of each request at one agent.
+class admission {
+public:
+  /// Names a peer with room, or none; empty: never relay.
+  using pick_peer = std::function<std::optional<host_id>(
+      const work_request &, relay_reason, const load_report &Own, instant Now)>;
+
+  admission(const admission_settings &Settings, pick_peer PickPeer,
+            std::uint64_t Seed);
+  ~admission();
+  admission(const admission &) = delete;
+  admission &operator=(const admission &) = delete;
+
+  /// Decides on a request that has just come. Call tick() afterwards.
+  decision offer(const work_request &Request, instant Now);
+
+  /// A request that ran is over. Its slot is free.
+  void finished(request_id Id, const completion &End, instant Now);
+
+  /// The caller gave up: the slot or the place in the queue is free at once.
+  void cancelled(request_id Id, instant Now);
+
+  /// Decisions on queued requests. Call it after each other call and at least
+  /// every TickPeriod while waiting() is not zero.
+  std::vector<decision> tick(instant Now);
+
+  static constexpr duration TickPeriod = std::chrono::milliseconds(10);
+
+  /// From now on nothing new is run: all goes to peers or is refused.
+  void drain(instant Now);
+
+  /// For peers; Host is left to the agent.
+  load_report load(instant Now);
+
+  std::size_t running() const;
+  std::size_t waiting() const;
+  std::size_t streams() const;
+  /// Requests that may run at a time, at this moment.
+  std::size_t limit(instant Now) const;
+  const admission_counts &counts() const;
+
+private:
+  struct impl;
+  std::unique_ptr<impl> Impl;
+};
+
+} // namespace marjoramrail
+
+#endif // MARJORAMRAIL_WORK_H
--- /dev/null
+++ b/src/work/relay_choice.cpp
@@ -0,0 +1,132 @@
+/// Which peer takes a request that has not begun to run.
+///
+/// Load pattern: flows last for hours and sit unevenly on hosts, hosts drain,
+/// start cold or slow down; the work in the flows has to move though the flows
+/// stay. Without it a host with three busy callers is at its limit while its
+/// neighbours idle.
+///
+/// What goes wrong with a simple choice: with "the least loaded by the last
+/// reports" every agent sends to the same idle peer until its next report
+/// (herding; one sees the peers' load swing in step). Here two peers drawn at
+/// random are compared, and what was sent since the last report is added to
+/// it. Two overloaded agents would pass a request to and fro: a relayed request
+/// is never relayed again (MaxHops), and who relays to us gets nothing back.
+#include "marjoramrail/work.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace marjoramrail {
+
+namespace {
+
+/// At most this share is shifted for balance, so that a host whose reports
+/// mislead still runs something and shows it.
+constexpr double MaxShifted = 0.95;
+/// Differences in Busy below this are noise of a few slots.
+constexpr double DeadZone = 0.02;
+/// A peer as busy as this has no room to balance with.
+constexpr double FullPressure = 1;
+
+} // namespace
+
+relay_choice::relay_choice(host_id Self, const relay_settings &Settings,
+                           std::uint64_t Seed)
+    : Self(Self), Settings(Settings), Random(Seed) {}
+
+void relay_choice::report(const load_report &Peer, instant Now) {
+  if (Peer.Host == Self)
+    return;
+  peer &Known = Peers[Peer.Host];
+  Known.Load = Peer;
+  Known.At = Now;
+  Known.Sent = 0;
+}
+
+void relay_choice::forget(host_id Peer) { Peers.erase(Peer); }
+
+void relay_choice::relayedHere(host_id Peer, instant Now) {
+  const auto Found = Peers.find(Peer);
+  if (Found == Peers.end())
+    return;
+  instant &Until = Found->second.AvoidUntil;
+  Until = std::max(Until, Now + Settings.NoReturn);
+}
+
+void relay_choice::notRun(host_id Peer, duration RetryAfter, instant Now) {
+  const auto Found = Peers.find(Peer);
+  if (Found == Peers.end())
+    return;
+  instant &Until = Found->second.AvoidUntil;
+  Until = std::max(Until, Now + RetryAfter);
+}
+
+bool relay_choice::usable(const peer &Peer, instant Now) const {
+  const bool Fresh = Now - Peer.At <= Settings.Stale;
+  return Fresh && Peer.Load.Accepting && Peer.AvoidUntil <= Now;
+}
+
+double relay_choice::pressureOf(const peer &Peer) const {
+  return Peer.Load.Pressure + Peer.Sent / std::max(Peer.Load.Slots, 1.0);
+}
+
+std::optional<host_id> relay_choice::lessLoadedOfTwo(instant Now) {
+  std::vector<host_id> Candidates;
+  for (const auto &[Host, Peer] : Peers)
+    if (usable(Peer, Now))
+      Candidates.push_back(Host);
+  if (Candidates.empty())
+    return std::nullopt;
+  const auto Draw = [&] { return Candidates[Random() % Candidates.size()]; };
+  const host_id First = Draw();
+  const host_id Second = Draw();
+  const bool Lower = pressureOf(Peers[First]) <= pressureOf(Peers[Second]);
+  return Lower ? First : Second;
+}
+
+void relay_choice::adjustShift(const load_report &Own, instant Now) {
+  double Sum = Own.Busy;
+  double Count = 1;
+  for (const auto &[Host, Peer] : Peers) {
+    if (Now - Peer.At > Settings.Stale || !Peer.Load.Accepting)
+      continue;
+    Sum += Peer.Load.Busy;
+    Count += 1;
+  }
+  const double Seconds = std::chrono::duration<double>(Now - ShiftedAt).count();
+  ShiftedAt = Now;
+  const double Excess = Own.Busy - Sum / Count;
+  if (std::abs(Excess) < DeadZone && Shifted > 0)
+    return;
+  Shifted += Settings.Gain * Excess * std::min(Seconds, 1.0);
+  Shifted = std::clamp(Shifted, 0.0, MaxShifted);
+}
+
+bool relay_choice::wantsShift(const load_report &Own, instant Now) {
+  adjustShift(Own, Now);
+  return std::uniform_real_distribution<>(0, 1)(Random) < Shifted;
+}
+
+std::optional<host_id> relay_choice::pick(const work_request &Request,
+                                          relay_reason Why,
+                                          const load_report &Own, instant Now) {
+  if (Request.Hops >= Settings.MaxHops || Request.RelayedBy)
+    return std::nullopt;
+  const bool ForBalance = Why == relay_reason::Balance;
+  if (ForBalance && !wantsShift(Own, Now))
+    return std::nullopt;
+  const auto Best = lessLoadedOfTwo(Now);
+  if (!Best)
+    return std::nullopt;
+  peer &Peer = Peers[*Best];
+  const double Pressure = pressureOf(Peer);
+  if (ForBalance && Pressure >= FullPressure)
+    return std::nullopt;
+  if (Why == relay_reason::Overloaded &&
+      Pressure + Settings.Margin > Own.Pressure)
+    return std::nullopt;
+  Peer.Sent += 1;
+  return *Best;
+}
+
+} // namespace marjoramrail
