Declare the fleet library and its messages

Cause: daemons need to know how an agent announces itself and how a balancer joins the fleet. Ruled out: CBOR maps for messages (field names would triple an announcement) and one large datagram per view (a lost fragment loses it all).

--- /dev/null
+++ b/src/fleet/announcer.cpp
@@ -0,0 +1,150 @@
+#include "fleet/datagrams.h"
+#include "fleet/message.h"
+#include "fleet/rendezvous.h"
+
+#include <algorithm>
+
+namespace marjoramrail {
+
+using namespace internal;
+
+struct announcer::impl {
+  timer_service &Timers;
+  announcer_settings Settings;
+  announcer_hooks Hooks;
+  /// Where announcements go: what a balancer assigned, else seeds.
+  std::vector<endpoint> Balancers;
+  std::optional<instant> LastHeard;
+  piece_joiner Joiner;
+  std::uint32_t LastMessage = 0;
+  std::uint64_t Faults = 0;
+  std::uint64_t ViewVersion = 0;
+  std::uint64_t Rounds = 0;
+  timer_id Timer{};
+
+  impl(timer_service &Service, announcer_settings Given, announcer_hooks Asked)
+      : Timers(Service), Settings(std::move(Given)), Hooks(std::move(Asked)) {}
+
+  void send(const endpoint &To, const message &Message) {
+    const auto Bytes = encode(Message);
+    sendInPieces(Bytes, ++LastMessage,
+                 [&](fleet_bytes Piece) { Hooks.Send(To, Piece); });
+  }
+
+  announcement describe() const {
+    return {Settings.Service, Settings.Host,    Settings.Zone,
+            Settings.Agent,   Settings.Relay,   Settings.Incarnation,
+            Settings.Slots,   Hooks.Describe(), hashOfEndpoints(Balancers)};
+  }
+
+  /// Assigned balancers that all stopped answering would leave the host
+  /// unheard for ever, so the seeds are asked again, in turn.
+  bool cutOff() const {
+    constexpr int SilentPeriods = 4;
+    return !LastHeard ||
+           Timers.now() - *LastHeard > SilentPeriods * Settings.Period;
+  }
+
+  void announce() {
+    ++Rounds;
+    const announcement Mine = describe();
+    for (const endpoint &Balancer : Balancers)
+      send(Balancer, Mine);
+    if (Settings.Seeds.empty() || !cutOff())
+      return;
+    for (std::size_t I = 0; I < Settings.Fanout; ++I) {
+      const std::size_t At = (Rounds + I) % Settings.Seeds.size();
+      if (I < Settings.Seeds.size())
+        send(Settings.Seeds[At], Mine);
+    }
+  }
+
+  void take(const endpoint &, const assignment &Assigned) {
+    if (!Assigned.Balancers.empty())
+      Balancers = Assigned.Balancers;
+  }
+
+  void take(const endpoint &From, const host_ping &) { send(From, describe()); }
+
+  void take(const endpoint &, const view_full &Full) {
+    const membership &Members = Full.Members;
+    if (Members.View.Name != Settings.Service ||
+        Members.View.Version <= ViewVersion)
+      return;
+    ViewVersion = Members.View.Version;
+    const bool Dead = declaredDown(Members);
+    if (Dead)
+      ++Settings.Incarnation;
+    Hooks.OnView(Members);
+    if (!Dead)
+      return;
+    if (Hooks.OnDeclaredDown)
+      Hooks.OnDeclaredDown(Settings.Incarnation);
+    announce();
+  }
+
+  /// The fleet gave this very incarnation up: callers have been told that its
+  /// flows are lost, so going on under the same number would bring back flows
+  /// that others may have answered for.
+  bool declaredDown(const membership &Members) const {
+    const auto Place = findTarget(Members, Settings.Agent);
+    if (!Place)
+      return false;
+    const target &Me = Members.View.Targets[*Place];
+    return Me.State == target_state::Down &&
+           Me.Incarnation >= Settings.Incarnation;
+  }
+
+  template <typename Other> void take(const endpoint &, const Other &) {
+    ++Faults;
+  }
+};
+
+std::optional<std::size_t> findTarget(const membership &Members,
+                                      const endpoint &Agent) {
+  const auto &Targets = Members.View.Targets;
+  const auto Found =
+      std::find_if(Targets.begin(), Targets.end(),
+                   [&](const target &Other) { return Other.Agent == Agent; });
+  if (Found == Targets.end())
+    return std::nullopt;
+  return static_cast<std::size_t>(Found - Targets.begin());
+}
+
+announcer::announcer(timer_service &Timers, announcer_settings Settings,
+                     announcer_hooks Hooks)
+    : Impl(std::make_unique<impl>(Timers, std::move(Settings),
+                                  std::move(Hooks))) {
+  impl *Self = Impl.get();
+  Self->Timer =
+      Timers.every(Self->Settings.Period, [Self] { Self->announce(); });
+}
+
+announcer::~announcer() { Impl->Timers.cancel(Impl->Timer); }
+
+void announcer::input(const endpoint &From, fleet_bytes Bytes) {
+  bool Fault = false;
+  const auto Whole = Impl->Joiner.add(From, Bytes, Fault);
+  Impl->Faults += Fault ? 1 : 0;
+  if (!Whole)
+    return;
+  const auto Failure = failureOf([&]() -> result<void> {
+    BOOST_LEAF_AUTO(Message, decode(*Whole));
+    Impl->LastHeard = Impl->Timers.now();
+    std::visit([&](const auto &Value) { Impl->take(From, Value); }, Message);
+    return {};
+  });
+  Impl->Faults += Failure ? 1 : 0;
+}
+
+void announcer::announceNow() { Impl->announce(); }
+
+std::uint32_t announcer::incarnation() const {
+  return Impl->Settings.Incarnation;
+}
+
+std::optional<instant> announcer::lastHeard() const { return Impl->LastHeard; }
+
+std::uint64_t announcer::faults() const { return Impl->Faults; }
+
+} // namespace marjoramrail
--- /dev/null
+++ b/src/fleet/datagrams.h
@@ -0,0 +1,54 @@
+//===- datagrams.h - Messages in numbered pieces ----------------*- C++ -*-===//
+///
+/// \file
+/// Splits a message over datagrams of at most MaxFleetDatagram bytes and joins
+/// them again. Header: u8 'M', u8 'F', u8 format 1, u8 zero, u32 message
+/// number, u16 index, u16 count; network byte order.
+///
+/// A lost piece loses its message; every message here is repeated or asked for
+/// again, so nothing is resent at this level.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_FLEET_DATAGRAMS_H
+#define MARJORAMRAIL_FLEET_DATAGRAMS_H
+
+#include "marjoramrail/fleet.h"
+
+#include <list>
+
+namespace marjoramrail::internal {
+
+inline constexpr std::size_t DatagramHeaderBytes = 12;
+inline constexpr std::size_t PieceBytes =
+    MaxFleetDatagram - DatagramHeaderBytes;
+
+/// Calls \p Send for each datagram of \p Message; returns the bytes sent.
+std::size_t sendInPieces(fleet_bytes Message, std::uint32_t Number,
+                         const std::function<void(fleet_bytes)> &Send);
+
+/// Joins pieces. Holds a bounded number of unfinished messages and bytes and
+/// forgets the oldest: a sender that never finishes must not fill the memory.
+class piece_joiner {
+public:
+  /// Returns the whole message when \p Datagram was its last missing piece.
+  /// \p Fault is set when the datagram cannot be read.
+  std::optional<std::vector<std::uint8_t>>
+  add(const endpoint &From, fleet_bytes Datagram, bool &Fault);
+
+private:
+  struct unfinished {
+    endpoint From;
+    std::uint32_t Number;
+    std::vector<std::vector<std::uint8_t>> Pieces;
+    std::size_t Missing;
+  };
+
+  static constexpr std::size_t MaxUnfinished = 16;
+
+  std::list<unfinished> Waiting;
+};
+
+} // namespace marjoramrail::internal
+
+#endif // MARJORAMRAIL_FLEET_DATAGRAMS_H
