Read callers' packets, frame routed ones, write resets and owner notices

Cause: nothing implemented wire.h yet. New in wire.h: owner_notice (agent to balancer), packet_fault::NoTarget, MaxRoutedOwners 16 -> 32. Eight generations with four choices each name up to 32 owners; cut off at 16, a planned change could have broken a flow whose owner did not fit. Ruled out: a second port for notices. Their first byte reads as an IPv4 header longer than the datagram, so one port is unambiguous.

--- a/include/marjoramrail/routing.h
+++ b/include/marjoramrail/routing.h
@@ -111,7 +111,9 @@
 /// Positions in service_view::Targets, most likely owner first; no repeats.
 class owner_list {
 public:
-  static constexpr std::size_t Capacity = 16;
+  /// The choices of all generations, even if no two have one in common: an
+  /// owner that did not fit would be a flow broken by a planned change.
+  static constexpr std::size_t Capacity = MaxGenerations * ChoicesPerGeneration;
 
   std::size_t size() const { return Count; }
   bool empty() const { return Count == 0; }
--- a/include/marjoramrail/wire.h
+++ b/include/marjoramrail/wire.h
@@ -52,9 +52,11 @@
   ServiceMismatch,
   UnknownService,
   ForeignSender,
+  /// The service has no target that may take the packet.
+  NoTarget,
 };
 
-inline constexpr name_table<packet_fault, 13> PacketFaultNames = {{
+inline constexpr name_table<packet_fault, 14> PacketFaultNames = {{
     {packet_fault::None, "none"},
     {packet_fault::Truncated, "truncated"},
     {packet_fault::NotIpv4, "not_ipv4"},
@@ -68,6 +70,7 @@
     {packet_fault::ServiceMismatch, "service_mismatch"},
     {packet_fault::UnknownService, "unknown_service"},
     {packet_fault::ForeignSender, "foreign_sender"},
+    {packet_fault::NoTarget, "no_target"},
 }};
 
 /// What a decision about a TCP packet needs; the packet itself stays opaque.
@@ -93,7 +96,8 @@
 /// Reads a packet on its way back (Flow.Caller is its destination).
 packet_fault parseAnswer(bytes_view Bytes, tcp_packet &Packet);
 
-inline constexpr std::size_t MaxRoutedOwners = 16;
+/// As many as owner_list holds: the choices of all generations of a view.
+inline constexpr std::size_t MaxRoutedOwners = 32;
 inline constexpr std::size_t MaxPacketBytes = 1500;
 inline constexpr std::size_t RoutedFixedBytes = 20;
 inline constexpr std::size_t MaxRoutedBytes =
@@ -131,9 +135,43 @@
 /// Reads a datagram. \p Routed points into \p Bytes afterwards.
 packet_fault decodeRouted(bytes_view Bytes, routed_packet &Routed);
 
+/// An agent's word to a balancer that it owns a flow, so that the flow's next
+/// packets reach it without a detour. The balancer may forget it at any time.
+///
+/// One UDP datagram from the owner's routed socket to the address that the
+/// packet came from, integers in network byte order:
+///
+///   u16 magic 0x4d4f | u8 format 1 | u8 zero | u32 service | u64 version |
+///   3 x (u32 address, u16 port): caller, service, owner
+///
+/// On the balancer's port it cannot be taken for an IPv4 packet: the length in
+/// the first byte of such a one would exceed the datagram.
+struct owner_notice {
+  service_id Service{};
+  /// The version of the owner's view.
+  std::uint64_t Version = 0;
+  flow_key Flow;
+  endpoint Owner;
+
+  bool operator==(const owner_notice &) const = default;
+};
+
+inline constexpr std::size_t OwnerNoticeBytes = 34;
+
+/// Writes \p Notice to \p Buffer and returns its size; 0 if it does not fit.
+std::size_t encodeOwnerNotice(const owner_notice &Notice,
+                              std::span<std::uint8_t> Buffer);
+
+/// True if \p Bytes has the size and the magic number of a notice.
+bool isOwnerNotice(bytes_view Bytes);
+
+packet_fault decodeOwnerNotice(bytes_view Bytes, owner_notice &Notice);
+
 /// A reset that answers \p Packet in the service's name, so that a caller whose
 /// flow has no owner any more learns it at once instead of by silence. Returns
-/// the size of the IPv4 packet written to \p Buffer (40 bytes are needed).
+/// the size of the IPv4 packet written to \p Buffer (40 bytes are needed), or 0
+/// if it does not fit or \p Packet is a reset itself, which gets no answer
+/// (RFC 9293, 3.10.7.1).
 std::size_t writeReset(const tcp_packet &Packet,
                        std::span<std::uint8_t> Buffer);
 
--- /dev/null
+++ b/test/wire/routed_packet_test.cpp
@@ -0,0 +1,106 @@
+#include "wire/sample_packet.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+using namespace marjoramrail::test;
+
+static const byte_string Inner{1, 2, 3, 4, 5};
+
+static routed_packet sampleRouted() {
+  routed_packet Routed;
+  Routed.Service = service_id(7);
+  Routed.Version = 0x0102030405060708;
+  Routed.Flags = static_cast<std::uint8_t>(routed_flag::Stale);
+  Routed.Position = 1;
+  Routed.Count = 2;
+  Routed.Owners[0] = {0x0a000001, 4000};
+  Routed.Owners[1] = {0x0a000002, 4001};
+  Routed.Packet = Inner;
+  return Routed;
+}
+
+static byte_string encoded(const routed_packet &Routed) {
+  byte_string Buffer(MaxRoutedBytes);
+  Buffer.resize(encodeRouted(Routed, Buffer));
+  return Buffer;
+}
+
+static packet_fault faultOf(const byte_string &Bytes) {
+  routed_packet Routed;
+  return decodeRouted(Bytes, Routed);
+}
+
+TEST_CASE("decodeRouted reads what encodeRouted wrote") {
+  const byte_string Bytes = encoded(sampleRouted());
+  routed_packet Back;
+
+  REQUIRE(decodeRouted(Bytes, Back) == packet_fault::None);
+
+  CHECK(Bytes.size() == 20 + 2 * 6 + 5);
+  CHECK(Back.Service == service_id(7));
+  CHECK(Back.Version == 0x0102030405060708);
+  CHECK(Back.has(routed_flag::Stale));
+  CHECK_FALSE(Back.has(routed_flag::HandedOn));
+  CHECK(Back.Position == 1);
+  CHECK(Back.Count == 2);
+  CHECK(Back.Owners[1] == endpoint{0x0a000002, 4001});
+  CHECK(byte_string(Back.Packet.begin(), Back.Packet.end()) == Inner);
+}
+
+TEST_CASE("encodeRouted writes nothing that decodeRouted would refuse") {
+  routed_packet Routed = sampleRouted();
+  byte_string Small(20);
+
+  CHECK(encodeRouted(Routed, Small) == 0);
+  Routed.Count = MaxRoutedOwners + 1;
+  CHECK(encoded(Routed).empty());
+  Routed.Count = 1;
+  const byte_string Large(MaxPacketBytes + 1);
+  Routed.Packet = Large;
+  CHECK(encoded(Routed).empty());
+}
+
+TEST_CASE("decodeRouted tells by reason what it refuses") {
+  // Datagrams that no balancer of ours sent, or that were damaged. An agent
+  // that believed them could send packets in circles or to other hosts.
+  byte_string Bytes = encoded(sampleRouted());
+
+  SUBCASE("every truncation down to an empty inner packet") {
+    for (std::size_t Size = 0; Size <= 20 + 2 * 6; ++Size)
+      CHECK(faultOf({Bytes.begin(), Bytes.begin() + Size}) ==
+            packet_fault::Truncated);
+  }
+  SUBCASE("another magic number") {
+    Bytes[0] = 0;
+    CHECK(faultOf(Bytes) == packet_fault::BadMagic);
+  }
+  SUBCASE("another format") {
+    Bytes[2] = 2;
+    CHECK(faultOf(Bytes) == packet_fault::BadFormat);
+  }
+  SUBCASE("a field that must be zero") {
+    Bytes[19] = 1;
+    CHECK(faultOf(Bytes) == packet_fault::BadFormat);
+  }
+  SUBCASE("more owners than a list holds") {
+    Bytes[17] = MaxRoutedOwners + 1;
+    CHECK(faultOf(Bytes) == packet_fault::TooManyOwners);
+  }
+  SUBCASE("a position past the list") {
+    Bytes[16] = 2;
+    CHECK(faultOf(Bytes) == packet_fault::BadPosition);
+  }
+  SUBCASE("an inner packet larger than the fabric's largest") {
+    Bytes.resize(20 + 2 * 6 + MaxPacketBytes + 1);
+    CHECK(faultOf(Bytes) == packet_fault::BadLength);
+  }
+}
+
+TEST_CASE("decodeRouted takes a position past the list from an agent") {
+  routed_packet Routed = sampleRouted();
+  Routed.Position = 2;
+  Routed.Flags = static_cast<std::uint8_t>(routed_flag::Extended);
+
+  CHECK(faultOf(encoded(Routed)) == packet_fault::None);
+}
