Route flows by weighted rendezvous hashing over all generations

Cause: nothing implemented routing.h yet. Change: one exponential variate per flow and host, in integers, shared by all generations, which differ only in weights; the four least scores of each are kept without branches. Choices are picked by weight and filtered by state afterwards, so that they are among the owners at every balancer. Ruled out: log() of the C library (may round differently between versions, and balancers must agree); the router's old layout by generation (one hash per generation and host).

--- a/include/marjoramrail/routing.h
+++ b/include/marjoramrail/routing.h
@@ -99,6 +99,9 @@
   bool operator==(const service_view &) const = default;
 };
 
+/// Targets of one service that a router holds.
+inline constexpr std::size_t MaxTargets = 65535;
+
 /// More generations than this would make routing slow and packets long; the
 /// writer of a view coalesces changes before it gets there.
 inline constexpr std::size_t MaxGenerations = 8;
@@ -132,13 +135,17 @@
 /// Routes the flows of one service under one version of its view.
 class service_router {
 public:
+  /// Takes the first MaxGenerations of \p View and at most MaxTargets; weights
+  /// above MaxWeight count as MaxWeight, members that are no target as absent.
   explicit service_router(const service_view &View);
 
   service_id id() const { return Id; }
   std::uint64_t version() const { return Version; }
 
   /// Where a new flow goes: the newest generation's choices in order, without
-  /// targets that are draining or down.
+  /// targets that are draining or down. Always among owners(), so the choices
+  /// are picked by weight first and filtered by state afterwards: a balancer
+  /// that has not heard of a drain would otherwise look elsewhere.
   owner_list choices(const flow_key &Flow) const;
 
   /// Who may own an existing flow: the choices of every generation, newest
@@ -154,18 +161,13 @@
   std::size_t bytes() const;
 
 private:
-  struct share {
-    std::uint16_t Position;
-    std::uint16_t Weight;
-  };
-
   service_id Id;
   std::uint64_t Version;
+  std::size_t GenerationCount;
   std::vector<target> Targets;
-  /// Members of all generations, newest first; Ends[i] is one past the last
-  /// member of generation i.
-  std::vector<share> Shares;
-  std::vector<std::uint16_t> Ends;
+  /// One row for each target: its weight in each generation, newest first; 0
+  /// where it is no member.
+  std::vector<std::uint16_t> Weights;
 };
 
 } // namespace marjoramrail
--- /dev/null
+++ b/src/routing/rendezvous_score.h
@@ -0,0 +1,113 @@
+//===- rendezvous_score.h - A host's score for a flow -----------*- C++ -*-===//
+///
+/// \file
+/// Weighted rendezvous hashing (Thaler and Ravishankar; the weighted form by
+/// Schindelhauer and Schomaker): a host's score for a flow is -ln(h) / w, with
+/// h a uniform hash of both and w its weight; the least score owns the flow. It
+/// is the same order as the greatest -w / ln(h).
+///
+/// The logarithm is in integers. Balancers must agree on every flow without
+/// talking, and the C library's log() may round differently from one version
+/// of it to the next.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_ROUTING_RENDEZVOUS_SCORE_H
+#define MARJORAMRAIL_ROUTING_RENDEZVOUS_SCORE_H
+
+#include "marjoramrail/routing.h"
+
+#include <array>
+#include <bit>
+#include <cstdint>
+
+namespace marjoramrail::internal {
+
+/// Bits after the point of logarithms and of inverse weights. The whole part
+/// of a logarithm takes 6 bits, so a product of both takes 58.
+inline constexpr unsigned LogBits = 28;
+inline constexpr unsigned InverseBits = 24;
+/// Logarithms between two entries of the table are interpolated; 256 of them
+/// keep the error under 3e-6, far less than a host's share of a flow space.
+inline constexpr unsigned TableBits = 8;
+
+/// The binary logarithm of \p Value in [1, 2), given with 31 bits after the
+/// point, by repeated squaring.
+constexpr std::uint32_t log2OfMantissa(std::uint64_t Value) {
+  constexpr std::uint64_t Two = std::uint64_t(1) << 32;
+  std::uint32_t Log = 0;
+  for (unsigned Bit = LogBits; Bit-- > 0;) {
+    Value = Value * Value >> 31;
+    if (Value < Two)
+      continue;
+    Value >>= 1;
+    Log |= std::uint32_t(1) << Bit;
+  }
+  return Log;
+}
+
+consteval auto makeLogTable() {
+  constexpr std::size_t Size = std::size_t(1) << TableBits;
+  std::array<std::uint32_t, Size + 1> Table{};
+  for (std::size_t I = 0; I < Size; ++I)
+    Table[I] = log2OfMantissa((std::uint64_t(1) << 31) +
+                              (std::uint64_t(I) << (31 - TableBits)));
+  Table[Size] = std::uint32_t(1) << LogBits;
+  return Table;
+}
+
+consteval auto makeInverseTable() {
+  std::array<std::uint32_t, MaxWeight + 1> Table{};
+  for (std::uint32_t Weight = 1; Weight <= MaxWeight; ++Weight)
+    Table[Weight] = ((std::uint32_t(1) << InverseBits) + Weight / 2) / Weight;
+  return Table;
+}
+
+inline constexpr auto LogTable = makeLogTable();
+inline constexpr auto InverseTable = makeInverseTable();
+
+/// -log2(Hash / 2^64): exponentially distributed if \p Hash is uniform. One
+/// value serves all generations; they differ only in the weight.
+inline std::uint64_t negativeLog(std::uint64_t Hash) {
+  const auto Zeros = static_cast<unsigned>(std::countl_zero(Hash | 1));
+  const std::uint64_t Mantissa = (Hash | 1) << Zeros;
+  const std::uint64_t Index = Mantissa << 1 >> (64 - TableBits);
+  const std::uint64_t Fraction = Mantissa << (1 + TableBits) >> 32;
+  const std::uint64_t Low = LogTable[Index];
+  const std::uint64_t Step = LogTable[Index + 1] - Low;
+  const std::uint64_t Log = Low + (Step * Fraction >> 32);
+  return (std::uint64_t(Zeros + 1) << LogBits) - Log;
+}
+
+/// Score and position in one integer, so that the least integer is the best
+/// host and a choice needs no second look-up. \p Weight must not be 0.
+inline std::uint64_t scoreKey(std::uint64_t NegativeLog, std::uint16_t Weight,
+                              std::uint16_t Position) {
+  constexpr unsigned Spare = 64 - (LogBits + 6) - InverseBits;
+  constexpr std::uint64_t PositionMask = 0xffff;
+  const std::uint64_t Score = NegativeLog * InverseTable[Weight] << Spare;
+  return (Score & ~PositionMask) | Position;
+}
+
+inline constexpr std::uint64_t NoKey = ~std::uint64_t(0);
+
+/// The least keys of one generation, in order.
+struct best_keys {
+  std::array<std::uint64_t, ChoicesPerGeneration> Keys;
+
+  best_keys() { Keys.fill(NoKey); }
+
+  /// Sorts \p Key in without a branch: whether it ranks is a coin's throw that
+  /// the processor would guess wrong every other time.
+  void add(std::uint64_t Key) {
+    for (std::uint64_t &Held : Keys) {
+      const std::uint64_t Less = Key < Held ? Key : Held;
+      Key = Key < Held ? Held : Key;
+      Held = Less;
+    }
+  }
+};
+
+} // namespace marjoramrail::internal
+
+#endif // MARJORAMRAIL_ROUTING_RENDEZVOUS_SCORE_H
