--- /dev/null
+++ b/standins/load/caller_flow.cpp
@@ -0,0 +1,244 @@
+#include "caller_flow.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace marjoramrail::standins {
+
+using std::chrono::milliseconds;
+
+/// Past its deadline a caller waits this much longer for the answer that is on
+/// its way, then gives the request up.
+static constexpr duration AnswerSlack = milliseconds(1000);
+
+caller_flow::caller_flow(timer_service &Timers, std::string Service,
+                         hooks Hooks)
+    : Timers(Timers), Service(std::move(Service)), Hooks(std::move(Hooks)) {}
+
+caller_flow::~caller_flow() {
+  for (auto &[Stream, Item] : Pending)
+    Timers.cancel(Item.Timeout);
+}
+
+result<void> caller_flow::open(tcp_stack &Stack, const endpoint &Local,
+                               const endpoint &Remote) {
+  stack_flow::hooks Streaming;
+  Streaming.OnConnected = [this] {
+    Open = true;
+    startSession();
+    Hooks.OnOpen();
+  };
+  Streaming.OnData = [this](std::string_view Bytes) {
+    Flow->consumed(Bytes.size());
+    if (!Session->input(Bytes))
+      gone(flow_fate::Broken, "broken protocol");
+  };
+  Streaming.OnEnd = [this] {
+    gone(Leaving ? flow_fate::Moved : flow_fate::Broken, "ended by the peer");
+  };
+  Streaming.OnWritable = [this] { pump(); };
+  Streaming.OnClosed = [this](flow_end End) {
+    gone(flow_fate::Broken, std::string(nameOf(FlowEndNames, End)));
+  };
+  BOOST_LEAF_AUTO(Opened, Stack.connect(Local, Remote, std::move(Streaming)));
+  Flow = std::move(Opened);
+  return {};
+}
+
+void caller_flow::startSession() {
+  h2_hooks Sessions;
+  Sessions.Output = [this](std::string_view Bytes) {
+    Outgoing += Bytes;
+    pump();
+  };
+  Sessions.OnHead = [this](h2_stream Stream, const h2_head &Head, bool) {
+    onHead(Stream, Head);
+  };
+  Sessions.OnData = [this](h2_stream Stream, std::string_view Data, bool) {
+    onData(Stream, Data);
+  };
+  Sessions.OnClose = [this](h2_stream Stream, h2_error Code) {
+    onClose(Stream, Code);
+  };
+  Sessions.OnGoAway = [this](h2_stream, h2_error) {
+    Leaving = true;
+    leaveIfIdle();
+  };
+  Session = std::make_unique<h2_session>(h2_role::Client, h2_settings(),
+                                         std::move(Sessions));
+  startStream();
+  Session->flush();
+}
+
+void caller_flow::pump() {
+  if (Gone || Outgoing.empty())
+    return;
+  const std::size_t Taken = Flow->write(Outgoing);
+  Outgoing.erase(0, Taken);
+}
+
+void caller_flow::keepStream(std::uint32_t IntervalMs) {
+  StreamIntervalMs = IntervalMs;
+  startStream();
+}
+
+void caller_flow::startStream() {
+  if (StreamIntervalMs == 0 || LongStream > 0 || !Session || Leaving)
+    return;
+  attempt Stream;
+  Stream.Path = "/stream";
+  h2_head Head = headOf(Stream);
+  Head.add("x-interval-ms", std::to_string(StreamIntervalMs));
+  LongStream = Session->request(Head, true);
+  Session->flush();
+}
+
+h2_head caller_flow::headOf(const attempt &Attempt) const {
+  h2_head Head;
+  Head.add(":method", Attempt.Path == "/work" ? "POST" : "GET");
+  Head.add(":scheme", "http");
+  Head.add(":authority", Service);
+  Head.add(":path", Attempt.Path);
+  Head.add("x-service", Service);
+  return Head;
+}
+
+void caller_flow::send(attempt Attempt) {
+  h2_head Head = headOf(Attempt);
+  Head.add("x-request", Attempt.Request);
+  Head.add("x-work-ms", std::to_string(Attempt.WorkMs));
+  Head.add("x-deadline-ms", std::to_string(Attempt.DeadlineMs));
+  if (Attempt.Try > 1)
+    Head.add("x-try", std::to_string(Attempt.Try));
+  if (!Attempt.Key.empty())
+    Head.add("idempotency-key", Attempt.Key);
+  const h2_stream Stream = Session->request(Head, true);
+  if (Stream < 0)
+    return Hooks.OnEnd(
+        Attempt, {attempt_outcome::NotRun, "goaway", "", duration::zero()});
+  pending &Item = Pending[Stream];
+  Item.Attempt = std::move(Attempt);
+  const duration Patience = milliseconds(Item.Attempt.DeadlineMs) + AnswerSlack;
+  Item.Timeout = Timers.after(Patience, [this, Stream] { giveUp(Stream); });
+  Session->flush();
+}
+
+void caller_flow::giveUp(h2_stream Stream) {
+  // OnClose tells the outcome: no answer, so unknown.
+  Session->reset(Stream, h2_error::Cancel);
+  Session->flush();
+}
+
+void caller_flow::onHead(h2_stream Stream, const h2_head &Head) {
+  if (const auto From = Head.get("x-host"); !From.empty() && Host.empty())
+    Host = From;
+  if (Stream == LongStream) {
+    if (const auto From = Head.get("x-host"); !From.empty())
+      Host = From;
+    return;
+  }
+  const auto Found = Pending.find(Stream);
+  if (Found == Pending.end())
+    return;
+  Found->second.Status = Head.get(":status");
+  Found->second.Host = Head.get("x-host");
+  Found->second.RetryAfter = Head.get("retry-after");
+}
+
+void caller_flow::onData(h2_stream Stream, std::string_view Data) {
+  if (Stream == LongStream) {
+    Ticks +=
+        static_cast<std::uint64_t>(std::count(Data.begin(), Data.end(), '\n'));
+    return;
+  }
+  const auto Found = Pending.find(Stream);
+  if (Found != Pending.end())
+    Found->second.Body += Data;
+}
+
+void caller_flow::onClose(h2_stream Stream, h2_error Code) {
+  if (Stream == LongStream) {
+    LongStream = 0;
+    if (!Leaving && !Gone)
+      Timers.after(milliseconds(100), [this, Weak = std::weak_ptr(Alive)] {
+        if (Weak.lock())
+          startStream();
+      });
+    return;
+  }
+  const auto Found = Pending.find(Stream);
+  if (Found == Pending.end())
+    return;
+  const pending Item = std::move(Found->second);
+  Pending.erase(Found);
+  Timers.cancel(Item.Timeout);
+  Hooks.OnEnd(Item.Attempt, judge(Item, Code));
+  leaveIfIdle();
+}
+
+/// The "run" member of a refusal's body, or "".
+static std::string runOf(const std::string &Body) {
+  const auto Json = nlohmann::json::parse(Body, nullptr, false);
+  return Json.is_object() ? Json.value("run", "") : "";
+}
+
+static duration secondsIn(const std::string &Text) {
+  double Seconds = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Seconds);
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
+static bool isOwnAnswer(const attempt &Attempt, const std::string &Body) {
+  if (Attempt.DocumentBytes > 0)
+    return Body.size() == Attempt.DocumentBytes;
+  const auto Json = nlohmann::json::parse(Body, nullptr, false);
+  if (!Json.is_object())
+    return false;
+  // A repeat of a key finds the first attempt's answer, which is its own too.
+  const std::string Base = Attempt.Request.substr(0, Attempt.Request.find('/'));
+  return Json.value("request", "").starts_with(Base + "/");
+}
+
+attempt_end caller_flow::judge(const pending &Item, h2_error Code) const {
+  attempt_end End;
+  End.Status = Item.Status;
+  End.Host = Item.Host;
+  End.RetryAfter = secondsIn(Item.RetryAfter);
+  if (Code == h2_error::RefusedStream) {
+    End.Outcome = attempt_outcome::NotRun;
+    return End;
+  }
+  if (Code != h2_error::NoError || Item.Status.empty())
+    return End;
+  if (Item.Status == "200")
+    End.Outcome = isOwnAnswer(Item.Attempt, Item.Body) ? attempt_outcome::Ok
+                                                       : attempt_outcome::Wrong;
+  else if (runOf(Item.Body) == "no")
+    End.Outcome = attempt_outcome::NotRun;
+  return End;
+}
+
+void caller_flow::leaveIfIdle() {
+  if (!Leaving || Gone || !Pending.empty())
+    return;
+  // A caller that was asked to leave ends its long stream itself; nothing of
+  // it is lost, since it starts again on the next flow.
+  gone(flow_fate::Moved, "told to leave");
+}
+
+void caller_flow::gone(flow_fate Fate, const std::string &Why) {
+  if (std::exchange(Gone, true))
+    return;
+  Open = false;
+  for (auto &[Stream, Item] : std::exchange(Pending, {})) {
+    Timers.cancel(Item.Timeout);
+    Hooks.OnEnd(Item.Attempt, attempt_end());
+  }
+  if (Flow && Fate == flow_fate::Moved)
+    Flow->close();
+  Hooks.OnGone(Fate, Why);
+}
+
+} // namespace marjoramrail::standins
