Audit an experiment from callers' logs and targets' records

Cause: the promises have to be judged from both ends, not from counters of ours. Change: standins/load/audit, pure, with a test per finding. Conclusion: misrouted, ran twice, refused but ran, broken flows and imbalance are counted from evidence.

--- /dev/null
+++ b/standins/load/audit.cpp
@@ -0,0 +1,178 @@
+#include "audit.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace marjoramrail::standins {
+
+using nlohmann::json;
+
+static std::string text(const json &Line, const char *Field) {
+  return Line.value(Field, std::string());
+}
+
+static std::int64_t number(const json &Line, const char *Field) {
+  return Line.value(Field, std::int64_t{0});
+}
+
+static attempt_line toAttempt(const json &Line) {
+  return {text(Line, "service"),    text(Line, "request"),
+          text(Line, "key"),        text(Line, "outcome"),
+          text(Line, "status"),     text(Line, "host"),
+          number(Line, "first_us"), number(Line, "sent_us"),
+          number(Line, "ended_us")};
+}
+
+static flow_line toFlow(const json &Line) {
+  return {text(Line, "service"), text(Line, "event"), text(Line, "flow"),
+          text(Line, "host"),    text(Line, "why"),   number(Line, "at_us")};
+}
+
+static fault_line toFault(const json &Line) {
+  return {text(Line, "action"), text(Line, "who"), text(Line, "argument"),
+          number(Line, "at_us")};
+}
+
+static run_line toRun(const json &Line) {
+  return {text(Line, "event"),     text(Line, "host"),    text(Line, "service"),
+          text(Line, "meant"),     text(Line, "request"), text(Line, "key"),
+          number(Line, "work_us"), number(Line, "at_us")};
+}
+
+void evidence::read(std::istream &In) {
+  std::string Text;
+  while (std::getline(In, Text)) {
+    const json Line = json::parse(Text, nullptr, false);
+    if (!Line.is_object()) {
+      ++Unreadable;
+      continue;
+    }
+    const std::string Kind = text(Line, "line");
+    if (Kind == "attempt")
+      Attempts.push_back(toAttempt(Line));
+    else if (Kind == "flow")
+      Flows.push_back(toFlow(Line));
+    else if (Kind == "fault")
+      Faults.push_back(toFault(Line));
+    else
+      Runs.push_back(toRun(Line));
+  }
+}
+
+double imbalanceOf(const std::map<std::string, double> &Shares) {
+  double Sum = 0;
+  double Highest = 0;
+  for (const auto &[Host, Share] : Shares) {
+    Sum += Share;
+    Highest = std::max(Highest, Share);
+  }
+  return Sum > 0 ? Highest * static_cast<double>(Shares.size()) / Sum : 1;
+}
+
+/// The part of a request's name that its tries share.
+static std::string baseOf(const std::string &Request) {
+  return Request.substr(0, Request.find('/'));
+}
+
+static void countOutcomes(const evidence &Evidence, audit_result &Result) {
+  std::map<std::string, std::string> Last;
+  for (const attempt_line &Attempt : Evidence.Attempts) {
+    std::string &Outcome = Last[baseOf(Attempt.Request)];
+    if (Outcome != "ok")
+      Outcome = Attempt.Outcome;
+    if (Attempt.Outcome == "wrong")
+      ++Result.Wrong;
+  }
+  Result.Requests = Last.size();
+  for (const auto &[Request, Outcome] : Last) {
+    Result.Ok += Outcome == "ok" ? 1 : 0;
+    Result.Refused += Outcome == "not_run" ? 1 : 0;
+    Result.Unknown += Outcome == "unknown" ? 1 : 0;
+  }
+}
+
+static void countFlows(const evidence &Evidence, const audit_settings &Settings,
+                       audit_result &Result) {
+  for (const flow_line &Flow : Evidence.Flows) {
+    if (Flow.Event == "moved")
+      ++Result.MovedFlows;
+    if (Flow.Event != "broken")
+      continue;
+    ++Result.BrokenFlows;
+    if (Settings.KilledHosts.count(Flow.Host) != 0)
+      ++Result.AllowedBroken;
+  }
+}
+
+static void countRuns(const evidence &Evidence, audit_result &Result) {
+  std::set<std::string> Begun;
+  std::map<std::string, std::uint64_t> BegunByKey;
+  for (const run_line &Run : Evidence.Runs) {
+    if (Run.Event != "begin")
+      continue;
+    Begun.insert(Run.Request);
+    if (Run.Meant != Run.Service)
+      ++Result.Misrouted;
+    if (!Run.Key.empty())
+      ++BegunByKey[Run.Key];
+  }
+  for (const auto &[Key, Count] : BegunByKey)
+    Result.RanTwice += Count > 1 ? 1 : 0;
+  for (const attempt_line &Attempt : Evidence.Attempts)
+    if (Attempt.Outcome == "not_run" && Begun.count(Attempt.Request) != 0)
+      ++Result.RefusedButRan;
+}
+
+static void measureBalance(const evidence &Evidence,
+                           const audit_settings &Settings,
+                           audit_result &Result) {
+  for (const run_line &Run : Evidence.Runs)
+    if (Run.Event == "end" && Settings.ExcludedHosts.count(Run.Host) == 0)
+      Result.Services[Run.Service].WorkByHost[Run.Host] +=
+          static_cast<double>(Run.WorkUs);
+  for (const flow_line &Flow : Evidence.Flows)
+    if (Flow.Event == "living" && !Flow.Host.empty() &&
+        Settings.ExcludedHosts.count(Flow.Host) == 0)
+      Result.Services[Flow.Service].FlowsByHost[Flow.Host] += 1;
+  for (auto &[Name, Balance] : Result.Services) {
+    Balance.WorkImbalance = imbalanceOf(Balance.WorkByHost);
+    Balance.FlowImbalance = imbalanceOf(Balance.FlowsByHost);
+  }
+}
+
+audit_result audit(const evidence &Evidence, const audit_settings &Settings) {
+  audit_result Result;
+  countOutcomes(Evidence, Result);
+  countFlows(Evidence, Settings, Result);
+  countRuns(Evidence, Result);
+  measureBalance(Evidence, Settings, Result);
+  return Result;
+}
+
+double audit_result::worstImbalance() const {
+  double Worst = 1;
+  for (const auto &[Name, Balance] : Services)
+    Worst = std::max(Worst, Balance.WorkImbalance);
+  return Worst;
+}
+
+bool audit_result::kept() const {
+  return Requests > 0 && BrokenFlows == AllowedBroken && Misrouted == 0 &&
+         RanTwice == 0 && RefusedButRan == 0 && Wrong == 0;
+}
+
+std::string summaryLine(const audit_result &Result) {
+  std::ostringstream Out;
+  Out << "requests=" << Result.Requests << " ok=" << Result.Ok
+      << " refused=" << Result.Refused << " unknown=" << Result.Unknown
+      << " broken_flows=" << Result.BrokenFlows
+      << " allowed_broken=" << Result.AllowedBroken
+      << " imbalance=" << std::fixed << std::setprecision(2)
+      << Result.worstImbalance() << " misrouted=" << Result.Misrouted
+      << " ran_twice=" << Result.RanTwice;
+  return Out.str();
+}
+
+} // namespace marjoramrail::standins
--- /dev/null
+++ b/test/standins/audit_test.cpp
@@ -0,0 +1,93 @@
+#include "audit.h"
+
+#include <doctest/doctest.h>
+#include <sstream>
+
+using namespace marjoramrail::standins;
+
+namespace {
+
+attempt_line attempt(std::string Request, std::string Key,
+                     std::string Outcome) {
+  attempt_line Line;
+  Line.Service = "ledger";
+  Line.Request = std::move(Request);
+  Line.Key = std::move(Key);
+  Line.Outcome = std::move(Outcome);
+  return Line;
+}
+
+run_line begin(std::string Host, std::string Request, std::string Key,
+               std::string Meant = "ledger") {
+  run_line Line;
+  Line.Event = "begin";
+  Line.Host = std::move(Host);
+  Line.Service = "ledger";
+  Line.Meant = std::move(Meant);
+  Line.Request = std::move(Request);
+  Line.Key = std::move(Key);
+  return Line;
+}
+
+} // namespace
+
+TEST_CASE("audit counts a key that two targets began as run twice") {
+  evidence Evidence;
+  Evidence.Attempts = {attempt("1/1", "k", "unknown"),
+                       attempt("1/2", "k", "ok")};
+  Evidence.Runs = {begin("a", "1/1", "k"), begin("b", "1/2", "k")};
+
+  const audit_result Result = audit(Evidence, {});
+
+  CHECK(Result.RanTwice == 1);
+  CHECK_FALSE(Result.kept());
+}
+
+TEST_CASE("audit finds an attempt that was refused and ran all the same") {
+  evidence Evidence;
+  Evidence.Attempts = {attempt("1/1", "", "not_run")};
+  Evidence.Runs = {begin("a", "1/1", "")};
+
+  CHECK(audit(Evidence, {}).RefusedButRan == 1);
+}
+
+TEST_CASE("audit counts a request by its last try") {
+  evidence Evidence;
+  Evidence.Attempts = {attempt("1/1", "", "not_run"), attempt("1/2", "", "ok")};
+
+  const audit_result Result = audit(Evidence, {});
+
+  CHECK(Result.Requests == 1);
+  CHECK(Result.Ok == 1);
+  CHECK(Result.Refused == 0);
+}
+
+TEST_CASE("audit finds a request that reached another service's target") {
+  evidence Evidence;
+  Evidence.Runs = {begin("a", "1/1", "", "archive")};
+
+  CHECK(audit(Evidence, {}).Misrouted == 1);
+}
+
+TEST_CASE("audit allows broken flows only of killed hosts") {
+  evidence Evidence;
+  Evidence.Flows = {{"ledger", "broken", "f1", "a", "reset", 0},
+                    {"ledger", "broken", "f2", "b", "reset", 0}};
+  audit_settings Settings;
+  Settings.KilledHosts = {"a"};
+
+  const audit_result Result = audit(Evidence, Settings);
+
+  CHECK(Result.BrokenFlows == 2);
+  CHECK(Result.AllowedBroken == 1);
+}
+
+TEST_CASE("evidence leaves out a line that a kill cut short") {
+  std::istringstream In("{\"line\":\"attempt\",\"request\":\"1/1\"}\n{\"li");
+  evidence Evidence;
+
+  Evidence.read(In);
+
+  CHECK(Evidence.Attempts.size() == 1);
+  CHECK(Evidence.Unreadable == 1);
+}
