Add membership, gossip of views and the balancer's part of the fleet

Cause: balancers need the views of services, agents need to be heard, and only changes may reach the platform. fleet_node joins leases, hearing, planning of memberships, gossip by version and digest, and confirmation along a tree. Ruled out: heartbeats or one confirmation per node as platform writes. Trial: ten hosts of two services behind three balancers settle in the test.

--- a/include/marjoramrail/fleet.h
+++ b/include/marjoramrail/fleet.h
@@ -80,11 +80,13 @@
 
 /// What the fleet knows of a target beyond what routing needs.
 struct target_info {
-  std::string Host;
+  std::string Host = {};
   /// Where its agent takes relayed requests (TCP).
   endpoint Relay = {};
   /// Requests that the target runs at a time.
   std::uint32_t Slots = 0;
+  /// The agent itself wishes to take no new work.
+  bool DrainWish = false;
 
   bool operator==(const target_info &) const = default;
 };
--- /dev/null
+++ b/src/fleet/duty_holder.cpp
@@ -0,0 +1,303 @@
+#include "fleet/duty_holder.h"
+
+#include "fleet/membership_codec.h"
+
+#include <algorithm>
+
+namespace marjoramrail::internal {
+
+namespace {
+
+/// Balancers that must find a host silent before it is held for dead: the link
+/// between the first one and the host may be what failed.
+constexpr std::size_t Opinions = 2;
+/// Time for the others that were asked to answer.
+constexpr duration ProbeTime = std::chrono::milliseconds(1200);
+/// A report of silence older than this no longer counts.
+constexpr duration SilenceCounts = std::chrono::seconds(5);
+/// After an unavailable platform or a write that met another version.
+constexpr duration RetryPause = std::chrono::seconds(1);
+/// Services written per tick (five a second): a takeover of thousands must not
+/// use up the platform's several hundred writes a second.
+constexpr int WritesPerTick = 10;
+
+std::string describe(const failure &Failure) { return toText(Failure); }
+
+} // namespace
+
+duty_holder::duty_holder(timer_service &Timers, platform_writer &Writer,
+                         fleet_counters &Counters, hooks Hooks)
+    : Timers(Timers), Writer(Writer), Counters(Counters),
+      Hooks(std::move(Hooks)) {}
+
+void duty_holder::note(const std::string &Text) const {
+  if (Hooks.Note)
+    Hooks.Note(Text);
+}
+
+void duty_holder::take(const platform_object &Object) {
+  const std::string &Kind = Object.Key.Kind;
+  if (Kind == "service") {
+    takeSpec(Object);
+  } else if (Kind == "membership") {
+    takeMembership(Object);
+  } else if (Kind == "drain") {
+    if (Object.Deleted)
+      Drained.erase(Object.Key.Name);
+    else
+      Drained.insert(Object.Key.Name);
+    lookAtAll();
+  } else if (Kind == "zone" && !Object.Deleted) {
+    const auto Failure = failureOf([&]() -> result<void> {
+      auto Zone = parseZone(Object.Body, Object.Key.Name);
+      if (!Zone)
+        return Zone.error();
+      Zones[Zone->Name] = Zone->Number;
+      return {};
+    });
+    if (Failure)
+      note("refused " + describe(*Failure));
+    lookAtAll();
+  }
+}
+
+void duty_holder::takeSpec(const platform_object &Object) {
+  const std::string &Name = Object.Key.Name;
+  service_duty &Duty = Duties[Name];
+  Due.insert(Name);
+  if (Object.Version <= Duty.SpecVersion)
+    return;
+  if (Object.Deleted) {
+    Duty.Spec.reset();
+    return;
+  }
+  const auto Failure = failureOf([&]() -> result<void> {
+    auto Spec = parseService(Object.Body, Name);
+    if (!Spec)
+      return Spec.error();
+    std::vector<service_spec> Others;
+    for (const auto &[Other, Known] : Duties)
+      if (Other != Name && Known.Spec)
+        Others.push_back(*Known.Spec);
+    auto Checked = checkAgainst(*Spec, Others);
+    if (!Checked)
+      return Checked.error();
+    Duty.Spec = *Spec;
+    Duty.SpecVersion = Object.Version;
+    Duty.Invalid.clear();
+    return {};
+  });
+  if (!Failure)
+    return;
+  // The last good spec stays in force; the status says what is wrong.
+  Duty.Invalid = describe(*Failure);
+  note("refused " + Duty.Invalid);
+}
+
+void duty_holder::takeMembership(const platform_object &Object) {
+  const std::string &Name = Object.Key.Name;
+  service_duty &Duty = Duties[Name];
+  Due.insert(Name);
+  if (Object.Version <= Duty.StoredVersion)
+    return;
+  Duty.StoredVersion = Object.Deleted ? 0 : Object.Version;
+  if (Object.Deleted) {
+    Duty.Stored.reset();
+    return;
+  }
+  const auto Failure = failureOf([&]() -> result<void> {
+    auto Members = parseBody(Object.Body, Name);
+    if (!Members)
+      return Members.error();
+    Duty.Stored = *Members;
+    return {};
+  });
+  if (Failure)
+    note("cannot read " + describe(*Failure));
+  else
+    Hooks.OnWritten(*Duty.Stored);
+}
+
+void duty_holder::lookAtAll() {
+  for (const auto &[Name, Duty] : Duties)
+    Due.insert(Name);
+}
+
+void duty_holder::take(const host_report &Report) {
+  const std::string &Service = Report.Heard.Service;
+  const auto Found = Duties.find(Service);
+  if (Found == Duties.end())
+    return;
+  service_duty &Duty = Found->second;
+  if (Report.Kind == report_kind::Silent)
+    silent(Service, Duty, Report);
+  else
+    heard(Duty, Report);
+  Due.insert(Service);
+}
+
+void duty_holder::heard(service_duty &Duty, const host_report &Report) {
+  const announcement &Heard = Report.Heard;
+  host_evidence &Evidence = Duty.Evidence[Heard.Host];
+  if (Heard.Incarnation < Evidence.Heard.Incarnation)
+    return;
+  if (Heard.Incarnation > Evidence.Heard.Incarnation)
+    Evidence.Needs.reset();
+  Evidence.Heard = Heard;
+  Evidence.HeardAt = Timers.now();
+  if (Heard.Report.OldestGeneration > 0)
+    Evidence.Needs = Heard.Report.OldestGeneration;
+  // One balancer that hears it outweighs any number that do not.
+  Duty.Silences.erase(Heard.Host);
+  Evidence.Dead = false;
+}
+
+void duty_holder::silent(const std::string &Service, service_duty &Duty,
+                         const host_report &Report) {
+  const announcement &About = Report.Heard;
+  silence &Silence = Duty.Silences[About.Host];
+  const bool First = Silence.By.empty();
+  if (First)
+    Silence.Since = Timers.now();
+  Silence.Incarnation = std::max(Silence.Incarnation, About.Incarnation);
+  Silence.By[Report.From] = Timers.now();
+  if (First)
+    Hooks.Probe({Service, About.Host, About.Agent, About.Incarnation});
+}
+
+bool duty_holder::judgeSilences(service_duty &Duty) {
+  const std::size_t Needed = std::min(Opinions, Hooks.Balancers());
+  for (auto At = Duty.Silences.begin(); At != Duty.Silences.end();) {
+    auto &[Host, Silence] = *At;
+    std::erase_if(Silence.By, [&](const auto &Opinion) {
+      return Timers.now() - Opinion.second > SilenceCounts;
+    });
+    if (Silence.By.empty()) {
+      At = Duty.Silences.erase(At);
+      continue;
+    }
+    if (Silence.By.size() >= Needed && Hooks.TrustsItself() &&
+        Timers.now() - Silence.Since >= ProbeTime) {
+      host_evidence &Evidence = Duty.Evidence[Host];
+      Evidence.Dead = true;
+      Evidence.DeadIncarnation = Silence.Incarnation;
+    }
+    ++At;
+  }
+  return !Duty.Silences.empty();
+}
+
+void duty_holder::tick(bool Synced) {
+  if (!Synced)
+    return;
+  const std::set<std::string> Now = std::exchange(Due, {});
+  int WritesLeft = WritesPerTick;
+  for (const std::string &Service : Now) {
+    service_duty &Duty = Duties[Service];
+    if (!Hooks.Term(Service))
+      continue;
+    if (Duty.Busy || Duty.RetryAt > Timers.now() || WritesLeft == 0) {
+      Due.insert(Service);
+      continue;
+    }
+    if (judgeSilences(Duty))
+      Due.insert(Service);
+    step(Service, Duty);
+    WritesLeft -= Duty.Busy ? 1 : 0;
+    report(Service, Duty);
+  }
+}
+
+plan_input duty_holder::inputFor(const std::string &Service, service_duty &Duty,
+                                 std::uint64_t Term) {
+  plan_input Input;
+  Input.Stands = Duty.Stored ? &*Duty.Stored : nullptr;
+  const membership *Known = Hooks.Known(Service);
+  if (Known != nullptr) {
+    Input.KnownVersion = Known->View.Version;
+    if (Input.Stands == nullptr ||
+        Known->View.Version > Input.Stands->View.Version) {
+      Input.Stands = Known;
+      Input.PlatformBehind = true;
+    }
+  }
+  Input.Spec = Duty.Spec;
+  Input.SpecVersion = Duty.SpecVersion;
+  Input.Term = Term;
+  Input.Evidence = Duty.Evidence;
+  Input.Drained = Drained;
+  Input.Zones = Zones;
+  Input.Now = Timers.now();
+  Input.LastGeneration = Duty.LastGeneration;
+  // A new holder counts from when it first saw the host down.
+  if (Input.Stands != nullptr)
+    for (std::size_t I = 0; I < Input.Stands->Info.size(); ++I)
+      if (Input.Stands->View.Targets[I].State == target_state::Down)
+        Duty.DownSince.try_emplace(Input.Stands->Info[I].Host, Timers.now());
+  Input.DownSince = Duty.DownSince;
+  return Input;
+}
+
+void duty_holder::step(const std::string &Service, service_duty &Duty) {
+  const auto Term = Hooks.Term(Service);
+  const bool Nothing = !Duty.Spec && !Duty.Stored;
+  if (!Term || Nothing)
+    return;
+  // A spec that was never good: there is nothing to carry out yet.
+  if (!Duty.Spec && !Duty.Invalid.empty())
+    return;
+  if (Duty.Stored && Duty.Stored->Term > *Term)
+    return;
+  membership_plan Plan = planMembership(inputFor(Service, Duty, *Term));
+  Duty.HeldBack = Plan.HeldBack;
+  if (!Plan.HeldBack.empty())
+    Due.insert(Service);
+  if (Plan.Changed)
+    write(Service, Duty, std::move(Plan));
+}
+
+void duty_holder::write(const std::string &Service, service_duty &Duty,
+                        membership_plan Plan) {
+  Duty.Busy = true;
+  for (const std::string &Host : Plan.DeclaredDown) {
+    ++Counters.HostsDeclaredDown;
+    Duty.DownSince[Host] = Timers.now();
+    note("declared " + Host + " of " + Service + " down");
+  }
+  Writer.write({"membership", Service}, toBody(Plan.Next), Duty.StoredVersion,
+               [this, Service, Next = Plan.Next,
+                New = Plan.NewGeneration](const write_result &Result) {
+                 written(Service, Next, New, Result);
+               });
+}
+
+void duty_holder::written(const std::string &Service, const membership &Next,
+                          bool NewGeneration, const write_result &Result) {
+  service_duty &Duty = Duties[Service];
+  Duty.Busy = false;
+  Due.insert(Service);
+  switch (Result.Outcome) {
+  case write_outcome::Written:
+    Duty.Stored = Next;
+    Duty.StoredVersion = Result.Object.Version;
+    if (NewGeneration)
+      Duty.LastGeneration = Timers.now();
+    Hooks.OnObject(Result.Object);
+    Hooks.OnWritten(Next);
+    return;
+  case write_outcome::Fenced:
+    note("write of " + Service + " fenced");
+    if (Result.Object.Version > 0)
+      takeMembership(Result.Object);
+    else
+      Duty.StoredVersion = 0;
+    Duty.RetryAt = Timers.now() + RetryPause / 4;
+    return;
+  case write_outcome::Unavailable:
+  case write_outcome::Refused:
+    Duty.RetryAt = Timers.now() + RetryPause;
+    return;
+  }
+}
+
+} // namespace marjoramrail::internal
--- /dev/null
+++ b/src/fleet/gossip.cpp
@@ -0,0 +1,233 @@
+#include "fleet/gossip.h"
+
+#include "fleet/rendezvous.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace marjoramrail::internal {
+
+namespace {
+
+/// News that come within this go out as one beat.
+constexpr duration SpreadDelay = std::chrono::milliseconds(50);
+/// Peers that a node tells its news to at once; each then does the same.
+constexpr int SpreadFanout = 3;
+/// A requested view that did not come is asked for again, elsewhere or here.
+constexpr duration RequestAgain = std::chrono::milliseconds(400);
+constexpr duration DigestsPause = std::chrono::seconds(2);
+/// So that a beat with all of them fits one datagram.
+constexpr std::size_t MaxNews = 8;
+constexpr std::size_t MaxFill = 16;
+constexpr std::size_t MaxVersions = 24;
+/// Buckets answered at a time, and versions in an answer.
+constexpr std::size_t MaxBuckets = 4;
+constexpr std::size_t MaxListed = 1000;
+constexpr std::size_t MaxAsked = 40;
+/// A fleet that was cut in two for longer than the dead are remembered finds
+/// itself again through the seeds.
+constexpr std::uint64_t PeriodsPerSeed = 10;
+
+} // namespace
+
+gossip::gossip(timer_service &Timers, peer_table &Peers,
+               const view_store &Views, std::vector<endpoint> Seeds,
+               hooks Hooks)
+    : Timers(Timers), Peers(Peers), Views(Views), Seeds(std::move(Seeds)),
+      Hooks(std::move(Hooks)) {
+  std::erase(this->Seeds, Peers.self().Control);
+}
+
+gossip::~gossip() {
+  if (SpreadTimer)
+    Timers.cancel(*SpreadTimer);
+}
+
+std::vector<view_version> gossip::hotViews() {
+  std::vector<view_version> News;
+  for (auto At = HotViews.begin();
+       At != HotViews.end() && News.size() < MaxVersions;) {
+    News.push_back({At->first, Views.versionOf(At->first)});
+    At = --At->second <= 0 ? HotViews.erase(At) : std::next(At);
+  }
+  return News;
+}
+
+beat gossip::makeBeat(bool WantsAnswer, bool Fill) {
+  beat Beat;
+  Beat.From = Peers.self();
+  Beat.WantsAnswer = WantsAnswer;
+  Beat.ViewsDigest = Views.digest();
+  Beat.PeersDigest = Peers.digest();
+  Beat.Peers = Peers.newsToSend(Fill ? MaxFill : MaxNews, Fill);
+  if (!Fill)
+    Beat.Views = hotViews();
+  Beat.Duties = Hooks.Duties();
+  return Beat;
+}
+
+void gossip::period() {
+  if (const auto Peer = Peers.nextToAsk(Timers.now()))
+    Hooks.Send(Peer->Control, makeBeat(true, PeersDiffer), true);
+  const bool Alone = Peers.living().size() < 2;
+  if (!Seeds.empty() && (Alone || Periods % PeriodsPerSeed == 0)) {
+    const endpoint &Seed =
+        Seeds[Periods / (Alone ? 1 : PeriodsPerSeed) % Seeds.size()];
+    Hooks.Send(Seed, makeBeat(true, false), true);
+  }
+  ++Periods;
+}
+
+void gossip::tick() {
+  if (Peers.tick(Timers.now()))
+    Hooks.OnPeersChanged();
+  if (Peers.hasNews() || !HotViews.empty())
+    spreadSoon();
+}
+
+void gossip::viewTaken(const std::string &Service) {
+  Requested.erase(Service);
+  HotViews[Service] =
+      3 + static_cast<int>(std::bit_width(Peers.living().size()));
+  spreadSoon();
+}
+
+void gossip::spreadSoon() {
+  if (SpreadTimer)
+    return;
+  SpreadTimer = Timers.after(SpreadDelay, [this] {
+    SpreadTimer.reset();
+    spread();
+  });
+}
+
+void gossip::spread() {
+  for (int I = 0; I < SpreadFanout; ++I) {
+    const auto Peer = Peers.random();
+    if (!Peer)
+      return;
+    if (!Hooks.Send(Peer->Control, makeBeat(false, false), false))
+      return;
+  }
+}
+
+void gossip::take(const endpoint &From, const beat &Beat) {
+  Met = true;
+  bool Changed = Peers.heard(Beat.From, Timers.now());
+  std::size_t Unknown = 0;
+  for (const peer_news &News : Beat.Peers) {
+    const bool New = Peers.take(News, Timers.now());
+    Unknown += New ? 1 : 0;
+    Changed = Changed || New;
+  }
+  if (Changed)
+    Hooks.OnPeersChanged();
+  for (const duty_news &Duty : Beat.Duties)
+    Hooks.OnDuty(Duty);
+  compare(From, Beat.Views);
+  PeersDiffer = Beat.PeersDigest != Peers.digest();
+  if (Beat.WantsAnswer)
+    Hooks.Send(From, makeBeat(false, PeersDiffer), true);
+  else if (Unknown * 2 > MaxFill)
+    // There is more where this came from: a new node learns the fleet fast.
+    Hooks.Send(From, makeBeat(true, true), false);
+  if (Beat.ViewsDigest != Views.digest() && Beat.Views.empty())
+    exchangeDigests(From);
+}
+
+void gossip::exchangeDigests(const endpoint &From) {
+  if (Timers.now() - DigestsAt < DigestsPause && DigestsAt != instant())
+    return;
+  const auto &Digests = Views.bucketDigests();
+  if (Hooks.Send(From,
+                 bucket_digests{std::vector<std::uint64_t>(Digests.begin(),
+                                                           Digests.end())},
+                 false))
+    DigestsAt = Timers.now();
+}
+
+void gossip::take(const endpoint &From, const bucket_digests &Digests) {
+  bucket_versions Answer;
+  for (std::uint32_t I = 0; I < view_store::Buckets; ++I) {
+    if (I >= Digests.Digests.size() ||
+        Digests.Digests[I] == Views.bucketDigests()[I])
+      continue;
+    Answer.Buckets.push_back(I);
+    for (view_version &Version : Views.versionsIn(I))
+      Answer.Views.push_back(std::move(Version));
+    if (Answer.Buckets.size() >= MaxBuckets || Answer.Views.size() >= MaxListed)
+      break;
+  }
+  if (!Answer.Buckets.empty())
+    Hooks.Send(From, Answer, false);
+}
+
+void gossip::take(const endpoint &From, const bucket_versions &Versions) {
+  compare(From, Versions.Views);
+  // What the other lacks or has older: it is told, and asks.
+  std::map<std::string, std::uint64_t> Theirs;
+  for (const view_version &Version : Versions.Views)
+    Theirs[Version.Service] = Version.Version;
+  beat Beat = makeBeat(false, false);
+  for (const std::uint32_t Bucket : Versions.Buckets)
+    for (view_version &Mine : Views.versionsIn(Bucket))
+      if (Theirs[Mine.Service] < Mine.Version &&
+          Beat.Views.size() < MaxVersions)
+        Beat.Views.push_back(std::move(Mine));
+  if (!Beat.Views.empty())
+    Hooks.Send(From, Beat, false);
+}
+
+void gossip::compare(const endpoint &From,
+                     const std::vector<view_version> &Theirs) {
+  view_request Request;
+  for (const view_version &Version : Theirs) {
+    const std::uint64_t Mine = Views.versionOf(Version.Service);
+    if (Version.Version <= Mine || Request.Have.size() >= MaxAsked)
+      continue;
+    const auto Asked = Requested.find(Version.Service);
+    if (Asked != Requested.end() && Timers.now() - Asked->second < RequestAgain)
+      continue;
+    Requested[Version.Service] = Timers.now();
+    Request.Have.push_back({Version.Service, Mine});
+  }
+  if (!Request.Have.empty())
+    Hooks.Send(From, Request, true);
+}
+
+void gossip::take(const endpoint &From, const view_request &Request) {
+  for (const view_version &Have : Request.Have) {
+    const membership *Members = Views.find(Have.Service);
+    if (Members == nullptr || Members->View.Version <= Have.Version)
+      continue;
+    const view_delta *Delta = Views.deltaFrom(Have.Service, Have.Version);
+    const bool Sent = Delta != nullptr
+                          ? Hooks.Send(From, *Delta, false)
+                          : Hooks.Send(From, view_full{*Members}, false);
+    if (!Sent)
+      return;
+  }
+}
+
+void gossip::take(const endpoint &, const view_full &Full) {
+  Hooks.OnView(Full.Members);
+}
+
+void gossip::take(const endpoint &, const view_delta &Delta) {
+  const membership *Members = Views.find(Delta.Changed.View.Name);
+  if (Members == nullptr)
+    return;
+  if (const auto Next = applyDelta(*Members, Delta))
+    Hooks.OnView(*Next);
+}
+
+void gossip::leave() {
+  beat Beat = makeBeat(false, false);
+  Beat.Peers.insert(Beat.Peers.begin(),
+                    peer_news{Peers.self(), peer_state::Dead});
+  for (int I = 0; I < SpreadFanout; ++I)
+    if (const auto Peer = Peers.random())
+      Hooks.Send(Peer->Control, Beat, true);
+}
+
+} // namespace marjoramrail::internal
--- /dev/null
+++ b/src/fleet/gossip.h
@@ -0,0 +1,87 @@
+//===- gossip.h - What balancers tell each other ----------------*- C++ -*-===//
+///
+/// \file
+/// Spreads views, peers and duties. News travels as versions in small beats to
+/// random peers, and whoever lacks a version asks for it, so a view crosses a
+/// link once; deltas before full views. Digests in each beat find what was
+/// missed. The load per node does not grow with the fleet, the time to reach
+/// all grows with its logarithm.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_FLEET_GOSSIP_H
+#define MARJORAMRAIL_FLEET_GOSSIP_H
+
+#include "fleet/peer_table.h"
+#include "fleet/view_store.h"
+
+namespace marjoramrail::internal {
+
+class gossip {
+public:
+  struct hooks {
+    /// \p Essential messages are sent whatever the byte budget says; for the
+    /// others it returns false if the budget is spent.
+    std::function<bool(const endpoint &, const message &, bool Essential)> Send;
+    std::function<void()> OnPeersChanged;
+    /// A view that a peer sent.
+    std::function<void(const membership &)> OnView;
+    /// A duty's holder as a peer knows it.
+    std::function<void(const duty_news &)> OnDuty;
+    /// Some duties to tell: the new ones and, in turn, the others.
+    std::function<std::vector<duty_news>()> Duties;
+  };
+
+  gossip(timer_service &Timers, peer_table &Peers, const view_store &Views,
+         std::vector<endpoint> Seeds, hooks Hooks);
+  ~gossip();
+  gossip(const gossip &) = delete;
+  gossip &operator=(const gossip &) = delete;
+
+  /// One period: asks one peer for a sign of life.
+  void period();
+  /// More often: overdue answers and news that wait.
+  void tick();
+
+  void take(const endpoint &From, const beat &Beat);
+  void take(const endpoint &From, const bucket_digests &Digests);
+  void take(const endpoint &From, const bucket_versions &Versions);
+  void take(const endpoint &From, const view_request &Request);
+  void take(const endpoint &From, const view_full &Full);
+  void take(const endpoint &From, const view_delta &Delta);
+
+  /// News that should go out soon.
+  void viewTaken(const std::string &Service);
+  void spreadSoon();
+
+  /// Tells some peers that this node leaves.
+  void leave();
+
+  /// A peer has been heard since the start.
+  bool met() const { return Met; }
+
+private:
+  beat makeBeat(bool WantsAnswer, bool Fill);
+  std::vector<view_version> hotViews();
+  void spread();
+  void compare(const endpoint &From, const std::vector<view_version> &Theirs);
+  void exchangeDigests(const endpoint &From);
+
+  timer_service &Timers;
+  peer_table &Peers;
+  const view_store &Views;
+  std::vector<endpoint> Seeds;
+  hooks Hooks;
+  std::map<std::string, int> HotViews;
+  /// Views asked for and not yet received.
+  std::map<std::string, instant> Requested;
+  std::optional<timer_id> SpreadTimer;
+  instant DigestsAt;
+  bool PeersDiffer = false;
+  bool Met = false;
+  std::uint64_t Periods = 0;
+};
+
+} // namespace marjoramrail::internal
+
+#endif // MARJORAMRAIL_FLEET_GOSSIP_H
--- /dev/null
+++ b/src/fleet/hearing.h
@@ -0,0 +1,89 @@
+//===- hearing.h - The hosts that announce to this balancer -----*- C++ -*-===//
+///
+/// \file
+/// Takes announcements, answers them with the balancers that the host should
+/// announce to, pushes views to agents, and tells the holder of the service's
+/// shard where the view disagrees with what is heard. Nothing is written to the
+/// platform here: a fleet of 130,000 hosts sends as many heartbeats a second.
+///
+/// Every so often it asks a random target of a random view whether it lives.
+/// That finds hosts that no balancer hears, e.g. when all that heard a host
+/// went with its zone, at a cost that does not grow with the fleet.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_FLEET_HEARING_H
+#define MARJORAMRAIL_FLEET_HEARING_H
+
+#include "fleet/view_store.h"
+
+#include <random>
+
+namespace marjoramrail::internal {
+
+class hearing {
+public:
+  struct hooks {
+    /// Sends to an agent; false if the byte budget is spent (views only).
+    std::function<bool(const endpoint &, const message &)> Send;
+    /// To the holder of the service's shard.
+    std::function<void(report_kind, const announcement &)> Report;
+    /// The control endpoints that a host should announce to, best first.
+    std::function<std::vector<endpoint>(const std::string &Host)> Assigned;
+    /// True if peers still answer this node.
+    std::function<bool()> PeersAnswer;
+  };
+
+  hearing(timer_service &Timers, const view_store &Views, duration SilenceBound,
+          endpoint Self, std::uint64_t Seed, hooks Hooks);
+
+  void announced(const endpoint &From, const announcement &Announcement);
+
+  /// Asks a host on behalf of a holder, and reports either way.
+  void probe(const probe_request &Request);
+
+  /// Sends the view to the agents of the service that this node hears first.
+  void viewTaken(const membership &Members);
+
+  void tick();
+
+  std::size_t size() const { return Hosts.size(); }
+
+private:
+  struct host {
+    announcement Last;
+    endpoint From;
+    instant HeardAt;
+    /// Only asked, not announcing here.
+    bool Asked = false;
+    int Pings = 0;
+    instant PingedAt;
+    instant ReportedAt;
+    std::optional<std::uint64_t> NeedsReported;
+    instant NeedsAt;
+    instant PushedAt;
+    /// This node is the first of those that the host announces to.
+    bool Primary = false;
+  };
+
+  void report(host &Host);
+  bool differs(const announcement &Heard, const membership *Members) const;
+  void push(host &Host, const membership &Members);
+  bool checkSilence(host &Host, bool Trusted);
+  bool stillSought(const host &Host) const;
+  bool mostAreSilent() const;
+  void askRandomTarget();
+
+  timer_service &Timers;
+  const view_store &Views;
+  duration SilenceBound;
+  endpoint Self;
+  std::mt19937_64 Random;
+  hooks Hooks;
+  std::map<std::string, host> Hosts;
+  instant AskedRandomAt;
+};
+
+} // namespace marjoramrail::internal
+
+#endif // MARJORAMRAIL_FLEET_HEARING_H
--- /dev/null
+++ b/src/fleet/peer_table.cpp
@@ -0,0 +1,220 @@
+#include "fleet/peer_table.h"
+
+#include "fleet/rendezvous.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace marjoramrail::internal {
+
+namespace {
+
+/// An answer takes one round trip; a second covers the slowest link and a
+/// pause of the asked VM.
+constexpr duration AnswerWithin = std::chrono::seconds(1);
+/// Questions without an answer before a peer is suspected.
+constexpr int MissesBeforeSuspect = 2;
+/// Time for a suspect to hear of it and to object: some rounds of gossip.
+constexpr duration SuspectFor = std::chrono::seconds(4);
+/// The dead are remembered for as long as old news of them may go round.
+constexpr duration RememberDead = std::chrono::seconds(60);
+/// The answers that trustsItself() looks at.
+constexpr int AnswersKept = 4;
+
+int timesToSpread(std::size_t Peers) {
+  return 3 + 2 * static_cast<int>(std::bit_width(Peers));
+}
+
+} // namespace
+
+peer_table::peer_table(balancer_info Mine, std::uint64_t Seed)
+    : Self(std::move(Mine)), Random(Seed ^ hashOfName(Self.Name)) {
+  rebuild();
+}
+
+void peer_table::spread(const std::string &Name) {
+  Hot[Name] = timesToSpread(Peers.size());
+}
+
+void peer_table::rebuild() {
+  Living.clear();
+  Living.push_back(Self);
+  for (const auto &[Name, Entry] : Peers)
+    if (Entry.News.State != peer_state::Dead)
+      Living.push_back(Entry.News.Info);
+  std::sort(Living.begin(), Living.end(),
+            [](const balancer_info &A, const balancer_info &B) {
+              return A.Name < B.Name;
+            });
+  Digest = 0;
+  for (const balancer_info &Peer : Living)
+    Digest ^= hashOfName(Peer.Name, Peer.Incarnation);
+  ++Version;
+}
+
+bool peer_table::set(entry &Entry, const peer_news &News, instant Now) {
+  const bool Same =
+      Entry.News.State == News.State && Entry.News.Info == News.Info;
+  if (Same)
+    return false;
+  const bool Lives = Entry.News.State != peer_state::Dead;
+  const bool LivesThen = News.State != peer_state::Dead;
+  const bool Moved = Entry.News.Info != News.Info || Lives != LivesThen;
+  Entry.News = News;
+  Entry.Since = Now;
+  if (News.State == peer_state::Alive)
+    Entry.Missed = 0;
+  spread(News.Info.Name);
+  if (Moved)
+    rebuild();
+  return Moved;
+}
+
+bool peer_table::take(const peer_news &News, instant Now) {
+  const std::string &Name = News.Info.Name;
+  if (Name == Self.Name) {
+    const bool Objects =
+        News.State != peer_state::Alive || News.Info.Control != Self.Control;
+    if (News.Info.Incarnation >= Self.Incarnation && Objects) {
+      Self.Incarnation = News.Info.Incarnation + 1;
+      spread(Name);
+      rebuild();
+    }
+    return false;
+  }
+  const auto Found = Peers.find(Name);
+  if (Found == Peers.end()) {
+    if (News.State == peer_state::Dead)
+      return false;
+    Peers[Name] = {News, Now, std::nullopt, 0};
+    spread(Name);
+    rebuild();
+    return true;
+  }
+  entry &Entry = Found->second;
+  const std::uint32_t Known = Entry.News.Info.Incarnation;
+  const std::uint32_t Told = News.Info.Incarnation;
+  // Within one incarnation the worse news wins: only the peer itself can
+  // object, by a higher one.
+  const bool Worse = Told == Known && News.State > Entry.News.State;
+  if (Told > Known || Worse)
+    return set(Entry, News, Now);
+  return false;
+}
+
+bool peer_table::heard(const balancer_info &Peer, instant Now) {
+  const auto Found = Peers.find(Peer.Name);
+  if (Found != Peers.end()) {
+    entry &Entry = Found->second;
+    if (Entry.AskedAt)
+      noteAnswer(true);
+    Entry.AskedAt.reset();
+    Entry.Missed = 0;
+    // Heard with our own ears: a suspicion of this incarnation that we hold
+    // is void here, while the peer still has to object for the others.
+    if (Entry.News.State == peer_state::Suspect &&
+        Entry.News.Info.Incarnation == Peer.Incarnation)
+      return set(Entry, {Peer, peer_state::Alive}, Now);
+  }
+  return take({Peer, peer_state::Alive}, Now);
+}
+
+void peer_table::noteAnswer(bool Came) {
+  Answers = Answers << 1 | (Came ? 1U : 0U);
+}
+
+bool peer_table::trustsItself() const {
+  const std::uint32_t Last = Answers & ((1U << AnswersKept) - 1);
+  return std::popcount(Last) * 2 >= AnswersKept;
+}
+
+std::optional<balancer_info> peer_table::nextToAsk(instant Now) {
+  while (true) {
+    if (Round.empty()) {
+      for (const auto &[Name, Entry] : Peers)
+        if (Entry.News.State != peer_state::Dead)
+          Round.push_back(Name);
+      std::shuffle(Round.begin(), Round.end(), Random);
+    }
+    if (Round.empty())
+      return std::nullopt;
+    const std::string Name = Round.back();
+    Round.pop_back();
+    const auto Found = Peers.find(Name);
+    if (Found == Peers.end() || Found->second.News.State == peer_state::Dead)
+      continue;
+    if (!Found->second.AskedAt)
+      Found->second.AskedAt = Now;
+    return Found->second.News.Info;
+  }
+}
+
+std::optional<balancer_info> peer_table::random() {
+  if (Living.size() < 2)
+    return std::nullopt;
+  const balancer_info &Picked = Living[Random() % Living.size()];
+  return Picked.Name == Self.Name ? random() : std::optional(Picked);
+}
+
+bool peer_table::missAnswer(entry &Entry, instant Now) {
+  Entry.AskedAt.reset();
+  noteAnswer(false);
+  // Asked again next, not after a whole round through the fleet.
+  Round.push_back(Entry.News.Info.Name);
+  if (Entry.News.State != peer_state::Alive ||
+      ++Entry.Missed < MissesBeforeSuspect || !trustsItself())
+    return false;
+  return set(Entry, {Entry.News.Info, peer_state::Suspect}, Now);
+}
+
+bool peer_table::tick(instant Now) {
+  const std::uint64_t Before = Version;
+  std::vector<std::string> Forgotten;
+  for (auto &[Name, Entry] : Peers) {
+    if (Entry.AskedAt && Now - *Entry.AskedAt >= AnswerWithin)
+      missAnswer(Entry, Now);
+    if (Entry.News.State == peer_state::Suspect &&
+        Now - Entry.Since >= SuspectFor && trustsItself())
+      set(Entry, {Entry.News.Info, peer_state::Dead}, Now);
+    if (Entry.News.State == peer_state::Dead &&
+        Now - Entry.Since >= RememberDead)
+      Forgotten.push_back(Name);
+  }
+  for (const std::string &Name : Forgotten) {
+    Peers.erase(Name);
+    Hot.erase(Name);
+  }
+  return Version != Before;
+}
+
+std::vector<peer_news> peer_table::newsToSend(std::size_t Most, bool Fill) {
+  std::vector<peer_news> News;
+  for (auto At = Hot.begin(); At != Hot.end() && News.size() < Most;) {
+    const auto Found = Peers.find(At->first);
+    if (Found != Peers.end())
+      News.push_back(Found->second.News);
+    At = --At->second <= 0 ? Hot.erase(At) : std::next(At);
+  }
+  if (!Fill)
+    return News;
+  auto At = Peers.upper_bound(FillCursor);
+  for (std::size_t I = 0; I < Peers.size() && News.size() < Most; ++I) {
+    if (At == Peers.end())
+      At = Peers.begin();
+    News.push_back(At->second.News);
+    FillCursor = At->first;
+    ++At;
+  }
+  return News;
+}
+
+const balancer_info *peer_table::find(const std::string &Name) const {
+  if (Name == Self.Name)
+    return &Self;
+  const auto Found = Peers.find(Name);
+  if (Found == Peers.end() || Found->second.News.State == peer_state::Dead)
+    return nullptr;
+  return &Found->second.News.Info;
+}
+
+} // namespace marjoramrail::internal
--- /dev/null
+++ b/src/fleet/platform_feed.cpp
@@ -0,0 +1,154 @@
+#include "fleet/platform_feed.h"
+
+#include <algorithm>
+#include <set>
+
+namespace marjoramrail::internal {
+
+namespace {
+
+constexpr std::array<const char *, 4> Kinds = {"zone", "service", "drain",
+                                               "membership"};
+constexpr duration WatchWait = std::chrono::seconds(20);
+/// Ten changes a second reach a watcher in five calls, not ten.
+constexpr duration WatchPause = std::chrono::milliseconds(200);
+constexpr duration FirstRetry = std::chrono::milliseconds(500);
+/// A platform that comes back from an outage is not met by a rush of calls.
+constexpr duration LastRetry = std::chrono::seconds(8);
+
+} // namespace
+
+platform_feed::platform_feed(timer_service &Timers, platform_api Platform,
+                             fleet_counters &Counters, hook OnObject)
+    : Timers(Timers), Platform(std::move(Platform)), Counters(Counters),
+      OnObject(std::move(OnObject)) {}
+
+platform_feed::~platform_feed() { ++*Run; }
+
+platform_callback
+platform_feed::guarded(std::function<void(const platform_reply &)> Task) {
+  return [Run = Run, Mine = *Run,
+          Task = std::move(Task)](const platform_reply &Reply) {
+    if (*Run == Mine)
+      Task(Reply);
+  };
+}
+
+void platform_feed::later(duration Delay, std::function<void()> Task) {
+  Timers.after(Delay, [Run = Run, Mine = *Run, Task = std::move(Task)] {
+    if (*Run == Mine)
+      Task();
+  });
+}
+
+duration platform_feed::backOff() {
+  const duration Wait = FirstRetry * (1 << std::min(Failures, 4));
+  ++Failures;
+  return std::min(Wait, LastRetry);
+}
+
+void platform_feed::start() {
+  if (Running)
+    return;
+  Running = true;
+  KindsLeft = Kinds.size();
+  Since = ~std::uint64_t{0};
+  list(0);
+}
+
+void platform_feed::stop() {
+  if (!Running)
+    return;
+  Running = false;
+  ++*Run;
+}
+
+void platform_feed::list(std::size_t Kind) {
+  ++Counters.PlatformCalls;
+  Platform.List(Kinds[Kind], guarded([this, Kind](const platform_reply &Reply) {
+                  listed(Kind, Reply);
+                }));
+}
+
+void platform_feed::listed(std::size_t Kind, const platform_reply &Reply) {
+  if (Reply.Outcome != platform_outcome::Ok || Reply.StoreVersion < Highest) {
+    Counters.OlderIgnored += Reply.Outcome == platform_outcome::Ok ? 1 : 0;
+    later(backOff(), [this, Kind] { list(Kind); });
+    return;
+  }
+  Failures = 0;
+  for (const platform_object &Object : Reply.Objects)
+    offer(Object);
+  deleteMissing(Kinds[Kind], Reply);
+  // What changed while the lists were made comes again by the watch.
+  Since = std::min(Since, Reply.StoreVersion);
+  Highest = std::max(Highest, Reply.StoreVersion);
+  if (--KindsLeft > 0)
+    list(Kind + 1);
+  else
+    watch();
+}
+
+void platform_feed::deleteMissing(const std::string &Kind,
+                                  const platform_reply &Reply) {
+  std::set<std::string> Names;
+  for (const platform_object &Object : Reply.Objects)
+    Names.insert(Object.Key.Name);
+  std::vector<platform_object> Gone;
+  for (const auto &[Key, Version] : Versions)
+    if (Key.Kind == Kind && !Names.contains(Key.Name) &&
+        Version <= Reply.StoreVersion)
+      Gone.push_back({.Key = Key,
+                      .Version = Reply.StoreVersion,
+                      .Body = "",
+                      .Writer = "",
+                      .Deleted = true});
+  for (const platform_object &Object : Gone)
+    offer(Object);
+}
+
+void platform_feed::watch() {
+  ++Counters.PlatformCalls;
+  Platform.Watch(Since, WatchWait, guarded([this](const platform_reply &Reply) {
+                   watched(Reply);
+                 }));
+}
+
+void platform_feed::watched(const platform_reply &Reply) {
+  if (Reply.Outcome == platform_outcome::Invalid) {
+    // The platform no longer has the changes since then.
+    stop();
+    start();
+    return;
+  }
+  if (Reply.Outcome != platform_outcome::Ok) {
+    later(backOff(), [this] { watch(); });
+    return;
+  }
+  Failures = 0;
+  if (Reply.StoreVersion < Highest)
+    ++Counters.OlderIgnored;
+  for (const platform_object &Object : Reply.Objects)
+    offer(Object);
+  Highest = std::max(Highest, Reply.StoreVersion);
+  Since = std::max(Since, Reply.StoreVersion);
+  later(WatchPause, [this] { watch(); });
+}
+
+void platform_feed::offer(const platform_object &Object) {
+  std::uint64_t &Known = Versions[Object.Key];
+  if (Object.Version <= Known) {
+    Counters.OlderIgnored += Object.Version < Known ? 1 : 0;
+    return;
+  }
+  Known = Object.Version;
+  OnObject(Object);
+  // A tombstone is kept: an older state would bring the object back.
+}
+
+void platform_feed::wrote(const platform_object &Object) {
+  std::uint64_t &Known = Versions[Object.Key];
+  Known = std::max(Known, Object.Version);
+}
+
+} // namespace marjoramrail::internal
--- /dev/null
+++ b/test/fleet/small_fleet.h
@@ -0,0 +1,323 @@
+//===- small_fleet.h - Balancers and agents in one process ------*- C++ -*-===//
+///
+/// \file
+/// The real cores on one hand-turned clock, joined by links that delay, lose
+/// and cut, with the fake platform. Each process has timers of its own, so that
+/// it can be frozen: its clock stands, what it is sent and told waits, and when
+/// it wakes up it goes on in the belief that no time has passed.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_FLEET_SMALL_FLEET_H
+#define MARJORAMRAIL_FLEET_SMALL_FLEET_H
+
+#include "fleet/fake_platform.h"
+#include "fleet/rendezvous.h"
+#include "marjoramrail/fleet.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace marjoramrail::testing {
+
+/// What a balancer and an agent have in common here.
+struct process {
+  endpoint At;
+  std::string Zone;
+  timer_service Timers;
+  bool Frozen = false;
+  bool Dead = false;
+  bool PlatformCut = false;
+  /// What waits for a frozen process.
+  std::deque<std::function<void()>> Waiting;
+  std::function<void(const endpoint &, fleet_bytes)> Input;
+
+  bool runs() const { return !Frozen && !Dead; }
+
+  void deliver(std::function<void()> Task) {
+    constexpr std::size_t SocketBuffer = 200;
+    if (Dead || (Frozen && Waiting.size() >= SocketBuffer))
+      return;
+    if (Frozen)
+      Waiting.push_back(std::move(Task));
+    else
+      Task();
+  }
+
+  void thaw(instant Now) {
+    Frozen = false;
+    // Its timers run first, as on a loop whose thread wakes up.
+    Timers.advance(Now);
+    while (!Waiting.empty()) {
+      auto Task = std::move(Waiting.front());
+      Waiting.pop_front();
+      Task();
+    }
+  }
+};
+
+struct test_balancer : process {
+  std::string Name;
+  std::unique_ptr<fleet_node> Node;
+  /// Views in the order in which they came into force.
+  std::map<std::string, std::vector<std::uint64_t>> InForce;
+  std::vector<std::string> Notes;
+};
+
+struct test_agent : process {
+  std::string Host;
+  std::unique_ptr<announcer> Announcer;
+  agent_report Report;
+  std::optional<membership> View;
+  int TimesDeclaredDown = 0;
+  bool NeedsOld = false;
+};
+
+class small_fleet {
+public:
+  explicit small_fleet(std::uint64_t Seed = 1) : Random(Seed) {}
+
+  timer_service Net;
+  fake_platform Platform{Net};
+  duration Latency = std::chrono::milliseconds(3);
+  double Loss = 0;
+  std::uint32_t Shards = 4;
+  std::size_t SeedCount = 3;
+  std::deque<std::unique_ptr<test_balancer>> Balancers;
+  std::deque<std::unique_ptr<test_agent>> Agents;
+  std::uint64_t Datagrams = 0;
+  /// True for a datagram that is lost on a cut link.
+  std::function<bool(const process &From, const process &To)> Cut;
+
+  test_balancer &addBalancer(const std::string &Name, const std::string &Zone,
+                             std::uint32_t Incarnation = 1) {
+    auto Fresh = std::make_unique<test_balancer>();
+    test_balancer &Balancer = *Fresh;
+    Balancer.Name = Name;
+    start(Balancer, Zone, 0x0a000000U + ++LastAddress);
+    Balancer.Node = std::make_unique<fleet_node>(
+        Balancer.Timers, platformFor(Balancer),
+        fleet_settings{.Name = Name,
+                       .Zone = Zone,
+                       .Control = Balancer.At,
+                       .Seeds = seeds(),
+                       .Shards = Shards,
+                       .Seed = LastAddress,
+                       .Incarnation = Incarnation},
+        fleet_hooks{.Send = sender(Balancer),
+                    .OnView =
+                        [&Balancer](const membership &Members) {
+                          Balancer.InForce[Members.View.Name].push_back(
+                              Members.View.Version);
+                        },
+                    .WallClockMs = [this] { return millis(); },
+                    .Note =
+                        [&Balancer](const std::string &Text) {
+                          Balancer.Notes.push_back(Text);
+                        }});
+    Balancer.Input = [&Balancer](const endpoint &From, fleet_bytes Bytes) {
+      Balancer.Node->input(From, Bytes);
+    };
+    Balancers.push_back(std::move(Fresh));
+    return Balancer;
+  }
+
+  test_agent &addAgent(const std::string &Service, const std::string &Host,
+                       const std::string &Zone, std::uint32_t Incarnation = 1) {
+    auto Fresh = std::make_unique<test_agent>();
+    test_agent &Agent = *Fresh;
+    Agent.Host = Host;
+    start(Agent, Zone, 0x0b000000U + ++LastAddress);
+    Agent.Announcer = std::make_unique<announcer>(
+        Agent.Timers,
+        announcer_settings{.Host = Host,
+                           .Service = Service,
+                           .Zone = Zone,
+                           .Agent = Agent.At,
+                           .Relay = Agent.At,
+                           .Seeds = seeds(),
+                           .Slots = 4,
+                           .Incarnation = Incarnation},
+        announcer_hooks{
+            .Send = sender(Agent),
+            .Describe = [&Agent] { return describe(Agent); },
+            .OnView =
+                [&Agent](const membership &Members) { Agent.View = Members; },
+            .OnDeclaredDown =
+                [&Agent](std::uint32_t) { ++Agent.TimesDeclaredDown; }});
+    Agent.Input = [&Agent](const endpoint &From, fleet_bytes Bytes) {
+      Agent.Announcer->input(From, Bytes);
+    };
+    Agents.push_back(std::move(Fresh));
+    return Agent;
+  }
+
+  /// The users' two sites in small: a service with its agents over the zones.
+  void addService(const std::string &Name, std::uint32_t Number, int Hosts,
+                  const std::vector<std::string> &Zones) {
+    service_spec Spec;
+    Spec.Name = Name;
+    Spec.Number = service_id{Number};
+    Spec.Address = {0x0a640000U + Number, 443};
+    Spec.Zones = Zones;
+    Platform.put("service", Name, toJson(Spec));
+    for (int I = 1; I <= Hosts; ++I)
+      addAgent(Name, Name + "-" + std::to_string(I), Zones[I % Zones.size()]);
+  }
+
+  void run(duration Time) {
+    const instant End = Net.now() + Time;
+    while (Net.now() < End) {
+      Net.advance(std::min(End, Net.now() + Step));
+      for (auto &Balancer : Balancers)
+        if (Balancer->runs())
+          Balancer->Timers.advance(Net.now());
+      for (auto &Agent : Agents)
+        if (Agent->runs())
+          Agent->Timers.advance(Net.now());
+    }
+  }
+
+  /// Runs until \p Done, at most \p Most; returns the time it took.
+  std::optional<duration> runUntil(const std::function<bool()> &Done,
+                                   duration Most) {
+    const instant Start = Net.now();
+    while (Net.now() - Start < Most) {
+      if (Done())
+        return Net.now() - Start;
+      run(Step);
+    }
+    return std::nullopt;
+  }
+
+  test_balancer *holderOf(const std::string &Service) {
+    for (auto &Balancer : Balancers)
+      if (Balancer->runs() && Balancer->Node->duties().size() > 0)
+        for (const std::uint32_t Shard : Balancer->Node->duties())
+          if (Shard == shard(Service))
+            return Balancer.get();
+    return nullptr;
+  }
+
+  std::uint32_t shard(const std::string &Service) const {
+    return internal::shardOf(Service, Shards);
+  }
+
+  /// True if every living balancer has the same view, with \p Serving ready.
+  bool agreed(const std::string &Service, std::size_t Serving) {
+    std::set<std::uint64_t> Versions;
+    for (auto &Balancer : Balancers) {
+      if (!Balancer->runs())
+        continue;
+      const membership *Members = Balancer->Node->find(Service);
+      if (Members == nullptr || ready(*Members) != Serving)
+        return false;
+      Versions.insert(Members->View.Version);
+    }
+    return Versions.size() == 1;
+  }
+
+  static std::size_t ready(const membership &Members) {
+    std::size_t Count = 0;
+    for (const target &Target : Members.View.Targets)
+      Count += Target.State == target_state::Ready ? 1 : 0;
+    return Count;
+  }
+
+  static std::optional<target_state> stateOf(const membership *Members,
+                                             const std::string &Host) {
+    for (std::size_t I = 0; Members != nullptr && I < Members->Info.size(); ++I)
+      if (Members->Info[I].Host == Host)
+        return Members->View.Targets[I].State;
+    return std::nullopt;
+  }
+
+  std::int64_t millis() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               Net.now().time_since_epoch())
+        .count();
+  }
+
+private:
+  static constexpr duration Step = std::chrono::milliseconds(5);
+
+  static agent_report describe(const test_agent &Agent) {
+    agent_report Report = Agent.Report;
+    if (Agent.View) {
+      Report.ViewVersion = Agent.View->View.Version;
+      const auto &Generations = Agent.View->View.Generations;
+      if (!Generations.empty())
+        Report.OldestGeneration = Agent.NeedsOld ? Generations.back().Number
+                                                 : Generations.front().Number;
+    }
+    return Report;
+  }
+
+  std::vector<endpoint> seeds() const {
+    std::vector<endpoint> Seeds;
+    for (std::uint32_t I = 1; I <= SeedCount; ++I)
+      Seeds.push_back({0x0a000000U + I, 4000});
+    return Seeds;
+  }
+
+  void start(process &Process, const std::string &Zone, std::uint32_t Address) {
+    Process.At = {Address, 4000};
+    Process.Zone = Zone;
+    Process.Timers.advance(Net.now());
+    At[Process.At] = &Process;
+  }
+
+  fleet_send sender(process &From) {
+    return [this, &From](const endpoint &To, fleet_bytes Bytes) {
+      ++Datagrams;
+      const auto Found = At.find(To);
+      if (Found == At.end() || (Cut && Cut(From, *Found->second)) ||
+          (Loss > 0 && std::uniform_real_distribution<>()(Random) < Loss))
+        return;
+      process *Receiver = Found->second;
+      std::vector<std::uint8_t> Copy(Bytes.begin(), Bytes.end());
+      Net.after(Latency, [Receiver, Sender = From.At, Copy = std::move(Copy)] {
+        Receiver->deliver(
+            [Receiver, Sender, Copy] { Receiver->Input(Sender, Copy); });
+      });
+    };
+  }
+
+  /// The platform as one process reaches it: answers wait while it is frozen.
+  platform_api platformFor(process &Process) {
+    platform_api Api = Platform.api(&Process.PlatformCut);
+    auto Late = [&Process](platform_callback Callback) -> platform_callback {
+      return [&Process,
+              Callback = std::move(Callback)](const platform_reply &Reply) {
+        Process.deliver([Callback, Reply] { Callback(Reply); });
+      };
+    };
+    platform_api Wrapped;
+    Wrapped.Read = [=](const object_key &Key, platform_callback Callback) {
+      Api.Read(Key, Late(std::move(Callback)));
+    };
+    Wrapped.List = [=](const std::string &Kind, platform_callback Callback) {
+      Api.List(Kind, Late(std::move(Callback)));
+    };
+    Wrapped.Write = [=](const platform_write &Write,
+                        platform_callback Callback) {
+      Api.Write(Write, Late(std::move(Callback)));
+    };
+    Wrapped.Watch = [=](std::uint64_t Since, duration Wait,
+                        platform_callback Callback) {
+      Api.Watch(Since, Wait, Late(std::move(Callback)));
+    };
+    return Wrapped;
+  }
+
+  std::mt19937_64 Random;
+  std::uint32_t LastAddress = 0;
+  std::map<endpoint, process *> At;
+};
+
+} // namespace marjoramrail::testing
+
+#endif // MARJORAMRAIL_FLEET_SMALL_FLEET_H
