--- /dev/null
+++ b/test/fleet/lease_keeper_test.cpp
@@ -0,0 +1,187 @@
+#include "fleet/fake_platform.h"
+#include "fleet/lease_keeper.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+using namespace marjoramrail::internal;
+using marjoramrail::testing::fake_platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One node that competes for shard 0. While Paused its ticks do not run, as
+/// in a frozen process, and what it is told waits.
+struct contender {
+  contender(timer_service &Timers, fake_platform &Platform, std::string Name)
+      : Writer(Timers, Platform.api(&Cut), Name, Counters),
+        Lease(Timers, Writer, {.Shard = 0, .Name = Name, .Length = 6s},
+              {.OnHeld = [this](std::uint64_t) { ++TimesHeld; },
+               .OnLost = [this] { ++TimesLost; }}) {
+    Lease.setWanted(true);
+    Timers.every(500ms, [this] {
+      if (!Paused)
+        Lease.tick();
+    });
+  }
+
+  bool Cut = false;
+  bool Paused = false;
+  int TimesHeld = 0;
+  int TimesLost = 0;
+  fleet_counters Counters;
+  platform_writer Writer;
+  lease_keeper Lease;
+};
+
+struct bench {
+  timer_service Timers;
+  fake_platform Platform{Timers};
+
+  void run(duration Time) { Timers.advance(Timers.now() + Time); }
+};
+
+} // namespace
+
+TEST_CASE("two contenders that start at once: one holds") {
+  bench Bench;
+  contender First(Bench.Timers, Bench.Platform, "a");
+  contender Second(Bench.Timers, Bench.Platform, "b");
+
+  for (int I = 0; I < 300; ++I) {
+    Bench.run(100ms);
+    CHECK_FALSE((First.Lease.holds() && Second.Lease.holds()));
+  }
+
+  CHECK(First.TimesHeld + Second.TimesHeld == 1);
+}
+
+TEST_CASE("a lease is taken over after its holder died, not before") {
+  // The holder's VM dies. Until another node takes the duty, no change of
+  // membership is written; if one took it too early, two would write.
+  bench Bench;
+  contender First(Bench.Timers, Bench.Platform, "a");
+  Bench.run(2s);
+  REQUIRE(First.Lease.holds());
+  contender Second(Bench.Timers, Bench.Platform, "b");
+  Bench.run(10s);
+  REQUIRE_FALSE(Second.Lease.holds());
+
+  First.Paused = true;
+  Bench.run(4s);
+  CHECK_FALSE(Second.Lease.holds());
+  Bench.run(6s);
+  CHECK(Second.Lease.holds());
+  CHECK_FALSE(First.Lease.holds());
+}
+
+TEST_CASE("a holder that was paused cannot renew under its old term") {
+  // A hypervisor pauses the VM of the holder for longer than the lease. It
+  // wakes up in the belief that nothing has happened and goes on at once.
+  bench Bench;
+  contender First(Bench.Timers, Bench.Platform, "a");
+  Bench.run(2s);
+  contender Second(Bench.Timers, Bench.Platform, "b");
+  Bench.run(1s);
+  First.Paused = true;
+  Bench.run(15s);
+  REQUIRE(Second.Lease.holds());
+
+  First.Paused = false;
+  Bench.run(3s);
+  CHECK(Second.Lease.holds());
+  CHECK_FALSE(First.Lease.holds());
+  CHECK(First.TimesLost == 1);
+  CHECK(Second.Lease.term() == 2);
+}
+
+TEST_CASE("the lease counts from before the write, however late the answer") {
+  // The platform is slow: the claim takes effect at once but its answer needs
+  // longer than the lease. Counting from the answer, the first would believe
+  // in a lease that the second has rightly taken over meanwhile.
+  bench Bench;
+  contender First(Bench.Timers, Bench.Platform, "a");
+  Bench.run(400ms);
+  Bench.Platform.Delay = 3500ms;
+  contender Second(Bench.Timers, Bench.Platform, "b");
+
+  for (int I = 0; I < 600; ++I) {
+    Bench.run(100ms);
+    CHECK_FALSE((First.Lease.holds() && Second.Lease.holds()));
+  }
+}
+
+TEST_CASE("a claim whose answer was lost is found by reading back") {
+  // The write took effect, the connection broke before the answer came. A node
+  // that took this for a failure would wait out its own lease.
+  bench Bench;
+  contender First(Bench.Timers, Bench.Platform, "a");
+  Bench.Platform.LoseAnswers = 1;
+
+  Bench.run(2s);
+
+  CHECK(First.Lease.holds());
+  CHECK(First.Lease.term() == 1);
+  CHECK(First.Counters.WritesResolved == 1);
+}
+
+TEST_CASE("a claim that got lost on its way is made again") {
+  bench Bench;
+  contender First(Bench.Timers, Bench.Platform, "a");
+  Bench.Platform.LoseWrites = 1;
+
+  Bench.run(2s);
+
+  CHECK(First.Lease.holds());
+  CHECK(First.Lease.term() == 1);
+}
+
+TEST_CASE("an outage of the platform ends the lease by the holder's clock") {
+  // The platform is down for a minute. The holder cannot renew; it must stop
+  // acting before anyone could take over, and one takes over afterwards.
+  bench Bench;
+  contender First(Bench.Timers, Bench.Platform, "a");
+  Bench.run(2s);
+  Bench.Platform.Down = true;
+  Bench.run(7s);
+  CHECK_FALSE(First.Lease.holds());
+
+  Bench.run(60s);
+  Bench.Platform.Down = false;
+  Bench.run(10s);
+  CHECK(First.Lease.holds());
+  CHECK(First.Lease.term() == 2);
+}
+
+TEST_CASE("an older state of the platform does not free a lease") {
+  // After an outage a replica of the platform answers from before the lease
+  // was taken. An observer that believed it would claim a lease that is held;
+  // the write is conditional, so the claim fails too.
+  bench Bench;
+  Bench.Platform.remember();
+  contender First(Bench.Timers, Bench.Platform, "a");
+  Bench.run(2s);
+  REQUIRE(First.Lease.holds());
+
+  contender Second(Bench.Timers, Bench.Platform, "b");
+  Bench.Platform.ServeOlder = true;
+  Bench.run(20s);
+
+  CHECK(First.Lease.holds());
+  CHECK(First.TimesLost == 0);
+  CHECK_FALSE(Second.Lease.holds());
+}
+
+TEST_CASE("a released lease is taken at once") {
+  bench Bench;
+  contender First(Bench.Timers, Bench.Platform, "a");
+  Bench.run(2s);
+  contender Second(Bench.Timers, Bench.Platform, "b");
+  Bench.run(1s);
+
+  First.Lease.setWanted(false);
+  Bench.run(1500ms);
+
+  CHECK(Second.Lease.holds());
+  CHECK(Second.Lease.term() == 2);
+}
