Join the agent's core, the stack and the fleet in marjoramrail-agent

Flows of opaque services are spliced to the target with back-pressure both ways. runtime: tcp_stream::finishWriting() ends one direction, which a splice needs to carry a half-closed flow.

Not yet run as a process against a balancer; HTTP/2 services are still treated as opaque.

--- /dev/null
+++ b/daemons/agent/agent_process.h
@@ -0,0 +1,70 @@
+//===- agent_process.h - The agent beside one target ------------*- C++ -*-===//
+
+#ifndef MARJORAMRAIL_DAEMONS_AGENT_AGENT_PROCESS_H
+#define MARJORAMRAIL_DAEMONS_AGENT_AGENT_PROCESS_H
+
+#include "agent_settings.h"
+#include "flow_side.h"
+#include "marjoramrail/agent.h"
+#include "marjoramrail/fleet.h"
+#include "marjoramrail/timeline.h"
+
+#include <unordered_map>
+
+namespace marjoramrail {
+
+/// Joins the agent's core, the TCP stack and the fleet to the loop.
+class agent_process {
+public:
+  agent_process(event_loop &Loop, const agent_settings &Settings);
+  ~agent_process();
+
+  result<void> open();
+
+  /// Takes no new work, finishes what is in progress and stops the loop, at the
+  /// latest after the settings' bound.
+  void terminate();
+
+private:
+  void takeBatch(std::span<const datagram> Batch);
+  void takePeerMessage(const datagram &Datagram);
+  void takeRouted(const datagram &Datagram);
+  void act(const packet_decision &Decision, const tcp_packet &Packet,
+           bytes_view Bytes);
+  void sendReset(const tcp_packet &Packet);
+  void sendAnswer(bytes_view Packet);
+
+  void takeView(const membership &Members);
+  void startOwner(const service_view &View, host_id Host);
+  void accept(std::unique_ptr<stack_flow> Flow);
+  void flowOver(const flow_key &Flow, side_end End);
+  void declaredDown(std::uint32_t Incarnation);
+  void tick();
+  void finishIfIdle();
+  agent_report describe() const;
+  announcer_hooks announcerHooks();
+  announcer_settings announcerSettings() const;
+  status_page::hooks pages();
+  void registerMetrics();
+  void record(event_kind What, const std::string &Flow, const std::string &Why);
+  std::uint64_t &count(const char *Reason);
+
+  event_loop &Loop;
+  agent_settings Settings;
+  std::uint32_t Incarnation;
+  metrics Metrics;
+  timeline Line;
+  status_page Page;
+  udp_socket Socket;
+  tcp_stack Stack;
+  announcer Announcer;
+  std::unique_ptr<flow_owner> Owner;
+  std::optional<endpoint> Address;
+  std::unordered_map<flow_key, std::unique_ptr<flow_side>, flow_key_hash> Flows;
+  instant LastConfirmed;
+  bool Draining = false;
+};
+
+} // namespace marjoramrail
+
+#endif // MARJORAMRAIL_DAEMONS_AGENT_AGENT_PROCESS_H
--- /dev/null
+++ b/daemons/agent/tcp_splice.cpp
@@ -0,0 +1,82 @@
+#include "tcp_splice.h"
+
+namespace marjoramrail {
+
+tcp_splice::tcp_splice(event_loop &Loop, std::unique_ptr<stack_flow> Flow,
+                       const endpoint &Address, over_hook OnOver)
+    : Loop(Loop), Caller(std::move(Flow)), OnOver(std::move(OnOver)) {
+  Target = tcp_stream::connect(Loop, Address, targetHooks());
+  listenToCaller();
+}
+
+tcp_splice::~tcp_splice() = default;
+
+void tcp_splice::listenToCaller() {
+  stack_flow::hooks Hooks;
+  Hooks.OnData = [this](std::string_view Bytes) { toTarget(Bytes); };
+  Hooks.OnEnd = [this] { Target->finishWriting(); };
+  Hooks.OnWritable = [this] { pump(); };
+  Hooks.OnClosed = [this](flow_end End) {
+    over(End == flow_end::Finished ? side_end::Closed : side_end::Gone);
+  };
+  Caller->setHooks(std::move(Hooks));
+}
+
+tcp_stream::hooks tcp_splice::targetHooks() {
+  tcp_stream::hooks Hooks;
+  Hooks.OnData = [this](std::string_view Bytes) { toCaller(Bytes); };
+  Hooks.OnDrained = [this] { targetDrained(); };
+  Hooks.OnClosed = [this](const std::string &Reason) { targetClosed(Reason); };
+  return Hooks;
+}
+
+void tcp_splice::toTarget(std::string_view Bytes) {
+  Target->write(Bytes);
+  if (Target->queued() <= MaxQueued)
+    Caller->consumed(Bytes.size());
+  else
+    Unconsumed += Bytes.size();
+}
+
+void tcp_splice::targetDrained() {
+  Caller->consumed(std::exchange(Unconsumed, 0));
+}
+
+void tcp_splice::toCaller(std::string_view Bytes) {
+  Pending += Bytes;
+  pump();
+  if (Pending.size() - Sent > MaxQueued && !std::exchange(Paused, true))
+    Target->pauseReading(true);
+}
+
+void tcp_splice::pump() {
+  while (Sent < Pending.size()) {
+    const std::size_t Taken =
+        Caller->write(std::string_view(Pending).substr(Sent));
+    if (Taken == 0)
+      return;
+    Sent += Taken;
+  }
+  Pending.clear();
+  Sent = 0;
+  if (TargetEnded)
+    return Caller->finishWriting();
+  if (std::exchange(Paused, false))
+    Target->pauseReading(false);
+}
+
+void tcp_splice::targetClosed(const std::string &Reason) {
+  TargetEnded = true;
+  if (Reason.empty())
+    return pump();
+  // Half a message must not look like a whole one.
+  Caller->abort();
+  over(side_end::Gone);
+}
+
+void tcp_splice::over(side_end End) {
+  if (const auto Hook = std::exchange(OnOver, nullptr))
+    Hook(End);
+}
+
+} // namespace marjoramrail
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -121,6 +121,8 @@
   void pauseReading(bool Pause);
   /// Closes when everything written has gone out.
   void closeAfterWrites();
+  /// Ends our direction when everything written has gone out; goes on reading.
+  void finishWriting();
 
 private:
   friend class tcp_listener;
--- a/src/runtime/tcp_stream.cpp
+++ b/src/runtime/tcp_stream.cpp
@@ -17,6 +17,7 @@
   bufferevent *Events = nullptr;
   bool Connected = false;
   bool Closing = false;
+  bool Finishing = false;
 
   ~impl() {
     if (Events)
@@ -55,6 +56,8 @@
 void tcp_stream::impl::drained() {
   if (Closing)
     return event(BEV_EVENT_EOF);
+  if (std::exchange(Finishing, false))
+    shutdown(bufferevent_getfd(Events), SHUT_WR);
   if (Hooks.OnDrained)
     Hooks.OnDrained();
 }
@@ -130,6 +133,12 @@
     bufferevent_trigger(Impl->Events, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
 }
 
+void tcp_stream::finishWriting() {
+  Impl->Finishing = true;
+  if (queued() == 0)
+    bufferevent_trigger(Impl->Events, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
+}
+
 struct tcp_listener::impl {
   event_loop &Loop;
   accept_hook OnAccept;
