Carry requests between callers, a target and peers

request_proxy ends the callers' HTTP/2 sessions, admits each request, runs it at the target or relays it, and gives the answer to the flow and stream that asked. Refusals are explicit; an answer that may never come is told as unknown; a second try happens only after an explicit not run.

h2: flush() from within a callback of input() is put off until input() is over; nghttp2 forbids sending from there, and an answer that frees a slot starts the next request on the same session.

--- /dev/null
+++ b/include/marjoramrail/proxy.h
@@ -0,0 +1,169 @@
+//===- proxy.h - Requests between callers, a target and peers ---*- C++ -*-===//
+///
+/// \file
+/// The HTTP/2 side of an agent. Each caller's session ends here; each request
+/// is admitted, refused, relayed to a peer agent or run at the target, and its
+/// answer goes back to the flow and stream that asked. No sockets: bytes come
+/// and go through byte_stream and hooks, so tests join it to sessions of their
+/// own.
+///
+/// What a caller is told:
+///  - 503 or 429 with retry-after and {"run":"no",...}: the target never saw
+///    the request; it may be sent again.
+///  - 502 or 504 with {"run":"unknown"}: the target may or may not have run it.
+///  - anything else is the target's own answer.
+///
+/// Usage:
+/// \code
+///   request_proxy Proxy(Timers, Settings, {.Connect = connectByKernel,
+///                                          .RelayOf = relayAddressOf});
+///   auto Flow = Proxy.open({.Caller = HashOfAddress}, {.Output = ...,
+///                                                      .OnOver = ...});
+///   Flow->input(BytesFromCaller);
+///   Proxy.drain();
+/// \endcode
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_PROXY_H
+#define MARJORAMRAIL_PROXY_H
+
+#include "marjoramrail/h2.h"
+#include "marjoramrail/work.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjoramrail {
+
+namespace internal {
+class caller_flow;
+} // namespace internal
+
+/// One outgoing connection. It is never destroyed from within its own events.
+class byte_stream {
+public:
+  virtual ~byte_stream() = default;
+  virtual void write(std::string_view Bytes) = 0;
+};
+
+struct byte_events {
+  std::function<void()> OnConnected;
+  std::function<void(std::string_view Bytes)> OnData;
+  /// The connection failed or ended.
+  std::function<void()> OnClosed;
+};
+
+struct proxy_settings {
+  host_id Host{};
+  endpoint Target;
+  admission_settings Admission;
+  relay_settings Relay;
+  std::uint64_t Seed = 1;
+  /// Requests for these paths live for hours and take no slot.
+  std::vector<std::string> StreamPaths = {"/stream"};
+  /// A flow that sends nothing, not even answers to PING, for this long is
+  /// closed.
+  duration SilentFlow = std::chrono::seconds(60);
+  /// Bytes of a request's body taken in before it runs.
+  std::size_t MaxBufferedBody = 64 * 1024;
+};
+
+struct proxy_hooks {
+  /// Starts to connect to the target or to a peer's relay address.
+  std::function<std::unique_ptr<byte_stream>(const endpoint &, byte_events)>
+      Connect;
+  /// Where \p Peer takes relayed requests; none if it has left the service.
+  std::function<std::optional<endpoint>(host_id Peer)> RelayOf;
+};
+
+/// Who opened a connection to this agent.
+struct flow_origin {
+  /// A hash of the caller's address.
+  std::uint64_t Caller = 0;
+  /// A peer agent that relays; its own headers are then believed.
+  bool IsPeer = false;
+};
+
+enum class flow_over {
+  /// The session has nothing more to say.
+  Finished,
+  /// The other side answers no PING.
+  Silent,
+  BrokenProtocol,
+};
+
+inline constexpr name_table<flow_over, 3> FlowOverNames = {{
+    {flow_over::Finished, "finished"},
+    {flow_over::Silent, "silent"},
+    {flow_over::BrokenProtocol, "broken-protocol"},
+}};
+
+/// One caller's or peer's session. Destroying it cancels its requests.
+class proxy_flow {
+public:
+  struct hooks {
+    std::function<void(std::string_view Bytes)> Output;
+    /// Called once. The flow must not be destroyed from within.
+    std::function<void(flow_over)> OnOver;
+  };
+
+  explicit proxy_flow(std::unique_ptr<internal::caller_flow> Impl);
+  ~proxy_flow();
+  proxy_flow(const proxy_flow &) = delete;
+  proxy_flow &operator=(const proxy_flow &) = delete;
+
+  void input(std::string_view Bytes);
+  std::size_t openRequests() const;
+
+private:
+  std::unique_ptr<internal::caller_flow> Impl;
+};
+
+struct proxy_counts {
+  std::uint64_t Requests = 0;
+  std::uint64_t Answered = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t Relayed = 0;
+  std::uint64_t Unknown = 0;
+  std::uint64_t Cancelled = 0;
+  /// Answers whose flow or stream was gone.
+  std::uint64_t LateAnswers = 0;
+  std::uint64_t SilentFlows = 0;
+};
+
+class request_proxy {
+public:
+  request_proxy(timer_service &Timers, const proxy_settings &Settings,
+                proxy_hooks Hooks);
+  /// All flows must have been destroyed.
+  ~request_proxy();
+  request_proxy(const request_proxy &) = delete;
+  request_proxy &operator=(const request_proxy &) = delete;
+
+  std::unique_ptr<proxy_flow> open(const flow_origin &Origin,
+                                   proxy_flow::hooks Hooks);
+
+  /// Takes no new work: callers are asked to leave, queued requests go to peers
+  /// or are refused, running ones finish.
+  void drain();
+
+  /// For peers.
+  load_report load();
+  void takePeerLoad(const load_report &Peer);
+  void forgetPeer(host_id Peer);
+
+  /// Requests that are waiting, running or relayed.
+  std::size_t inProgress() const;
+  const proxy_counts &counts() const;
+
+private:
+  struct impl;
+  std::unique_ptr<impl> Impl;
+};
+
+} // namespace marjoramrail
+
+#endif // MARJORAMRAIL_PROXY_H
--- a/src/h2/h2_session.cpp
+++ b/src/h2/h2_session.cpp
@@ -52,6 +52,7 @@
   nghttp2_session *Session = nullptr;
   std::map<h2_stream, stream_state> Streams;
   bool Flushing = false;
+  bool Receiving = false;
 
   nghttp2_data_provider bodyOf(h2_stream Stream);
   void flush();
@@ -168,7 +169,9 @@
 void h2_session::impl::flush() {
   // A hook called from below may write and flush again; the outer call goes on
   // until nothing is left, so the inner one has nothing to do.
-  if (Flushing)
+  // nghttp2 must not send from within a callback of receiving; input() flushes
+  // when that is over.
+  if (Flushing || Receiving)
     return;
   Flushing = true;
   while (true) {
@@ -229,9 +232,11 @@
 h2_session::~h2_session() { nghttp2_session_del(Impl->Session); }
 
 result<void> h2_session::input(std::string_view Bytes) {
+  Impl->Receiving = true;
   const ssize_t Taken = nghttp2_session_mem_recv(
       Impl->Session, reinterpret_cast<const std::uint8_t *>(Bytes.data()),
       Bytes.size());
+  Impl->Receiving = false;
   Impl->flush();
   if (Taken < 0)
     return fail(step::DecodeMessage, "",
--- /dev/null
+++ b/src/proxy/answers.cpp
@@ -0,0 +1,68 @@
+#include "proxy/answers.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace marjoramrail::internal {
+
+using nlohmann::json;
+using std::chrono::ceil;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static own_answer answer(const std::string &Status, const json &Body) {
+  own_answer Answer;
+  Answer.Head.add(":status", Status);
+  Answer.Head.add("content-type", "application/json");
+  Answer.Head.add(std::string(RunHeader), Body.value("run", ""));
+  Answer.Body = Body.dump();
+  return Answer;
+}
+
+static own_answer notRun(const std::string &Status, const std::string &Reason,
+                         duration RetryAfter) {
+  const auto Seconds =
+      std::max<std::int64_t>(1, ceil<seconds>(RetryAfter).count());
+  own_answer Answer = answer(
+      Status, {{"run", "no"},
+               {"reason", Reason},
+               {"retry_after_ms", ceil<milliseconds>(RetryAfter).count()}});
+  Answer.Head.add("retry-after", std::to_string(Seconds));
+  return Answer;
+}
+
+own_answer notRun(refusal Reason, duration RetryAfter) {
+  const bool CallersFault =
+      Reason == refusal::RetryBudget || Reason == refusal::TooManyStreams;
+  return notRun(CallersFault ? "429" : "503",
+                std::string(nameOf(RefusalNames, Reason)), RetryAfter);
+}
+
+own_answer notRun(const std::string &Reason, duration RetryAfter) {
+  return notRun("503", Reason, RetryAfter);
+}
+
+own_answer unknownOutcome(bool DeadlinePassed) {
+  return answer(DeadlinePassed ? "504" : "502", {{"run", "unknown"}});
+}
+
+bool saysNotRun(const h2_head &Head) { return Head.get(RunHeader) == "no"; }
+
+std::optional<std::uint64_t> numberOf(const h2_head &Head,
+                                      std::string_view Name) {
+  const std::string_view Text = Head.get(Name);
+  std::uint64_t Value = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Error != std::errc() || End != Text.data() + Text.size())
+    return std::nullopt;
+  return Value;
+}
+
+duration retryAfterOf(const h2_head &Head) {
+  constexpr std::uint64_t Most = 86400;
+  const auto Seconds = numberOf(Head, "retry-after");
+  return seconds(std::min(Seconds.value_or(0), Most));
+}
+
+} // namespace marjoramrail::internal
--- /dev/null
+++ b/src/proxy/caller_flow.cpp
@@ -0,0 +1,109 @@
+#include "proxy/caller_flow.h"
+
+namespace marjoramrail::internal {
+
+static h2_settings callerSettings() {
+  h2_settings Settings;
+  // Bodies are taken as fast as the target takes them.
+  Settings.ConsumeAtOnce = false;
+  return Settings;
+}
+
+caller_flow::caller_flow(flow_number Number, const flow_origin &Origin,
+                         proxy_flow::hooks Outer, caller_flow_hooks Inner,
+                         instant Now)
+    : Number(Number), Origin(Origin), Outer(std::move(Outer)),
+      Inner(std::move(Inner)),
+      Session(h2_role::Server, callerSettings(), sessionHooks()),
+      LastHeard(Now) {
+  Session.flush();
+}
+
+caller_flow::~caller_flow() { Inner.OnDestroyed(Number); }
+
+h2_hooks caller_flow::sessionHooks() {
+  h2_hooks Hooks;
+  Hooks.Output = [this](std::string_view Bytes) { Outer.Output(Bytes); };
+  Hooks.OnHead = [this](h2_stream Id, const h2_head &Head, bool End) {
+    Inner.OnRequest({Number, Id}, Head, End);
+  };
+  Hooks.OnData = [this](h2_stream Id, std::string_view Bytes, bool End) {
+    Inner.OnBody({Number, Id}, Bytes, End);
+  };
+  Hooks.OnClose = [this](h2_stream Id, h2_error) {
+    Inner.OnCancel({Number, Id});
+  };
+  return Hooks;
+}
+
+void caller_flow::input(std::string_view Bytes) {
+  if (Over)
+    return;
+  HeardSince = true;
+  if (!Session.input(Bytes))
+    return over(flow_over::BrokenProtocol);
+  Inner.OnInput();
+  endIfDone();
+}
+
+void caller_flow::respond(h2_stream Stream, const h2_head &Head, bool End) {
+  Session.respond(Stream, Head, End);
+}
+
+void caller_flow::data(h2_stream Stream, std::string_view Bytes, bool End) {
+  Session.data(Stream, Bytes, End);
+}
+
+void caller_flow::reset(h2_stream Stream, h2_error Code) {
+  Session.reset(Stream, Code);
+}
+
+void caller_flow::consumed(h2_stream Stream, std::size_t Bytes) {
+  Session.consumed(Stream, Bytes);
+}
+
+void caller_flow::flush() {
+  if (Over)
+    return;
+  Session.flush();
+  endIfDone();
+}
+
+void caller_flow::startShutdown() {
+  Session.startShutdown();
+  Session.flush();
+}
+
+void caller_flow::finishShutdown() {
+  Leaving = true;
+  Session.finishShutdown();
+  flush();
+}
+
+bool caller_flow::checkSilence(instant Now, duration Bound) {
+  if (Over)
+    return false;
+  if (std::exchange(HeardSince, false)) {
+    LastHeard = Now;
+    return false;
+  }
+  if (Now - LastHeard >= Bound) {
+    over(flow_over::Silent);
+    return true;
+  }
+  Session.ping();
+  Session.flush();
+  return false;
+}
+
+void caller_flow::endIfDone() {
+  if (!Session.alive() || (Leaving && Session.openStreams() == 0))
+    over(flow_over::Finished);
+}
+
+void caller_flow::over(flow_over Why) {
+  if (!std::exchange(Over, true))
+    Outer.OnOver(Why);
+}
+
+} // namespace marjoramrail::internal
--- /dev/null
+++ b/test/proxy/proxy_bench.h
@@ -0,0 +1,232 @@
+//===- proxy_bench.h - A proxy between fake callers and targets -*- C++ -*-===//
+
+#ifndef MARJORAMRAIL_TEST_PROXY_PROXY_BENCH_H
+#define MARJORAMRAIL_TEST_PROXY_PROXY_BENCH_H
+
+#include "marjoramrail/proxy.h"
+
+#include <deque>
+#include <doctest/doctest.h>
+#include <map>
+
+namespace marjoramrail::testing {
+
+inline constexpr endpoint TargetAddress{0x7f000001, 9000};
+inline constexpr endpoint PeerAddress{0x7f000001, 9001};
+
+/// The far end of one connection that the proxy opened: an HTTP/2 server whose
+/// answers the test gives.
+struct far_server {
+  struct seen {
+    h2_stream Stream;
+    h2_head Head;
+    std::string Body;
+    bool Ended = false;
+    std::optional<h2_error> Closed;
+  };
+
+  byte_events Events;
+  std::string ToServer;
+  std::string ToProxy;
+  std::unique_ptr<h2_session> Session;
+  std::deque<seen> Requests;
+  bool Open = true;
+
+  far_server() {
+    h2_hooks Hooks;
+    Hooks.Output = [this](std::string_view Bytes) { ToProxy += Bytes; };
+    Hooks.OnHead = [this](h2_stream Id, const h2_head &Head, bool End) {
+      Requests.push_back({Id, Head, "", End, std::nullopt});
+    };
+    Hooks.OnData = [this](h2_stream Id, std::string_view Data, bool End) {
+      at(Id).Body += Data;
+      at(Id).Ended |= End;
+    };
+    Hooks.OnClose = [this](h2_stream Id, h2_error Code) {
+      at(Id).Closed = Code;
+    };
+    Session = std::make_unique<h2_session>(h2_role::Server, h2_settings(),
+                                           std::move(Hooks));
+  }
+
+  seen &at(h2_stream Id) {
+    for (seen &Request : Requests)
+      if (Request.Stream == Id)
+        return Request;
+    REQUIRE(false);
+    return Requests.front();
+  }
+
+  void answer(std::size_t Index, const std::string &Status,
+              const std::string &Body, bool End = true) {
+    Session->respond(Requests[Index].Stream, {{{":status", Status}}}, false);
+    Session->data(Requests[Index].Stream, Body, End);
+  }
+};
+
+/// One caller with its HTTP/2 session.
+struct near_caller {
+  struct answer {
+    std::string Status;
+    h2_head Head;
+    std::string Body;
+    std::optional<h2_error> Closed;
+  };
+
+  std::string ToProxy;
+  std::string ToCaller;
+  std::unique_ptr<h2_session> Session;
+  std::map<h2_stream, answer> Answers;
+  bool GoAway = false;
+  std::optional<flow_over> Over;
+  std::unique_ptr<proxy_flow> Flow;
+
+  near_caller() {
+    h2_hooks Hooks;
+    Hooks.Output = [this](std::string_view Bytes) { ToProxy += Bytes; };
+    Hooks.OnHead = [this](h2_stream Id, const h2_head &Head, bool) {
+      Answers[Id].Status = Head.get(":status");
+      Answers[Id].Head = Head;
+    };
+    Hooks.OnData = [this](h2_stream Id, std::string_view Data, bool) {
+      Answers[Id].Body += Data;
+    };
+    Hooks.OnClose = [this](h2_stream Id, h2_error Code) {
+      Answers[Id].Closed = Code;
+    };
+    Hooks.OnGoAway = [this](h2_stream, h2_error) { GoAway = true; };
+    Session = std::make_unique<h2_session>(h2_role::Client, h2_settings(),
+                                           std::move(Hooks));
+  }
+
+  h2_stream ask(const std::string &Path,
+                const std::vector<h2_field> &More = {}) {
+    h2_head Head{{{":method", "POST"},
+                  {":scheme", "http"},
+                  {":authority", "ledger"},
+                  {":path", Path}}};
+    Head.Fields.insert(Head.Fields.end(), More.begin(), More.end());
+    return Session->request(Head, true);
+  }
+};
+
+/// A proxy, its callers and the servers that it connected to; bytes cross when
+/// the test says so.
+class proxy_bench {
+public:
+  timer_service Timers;
+  proxy_settings Settings;
+  std::map<endpoint, std::deque<std::unique_ptr<far_server>>> Servers;
+  std::map<endpoint, bool> Unreachable;
+  std::deque<std::unique_ptr<near_caller>> Callers;
+  std::unique_ptr<request_proxy> Proxy;
+
+  explicit proxy_bench(std::uint32_t Slots = 4) {
+    Settings.Host = host_id(1);
+    Settings.Target = TargetAddress;
+    Settings.Admission.Slots = Slots;
+    Settings.Admission.ColdStart = duration::zero();
+    proxy_hooks Hooks;
+    Hooks.Connect = [this](const endpoint &To, byte_events Events) {
+      return connect(To, std::move(Events));
+    };
+    Hooks.RelayOf = [](host_id) { return std::optional(PeerAddress); };
+    Proxy = std::make_unique<request_proxy>(Timers, Settings, std::move(Hooks));
+  }
+
+  ~proxy_bench() {
+    Callers.clear();
+    Proxy.reset();
+  }
+
+  near_caller &open(const flow_origin &Origin = {1, false}) {
+    Callers.push_back(std::make_unique<near_caller>());
+    near_caller *Caller = Callers.back().get();
+    proxy_flow::hooks Hooks;
+    Hooks.Output = [Caller](std::string_view Bytes) {
+      Caller->ToCaller += Bytes;
+    };
+    Hooks.OnOver = [Caller](flow_over Why) { Caller->Over = Why; };
+    Caller->Flow = Proxy->open(Origin, std::move(Hooks));
+    return *Caller;
+  }
+
+  far_server &target(std::size_t Index = 0) {
+    return *Servers[TargetAddress].at(Index);
+  }
+  far_server &peer() { return *Servers[PeerAddress].at(0); }
+
+  /// Moves all bytes until none are left.
+  void exchange() {
+    bool Moved = true;
+    while (Moved) {
+      Moved = false;
+      for (const auto &Caller : Callers)
+        Moved |= moveCaller(*Caller);
+      for (auto &[Address, List] : Servers)
+        for (std::size_t I = 0; I < List.size(); ++I)
+          Moved |= moveServer(*List[I]);
+    }
+  }
+
+  void pass(duration Time) {
+    exchange();
+    for (const instant End = Timers.now() + Time; Timers.now() < End;) {
+      Timers.advance(Timers.now() + std::chrono::milliseconds(10));
+      exchange();
+    }
+  }
+
+  /// The connection ends without a word.
+  void cut(far_server &Server) {
+    Server.Open = false;
+    Server.Events.OnClosed();
+    exchange();
+  }
+
+private:
+  struct stream : public byte_stream {
+    far_server &Server;
+    explicit stream(far_server &Server) : Server(Server) {}
+    void write(std::string_view Bytes) override { Server.ToServer += Bytes; }
+  };
+
+  std::unique_ptr<byte_stream> connect(const endpoint &To, byte_events Events) {
+    auto &List = Servers[To];
+    List.push_back(std::make_unique<far_server>());
+    far_server &Server = *List.back();
+    Server.Events = std::move(Events);
+    Timers.after(std::chrono::milliseconds(1), [this, To, &Server] {
+      Unreachable[To] ? Server.Events.OnClosed() : Server.Events.OnConnected();
+    });
+    return std::make_unique<stream>(Server);
+  }
+
+  static bool moveCaller(near_caller &Caller) {
+    Caller.Session->flush();
+    const std::string Up = std::exchange(Caller.ToProxy, {});
+    if (!Up.empty() && Caller.Flow)
+      Caller.Flow->input(Up);
+    const std::string Down = std::exchange(Caller.ToCaller, {});
+    if (!Down.empty())
+      CHECK(Caller.Session->input(Down));
+    return !Up.empty() || !Down.empty();
+  }
+
+  static bool moveServer(far_server &Server) {
+    if (!Server.Open)
+      return false;
+    const std::string Up = std::exchange(Server.ToServer, {});
+    if (!Up.empty())
+      CHECK(Server.Session->input(Up));
+    Server.Session->flush();
+    const std::string Down = std::exchange(Server.ToProxy, {});
+    if (!Down.empty())
+      Server.Events.OnData(Down);
+    return !Up.empty() || !Down.empty();
+  }
+};
+
+} // namespace marjoramrail::testing
+
+#endif // MARJORAMRAIL_TEST_PROXY_PROXY_BENCH_H
