Add the platform's client, its stand-in and files of objects

The client carries one call at a time on each of a bounded set of kept connections (libevent's evhttp), with its own timers for the whole call. A read goes on to the next address when one refuses the connection; a change makes one attempt only. What is known without an answer is decided in one pure place (call.h): a change that went out is Unknown, one that did not is Unavailable.

The stand-in's core is pure (store, rates, faults, watches) and stands behind libevhtp. Besides the faults asked for it knows cut: connections end with no answer and nothing done.

--- a/include/marjoramrail/platform.h
+++ b/include/marjoramrail/platform.h
@@ -24,7 +24,14 @@
 ///   DELETE /v1/objects/KIND/NAME  If-Match: V
 ///   GET    /v1/watch?since=V&wait_ms=N         changes after store version V
 /// Answers: 200; 404; 409 with the object that stands; 400 with a reason;
-/// 429 and 503 with retry-after.
+/// 429 and 503 with retry-after, where nothing was done.
+///
+/// A PUT's body is the object's own JSON text; its header fields Writer and
+/// Writer-Sequence go into the object, as do those of a DELETE into the
+/// deletion that watches see. An object is answered as
+///   {"kind", "name", "version", "writer", "sequence", "deleted", "body": TEXT}
+/// and a list or a watch as {"version": STORE_VERSION, "objects": [...]}.
+/// Kinds and names are 1 to 128 of A-Z, a-z, 0-9, ".", "_", ":" and "-".
 ///
 //===----------------------------------------------------------------------===//
 
@@ -37,6 +44,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace marjoramrail {
@@ -45,7 +53,10 @@
   std::string Kind;
   std::string Name;
 
-  auto operator<=>(const object_key &) const = default;
+  bool operator==(const object_key &) const = default;
+  bool operator<(const object_key &Other) const {
+    return std::tie(Kind, Name) < std::tie(Other.Kind, Other.Name);
+  }
 };
 
 /// One object of the platform. Versions come from one counter of the store, so
@@ -125,10 +136,22 @@
   std::vector<endpoint> Servers;
   /// The name under which this process writes.
   std::string Writer;
+  /// For one call; a watch may take its own wait on top.
   duration Timeout = std::chrono::seconds(2);
+  /// Connections in use at once, besides one for each waiting watch.
+  std::size_t MaxConnections = 8;
+  /// Calls that wait for a connection; more are answered Unavailable, or a
+  /// platform that hangs would let them pile up without bound.
+  std::size_t MaxWaiting = 1024;
 };
 
 /// platform_api over HTTP/1.1 (libevent).
+///
+/// A read that a server refuses to be connected for goes to the next address;
+/// a write never does more than one attempt, since its sender alone can tell
+/// whether a second one would be right. A write without a writer gets the one
+/// of the settings, and one without a sequence the client's own count. Calls
+/// that have not been answered when the client goes are answered then.
 class platform_client {
 public:
   platform_client(event_loop &Loop, platform_client_settings Settings);
--- a/include/marjoramrail/resource.h
+++ b/include/marjoramrail/resource.h
@@ -106,6 +106,24 @@
 result<void> checkAgainst(const service_spec &Service,
                           const std::vector<service_spec> &Standing);
 
+/// One object of a file that an operator applies:
+///   {"kind": "service", "name": "ledger", "spec": {...}}
+/// A file holds one, or a list of them, as JSON with comments.
+struct resource_object {
+  resource_kind Kind{};
+  std::string Name;
+  /// The JSON text that the platform keeps.
+  std::string Spec;
+
+  bool operator==(const resource_object &) const = default;
+};
+
+/// Reads and checks a whole file, also the objects against each other. The
+/// failure's peer is the file, and its reason tells every fault with its
+/// object, so that nothing is applied of a file with a mistake in it.
+result<std::vector<resource_object>> parseObjectFile(std::string_view Text,
+                                                     const std::string &File);
+
 /// One condition of a status: what, since when, why.
 struct condition {
   std::string Type;
--- /dev/null
+++ b/src/platform/call.cpp
@@ -0,0 +1,132 @@
+#include "platform/call.h"
+#include "platform/object_codec.h"
+
+#include <charconv>
+
+namespace marjoramrail::internal {
+
+/// When a refusal names no time, or one that cannot be read.
+static constexpr duration DefaultRetryAfter = std::chrono::seconds(1);
+static constexpr std::uint32_t MaxRetryAfterSeconds = 3600;
+
+enum http_code {
+  HttpOk = 200,
+  HttpBadRequest = 400,
+  HttpNotFound = 404,
+  HttpConflict = 409,
+  HttpTooLarge = 413,
+  HttpTooManyRequests = 429,
+  HttpUnavailable = 503,
+};
+
+std::string pathOf(const call &Call) {
+  const auto WaitMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Call.Wait);
+  switch (Call.Verb) {
+  case call_verb::Watch:
+    return "/v1/watch?since=" + std::to_string(Call.Since) +
+           "&wait_ms=" + std::to_string(WaitMs.count());
+  case call_verb::List:
+    return "/v1/objects/" + Call.Key.Kind;
+  default:
+    return "/v1/objects/" + Call.Key.Kind + "/" + Call.Key.Name;
+  }
+}
+
+std::string faultOf(const call &Call) {
+  const std::string Rule = ": expected 1 to " + std::to_string(MaxKeyLength) +
+                           " of letters, digits, \".\", \"_\", \":\" and \"-\"";
+  if (Call.Verb == call_verb::Watch)
+    return "";
+  if (!isKeyPart(Call.Key.Kind))
+    return "kind" + Rule;
+  if (Call.Verb != call_verb::List && !isKeyPart(Call.Key.Name))
+    return "name" + Rule;
+  if (Call.changes() && !isKeyPart(Call.Writer))
+    return "writer" + Rule;
+  if (Call.Body.size() > MaxObjectBytes)
+    return "body: expected at most " + std::to_string(MaxObjectBytes) +
+           " bytes";
+  return "";
+}
+
+static duration retryAfterOf(const std::string &Field) {
+  std::uint32_t Seconds = 0;
+  const auto [End, Error] =
+      std::from_chars(Field.data(), Field.data() + Field.size(), Seconds);
+  if (Error != std::errc() || Seconds > MaxRetryAfterSeconds)
+    return DefaultRetryAfter;
+  return std::chrono::seconds(Seconds);
+}
+
+static platform_reply unreadable(const call &Call) {
+  return replyToLoss(Call, call_loss::NoAnswer,
+                     "the platform's answer cannot be read");
+}
+
+static platform_reply replyToOk(const call &Call, const http_answer &Answer) {
+  platform_reply Reply;
+  Reply.Outcome = platform_outcome::Ok;
+  if (Call.Verb == call_verb::List || Call.Verb == call_verb::Watch)
+    return decodeObjects(Answer.Body, Reply) ? Reply : unreadable(Call);
+  auto Object = decodeObject(Answer.Body);
+  if (!Object)
+    return unreadable(Call);
+  Reply.Object = std::move(*Object);
+  return Reply;
+}
+
+static platform_reply replyToConflict(const call &Call,
+                                      const http_answer &Answer) {
+  auto Object = decodeObject(Answer.Body);
+  if (!Object)
+    return unreadable(Call);
+  platform_reply Reply;
+  Reply.Outcome = platform_outcome::Conflict;
+  Reply.Object = std::move(*Object);
+  Reply.Reason = Reply.Object.Version == 0
+                     ? "no such object"
+                     : "version " + std::to_string(Reply.Object.Version) +
+                           " of " + Reply.Object.Writer + " stands";
+  return Reply;
+}
+
+platform_reply replyTo(const call &Call, const http_answer &Answer) {
+  platform_reply Reply;
+  Reply.Reason = decodeReason(Answer.Body);
+  switch (Answer.Code) {
+  case HttpOk:
+    return replyToOk(Call, Answer);
+  case HttpConflict:
+    return replyToConflict(Call, Answer);
+  case HttpNotFound:
+    Reply.Outcome = platform_outcome::NotFound;
+    return Reply;
+  case HttpBadRequest:
+  case HttpTooLarge:
+    Reply.Outcome = platform_outcome::Invalid;
+    return Reply;
+  case HttpTooManyRequests:
+  case HttpUnavailable:
+    Reply.Outcome = platform_outcome::Unavailable;
+    Reply.RetryAfter = retryAfterOf(Answer.RetryAfter);
+    return Reply;
+  default:
+    return replyToLoss(Call, call_loss::NoAnswer,
+                       "the platform answered with code " +
+                           std::to_string(Answer.Code));
+  }
+}
+
+platform_reply replyToLoss(const call &Call, call_loss Loss,
+                           const std::string &Reason) {
+  const bool MayHaveChanged = Call.changes() && Loss == call_loss::NoAnswer;
+  platform_reply Reply;
+  Reply.Outcome = MayHaveChanged ? platform_outcome::Unknown
+                                 : platform_outcome::Unavailable;
+  Reply.Reason = Reason;
+  Reply.RetryAfter = DefaultRetryAfter;
+  return Reply;
+}
+
+} // namespace marjoramrail::internal
--- /dev/null
+++ b/src/platform/http_lane.cpp
@@ -0,0 +1,87 @@
+#include "platform/http_lane.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <utility>
+
+namespace marjoramrail::internal {
+
+/// Longer than any call: the client's own timers end calls, so that one rule
+/// holds while connecting, sending and waiting.
+static constexpr int LibraryTimeoutSeconds = 24 * 3600;
+
+static constexpr std::size_t MaxAnswerBytes = 256 * 1024 * 1024;
+
+http_lane::http_lane(event_loop &Loop, std::size_t Server,
+                     const endpoint &Address)
+    : Server(Server), Address(Address) {
+  const std::string Text = toText(Address);
+  const std::string Host = Text.substr(0, Text.rfind(':'));
+  Connection = evhttp_connection_base_new(Loop.base(), nullptr, Host.c_str(),
+                                          Address.Port);
+  evhttp_connection_set_timeout(Connection, LibraryTimeoutSeconds);
+  evhttp_connection_set_max_body_size(Connection, MaxAnswerBytes);
+}
+
+http_lane::~http_lane() { evhttp_connection_free(Connection); }
+
+static evhttp_cmd_type methodOf(const call &Call) {
+  if (Call.Verb == call_verb::Write)
+    return EVHTTP_REQ_PUT;
+  if (Call.Verb == call_verb::Remove)
+    return EVHTTP_REQ_DELETE;
+  return EVHTTP_REQ_GET;
+}
+
+void http_lane::carry(const call &Call, done_hook Hook) {
+  Done = std::move(Hook);
+  evhttp_request *Request = evhttp_request_new(
+      [](evhttp_request *Request, void *User) {
+        static_cast<http_lane *>(User)->finish(Request);
+      },
+      this);
+  evkeyvalq *Fields = evhttp_request_get_output_headers(Request);
+  evhttp_add_header(Fields, "Host", toText(Address).c_str());
+  if (Call.changes()) {
+    evhttp_add_header(Fields, "If-Match",
+                      std::to_string(Call.Expected).c_str());
+    evhttp_add_header(Fields, "Writer", Call.Writer.c_str());
+    evhttp_add_header(Fields, "Writer-Sequence",
+                      std::to_string(Call.WriterSequence).c_str());
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(Request), Call.Body.data(),
+               Call.Body.size());
+  if (evhttp_make_request(Connection, Request, methodOf(Call),
+                          pathOf(Call).c_str()) != 0) {
+    if (Done)
+      std::exchange(Done, nullptr)(std::nullopt, call_loss::NotSent);
+  }
+}
+
+static http_answer answerOf(evhttp_request *Request) {
+  http_answer Answer;
+  Answer.Code = evhttp_request_get_response_code(Request);
+  evbuffer *Input = evhttp_request_get_input_buffer(Request);
+  Answer.Body.resize(evbuffer_get_length(Input));
+  evbuffer_remove(Input, Answer.Body.data(), Answer.Body.size());
+  const char *RetryAfter = evhttp_find_header(
+      evhttp_request_get_input_headers(Request), "Retry-After");
+  Answer.RetryAfter = RetryAfter ? RetryAfter : "";
+  return Answer;
+}
+
+/// libevent gives no request when a connection broke, and a request with code 0
+/// when none came about.
+void http_lane::finish(evhttp_request *Request) {
+  if (!Done)
+    return;
+  const done_hook Hook = std::exchange(Done, nullptr);
+  if (!Request)
+    return Hook(std::nullopt, call_loss::NoAnswer);
+  if (evhttp_request_get_response_code(Request) == 0)
+    return Hook(std::nullopt, call_loss::NotSent);
+  Hook(answerOf(Request), call_loss::NoAnswer);
+}
+
+} // namespace marjoramrail::internal
--- /dev/null
+++ b/standins/platform/call_rate.h
@@ -0,0 +1,41 @@
+//===- call_rate.h - The platform's limit on calls --------------*- C++ -*-===//
+///
+/// \file
+/// A token bucket: the rate allowed, with bursts of up to one second's calls.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_STANDINS_PLATFORM_CALL_RATE_H
+#define MARJORAMRAIL_STANDINS_PLATFORM_CALL_RATE_H
+
+#include "marjoramrail/base.h"
+
+#include <algorithm>
+
+namespace marjoramrail::standins {
+
+class call_rate {
+public:
+  explicit call_rate(double PerSecond)
+      : PerSecond(PerSecond), Tokens(PerSecond) {}
+
+  /// Whether one more call is allowed at \p Now.
+  bool take(instant Now) {
+    const std::chrono::duration<double> Elapsed = Now - Last;
+    Last = Now;
+    Tokens = std::min(PerSecond, Tokens + Elapsed.count() * PerSecond);
+    if (Tokens < 1)
+      return false;
+    Tokens -= 1;
+    return true;
+  }
+
+private:
+  double PerSecond;
+  double Tokens;
+  instant Last{};
+};
+
+} // namespace marjoramrail::standins
+
+#endif // MARJORAMRAIL_STANDINS_PLATFORM_CALL_RATE_H
--- /dev/null
+++ b/test/platform/call_test.cpp
@@ -0,0 +1,63 @@
+#include "platform/call.h"
+#include "platform/object_codec.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+using namespace marjoramrail::internal;
+
+static call write() {
+  call Call;
+  Call.Verb = call_verb::Write;
+  Call.Key = {"service", "ledger"};
+  Call.Writer = "balancer-1";
+  return Call;
+}
+
+TEST_CASE("only a change that went out without an answer is unknown") {
+  // A write that never left may be sent again; one that went out may have taken
+  // effect, and sending it again could undo what others wrote meanwhile.
+  call Read = write();
+  Read.Verb = call_verb::Read;
+
+  CHECK(replyToLoss(write(), call_loss::NoAnswer, "").Outcome ==
+        platform_outcome::Unknown);
+  CHECK(replyToLoss(write(), call_loss::NotSent, "").Outcome ==
+        platform_outcome::Unavailable);
+  CHECK(replyToLoss(Read, call_loss::NoAnswer, "").Outcome ==
+        platform_outcome::Unavailable);
+}
+
+TEST_CASE("an answer that cannot be read leaves a write unknown") {
+  CHECK(replyTo(write(), {200, "{", ""}).Outcome == platform_outcome::Unknown);
+  CHECK(replyTo(write(), {409, "", ""}).Outcome == platform_outcome::Unknown);
+  CHECK(replyTo(write(), {500, "", ""}).Outcome == platform_outcome::Unknown);
+}
+
+TEST_CASE("a refusal carries the time to come back, within reason") {
+  CHECK(replyTo(write(), {429, "", "3"}).RetryAfter == std::chrono::seconds(3));
+  CHECK(replyTo(write(), {503, "", "never"}).RetryAfter ==
+        std::chrono::seconds(1));
+  CHECK(replyTo(write(), {503, "", "99999999"}).RetryAfter ==
+        std::chrono::seconds(1));
+}
+
+TEST_CASE("an object survives its JSON form") {
+  const platform_object Object{
+      {"service", "ledger"}, 7, "{\"a\": \"\\u00e9\"}", "test", 3, false};
+
+  CHECK(decodeObject(encodeObject(Object)) == Object);
+}
+
+TEST_CASE("faultOf refuses what would change a request's meaning") {
+  call Call = write();
+  CHECK(faultOf(Call).empty());
+  Call.Writer = "a\r\nIf-Match: 0";
+  CHECK(faultOf(Call).find("writer") == 0);
+  Call = write();
+  Call.Key.Kind = "";
+  CHECK(faultOf(Call).find("kind") == 0);
+  Call = write();
+  Call.Body.resize(MaxObjectBytes + 1);
+  CHECK(faultOf(Call).find("body") == 0);
+}
--- /dev/null
+++ b/test/standins/platform/client_and_server_test.cpp
@@ -0,0 +1,256 @@
+#include "http_server.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+using namespace marjoramrail::standins;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const endpoint AnyPort{0x7f000001, 0};
+
+/// The client and the stand-in on one loop, over real sockets.
+class client_and_server {
+public:
+  client_and_server() : Core({}, 1), Server(Loop, Core) {
+    REQUIRE(Server.open(AnyPort));
+    Client.emplace(Loop, platform_client_settings{.Servers = {Server.local()},
+                                                  .Writer = "test"});
+    Api = Client->api();
+    Loop.timers().after(seconds(60), [&] { Loop.stop(); });
+  }
+
+  platform_callback stopWith(platform_reply &Reply) {
+    return [this, &Reply](const platform_reply &Received) {
+      Reply = Received;
+      ++Callbacks;
+      Loop.stop();
+    };
+  }
+
+  /// Sets a fault the way an operator of a test does, without the network.
+  void fault(const std::string &Json) {
+    http_request Request;
+    Request.Method = "PUT";
+    Request.Path = "/v1/faults";
+    Request.Body = Json;
+    REQUIRE(Core.handle(Request, instant()).Reply.Code == 200);
+  }
+
+  static platform_write write(const std::string &Body,
+                              std::uint64_t Expected = 0) {
+    platform_write Write;
+    Write.Object.Key = {"service", "ledger"};
+    Write.Object.Body = Body;
+    Write.Expected = Expected;
+    return Write;
+  }
+
+  event_loop Loop;
+  platform_core Core;
+  http_server Server;
+  std::optional<platform_client> Client;
+  platform_api Api;
+  int Callbacks = 0;
+};
+
+} // namespace
+
+TEST_CASE("a write goes to the server with writer and sequence") {
+  client_and_server Test;
+  platform_reply Reply;
+
+  Test.Api.Write(Test.write("{\"a\":1}"), Test.stopWith(Reply));
+  Test.Loop.run();
+
+  CHECK(Reply.Outcome == platform_outcome::Ok);
+  CHECK(Reply.Object.Version == 1);
+  CHECK(Reply.Object.Body == "{\"a\":1}");
+  CHECK(Reply.Object.Writer == "test");
+  CHECK(Reply.Object.WriterSequence == 1);
+}
+
+TEST_CASE("a conflict shows what stands") {
+  client_and_server Test;
+  Test.Core.store().write(Test.write("[1]").Object, 0);
+  platform_reply Reply;
+
+  Test.Api.Write(Test.write("[2]"), Test.stopWith(Reply));
+  Test.Loop.run();
+
+  CHECK(Reply.Outcome == platform_outcome::Conflict);
+  CHECK(Reply.Object.Body == "[1]");
+}
+
+TEST_CASE("a body of one megabyte passes") {
+  client_and_server Test;
+  platform_reply Reply;
+  const std::string Body = "\"" + std::string(1024 * 1024 - 2, 'x') + "\"";
+
+  Test.Api.Write(Test.write(Body), Test.stopWith(Reply));
+  Test.Loop.run();
+
+  CHECK(Reply.Outcome == platform_outcome::Ok);
+  CHECK(Reply.Object.Body == Body);
+}
+
+TEST_CASE("a lost answer to a write is told as unknown, once") {
+  // The write took effect and the connection broke. A caller that hears
+  // "failed" would write again; one that hears "unknown" reads back first.
+  client_and_server Test;
+  Test.fault(R"({"lose_answers_percent": 100})");
+  platform_reply Reply;
+
+  Test.Api.Write(Test.write("{}"), Test.stopWith(Reply));
+  Test.Loop.run();
+
+  CHECK(Reply.Outcome == platform_outcome::Unknown);
+  CHECK(Test.Core.store().version() == 1);
+  CHECK(Test.Core.counters().Writes == 1);
+  CHECK(Test.Callbacks == 1);
+}
+
+TEST_CASE("a write that no server takes is told as not done") {
+  client_and_server Test;
+  const endpoint Closed{0x7f000001, 1};
+  platform_client Client(Test.Loop, {.Servers = {Closed}, .Writer = "test"});
+  platform_reply Reply;
+
+  Client.api().Write(Test.write("{}"), Test.stopWith(Reply));
+  Test.Loop.run();
+
+  CHECK(Reply.Outcome == platform_outcome::Unavailable);
+  CHECK(Reply.Reason.find("127.0.0.1:1") != std::string::npos);
+}
+
+TEST_CASE("a read goes on to the next server when one refuses connections") {
+  client_and_server Test;
+  Test.Core.store().write(Test.write("[1]").Object, 0);
+  const endpoint Closed{0x7f000001, 1};
+  platform_client Client(
+      Test.Loop, {.Servers = {Closed, Test.Server.local()}, .Writer = "test"});
+  platform_reply Reply;
+
+  Client.api().Read({"service", "ledger"}, Test.stopWith(Reply));
+  Test.Loop.run();
+
+  CHECK(Reply.Outcome == platform_outcome::Ok);
+  CHECK(Reply.Object.Body == "[1]");
+}
+
+TEST_CASE("a watch waits for a change and does not hold up other calls") {
+  client_and_server Test;
+  platform_reply Changes;
+  platform_reply Written;
+  Test.Api.Watch(0, seconds(30), Test.stopWith(Changes));
+  Test.Loop.timers().after(milliseconds(20), [&] {
+    Test.Api.Write(Test.write("{}"),
+                   [&](const platform_reply &Reply) { Written = Reply; });
+  });
+
+  Test.Loop.run();
+
+  CHECK(Changes.Outcome == platform_outcome::Ok);
+  REQUIRE(Changes.Objects.size() == 1);
+  CHECK(Changes.Objects[0].Key.Name == "ledger");
+  CHECK(Changes.StoreVersion == 1);
+}
+
+TEST_CASE("a watch without changes ends with an empty list") {
+  client_and_server Test;
+  platform_reply Reply;
+
+  Test.Api.Watch(0, milliseconds(30), Test.stopWith(Reply));
+  Test.Loop.run();
+
+  CHECK(Reply.Outcome == platform_outcome::Ok);
+  CHECK(Reply.Objects.empty());
+}
+
+TEST_CASE("a platform that is down names the time to come back") {
+  client_and_server Test;
+  Test.fault(R"({"down": true})");
+  platform_reply Reply;
+
+  Test.Api.Read({"service", "ledger"}, Test.stopWith(Reply));
+  Test.Loop.run();
+
+  CHECK(Reply.Outcome == platform_outcome::Unavailable);
+  CHECK(Reply.RetryAfter == seconds(1));
+}
+
+TEST_CASE("a late write takes effect after its sender was told unknown") {
+  // The platform is slower than the client waits. The write still arrives: a
+  // sender that had taken the silence for a failure would be wrong.
+  client_and_server Test;
+  Test.fault(R"({"delay_ms": 200})");
+  platform_client Client(Test.Loop, {.Servers = {Test.Server.local()},
+                                     .Writer = "test",
+                                     .Timeout = milliseconds(50)});
+  platform_reply Reply;
+  Client.api().Write(Test.write("{}"), [&](const platform_reply &Received) {
+    Reply = Received;
+    CHECK(Test.Core.store().version() == 0);
+  });
+  Test.Loop.timers().after(milliseconds(600), [&] { Test.Loop.stop(); });
+
+  Test.Loop.run();
+
+  CHECK(Reply.Outcome == platform_outcome::Unknown);
+  CHECK(Test.Core.store().version() == 1);
+}
+
+TEST_CASE("calls under way are answered when the client goes") {
+  // A process that stops must not leave a core waiting for a callback that
+  // never comes, nor call it twice.
+  client_and_server Test;
+  int Unknown = 0;
+  int Unavailable = 0;
+  const auto count = [&](const platform_reply &Reply) {
+    Unknown += Reply.Outcome == platform_outcome::Unknown;
+    Unavailable += Reply.Outcome == platform_outcome::Unavailable;
+  };
+  Test.fault(R"({"delay_ms": 10000})");
+  Test.Api.Write(Test.write("{}"), count);
+  Test.Api.Watch(0, seconds(30), count);
+  Test.Loop.timers().after(milliseconds(50), [&] {
+    Test.Api.Read({"service", "ledger"}, count);
+    Test.Client.reset();
+    Test.Api.Read({"service", "ledger"}, count);
+    Test.Loop.timers().after(milliseconds(20), [&] { Test.Loop.stop(); });
+  });
+
+  Test.Loop.run();
+
+  CHECK(Unknown == 1);
+  CHECK(Unavailable == 3);
+}
+
+TEST_CASE("more calls than connections are all answered") {
+  client_and_server Test;
+  constexpr int Calls = 200;
+  int Answered = 0;
+
+  for (int I = 0; I < Calls; ++I)
+    Test.Api.Read({"service", "ledger"}, [&](const platform_reply &Reply) {
+      CHECK(Reply.Outcome == platform_outcome::NotFound);
+      if (++Answered == Calls)
+        Test.Loop.stop();
+    });
+  Test.Loop.run();
+
+  CHECK(Answered == Calls);
+}
+
+TEST_CASE("names that would change a request's path are refused") {
+  client_and_server Test;
+  platform_reply Reply;
+
+  Test.Api.Read({"service", "../faults"}, Test.stopWith(Reply));
+  Test.Loop.run();
+
+  CHECK(Reply.Outcome == platform_outcome::Invalid);
+  CHECK(Test.Core.counters().Reads == 0);
+}
