Decide admission by time, fairness, kind, retries and an adaptive limit

The thin form bounded its queue by a fixed estimate and knew no caller. Now: start-time fair queueing per caller hash with long work apart from short, a queue bounded by the wait that learnt service times foretell, deadlines checked on arrival and while waiting, retry-after from the drain rate and the work sent away before, a retry budget, and a concurrency limit that moves by trials.

--- a/src/work/admission.cpp
+++ b/src/work/admission.cpp
@@ -1,108 +1,355 @@
+/// What becomes of a request at one agent: the decisions of this folder put in
+/// their order. Load patterns and thresholds stand with each of them.
+///
+/// What goes wrong without: a queue bounded by length only is long in time when
+/// the target is slow; requests then wait until their callers have given up,
+/// and the target works for no one. One sees full use and no goodput. Here a
+/// request that would wait longer than the bound, or past its deadline, is
+/// refused when it comes, with the time at which there will be room.
 #include "marjoramrail/work.h"
 
-#include <deque>
+#include "work/busy_share.h"
+#include "work/concurrency_limit.h"
+#include "work/fair_queue.h"
+#include "work/retry_budget.h"
+#include "work/return_time.h"
+
+#include <algorithm>
 #include <unordered_map>
 
 namespace marjoramrail {
 
-/// First form: slots and a queue bounded by the mean service time.
+using namespace internal;
+
+namespace {
+
+/// A request that the estimate let in and that still waits after this many
+/// bounds is refused: the target has slowed down meanwhile.
+constexpr int HardBounds = 2;
+
+double toSeconds(duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+duration toDuration(double Seconds) {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
+} // namespace
+
 struct admission::impl {
+  struct running_request {
+    work_kind Kind;
+    bool Alone;
+  };
+
+  impl(const admission_settings &Settings, pick_peer PickPeer,
+       std::uint64_t Seed)
+      : Settings(Settings), PickPeer(std::move(PickPeer)),
+        Queue(Settings.CallerQueues, Seed),
+        Limit(Settings.Slots, Settings.MaxLimitFactor, Settings.ColdStart),
+        Return(Settings.MaxRetryAfter, Seed + 1), Budget(Settings.RetryShare),
+        Times(Settings.FirstEstimate) {}
+
+  decision offer(const work_request &Request, instant Now);
+  decision offerStream(const work_request &Request, instant Now);
+  decision enqueue(const work_request &Request, double Need, instant Now);
+  std::optional<decision> relay(const work_request &Request, relay_reason Why,
+                                instant Now);
+  decision run(const work_request &Request);
+  decision refuse(const work_request &Request, refusal Why, instant Now);
+  void freeSlot(request_id Id);
+  void runWaiting(instant Now);
+  void refuseHopeless(instant Now);
+  void relayWaiting(instant Now);
+  void shortenQueue(work_kind Kind, instant Now);
+
+  std::size_t inSlots() const { return Running.size() - Streams; }
+  std::size_t slots(instant Now) const {
+    return Limit.pause(Now) > duration::zero() ? 0 : Limit.limit(Now);
+  }
+  std::size_t longSlots(std::size_t Slots) const;
+  bool hasSlot(work_kind Kind, instant Now) const;
+  double servers(work_kind Kind, instant Now) const;
+  duration expectedWait(const work_request &Request, instant Now) const;
+  bool tooLate(const work_request &Request, double Need, instant Start) const;
+  load_report load(instant Now);
+  void noteUse(instant Now);
+
   admission_settings Settings;
   pick_peer PickPeer;
-  bool Draining = false;
-  std::unordered_map<request_id, work_kind> Running;
-  std::deque<work_request> Waiting;
+  fair_queue Queue;
+  concurrency_limit Limit;
+  return_time Return;
+  retry_budget Budget;
+  service_times Times;
+  busy_share Busy;
+  std::unordered_map<request_id, running_request> Running;
   std::size_t Streams = 0;
+  std::size_t LongRunning = 0;
+  bool Draining = false;
+  std::vector<decision> Outbox;
   admission_counts Counts;
+};
+
+std::size_t admission::impl::longSlots(std::size_t Slots) const {
+  if (Slots < 2)
+    return Slots;
+  const auto Kept = std::size_t(std::ceil(double(Slots) * Settings.ShortShare));
+  return Slots - std::clamp<std::size_t>(Kept, 1, Slots - 1);
+}
 
-  bool hasSlot() const { return Running.size() - Streams < Settings.Slots; }
+bool admission::impl::hasSlot(work_kind Kind, instant Now) const {
+  const std::size_t Slots = slots(Now);
+  if (inSlots() >= Slots)
+    return false;
+  return Kind != work_kind::Long || LongRunning < longSlots(Slots);
+}
 
-  decision run(const work_request &Request) {
-    Running.emplace(Request.Id, Request.Kind);
-    Streams += Request.Kind == work_kind::Stream ? 1 : 0;
-    ++Counts.Run;
-    return {.Id = Request.Id, .Verdict = verdict::Run};
-  }
+/// Slots that serve the queue of \p Kind.
+double admission::impl::servers(work_kind Kind, instant Now) const {
+  const std::size_t Slots = std::max<std::size_t>(Limit.limit(Now), 1);
+  const std::size_t ForLong = longSlots(Slots);
+  if (Kind == work_kind::Long)
+    return double(ForLong);
+  const bool LongWaits = !Queue.empty(work_kind::Long);
+  const std::size_t Taken =
+      LongWaits ? ForLong : std::min(LongRunning, ForLong);
+  return double(std::max<std::size_t>(Slots - Taken, 1));
+}
 
-  void free(request_id Id) {
-    const auto Found = Running.find(Id);
-    if (Found == Running.end())
-      return;
-    Streams -= Found->second == work_kind::Stream ? 1 : 0;
-    Running.erase(Found);
-  }
-};
+duration admission::impl::expectedWait(const work_request &Request,
+                                       instant Now) const {
+  const double Ahead = Queue.workAhead(Request.Caller, Request.Kind);
+  // The first slot frees after about one service time shared by all slots.
+  const double First = Times.mean(Request.Kind);
+  return Limit.pause(Now) +
+         toDuration((Ahead + First) / servers(Request.Kind, Now));
+}
 
-admission::admission(const admission_settings &Settings, pick_peer PickPeer,
-                     std::uint64_t)
-    : Impl(std::make_unique<impl>()) {
-  Impl->Settings = Settings;
-  Impl->PickPeer = std::move(PickPeer);
+bool admission::impl::tooLate(const work_request &Request, double Need,
+                              instant Start) const {
+  return Request.Deadline && Start + toDuration(Need) > *Request.Deadline;
 }
 
-admission::~admission() = default;
+void admission::impl::noteUse(instant Now) {
+  const double Slots = double(std::max<std::size_t>(Limit.limit(Now), 1));
+  Busy.held(double(inSlots()) / Slots, Now);
+}
 
-decision admission::offer(const work_request &Request, instant Now) {
+load_report admission::impl::load(instant Now) {
+  noteUse(Now);
+  load_report Report;
+  Report.Slots = double(std::max<std::size_t>(Limit.limit(Now), 1));
+  Report.Busy = Busy.value();
+  Report.Pressure = double(inSlots() + Queue.size()) / Report.Slots;
+  Report.Accepting = !Draining && Limit.pause(Now) == duration::zero();
+  return Report;
+}
+
+decision admission::impl::run(const work_request &Request) {
   const bool Stream = Request.Kind == work_kind::Stream;
-  if (!Impl->Draining && (Stream || Impl->hasSlot()))
-    return Impl->run(Request);
-  const auto Why =
-      Impl->Draining ? relay_reason::Draining : relay_reason::Overloaded;
-  if (Impl->PickPeer)
-    if (const auto Peer = Impl->PickPeer(Request, Why, load(Now), Now)) {
-      ++Impl->Counts.Relayed;
-      return {.Id = Request.Id, .Verdict = verdict::Relay, .Peer = *Peer};
+  Running.emplace(Request.Id,
+                  running_request{Request.Kind, !Stream && inSlots() == 0});
+  Streams += Stream ? 1 : 0;
+  LongRunning += Request.Kind == work_kind::Long ? 1 : 0;
+  ++Counts.Run;
+  return {.Id = Request.Id, .Verdict = verdict::Run};
+}
+
+decision admission::impl::refuse(const work_request &Request, refusal Why,
+                                 instant Now) {
+  ++Counts.Refused;
+  const double Need = Times.expected(Request);
+  const duration Later = Return.book(Need, Queue.work(Request.Kind),
+                                     servers(Request.Kind, Now), Now);
+  return {.Id = Request.Id,
+          .Verdict = verdict::Refuse,
+          .Reason = Why,
+          .RetryAfter = std::max(Later, Limit.pause(Now))};
+}
+
+std::optional<decision> admission::impl::relay(const work_request &Request,
+                                               relay_reason Why, instant Now) {
+  if (!PickPeer)
+    return std::nullopt;
+  const auto Peer = PickPeer(Request, Why, load(Now), Now);
+  if (!Peer)
+    return std::nullopt;
+  ++Counts.Relayed;
+  return decision{.Id = Request.Id, .Verdict = verdict::Relay, .Peer = *Peer};
+}
+
+decision admission::impl::offerStream(const work_request &Request,
+                                      instant Now) {
+  if (Draining) {
+    if (const auto Relayed = relay(Request, relay_reason::Draining, Now))
+      return *Relayed;
+    return refuse(Request, refusal::Draining, Now);
+  }
+  if (Streams >= Settings.MaxStreams)
+    return refuse(Request, refusal::TooManyStreams, Now);
+  return run(Request);
+}
+
+decision admission::impl::offer(const work_request &Request, instant Now) {
+  noteUse(Now);
+  if (Request.Kind == work_kind::Stream)
+    return offerStream(Request, Now);
+  if (!Request.Retry)
+    Budget.firstTry();
+  if (Draining) {
+    if (const auto Relayed = relay(Request, relay_reason::Draining, Now))
+      return *Relayed;
+    return refuse(Request, refusal::Draining, Now);
+  }
+  const double Need = Times.expected(Request);
+  if (!tooLate(Request, Need, Now)) {
+    if (const auto Relayed = relay(Request, relay_reason::Balance, Now))
+      return *Relayed;
+    if (Queue.empty(Request.Kind) && hasSlot(Request.Kind, Now)) {
+      Queue.forgive();
+      return run(Request);
     }
-  const auto Bound = Impl->Settings.WaitBound / Impl->Settings.FirstEstimate *
-                     Impl->Settings.Slots;
-  if (Impl->Draining || Impl->Waiting.size() >= std::size_t(Bound)) {
-    ++Impl->Counts.Refused;
-    return {.Id = Request.Id,
-            .Verdict = verdict::Refuse,
-            .Reason = Impl->Draining ? refusal::Draining : refusal::Overloaded,
-            .RetryAfter = std::chrono::seconds(1)};
   }
-  Impl->Waiting.push_back(Request);
+  const auto Why =
+      Limit.ramping(Now) ? relay_reason::Cold : relay_reason::Overloaded;
+  if (const auto Relayed = relay(Request, Why, Now))
+    return *Relayed;
+  return enqueue(Request, Need, Now);
+}
+
+decision admission::impl::enqueue(const work_request &Request, double Need,
+                                  instant Now) {
+  const duration Wait = expectedWait(Request, Now);
+  // A relayed request is run or refused: the agent it came from can still put
+  // it into its own queue, where its caller's share is known.
+  const bool CannotWait = Request.RelayedBy || Wait > Settings.WaitBound;
+  if (tooLate(Request, Need, Now + Wait))
+    return refuse(Request, refusal::DeadlineTooClose, Now);
+  if (CannotWait) {
+    const bool Paused = Limit.pause(Now) > duration::zero();
+    return refuse(Request, Paused ? refusal::TargetShed : refusal::Overloaded,
+                  Now);
+  }
+  if (Request.Retry && !Budget.take())
+    return refuse(Request, refusal::RetryBudget, Now);
+  Queue.push({Request, Need, Now});
+  shortenQueue(Request.Kind, Now);
   return {.Id = Request.Id, .Verdict = verdict::Wait};
 }
 
-void admission::finished(request_id Id, const completion &, instant) {
-  Impl->free(Id);
+/// A light caller's request has passed those of heavy ones; the last of these
+/// would now wait longer than the bound and is told so at once.
+void admission::impl::shortenQueue(work_kind Kind, instant Now) {
+  const double Most = toSeconds(Settings.WaitBound) * servers(Kind, Now);
+  while (Queue.size() > Settings.MaxWaiting || Queue.work(Kind) > Most) {
+    const auto Last = Queue.popLast(Kind);
+    if (!Last)
+      return;
+    Outbox.push_back(refuse(Last->Request, refusal::Overloaded, Now));
+  }
 }
 
-void admission::cancelled(request_id Id, instant) {
-  Impl->free(Id);
-  std::erase_if(Impl->Waiting,
-                [&](const work_request &Each) { return Each.Id == Id; });
-  ++Impl->Counts.Cancelled;
+void admission::impl::freeSlot(request_id Id) {
+  const auto Found = Running.find(Id);
+  if (Found == Running.end())
+    return;
+  Streams -= Found->second.Kind == work_kind::Stream ? 1 : 0;
+  LongRunning -= Found->second.Kind == work_kind::Long ? 1 : 0;
+  Running.erase(Found);
+}
+
+void admission::impl::refuseHopeless(instant Now) {
+  const auto Hopeless = [&](const waiting_request &Each) {
+    const bool Overdue = Now - Each.Since > HardBounds * Settings.WaitBound;
+    return Overdue || tooLate(Each.Request, Each.Need, Now);
+  };
+  for (const waiting_request &Each : Queue.removeIf(Hopeless)) {
+    const bool Late = tooLate(Each.Request, Each.Need, Now);
+    Outbox.push_back(
+        refuse(Each.Request,
+               Late ? refusal::DeadlineTooClose : refusal::Overloaded, Now));
+  }
 }
 
-std::vector<decision> admission::tick(instant) {
-  std::vector<decision> Decisions;
-  while (!Impl->Waiting.empty() && Impl->hasSlot()) {
-    Decisions.push_back(Impl->run(Impl->Waiting.front()));
-    Impl->Waiting.pop_front();
+void admission::impl::runWaiting(instant Now) {
+  while (hasSlot(work_kind::Short, Now)) {
+    const auto Next = Queue.pop(hasSlot(work_kind::Long, Now));
+    if (!Next)
+      return;
+    Outbox.push_back(run(Next->Request));
   }
-  return Decisions;
 }
 
-void admission::drain(instant) { Impl->Draining = true; }
+/// What waits when draining starts goes to peers; what no peer takes keeps its
+/// place and is run here, as it has been accepted.
+void admission::impl::relayWaiting(instant Now) {
+  std::vector<decision> Relayed;
+  const auto Moves = [&](const waiting_request &Each) {
+    const auto Peer = relay(Each.Request, relay_reason::Draining, Now);
+    if (Peer)
+      Relayed.push_back(*Peer);
+    return Peer.has_value();
+  };
+  Queue.removeIf(Moves);
+  Outbox.insert(Outbox.end(), Relayed.begin(), Relayed.end());
+}
 
-load_report admission::load(instant) {
-  load_report Report;
-  Report.Slots = Impl->Settings.Slots;
-  Report.Busy = double(running()) / Report.Slots;
-  Report.Pressure = double(running() + waiting()) / Report.Slots;
-  Report.Accepting = !Impl->Draining;
-  return Report;
+admission::admission(const admission_settings &Settings, pick_peer PickPeer,
+                     std::uint64_t Seed)
+    : Impl(std::make_unique<impl>(Settings, std::move(PickPeer), Seed)) {}
+
+admission::~admission() = default;
+
+decision admission::offer(const work_request &Request, instant Now) {
+  return Impl->offer(Request, Now);
 }
 
-std::size_t admission::running() const {
-  return Impl->Running.size() - Impl->Streams;
+void admission::finished(request_id Id, const completion &End, instant Now) {
+  const auto Found = Impl->Running.find(Id);
+  if (Found == Impl->Running.end())
+    return;
+  Impl->noteUse(Now);
+  const auto Ran = Found->second;
+  const std::size_t InFlight = Impl->inSlots();
+  Impl->freeSlot(Id);
+  if (Ran.Kind == work_kind::Stream)
+    return;
+  if (End.Outcome == work_outcome::Shed)
+    Impl->Limit.shed(InFlight, End.RetryAfter, Now);
+  if (End.Outcome != work_outcome::Answered)
+    return;
+  Impl->Times.answered(Ran.Kind, End.Elapsed);
+  if (Ran.Kind == work_kind::Short)
+    Impl->Limit.answered(End.Elapsed, Ran.Alone, Impl->Queue.size() > 0);
 }
-std::size_t admission::waiting() const { return Impl->Waiting.size(); }
+
+void admission::cancelled(request_id Id, instant Now) {
+  Impl->noteUse(Now);
+  Impl->freeSlot(Id);
+  Impl->Queue.remove(Id);
+  ++Impl->Counts.Cancelled;
+}
+
+std::vector<decision> admission::tick(instant Now) {
+  Impl->noteUse(Now);
+  Impl->refuseHopeless(Now);
+  Impl->runWaiting(Now);
+  return std::exchange(Impl->Outbox, {});
+}
+
+void admission::drain(instant Now) {
+  Impl->Draining = true;
+  Impl->relayWaiting(Now);
+}
+
+load_report admission::load(instant Now) { return Impl->load(Now); }
+std::size_t admission::running() const { return Impl->inSlots(); }
+std::size_t admission::waiting() const { return Impl->Queue.size(); }
 std::size_t admission::streams() const { return Impl->Streams; }
-std::size_t admission::limit(instant) const { return Impl->Settings.Slots; }
+std::size_t admission::limit(instant Now) const { return Impl->slots(Now); }
 const admission_counts &admission::counts() const { return Impl->Counts; }
 
 } // namespace marjoramrail
--- /dev/null
+++ b/src/work/fair_queue.h
@@ -0,0 +1,94 @@
+//===- fair_queue.h - Requests that wait for a slot -------------*- C++ -*-===//
+///
+/// \file
+/// Start-time fair queueing over callers (Goyal, Vin and Cheng, 1996), with
+/// long work apart from short work.
+///
+/// Load pattern: three callers bring 70% of the load; one request in twenty
+/// takes fifty times as long as the others. In one first-in-first-out queue
+/// the light callers wait behind the heavy ones, and short work behind long;
+/// one sees the p99 of light callers rise to that of the heaviest. Here each
+/// request gets a start tag: where its caller's last one ends, or the present,
+/// whichever is later. The lowest tag runs first, so a caller that asks for
+/// little passes those that ask for much, and no tag is overtaken for ever.
+///
+/// State is bounded: callers share a fixed number of tags by hash. A light
+/// caller shares with one of three heavy ones in 3 of 256 cases.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_SRC_WORK_FAIR_QUEUE_H
+#define MARJORAMRAIL_SRC_WORK_FAIR_QUEUE_H
+
+#include "marjoramrail/work.h"
+
+#include <unordered_map>
+
+namespace marjoramrail::internal {
+
+struct waiting_request {
+  work_request Request;
+  /// Expected seconds in a slot.
+  double Need = 0;
+  instant Since;
+};
+
+class fair_queue {
+public:
+  fair_queue(std::size_t CallerQueues, std::uint64_t Seed);
+
+  std::size_t size() const { return Places.size(); }
+  bool empty(work_kind Kind) const { return lane(Kind).Entries.empty(); }
+  /// Expected seconds in a slot of all that waits.
+  double work(work_kind Kind) const { return lane(Kind).Work; }
+
+  /// Expected work that would run before a request of \p Caller.
+  double workAhead(std::uint64_t Caller, work_kind Kind) const;
+
+  void push(waiting_request Waiting);
+  /// A request ran without waiting: nobody was kept back, so past use is
+  /// forgiven; else a caller would pay later for slots no one wanted.
+  void forgive();
+  /// The next to run; long work only if \p LongToo.
+  std::optional<waiting_request> pop(bool LongToo);
+  /// Takes out the request that would run last of its kind.
+  std::optional<waiting_request> popLast(work_kind Kind);
+  std::optional<waiting_request> remove(request_id Id);
+  /// Takes out all that \p Hopeless names.
+  std::vector<waiting_request>
+  removeIf(const std::function<bool(const waiting_request &)> &Hopeless);
+
+private:
+  struct tag {
+    double Start;
+    std::uint64_t Order;
+    auto operator<=>(const tag &) const = default;
+  };
+  struct entries {
+    std::map<tag, waiting_request> Entries;
+    double Work = 0;
+  };
+  struct place {
+    work_kind Kind;
+    tag Tag;
+  };
+
+  entries &lane(work_kind Kind);
+  const entries &lane(work_kind Kind) const;
+  std::size_t bucketOf(std::uint64_t Caller) const;
+  double startFor(std::uint64_t Caller) const;
+  waiting_request take(work_kind Kind,
+                       std::map<tag, waiting_request>::iterator);
+
+  std::uint64_t Seed;
+  std::vector<double> Ends;
+  double Present = 0;
+  std::uint64_t LastOrder = 0;
+  entries Short;
+  entries Long;
+  std::unordered_map<request_id, place> Places;
+};
+
+} // namespace marjoramrail::internal
+
+#endif // MARJORAMRAIL_SRC_WORK_FAIR_QUEUE_H
