--- a/include/marjoramrail/routing.h
+++ b/include/marjoramrail/routing.h
@@ -161,9 +161,16 @@
   std::size_t bytes() const;
 
 private:
+  /// owners() for rows of \p Generations weights, a number known to the
+  /// compiler so that it can work on several at a time.
+  template <std::size_t Generations>
+  owner_list ownersOver(const flow_key &Flow) const;
+
   service_id Id;
   std::uint64_t Version;
-  std::size_t GenerationCount;
+  /// Generations, rounded up to a power of two; those past the last have no
+  /// members.
+  std::size_t RowSize;
   std::vector<target> Targets;
   /// One row for each target: its weight in each generation, newest first; 0
   /// where it is no member.
--- a/src/routing/rendezvous_score.h
+++ b/src/routing/rendezvous_score.h
@@ -79,32 +79,51 @@
   return (std::uint64_t(Zeros + 1) << LogBits) - Log;
 }
 
-/// Score and position in one integer, so that the least integer is the best
-/// host and a choice needs no second look-up. \p Weight must not be 0.
-inline std::uint64_t scoreKey(std::uint64_t NegativeLog, std::uint16_t Weight,
-                              std::uint16_t Position) {
-  constexpr unsigned Spare = 64 - (LogBits + 6) - InverseBits;
+/// Score and position in one number, so that the least is the best host and a
+/// choice needs no second look-up.
+///
+/// It is an integer below 2^62 in the bits of a double. Such doubles are
+/// finite, not negative and stand in the order of their bits, and every
+/// processor has their minimum and maximum as single instructions, two at a
+/// time. With integers the compiler makes branches, and whether a host ranks is
+/// a guess that the processor misses every other time.
+using score_key = double;
+
+/// \p Weight must not be 0.
+inline score_key scoreKey(std::uint64_t NegativeLog, std::uint16_t Weight,
+                          std::uint16_t Position) {
+  constexpr unsigned Spare = 62 - (LogBits + 6) - InverseBits;
   constexpr std::uint64_t PositionMask = 0xffff;
   const std::uint64_t Score = NegativeLog * InverseTable[Weight] << Spare;
-  return (Score & ~PositionMask) | Position;
+  return std::bit_cast<score_key>((Score & ~PositionMask) | Position);
 }
 
-inline constexpr std::uint64_t NoKey = ~std::uint64_t(0);
+/// Greater than every key: the key of a host that is no member.
+inline constexpr score_key NoKey =
+    std::bit_cast<score_key>(std::uint64_t(1) << 62);
+
+inline std::uint16_t positionOf(score_key Key) {
+  return static_cast<std::uint16_t>(std::bit_cast<std::uint64_t>(Key));
+}
 
-/// The least keys of one generation, in order.
-struct best_keys {
-  std::array<std::uint64_t, ChoicesPerGeneration> Keys;
+/// The least keys of each of \p Generations generations, in order. Ranks are
+/// rows, so that one step sorts a host into all generations.
+template <std::size_t Generations> struct best_keys {
+  using row = std::array<score_key, Generations>;
+  std::array<row, ChoicesPerGeneration> Ranks;
 
-  best_keys() { Keys.fill(NoKey); }
+  best_keys() {
+    for (row &Rank : Ranks)
+      Rank.fill(NoKey);
+  }
 
-  /// Sorts \p Key in without a branch: whether it ranks is a coin's throw that
-  /// the processor would guess wrong every other time.
-  void add(std::uint64_t Key) {
-    for (std::uint64_t &Held : Keys) {
-      const std::uint64_t Less = Key < Held ? Key : Held;
-      Key = Key < Held ? Held : Key;
-      Held = Less;
-    }
+  void add(row Keys) {
+    for (row &Rank : Ranks)
+      for (std::size_t G = 0; G < Generations; ++G) {
+        const score_key Held = Rank[G];
+        Rank[G] = Keys[G] < Held ? Keys[G] : Held;
+        Keys[G] = Keys[G] < Held ? Held : Keys[G];
+      }
   }
 };
 
--- a/src/routing/service_router.cpp
+++ b/src/routing/service_router.cpp
@@ -18,10 +18,6 @@
   return XXH3_64bits_withSeed(&Host, sizeof(Host), FlowHash);
 }
 
-static std::uint16_t positionOf(std::uint64_t Key) {
-  return static_cast<std::uint16_t>(Key);
-}
-
 //===----------------------------------------------------------------------===//
 // owner_list
 //===----------------------------------------------------------------------===//
@@ -39,37 +35,39 @@
 // service_router
 //===----------------------------------------------------------------------===//
 
+static std::size_t generationCount(const service_view &View) {
+  return std::min(View.Generations.size(), MaxGenerations);
+}
+
 service_router::service_router(const service_view &View)
     : Id(View.Id), Version(View.Version),
-      GenerationCount(std::min(View.Generations.size(), MaxGenerations)),
+      RowSize(std::bit_ceil(generationCount(View))),
       Targets(View.Targets.begin(),
               View.Targets.begin() + static_cast<std::ptrdiff_t>(std::min(
                                          View.Targets.size(), MaxTargets))),
-      Weights(Targets.size() * GenerationCount) {
+      Weights(Targets.size() * RowSize) {
   std::unordered_map<host_id, std::size_t> PositionOf;
   for (std::size_t I = 0; I < Targets.size(); ++I)
     PositionOf.emplace(Targets[I].Id, I);
-  for (std::size_t G = 0; G < GenerationCount; ++G)
+  for (std::size_t G = 0; G < generationCount(View); ++G)
     for (const member &Member : View.Generations[G].Members)
       if (const auto Found = PositionOf.find(Member.Host);
           Found != PositionOf.end())
-        Weights[Found->second * GenerationCount + G] =
+        Weights[Found->second * RowSize + G] =
             std::min(Member.Weight, MaxWeight);
 }
 
 owner_list service_router::choices(const flow_key &Flow) const {
   owner_list Choices;
-  if (GenerationCount == 0)
-    return Choices;
   const std::uint64_t FlowHash = hashOf(Flow, RoutingSeed);
-  best_keys Best;
+  best_keys<1> Best;
   for (std::size_t I = 0; I < Targets.size(); ++I) {
-    const std::uint16_t Weight = Weights[I * GenerationCount];
+    const std::uint16_t Weight = Weights[I * RowSize];
     if (Weight != 0)
-      Best.add(scoreKey(negativeLog(hostHash(FlowHash, Targets[I].Id)), Weight,
-                        static_cast<std::uint16_t>(I)));
+      Best.add({scoreKey(negativeLog(hostHash(FlowHash, Targets[I].Id)), Weight,
+                         static_cast<std::uint16_t>(I))});
   }
-  for (const std::uint64_t Key : Best.Keys) {
+  for (const auto &[Key] : Best.Ranks) {
     if (Key == NoKey)
       break;
     const target_state State = Targets[positionOf(Key)].State;
@@ -79,24 +77,58 @@
   return Choices;
 }
 
-owner_list service_router::owners(const flow_key &Flow) const {
+/// Owners that are up, without repeats: each generation's first choices before
+/// anyone's second.
+template <std::size_t Generations>
+static owner_list mergeRanks(const best_keys<Generations> &Best,
+                             const std::vector<target> &Targets) {
+  owner_list Owners;
+  // The generations name mostly the same few hosts; a bit for each of the first
+  // 64 positions saves the search of the list.
+  std::uint64_t Seen = 0;
+  for (const auto &Rank : Best.Ranks)
+    for (const score_key Key : Rank) {
+      const std::uint16_t Position = positionOf(Key);
+      const std::uint64_t Bit =
+          Position < 64 ? std::uint64_t(1) << Position : 0;
+      if ((Seen & Bit) != 0 || Key == NoKey)
+        continue;
+      Seen |= Bit;
+      if (Targets[Position].State != target_state::Down)
+        Owners.add(Position);
+    }
+  return Owners;
+}
+
+template <std::size_t Generations>
+owner_list service_router::ownersOver(const flow_key &Flow) const {
   const std::uint64_t FlowHash = hashOf(Flow, RoutingSeed);
-  std::array<best_keys, MaxGenerations> Best;
+  best_keys<Generations> Best;
   const std::uint16_t *Weight = Weights.data();
   for (std::size_t I = 0; I < Targets.size(); ++I) {
     const std::uint64_t Log = negativeLog(hostHash(FlowHash, Targets[I].Id));
-    for (std::size_t G = 0; G < GenerationCount; ++G, ++Weight)
-      if (*Weight != 0)
-        Best[G].add(scoreKey(Log, *Weight, static_cast<std::uint16_t>(I)));
-  }
-  owner_list Owners;
-  for (std::size_t Rank = 0; Rank < ChoicesPerGeneration; ++Rank)
-    for (std::size_t G = 0; G < GenerationCount; ++G) {
-      const std::uint64_t Key = Best[G].Keys[Rank];
-      if (Key != NoKey && Targets[positionOf(Key)].State != target_state::Down)
-        Owners.add(positionOf(Key));
+    typename best_keys<Generations>::row Keys;
+    for (score_key &Key : Keys) {
+      const score_key Scored =
+          scoreKey(Log, *Weight, static_cast<std::uint16_t>(I));
+      Key = *Weight++ != 0 ? Scored : NoKey;
     }
-  return Owners;
+    Best.add(Keys);
+  }
+  return mergeRanks(Best, Targets);
+}
+
+owner_list service_router::owners(const flow_key &Flow) const {
+  switch (RowSize) {
+  case 1:
+    return ownersOver<1>(Flow);
+  case 2:
+    return ownersOver<2>(Flow);
+  case 4:
+    return ownersOver<4>(Flow);
+  default:
+    return ownersOver<MaxGenerations>(Flow);
+  }
 }
 
 std::size_t service_router::bytes() const {
