Add the balancer's core: views in force, owners, a bounded cache of hints

Cause: nothing joined wire and routing to a balancer's decisions. Change: balancer_core takes views (never an older one), routes packets, marks them when the fleet was not heard for long, drops and counts by reason. Owners named by agents only move a host forward within the list, so that a lost, old or forged notice costs a detour at most. Two services that claim one address: the lower number has it on every balancer. routing.h: findAgent, targetCount, owner_list::moveToFront; wire.h: isRouted. Ruled out: letting the later claim win (depends on the order of arrival) and sending to a named owner outside the list (a forged notice could draw packets away).

--- a/include/marjoramrail/routing.h
+++ b/include/marjoramrail/routing.h
@@ -126,6 +126,8 @@
   bool contains(std::uint16_t Item) const;
   /// Adds \p Item unless it is there or the list is full.
   void add(std::uint16_t Item);
+  /// Moves the item at \p Index to the front; the others keep their order.
+  void moveToFront(std::size_t Index);
 
 private:
   std::array<std::uint16_t, Capacity> Items{};
@@ -157,6 +159,10 @@
     return Targets[Position];
   }
 
+  std::size_t targetCount() const { return Targets.size(); }
+  /// The target whose agent listens on \p Agent, or null.
+  const target *findAgent(const endpoint &Agent) const;
+
   /// Bytes that this router holds, for the budget of 32 MB per node.
   std::size_t bytes() const;
 
--- a/include/marjoramrail/wire.h
+++ b/include/marjoramrail/wire.h
@@ -135,6 +135,9 @@
 /// Reads a datagram. \p Routed points into \p Bytes afterwards.
 packet_fault decodeRouted(bytes_view Bytes, routed_packet &Routed);
 
+/// True if \p Bytes has the magic number of a routed packet.
+bool isRouted(bytes_view Bytes);
+
 /// An agent's word to a balancer that it owns a flow, so that the flow's next
 /// packets reach it without a detour. The balancer may forget it at any time.
 ///
--- /dev/null
+++ b/src/balancer/balancer_core.cpp
@@ -0,0 +1,185 @@
+#include "balancer/owner_cache.h"
+#include "balancer/service_table.h"
+#include "marjoramrail/balancer.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace marjoramrail {
+
+using namespace internal;
+
+struct balancer_core::impl {
+  balancer_settings Settings;
+  balancer_hooks Hooks;
+  service_table Services;
+  owner_cache Cache;
+  balancer_counters Counters;
+  std::optional<instant> LastHeard;
+  std::array<std::uint8_t, MaxRoutedBytes> Buffer{};
+
+  impl(const balancer_settings &Settings, balancer_hooks Hooks)
+      : Settings(Settings), Hooks(std::move(Hooks)),
+        Cache(Settings.CachedOwners) {}
+
+  bool isStale(instant Now) const;
+  packet_fault takeNotice(const endpoint &From, bytes_view Bytes);
+  packet_fault route(bytes_view Bytes, instant Now);
+  packet_fault send(const service_router &Router, const owner_list &Owners,
+                    bytes_view Bytes, instant Now);
+  std::size_t firstOf(const service_router &Router, const owner_list &Owners,
+                      const flow_key &Flow);
+};
+
+bool balancer_core::impl::isStale(instant Now) const {
+  return !LastHeard || Now - *LastHeard > Settings.StaleAfter;
+}
+
+//===----------------------------------------------------------------------===//
+// Notices of owners
+//===----------------------------------------------------------------------===//
+
+/// A notice must come from the agent that it names, and that must be a target
+/// of the service: nobody else may say where a flow's packets go.
+packet_fault balancer_core::impl::takeNotice(const endpoint &From,
+                                             bytes_view Bytes) {
+  owner_notice Notice;
+  const packet_fault Fault = decodeOwnerNotice(Bytes, Notice);
+  if (Fault != packet_fault::None)
+    return Fault;
+  const routed_service *Service = Services.findNumber(Notice.Service);
+  if (Service == nullptr)
+    return packet_fault::UnknownService;
+  if (Service->Address != Notice.Flow.Service)
+    return packet_fault::ServiceMismatch;
+  if (From != Notice.Owner)
+    return packet_fault::ForeignSender;
+  const target *Owner = Service->Router.findAgent(Notice.Owner);
+  if (Owner == nullptr)
+    return packet_fault::ForeignSender;
+  Cache.remember(Notice.Flow, Owner->Id);
+  ++Counters.NoticesTaken;
+  return packet_fault::None;
+}
+
+//===----------------------------------------------------------------------===//
+// Callers' packets
+//===----------------------------------------------------------------------===//
+
+/// The place in \p Owners of the owner that an agent named, or 0.
+std::size_t balancer_core::impl::firstOf(const service_router &Router,
+                                         const owner_list &Owners,
+                                         const flow_key &Flow) {
+  const std::optional<host_id> Named = Cache.find(Flow);
+  if (!Named)
+    return 0;
+  for (std::size_t I = 0; I < Owners.size(); ++I) {
+    if (Router.targetAt(Owners[I]).Id != *Named)
+      continue;
+    ++Counters.FromCache;
+    return I;
+  }
+  return 0;
+}
+
+packet_fault balancer_core::impl::route(bytes_view Bytes, instant Now) {
+  if (isRouted(Bytes))
+    return packet_fault::BadMagic;
+  tcp_packet Packet;
+  const packet_fault Fault = parseTcpPacket(Bytes, Packet);
+  if (Fault != packet_fault::None)
+    return Fault;
+  // A service that seems to call itself would answer itself for ever.
+  if (Packet.Flow.Caller == Packet.Flow.Service)
+    return packet_fault::ForeignSender;
+  const routed_service *Service = Services.findAddress(Packet.Flow.Service);
+  if (Service == nullptr)
+    return packet_fault::UnknownService;
+  const service_router &Router = Service->Router;
+  const bool Opens = Packet.opensFlow();
+  owner_list Owners =
+      Opens ? Router.choices(Packet.Flow) : Router.owners(Packet.Flow);
+  if (Owners.empty())
+    return packet_fault::NoTarget;
+  if (!Opens)
+    Owners.moveToFront(firstOf(Router, Owners, Packet.Flow));
+  ++(Opens ? Counters.New : Counters.Established);
+  return send(Router, Owners, Bytes, Now);
+}
+
+packet_fault balancer_core::impl::send(const service_router &Router,
+                                       const owner_list &Owners,
+                                       bytes_view Bytes, instant Now) {
+  routed_packet Routed;
+  Routed.Service = Router.id();
+  Routed.Version = Router.version();
+  if (isStale(Now))
+    Routed.Flags |= static_cast<std::uint8_t>(routed_flag::Stale);
+  Routed.Count = static_cast<std::uint8_t>(Owners.size());
+  for (std::size_t I = 0; I < Owners.size(); ++I)
+    Routed.Owners[I] = Router.targetAt(Owners[I]).Agent;
+  Routed.Packet = Bytes;
+  const std::size_t Size = encodeRouted(Routed, Buffer);
+  Hooks.Send(Routed.Owners[0], bytes_view(Buffer.data(), Size));
+  return packet_fault::None;
+}
+
+//===----------------------------------------------------------------------===//
+// balancer_core
+//===----------------------------------------------------------------------===//
+
+balancer_core::balancer_core(const balancer_settings &Settings,
+                             balancer_hooks Hooks)
+    : Impl(std::make_unique<impl>(Settings, std::move(Hooks))) {}
+
+balancer_core::~balancer_core() = default;
+
+view_outcome balancer_core::setView(const service_view &View) {
+  return Impl->Services.set(View) ? view_outcome::Taken
+                                  : view_outcome::NotNewer;
+}
+
+std::uint64_t balancer_core::versionOf(service_id Service) const {
+  const routed_service *Found = Impl->Services.findNumber(Service);
+  return Found == nullptr ? 0 : Found->Router.version();
+}
+
+std::size_t balancer_core::services() const { return Impl->Services.size(); }
+
+void balancer_core::heardOfFleet(instant Now) { Impl->LastHeard = Now; }
+
+bool balancer_core::isStale(instant Now) const { return Impl->isStale(Now); }
+
+packet_fault balancer_core::onDatagram(const endpoint &From, bytes_view Bytes,
+                                       instant Now) {
+  const packet_fault Fault = isOwnerNotice(Bytes)
+                                 ? Impl->takeNotice(From, Bytes)
+                                 : Impl->route(Bytes, Now);
+  if (Fault != packet_fault::None)
+    ++Impl->Counters.Dropped[static_cast<std::size_t>(Fault)];
+  return Fault;
+}
+
+const balancer_counters &balancer_core::counters() const {
+  return Impl->Counters;
+}
+
+std::size_t balancer_core::bytes() const {
+  return sizeof(impl) + Impl->Services.bytes() + Impl->Cache.bytes();
+}
+
+std::string balancer_core::statusJson(instant Now) const {
+  nlohmann::json Services = nlohmann::json::array();
+  for (const auto &[Number, Service] : Impl->Services.all())
+    Services.push_back({{"service", static_cast<std::uint32_t>(Number)},
+                        {"address", toText(Service.Address)},
+                        {"version", Service.Router.version()},
+                        {"targets", Service.Router.targetCount()},
+                        {"withdrawn", !Service.Claims}});
+  const nlohmann::json Status = {{"stale", Impl->isStale(Now)},
+                                 {"services", std::move(Services)}};
+  return Status.dump();
+}
+
+} // namespace marjoramrail
--- a/src/routing/service_router.cpp
+++ b/src/routing/service_router.cpp
@@ -31,6 +31,10 @@
     Items[Count++] = Item;
 }
 
+void owner_list::moveToFront(std::size_t Index) {
+  std::rotate(Items.begin(), Items.begin() + Index, Items.begin() + Index + 1);
+}
+
 //===----------------------------------------------------------------------===//
 // service_router
 //===----------------------------------------------------------------------===//
@@ -131,6 +135,13 @@
   }
 }
 
+const target *service_router::findAgent(const endpoint &Agent) const {
+  const auto Found =
+      std::find_if(Targets.begin(), Targets.end(),
+                   [&](const target &Target) { return Target.Agent == Agent; });
+  return Found == Targets.end() ? nullptr : &*Found;
+}
+
 std::size_t service_router::bytes() const {
   return sizeof(*this) + Targets.capacity() * sizeof(target) +
          Weights.capacity() * sizeof(std::uint16_t);
--- a/src/wire/routed_packet.cpp
+++ b/src/wire/routed_packet.cpp
@@ -11,6 +11,11 @@
 static constexpr std::uint8_t RoutedFormat = 1;
 static constexpr std::size_t EndpointBytes = 6;
 
+bool isRouted(bytes_view Bytes) {
+  return Bytes.size() >= sizeof(RoutedMagic) &&
+         byte_reader(Bytes.data()).take<std::uint16_t>() == RoutedMagic;
+}
+
 static bool isEncodable(const routed_packet &Routed) {
   return Routed.Count <= MaxRoutedOwners && !Routed.Packet.empty() &&
          Routed.Packet.size() <= MaxPacketBytes;
--- /dev/null
+++ b/test/balancer/balancer_core_test.cpp
@@ -0,0 +1,292 @@
+#include "marjoramrail/balancer.h"
+#include "routing/sample_view.h"
+#include "wire/sample_packet.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace marjoramrail;
+using namespace marjoramrail::test;
+using std::chrono::seconds;
+
+namespace {
+
+const endpoint Fabric{0x0a0f0001, 9000};
+
+/// A core that keeps what it sent last.
+struct core_fixture {
+  endpoint To;
+  byte_string Sent;
+  routed_packet Routed;
+  instant Now = instant(seconds(100));
+  balancer_core Core{{.StaleAfter = seconds(10), .CachedOwners = 1024},
+                     {.Send = [this](const endpoint &Agent, bytes_view Bytes) {
+                       To = Agent;
+                       Sent.assign(Bytes.begin(), Bytes.end());
+                       REQUIRE(decodeRouted(Sent, Routed) ==
+                               packet_fault::None);
+                     }}};
+
+  core_fixture() {
+    Core.setView(sampleView(7));
+    Core.heardOfFleet(Now);
+  }
+
+  packet_fault send(const flow_key &Flow, std::uint8_t Flags) {
+    return Core.onDatagram(Fabric, samplePacket(Flow, Flags), Now);
+  }
+
+  packet_fault name(const flow_key &Flow, const endpoint &Owner,
+                    const endpoint &From, service_id Service = service_id(1)) {
+    byte_string Notice(OwnerNoticeBytes);
+    encodeOwnerNotice({Service, 1, Flow, Owner}, Notice);
+    return Core.onDatagram(From, Notice, Now);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(core_fixture, "a SYN goes to the first of its choices") {
+  const flow_key Flow = sampleFlow(1);
+  const service_router Router(sampleView(7));
+  const owner_list Choices = Router.choices(Flow);
+
+  REQUIRE(send(Flow, SynBit) == packet_fault::None);
+
+  CHECK(To == Router.targetAt(Choices[0]).Agent);
+  CHECK(Routed.Service == service_id(1));
+  CHECK(Routed.Version == 1);
+  CHECK(Routed.Flags == 0);
+  CHECK(Routed.Position == 0);
+  REQUIRE(Routed.Count == Choices.size());
+  CHECK(Routed.Owners[1] == Router.targetAt(Choices[1]).Agent);
+  CHECK(Core.counters().New == 1);
+}
+
+TEST_CASE_FIXTURE(core_fixture,
+                  "other packets carry the owners of all generations") {
+  service_view View = sampleView(14);
+  View.Version = 2;
+  View.Generations = {sampleGeneration(2, 7, 7), sampleGeneration(1, 0, 7)};
+  Core.setView(View);
+
+  REQUIRE(send(sampleFlow(1), AckBit) == packet_fault::None);
+
+  CHECK(Routed.Count == 2 * ChoicesPerGeneration);
+  CHECK(Core.counters().Established == 1);
+}
+
+TEST_CASE_FIXTURE(core_fixture, "setView keeps the newer of two views") {
+  // Views come from the platform and from peers, so an old one may come last.
+  // Taken, it would undo an accepted change on this balancer alone.
+  service_view Newer = sampleView(3);
+  Newer.Version = 5;
+  service_view Older = sampleView(7);
+  Older.Version = 4;
+
+  CHECK(Core.setView(Newer) == view_outcome::Taken);
+  CHECK(Core.setView(Older) == view_outcome::NotNewer);
+  CHECK(Core.setView(Newer) == view_outcome::NotNewer);
+
+  CHECK(Core.versionOf(service_id(1)) == 5);
+  send(sampleFlow(1), AckBit);
+  CHECK(Routed.Count == 3);
+}
+
+TEST_CASE_FIXTURE(core_fixture,
+                  "a withdrawn service is not brought back by an older view") {
+  // The operator deleted the service; a peer that was cut off still tells its
+  // former view. Callers would reach a service that must not run any more.
+  service_view Withdrawn = sampleView(0);
+  Withdrawn.Version = 9;
+  Withdrawn.Generations.clear();
+
+  Core.setView(Withdrawn);
+  Core.setView(sampleView(7));
+
+  CHECK(send(sampleFlow(1), SynBit) == packet_fault::UnknownService);
+  CHECK(Core.services() == 0);
+}
+
+TEST_CASE_FIXTURE(
+    core_fixture,
+    "a service that moves to another address leaves its former one") {
+  service_view Moved = sampleView(7);
+  Moved.Version = 2;
+  Moved.Address.Port = 444;
+
+  Core.setView(Moved);
+
+  flow_key Flow = sampleFlow(1);
+  CHECK(send(Flow, SynBit) == packet_fault::UnknownService);
+  Flow.Service.Port = 444;
+  CHECK(send(Flow, SynBit) == packet_fault::None);
+}
+
+TEST_CASE_FIXTURE(core_fixture,
+                  "of two services with one address the lower number has it") {
+  // Two operators create services with one address in the same moment and both
+  // pass the check. Balancers that each took the one they heard of first would
+  // tear the callers' flows apart.
+  service_view Higher = sampleView(7);
+  Higher.Id = service_id(2);
+  service_view Lower = sampleView(7);
+  Lower.Id = service_id(0);
+
+  Core.setView(Higher);
+  send(sampleFlow(1), SynBit);
+  CHECK(Routed.Service == service_id(1));
+  Core.setView(Lower);
+  send(sampleFlow(1), SynBit);
+  CHECK(Routed.Service == service_id(0));
+
+  Lower.Version = 2;
+  Lower.Generations.clear();
+  Core.setView(Lower);
+  send(sampleFlow(1), SynBit);
+  CHECK(Routed.Service == service_id(1));
+}
+
+TEST_CASE_FIXTURE(core_fixture,
+                  "packets are marked once the fleet was not heard for long") {
+  // A balancer that is cut off from the others routes by views that may be
+  // old. Without the mark an agent would reset flows that still have an owner.
+  Now += seconds(10);
+  send(sampleFlow(1), AckBit);
+  CHECK_FALSE(Routed.has(routed_flag::Stale));
+
+  Now += seconds(1);
+  send(sampleFlow(1), AckBit);
+  CHECK(Routed.has(routed_flag::Stale));
+
+  Core.heardOfFleet(Now);
+  send(sampleFlow(1), AckBit);
+  CHECK_FALSE(Routed.has(routed_flag::Stale));
+}
+
+TEST_CASE_FIXTURE(
+    core_fixture,
+    "an owner that an agent named gets the flow's packets first") {
+  const flow_key Flow = sampleFlow(1);
+  send(Flow, AckBit);
+  const routed_packet Before = Routed;
+  const endpoint Owner = Before.Owners[2];
+
+  REQUIRE(name(Flow, Owner, Owner) == packet_fault::None);
+  send(Flow, AckBit);
+
+  CHECK(To == Owner);
+  CHECK(Routed.Count == Before.Count);
+  CHECK(Routed.Owners[1] == Before.Owners[0]);
+  CHECK(Routed.Owners[2] == Before.Owners[1]);
+  CHECK(Core.counters().FromCache == 1);
+}
+
+TEST_CASE_FIXTURE(core_fixture,
+                  "a new flow of the same ports goes by its choices") {
+  // A caller reuses its port while the balancer still remembers the former
+  // flow's owner, which may be full or leaving by now.
+  const flow_key Flow = sampleFlow(1);
+  send(Flow, SynBit);
+  const endpoint First = To;
+  send(Flow, AckBit);
+  name(Flow, Routed.Owners[2], Routed.Owners[2]);
+
+  send(Flow, SynBit);
+
+  CHECK(To == First);
+}
+
+TEST_CASE_FIXTURE(
+    core_fixture,
+    "an owner named for a former view is forgotten when it goes down") {
+  const flow_key Flow = sampleFlow(1);
+  send(Flow, AckBit);
+  const endpoint Owner = Routed.Owners[2];
+  name(Flow, Owner, Owner);
+  service_view View = sampleView(7);
+  View.Version = 2;
+  for (target &Target : View.Targets)
+    if (Target.Agent == Owner)
+      Target.State = target_state::Down;
+  Core.setView(View);
+
+  send(Flow, AckBit);
+
+  CHECK(To != Owner);
+}
+
+TEST_CASE_FIXTURE(core_fixture,
+                  "forged notices change nothing and are counted") {
+  // Whoever can send to the balancer's port could otherwise draw a flow's
+  // packets to a host of another service, or to its own.
+  const flow_key Flow = sampleFlow(1);
+  send(Flow, AckBit);
+  const endpoint First = To;
+  const endpoint Agent = Routed.Owners[2];
+  const endpoint Stranger{0x0a0f0099, 7000};
+  flow_key Other = Flow;
+  Other.Service.Port = 80;
+
+  CHECK(name(Flow, Agent, Stranger) == packet_fault::ForeignSender);
+  CHECK(name(Flow, Stranger, Stranger) == packet_fault::ForeignSender);
+  CHECK(name(Other, Agent, Agent) == packet_fault::ServiceMismatch);
+  CHECK(name(Flow, Agent, Agent, service_id(8)) ==
+        packet_fault::UnknownService);
+
+  send(Flow, AckBit);
+  CHECK(To == First);
+  CHECK(Core.counters().dropped(packet_fault::ForeignSender) == 2);
+  CHECK(Core.counters().NoticesTaken == 0);
+}
+
+TEST_CASE_FIXTURE(
+    core_fixture,
+    "packets that cannot be routed are dropped and counted by reason") {
+  flow_key Unknown = sampleFlow(1);
+  Unknown.Service.Port = 1;
+  const flow_key Self{sampleFlow(1).Service, sampleFlow(1).Service};
+
+  CHECK(send(Unknown, SynBit) == packet_fault::UnknownService);
+  CHECK(send(Self, SynBit) == packet_fault::ForeignSender);
+  send(sampleFlow(1), AckBit);
+  const byte_string Looped = Sent;
+  CHECK(Core.onDatagram(Fabric, Looped, Now) == packet_fault::BadMagic);
+  CHECK(Core.onDatagram(Fabric, {}, Now) == packet_fault::Truncated);
+
+  CHECK(Core.counters().dropped(packet_fault::UnknownService) == 1);
+  CHECK(Core.counters().dropped(packet_fault::ForeignSender) == 1);
+  CHECK(Core.counters().dropped(packet_fault::BadMagic) == 1);
+  CHECK(Core.counters().dropped(packet_fault::Truncated) == 1);
+}
+
+TEST_CASE_FIXTURE(core_fixture,
+                  "a service whose targets all left drops packets as such") {
+  service_view View = sampleView(1);
+  View.Version = 2;
+  View.Targets[0].State = target_state::Draining;
+  Core.setView(View);
+
+  CHECK(send(sampleFlow(1), SynBit) == packet_fault::NoTarget);
+  CHECK(send(sampleFlow(1), AckBit) == packet_fault::None);
+}
+
+TEST_CASE_FIXTURE(core_fixture, "memory does not grow with flows") {
+  const std::size_t Before = Core.bytes();
+  for (std::uint32_t I = 0; I < 5000; ++I) {
+    send(sampleFlow(I), AckBit);
+    name(sampleFlow(I), Routed.Owners[1], Routed.Owners[1]);
+  }
+  CHECK(Core.counters().NoticesTaken == 5000);
+  CHECK(Core.bytes() == Before);
+}
+
+TEST_CASE_FIXTURE(core_fixture,
+                  "statusJson names services, versions and staleness") {
+  const auto Status = nlohmann::json::parse(Core.statusJson(Now));
+
+  CHECK(Status["stale"] == false);
+  REQUIRE(Status["services"].size() == 1);
+  CHECK(Status["services"][0]["version"] == 1);
+  CHECK(Status["services"][0]["targets"] == 7);
+}
