--- /dev/null
+++ b/daemons/balancer/main.cpp
@@ -0,0 +1,32 @@
+// The balancer of an entry VM: takes callers' packets from the fabric and sends
+// each to the agents that may own its flow.
+
+#include "balancer_process.h"
+
+#include <iostream>
+
+using namespace marjoramrail;
+using namespace marjoramrail::daemons;
+
+static result<void> serve(const std::string &Path) {
+  BOOST_LEAF_AUTO(Settings, readSettings(Path));
+  if (onlyCheckSettings())
+    return {};
+  event_loop Loop;
+  balancer_process Process(Loop, std::move(Settings));
+  if (auto Opened = Process.open(); !Opened)
+    return Opened.error();
+  Loop.onTerminate([&] { Process.shutDown(); });
+  Loop.run();
+  return {};
+}
+
+int main(int Argc, char **Argv) {
+  const std::string Path = startProgram(
+      Argc, Argv, "Routes callers' packets to the agents beside the targets.");
+  const auto Failure = failureOf([&] { return serve(Path); });
+  if (!Failure)
+    return 0;
+  std::cerr << toText(*Failure) << "\n";
+  return 1;
+}
