--- a/include/marjoramrail/routing.h
+++ b/include/marjoramrail/routing.h
@@ -126,6 +126,8 @@
   bool contains(std::uint16_t Item) const;
   /// Adds \p Item unless it is there or the list is full.
   void add(std::uint16_t Item);
+  /// Moves the item at \p Index to the front; the others keep their order.
+  void moveToFront(std::size_t Index);
 
 private:
   std::array<std::uint16_t, Capacity> Items{};
@@ -157,13 +159,24 @@
     return Targets[Position];
   }
 
+  std::size_t targetCount() const { return Targets.size(); }
+  /// The target whose agent listens on \p Agent, or null.
+  const target *findAgent(const endpoint &Agent) const;
+
   /// Bytes that this router holds, for the budget of 32 MB per node.
   std::size_t bytes() const;
 
 private:
+  /// owners() for rows of \p Generations weights, a number known to the
+  /// compiler so that it can work on several at a time.
+  template <std::size_t Generations>
+  owner_list ownersOver(const flow_key &Flow) const;
+
   service_id Id;
   std::uint64_t Version;
-  std::size_t GenerationCount;
+  /// Generations, rounded up to a power of two; those past the last have no
+  /// members.
+  std::size_t RowSize;
   std::vector<target> Targets;
   /// One row for each target: its weight in each generation, newest first; 0
   /// where it is no member.
