--- a/daemons/agent/agent_process.cpp
+++ b/daemons/agent/agent_process.cpp
@@ -1,4 +1,5 @@
 #include "agent_process.h"
+#include "h2_side.h"
 #include "tcp_splice.h"
 
 #include <chrono>
@@ -35,13 +36,27 @@
       Socket(Loop, [this](auto Batch) { takeBatch(Batch); }),
       Stack(Loop.timers(), {.Seed = seedOf(Settings)},
             [this](auto Packet) { sendAnswer(Packet); }),
-      Announcer(Loop.timers(), announcerSettings(), announcerHooks()) {}
+      Announcer(Loop.timers(), announcerSettings(), announcerHooks()),
+      RelayListener(Loop, [this](std::unique_ptr<tcp_stream> Stream) {
+        acceptPeer(std::move(Stream));
+      }) {
+  if (Settings.Platform != endpoint())
+    Platform.emplace(
+        Loop, platform_client_settings{{Settings.Platform}, Settings.Name});
+}
 
-agent_process::~agent_process() { Flows.clear(); }
+agent_process::~agent_process() {
+  PeerConnections.clear();
+  Flows.clear();
+}
 
 result<void> agent_process::open() {
-  BOOST_LEAF_CHECK(Socket.open(Settings.RoutedListen));
-  BOOST_LEAF_CHECK(Page.open(Settings.StatusListen));
+  if (auto Done = Socket.open(Settings.RoutedListen); !Done)
+    return Done.error();
+  if (auto Done = Page.open(Settings.StatusListen); !Done)
+    return Done.error();
+  if (auto Done = RelayListener.open(Settings.RelayListen); !Done)
+    return Done.error();
   registerMetrics();
   Loop.timers().every(flow_owner::TickPeriod, [this] { tick(); });
   record(event_kind::ProcessStarted, "", "agent");
@@ -81,20 +96,65 @@
   Report.Draining = Draining;
   if (!Owner)
     return Report;
+  Report.Busy = static_cast<std::uint32_t>(Proxy->inProgress());
   Report.Flows = static_cast<std::uint32_t>(Owner->flows());
   Report.OldestGeneration = Owner->oldestNeededGeneration();
   Report.ViewVersion = Owner->viewVersion();
   return Report;
 }
 
-void agent_process::takeView(const membership &Members) {
-  const service_view &View = Members.View;
-  if (const auto Position = findTarget(Members, Settings.RoutedListen);
-      Position && !Owner)
+/// The service's rules are read when a view carries a newer version of them, so
+/// that agents make no calls to the platform while nothing changes. The first
+/// view waits for them, but not for a platform that is down.
+void agent_process::takeView(const membership &Next) {
+  Members = Next;
+  if (Platform && Next.SpecVersion != RulesAsked)
+    readRules(Next.SpecVersion);
+  if (RulesKnown || !Platform)
+    useView(Next);
+}
+
+void agent_process::readRules(std::uint64_t SpecVersion) {
+  RulesAsked = SpecVersion;
+  Platform->api().Read(
+      {std::string(nameOf(ResourceKindNames, resource_kind::Service)),
+       Settings.Service},
+      [this](const platform_reply &Reply) { takeRules(Reply); });
+}
+
+void agent_process::takeRules(const platform_reply &Reply) {
+  if (Reply.Outcome == platform_outcome::Ok) {
+    const auto Failure = failureOf([&]() -> result<void> {
+      BOOST_LEAF_AUTO(Spec, parseService(Reply.Object.Body, Settings.Service));
+      Settings.Protocol = Spec.Protocol;
+      Settings.MaxSharePercent = Spec.MaxSharePercent;
+      Settings.SilentFlow = std::chrono::seconds(Spec.SilentFlowSeconds);
+      return {};
+    });
+    if (Failure)
+      LOG(WARNING) << "agent: rules of the service: " << toText(*Failure);
+    if (Owner)
+      Owner->setMaxShare(Settings.MaxSharePercent);
+  } else {
+    LOG(WARNING) << "agent: goes on with its settings, the platform says "
+                 << nameOf(PlatformOutcomeNames, Reply.Outcome);
+    // Asked again with the next view.
+    RulesAsked = 0;
+  }
+  if (!std::exchange(RulesKnown, true))
+    useView(*Members);
+}
+
+void agent_process::useView(const membership &Next) {
+  const service_view &View = Next.View;
+  const auto Position = findTarget(Next, Settings.RoutedListen);
+  if (Position && !Owner)
     startOwner(View, View.Targets[*Position].Id);
   if (!Owner)
     return;
   Owner->takeView(View, Loop.timers().now());
+  if (Position && View.Targets[*Position].State == target_state::Draining)
+    drain("the fleet's view");
   if (Address == View.Address)
     return;
   Address = View.Address;
@@ -120,9 +180,71 @@
   Hooks.Send = [this](const endpoint &To, const peer_message &Message) {
     Socket.send(To, encodePeerMessage(Message));
   };
+  Hooks.Load = [this] {
+    const load_report Own = Proxy->load();
+    return peer_load{Own.Busy, Own.Pressure, Own.Slots, Own.Accepting,
+                     Own.Service};
+  };
+  Hooks.OnReport = [this](const peer_message &Message) {
+    load_report Peer;
+    Peer.Host = Message.Host;
+    Peer.Busy = Message.Load.Busy;
+    Peer.Pressure = Message.Load.Pressure;
+    Peer.Slots = Message.Load.Slots;
+    Peer.Accepting = Message.Load.Accepting;
+    Peer.Service = Message.Load.Service;
+    Proxy->takePeerLoad(Peer);
+  };
   Owner = std::make_unique<flow_owner>(Owned, std::move(Hooks));
-  if (Draining)
+  startProxy(Host);
+  if (Draining) {
     Owner->drain();
+    Proxy->drain();
+  }
+}
+
+void agent_process::startProxy(host_id Host) {
+  proxy_settings Proxied;
+  Proxied.Host = Host;
+  Proxied.Target = Settings.Target;
+  Proxied.Admission.Slots = Settings.Slots;
+  Proxied.Admission.ColdStart = std::chrono::seconds(Settings.ColdStartSeconds);
+  Proxied.Seed = seedOf(Settings);
+  Proxied.SilentFlow = Settings.SilentFlow;
+  proxy_hooks Hooks;
+  Hooks.Connect = [this](const endpoint &Peer, byte_events Events) {
+    return connectByKernel(Loop, Peer, std::move(Events));
+  };
+  Hooks.RelayOf = [this](host_id Peer) { return relayOf(Peer); };
+  Proxy =
+      std::make_unique<request_proxy>(Loop.timers(), Proxied, std::move(Hooks));
+}
+
+std::optional<endpoint> agent_process::relayOf(host_id Peer) const {
+  const auto &Targets = Members->View.Targets;
+  for (std::size_t I = 0; I < Targets.size(); ++I)
+    if (Targets[I].Id == Peer && Targets[I].State != target_state::Down)
+      return Members->Info.at(I).Relay;
+  return std::nullopt;
+}
+
+/// Only the service's own agents may relay: anyone else could pass for another
+/// caller, or run requests past the callers' queues.
+void agent_process::acceptPeer(std::unique_ptr<tcp_stream> Stream) {
+  const std::uint32_t From = Stream->peer().Address;
+  const bool Known =
+      Proxy && std::any_of(Members->Info.begin(), Members->Info.end(),
+                           [&](const target_info &Info) {
+                             return Info.Relay.Address == From;
+                           });
+  if (!Known) {
+    ++count("foreign_peer");
+    return;
+  }
+  const std::uint64_t Number = ++LastPeerConnection;
+  PeerConnections[Number] = std::make_unique<peer_connection>(
+      Loop, std::move(Stream), *Proxy,
+      [this, Number] { PeerConnections.erase(Number); });
 }
 
 void agent_process::declaredDown(std::uint32_t Next) {
@@ -144,6 +266,8 @@
     Owner->confirmView(*Heard);
   }
   Owner->tick(Now);
+  if (Stopping)
+    finishIfIdle();
   Socket.flush();
 }
 
@@ -244,9 +368,13 @@
   Flow->keepAlive(Settings.SilentFlow / 2,
                   Settings.SilentFlow / 2 / SilentProbes, SilentProbes);
   record(event_kind::FlowAccepted, toText(Key), "");
-  Flows[Key] = std::make_unique<tcp_splice>(
-      Loop, std::move(Flow), Settings.Target,
-      [this, Key](side_end End) { flowOver(Key, End); });
+  auto OnOver = [this, Key](side_end End) { flowOver(Key, End); };
+  if (Settings.Protocol == service_protocol::Tcp)
+    Flows[Key] = std::make_unique<tcp_splice>(
+        Loop, std::move(Flow), Settings.Target, std::move(OnOver));
+  else
+    Flows[Key] =
+        std::make_unique<h2_side>(std::move(Flow), *Proxy, std::move(OnOver));
 }
 
 void agent_process::flowOver(const flow_key &Flow, side_end End) {
@@ -261,20 +389,30 @@
     const auto Found = Flows.find(Flow);
     if (Found != Flows.end() && Found->second.get() == Side)
       Flows.erase(Found);
-    if (Draining)
+    if (Stopping)
       finishIfIdle();
   });
 }
 
-void agent_process::terminate() {
-  LOG(INFO) << "agent: drains " << Flows.size() << " flows";
-  record(event_kind::ProcessStopping, "", "SIGTERM");
-  Draining = true;
-  if (Owner)
+/// New flows go elsewhere, callers are asked to leave, what runs is finished.
+void agent_process::drain(const std::string &Why) {
+  if (std::exchange(Draining, true))
+    return;
+  LOG(INFO) << "agent: drains " << Flows.size() << " flows, by " << Why;
+  record(event_kind::TargetDraining, "", Why);
+  if (Owner) {
     Owner->drain();
+    Proxy->drain();
+  }
   Announcer.announceNow();
   for (auto &[Flow, Side] : Flows)
     Side->drain();
+}
+
+void agent_process::terminate() {
+  record(event_kind::ProcessStopping, "", "SIGTERM");
+  Stopping = true;
+  drain("SIGTERM");
   Loop.timers().after(Settings.DrainBound, [this] {
     LOG(WARNING) << "agent: stops with " << Flows.size() << " flows open";
     Loop.stop();
@@ -283,7 +421,7 @@
 }
 
 void agent_process::finishIfIdle() {
-  if (!Flows.empty())
+  if (!Flows.empty() || (Proxy && Proxy->inProgress() > 0))
     return;
   record(event_kind::DrainDone, "", "no flows left");
   LOG(INFO) << "agent: drained";
--- a/daemons/agent/agent_process.h
+++ b/daemons/agent/agent_process.h
@@ -5,8 +5,11 @@
 
 #include "agent_settings.h"
 #include "flow_side.h"
+#include "kernel_stream.h"
 #include "marjoramrail/agent.h"
 #include "marjoramrail/fleet.h"
+#include "marjoramrail/platform.h"
+#include "marjoramrail/proxy.h"
 #include "marjoramrail/timeline.h"
 
 #include <unordered_map>
@@ -35,7 +38,14 @@
   void sendAnswer(bytes_view Packet);
 
   void takeView(const membership &Members);
+  void useView(const membership &Members);
+  void readRules(std::uint64_t SpecVersion);
+  void takeRules(const platform_reply &Reply);
   void startOwner(const service_view &View, host_id Host);
+  void startProxy(host_id Host);
+  void acceptPeer(std::unique_ptr<tcp_stream> Stream);
+  std::optional<endpoint> relayOf(host_id Peer) const;
+  void drain(const std::string &Why);
   void accept(std::unique_ptr<stack_flow> Flow);
   void flowOver(const flow_key &Flow, side_end End);
   void declaredDown(std::uint32_t Incarnation);
@@ -58,11 +68,21 @@
   udp_socket Socket;
   tcp_stack Stack;
   announcer Announcer;
+  tcp_listener RelayListener;
+  std::optional<platform_client> Platform;
   std::unique_ptr<flow_owner> Owner;
+  std::unique_ptr<request_proxy> Proxy;
+  std::optional<membership> Members;
+  /// The version of the service's rules that was asked for last.
+  std::uint64_t RulesAsked = 0;
+  bool RulesKnown = false;
+  std::map<std::uint64_t, std::unique_ptr<peer_connection>> PeerConnections;
+  std::uint64_t LastPeerConnection = 0;
   std::optional<endpoint> Address;
   std::unordered_map<flow_key, std::unique_ptr<flow_side>, flow_key_hash> Flows;
   instant LastConfirmed;
   bool Draining = false;
+  bool Stopping = false;
 };
 
 } // namespace marjoramrail
--- a/daemons/agent/agent_settings.cpp
+++ b/daemons/agent/agent_settings.cpp
@@ -30,7 +30,8 @@
   Settings.ColdStartSeconds =
       asCount(Reader.number("cold_start_seconds", 10, 0, 3600));
   Settings.Seed = asCount(Reader.number("seed", 0, 0, 0xffffffff));
-  BOOST_LEAF_CHECK(Reader.finish());
+  if (auto Done = Reader.finish(); !Done)
+    return Done.error();
   const auto Known = valueNamed(ServiceProtocolNames, Protocol);
   if (!Known)
     return fail(step::ParseSettings, Path,
--- /dev/null
+++ b/daemons/agent/h2_side.cpp
@@ -0,0 +1,58 @@
+#include "h2_side.h"
+
+namespace marjoramrail {
+
+static std::uint64_t callerHash(const flow_key &Flow) {
+  // Without the port, so that a caller with many flows counts as one.
+  return hashOf({{Flow.Caller.Address, 0}, Flow.Service}, 0);
+}
+
+h2_side::h2_side(std::unique_ptr<stack_flow> Flow, request_proxy &Proxy,
+                 over_hook OnOver)
+    : Caller(std::move(Flow)), Output(*Caller), OnOver(std::move(OnOver)) {
+  listenToCaller();
+  proxy_flow::hooks Hooks;
+  Hooks.Output = [this](std::string_view Bytes) { Output.write(Bytes); };
+  Hooks.OnOver = [this](flow_over Why) { sessionOver(Why); };
+  Session = Proxy.open({callerHash(Caller->key()), false}, std::move(Hooks));
+}
+
+h2_side::~h2_side() = default;
+
+void h2_side::listenToCaller() {
+  stack_flow::hooks Hooks;
+  Hooks.OnData = [this](std::string_view Bytes) {
+    Caller->consumed(Bytes.size());
+    Session->input(Bytes);
+  };
+  Hooks.OnEnd = [this] { sessionOver(flow_over::Finished); };
+  Hooks.OnWritable = [this] { pump(); };
+  Hooks.OnClosed = [this](flow_end End) {
+    over(End == flow_end::Finished ? side_end::Closed : side_end::Gone);
+  };
+  Caller->setHooks(std::move(Hooks));
+}
+
+void h2_side::sessionOver(flow_over Why) {
+  if (Why == flow_over::Silent) {
+    Caller->abort();
+    return over(side_end::Gone);
+  }
+  Ending = true;
+  pump();
+}
+
+void h2_side::pump() {
+  Output.pump();
+  if (!Ending || Output.size() > 0)
+    return;
+  Caller->close();
+  over(side_end::Closed);
+}
+
+void h2_side::over(side_end End) {
+  if (const auto Hook = std::exchange(OnOver, nullptr))
+    Hook(End);
+}
+
+} // namespace marjoramrail
--- /dev/null
+++ b/daemons/agent/h2_side.h
@@ -0,0 +1,38 @@
+//===- h2_side.h - A caller's flow that carries HTTP/2 ----------*- C++ -*-===//
+
+#ifndef MARJORAMRAIL_DAEMONS_AGENT_H2_SIDE_H
+#define MARJORAMRAIL_DAEMONS_AGENT_H2_SIDE_H
+
+#include "flow_output.h"
+#include "flow_side.h"
+#include "marjoramrail/proxy.h"
+
+namespace marjoramrail {
+
+/// Joins a caller's flow to its session in the proxy. HTTP/2's windows bound
+/// what is queued in either direction.
+class h2_side : public flow_side {
+public:
+  h2_side(std::unique_ptr<stack_flow> Caller, request_proxy &Proxy,
+          over_hook OnOver);
+  ~h2_side() override;
+
+  /// The proxy says goodbye to all its flows itself.
+  void drain() override {}
+
+private:
+  void listenToCaller();
+  void sessionOver(flow_over Why);
+  void pump();
+  void over(side_end End);
+
+  std::unique_ptr<stack_flow> Caller;
+  flow_output Output;
+  over_hook OnOver;
+  bool Ending = false;
+  std::unique_ptr<proxy_flow> Session;
+};
+
+} // namespace marjoramrail
+
+#endif // MARJORAMRAIL_DAEMONS_AGENT_H2_SIDE_H
--- a/daemons/agent/main.cpp
+++ b/daemons/agent/main.cpp
@@ -19,7 +19,8 @@
     return {};
   event_loop Loop;
   agent_process Agent(Loop, Settings);
-  BOOST_LEAF_CHECK(Agent.open());
+  if (auto Done = Agent.open(); !Done)
+    return Done.error();
   Loop.onTerminate([&] { Agent.terminate(); });
   LOG(INFO) << "agent: " << Settings.Name << " of " << Settings.Service
             << " listens on " << toText(Settings.RoutedListen);
--- a/daemons/agent/tcp_splice.cpp
+++ b/daemons/agent/tcp_splice.cpp
@@ -4,7 +4,7 @@
 
 tcp_splice::tcp_splice(event_loop &Loop, std::unique_ptr<stack_flow> Flow,
                        const endpoint &Address, over_hook OnOver)
-    : Loop(Loop), Caller(std::move(Flow)), OnOver(std::move(OnOver)) {
+    : Caller(std::move(Flow)), Output(*Caller), OnOver(std::move(OnOver)) {
   Target = tcp_stream::connect(Loop, Address, targetHooks());
   listenToCaller();
 }
@@ -43,22 +43,15 @@
 }
 
 void tcp_splice::toCaller(std::string_view Bytes) {
-  Pending += Bytes;
-  pump();
-  if (Pending.size() - Sent > MaxQueued && !std::exchange(Paused, true))
+  Output.write(Bytes);
+  if (Output.size() > MaxQueued && !std::exchange(Paused, true))
     Target->pauseReading(true);
 }
 
 void tcp_splice::pump() {
-  while (Sent < Pending.size()) {
-    const std::size_t Taken =
-        Caller->write(std::string_view(Pending).substr(Sent));
-    if (Taken == 0)
-      return;
-    Sent += Taken;
-  }
-  Pending.clear();
-  Sent = 0;
+  Output.pump();
+  if (Output.size() > 0)
+    return;
   if (TargetEnded)
     return Caller->finishWriting();
   if (std::exchange(Paused, false))
--- a/daemons/agent/tcp_splice.h
+++ b/daemons/agent/tcp_splice.h
@@ -3,6 +3,7 @@
 #ifndef MARJORAMRAIL_DAEMONS_AGENT_TCP_SPLICE_H
 #define MARJORAMRAIL_DAEMONS_AGENT_TCP_SPLICE_H
 
+#include "flow_output.h"
 #include "flow_side.h"
 #include "marjoramrail/runtime.h"
 
@@ -37,12 +38,10 @@
   void targetClosed(const std::string &Reason);
   void over(side_end End);
 
-  event_loop &Loop;
   std::unique_ptr<stack_flow> Caller;
+  flow_output Output;
   std::unique_ptr<tcp_stream> Target;
   over_hook OnOver;
-  std::string Pending;
-  std::size_t Sent = 0;
   std::size_t Unconsumed = 0;
   bool Paused = false;
   bool TargetEnded = false;
--- a/include/marjoramrail/agent.h
+++ b/include/marjoramrail/agent.h
@@ -73,6 +73,8 @@
   double Slots = 1;
   /// False while it drains or starts.
   bool Accepting = true;
+  /// How long a request holds a slot, on average.
+  duration Service = std::chrono::milliseconds(20);
 
   bool operator==(const peer_load &) const = default;
 };
@@ -221,6 +223,9 @@
   /// The fleet has said that the view still stands.
   void confirmView(instant Now);
 
+  /// See service_spec::MaxSharePercent.
+  void setMaxShare(std::uint32_t Percent);
+
   /// From now on accepts no new flows.
   void drain();
 
--- a/src/agent/flow_owner.cpp
+++ b/src/agent/flow_owner.cpp
@@ -512,6 +512,10 @@
 
 void flow_owner::confirmView(instant Now) { Impl->ViewHeard = Now; }
 
+void flow_owner::setMaxShare(std::uint32_t Percent) {
+  Impl->Share.setMaxPercent(Percent);
+}
+
 void flow_owner::drain() { Impl->IsDraining = true; }
 
 void flow_owner::restart(std::uint32_t Incarnation) {
--- a/src/agent/load_share.h
+++ b/src/agent/load_share.h
@@ -28,6 +28,7 @@
   load_share(host_id Self, std::uint32_t MaxPercent)
       : Self(Self), MaxPercent(MaxPercent) {}
 
+  void setMaxPercent(std::uint32_t Percent) { MaxPercent = Percent; }
   void takeView(const service_view &View);
   void report(host_id Host, std::uint32_t Flows, std::size_t OwnFlows,
               instant Now);
--- a/src/agent/peer_message.cpp
+++ b/src/agent/peer_message.cpp
@@ -8,6 +8,7 @@
 
 static constexpr std::uint8_t PeerMagic[] = {0x4d, 0x41};
 static constexpr std::size_t PeerFields = 15;
+static constexpr std::size_t LoadFields = 3;
 
 std::vector<std::uint8_t> encodePeerMessage(const peer_message &Message) {
   const json Fields = {
@@ -25,7 +26,8 @@
       Message.Origin.Port,
       Message.Load.Busy,
       Message.Load.Pressure,
-      json::array({Message.Load.Slots, Message.Load.Accepting}),
+      json::array({Message.Load.Slots, Message.Load.Accepting,
+                   Message.Load.Service.count()}),
   };
   std::vector<std::uint8_t> Bytes(std::begin(PeerMagic), std::end(PeerMagic));
   json::to_cbor(Fields, Bytes);
@@ -45,7 +47,10 @@
   explicit field_reader(const json &Fields) : Fields(Fields) {}
 
   template <typename Integer> Integer integer() {
-    const json &Field = Fields[Next++];
+    return integer<Integer>(Fields[Next++]);
+  }
+
+  template <typename Integer> Integer integer(const json &Field) {
     if (!Field.is_number_unsigned()) {
       Good = false;
       return 0;
@@ -113,10 +118,11 @@
   Message.Load.Busy = Reader.real();
   Message.Load.Pressure = Reader.real();
   const json &Slots = Reader.list();
-  if (!Slots.is_array() || Slots.size() != 2)
+  if (!Slots.is_array() || Slots.size() != LoadFields)
     return Refused();
   Message.Load.Slots = Reader.real(Slots[0]);
   Message.Load.Accepting = Reader.flag(Slots[1]);
+  Message.Load.Service = duration(Reader.integer<std::uint32_t>(Slots[2]));
   if (!Reader.good() || Kind >= PeerMessageKindNames.size())
     return Refused();
   return Message;
