--- /dev/null
+++ b/standins/fabric/fabric_model.cpp
@@ -0,0 +1,96 @@
+#include "fabric_model.h"
+
+#include <algorithm>
+
+namespace marjoramrail::standins {
+
+fabric_model::fabric_model(std::uint64_t Seed, send_hook Send)
+    : Random(Seed), Send(std::move(Send)) {}
+
+bool fabric_model::chance(double Percent) {
+  if (Percent <= 0)
+    return false;
+  return std::uniform_real_distribution<double>(0, 100)(Random) < Percent;
+}
+
+bool fabric_model::isCut(const endpoint &Endpoint) {
+  const auto Found = std::find_if(
+      Faults.Cuts.begin(), Faults.Cuts.end(),
+      [&](const fabric_cut &Cut) { return Cut.Endpoint == Endpoint; });
+  if (Found == Faults.Cuts.end() || !chance(Found->Percent))
+    return false;
+  ++Counters.Cut;
+  return true;
+}
+
+void fabric_model::fromCaller(const endpoint &From, bytes_view Bytes,
+                              instant Now) {
+  ++Counters.FromCallers;
+  tcp_packet Packet;
+  if (parseTcpPacket(Bytes, Packet) != packet_fault::None) {
+    ++Counters.Unreadable;
+    return;
+  }
+  CallerBehind[Packet.Flow.Caller.Address] = From;
+  if (Balancers.empty()) {
+    ++Counters.NoBalancer;
+    return;
+  }
+  std::uniform_int_distribution<std::size_t> Pick(0, Balancers.size() - 1);
+  const endpoint To = Balancers[Pick(Random)];
+  if (!isCut(To))
+    carry(fabric_side::Balancers, To, Bytes, Now);
+}
+
+void fabric_model::fromAgent(const endpoint &From, bytes_view Bytes,
+                             instant Now) {
+  ++Counters.FromAgents;
+  tcp_packet Packet;
+  if (parseAnswer(Bytes, Packet) != packet_fault::None) {
+    ++Counters.Unreadable;
+    return;
+  }
+  const auto Behind = CallerBehind.find(Packet.Flow.Caller.Address);
+  if (Behind == CallerBehind.end()) {
+    ++Counters.UnknownCaller;
+    return;
+  }
+  if (!isCut(From))
+    carry(fabric_side::Callers, Behind->second, Bytes, Now);
+}
+
+void fabric_model::carry(fabric_side Side, const endpoint &To, bytes_view Bytes,
+                         instant Now) {
+  if (chance(Faults.DropPercent)) {
+    ++Counters.Dropped;
+    return;
+  }
+  carryOnce(Side, To, Bytes, Now);
+  if (!chance(Faults.DuplicatePercent))
+    return;
+  ++Counters.Duplicated;
+  carryOnce(Side, To, Bytes, Now);
+}
+
+void fabric_model::carryOnce(fabric_side Side, const endpoint &To,
+                             bytes_view Bytes, instant Now) {
+  duration Delay = Faults.Delay;
+  if (Faults.Jitter > duration(0))
+    Delay += duration(std::uniform_int_distribution<duration::rep>(
+        0, Faults.Jitter.count())(Random));
+  if (Delay > duration(0)) {
+    Queue.add(Now + Delay, Side, To, Bytes);
+    return;
+  }
+  ++Counters.Delivered;
+  Send(Side, To, Bytes);
+}
+
+void fabric_model::deliverDue(instant Now) {
+  while (const auto Packet = Queue.take(Now)) {
+    ++Counters.Delivered;
+    Send(Packet->Side, Packet->To, Packet->Bytes);
+  }
+}
+
+} // namespace marjoramrail::standins
