--- /dev/null
+++ b/test/fleet/fake_platform.h
@@ -0,0 +1,217 @@
+//===- fake_platform.h - The platform in memory, with faults ----*- C++ -*-===//
+///
+/// \file
+/// A platform_api on a hand-turned clock: outages, slow answers, answers lost
+/// after the write took effect, and older state served.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_FLEET_FAKE_PLATFORM_H
+#define MARJORAMRAIL_FLEET_FAKE_PLATFORM_H
+
+#include "marjoramrail/platform.h"
+
+#include <list>
+
+namespace marjoramrail::testing {
+
+/// The faults of one process's way to the platform.
+struct platform_link {
+  /// What it sends is lost.
+  bool Cut = false;
+  /// How long a call travels before it takes effect.
+  duration Travel = duration::zero();
+};
+
+class fake_platform {
+public:
+  explicit fake_platform(timer_service &Timers) : Timers(Timers) {}
+
+  /// Every call answers Unavailable.
+  bool Down = false;
+  /// How long an answer takes.
+  duration Delay = std::chrono::milliseconds(2);
+  /// This many writes take effect and answer Unknown.
+  int LoseAnswers = 0;
+  /// This many writes do not take effect and answer Unknown.
+  int LoseWrites = 0;
+  /// Reads and lists answer from the state kept by remember().
+  bool ServeOlder = false;
+  std::uint64_t Calls = 0;
+  std::uint64_t Writes = 0;
+
+  /// The platform as a process reaches it over \p Link.
+  platform_api api(const platform_link *Link = nullptr) {
+    platform_api Api;
+    Api.Read = [this, Link](const object_key &Key, platform_callback Callback) {
+      answer(
+          Link, [this, Key] { return read(Key); }, std::move(Callback));
+    };
+    Api.List = [this, Link](const std::string &Kind,
+                            platform_callback Callback) {
+      answer(
+          Link, [this, Kind] { return list(Kind); }, std::move(Callback));
+    };
+    Api.Write = [this, Link](const platform_write &Write,
+                             platform_callback Callback) {
+      answer(
+          Link, [this, Write] { return write(Write); }, std::move(Callback));
+    };
+    Api.Remove = [this, Link](const object_key &Key, std::uint64_t Expected,
+                              platform_callback Callback) {
+      answer(
+          Link, [this, Key, Expected] { return remove(Key, Expected); },
+          std::move(Callback));
+    };
+    Api.Watch = [this, Link](std::uint64_t Since, duration Wait,
+                             platform_callback Callback) {
+      ++Calls;
+      watch(Link, Since, Timers.now() + Wait, std::move(Callback));
+    };
+    return Api;
+  }
+
+  /// Writes as an operator does, whatever stands.
+  void put(const std::string &Kind, const std::string &Name, std::string Body) {
+    platform_object Object;
+    Object.Key = {Kind, Name};
+    Object.Body = std::move(Body);
+    Object.Writer = "operator";
+    store(Object);
+  }
+
+  void erase(const std::string &Kind, const std::string &Name) {
+    platform_object Gone;
+    Gone.Key = {Kind, Name};
+    Gone.Deleted = true;
+    store(Gone);
+  }
+
+  platform_object get(const std::string &Kind, const std::string &Name) const {
+    const auto Found = Objects.find({Kind, Name});
+    return Found == Objects.end() ? platform_object() : Found->second;
+  }
+
+  void remember() {
+    Older = Objects;
+    OlderVersion = StoreVersion;
+  }
+
+private:
+  platform_reply read(const object_key &Key) const {
+    const auto &From = ServeOlder ? Older : Objects;
+    const auto Found = From.find(Key);
+    platform_reply Reply;
+    Reply.Outcome = platform_outcome::NotFound;
+    if (Found == From.end() || Found->second.Deleted)
+      return Reply;
+    Reply.Outcome = platform_outcome::Ok;
+    Reply.Object = Found->second;
+    return Reply;
+  }
+
+  platform_reply list(const std::string &Kind) const {
+    platform_reply Reply;
+    Reply.Outcome = platform_outcome::Ok;
+    Reply.StoreVersion = ServeOlder ? OlderVersion : StoreVersion;
+    for (const auto &[Key, Object] : ServeOlder ? Older : Objects)
+      if (Key.Kind == Kind && !Object.Deleted)
+        Reply.Objects.push_back(Object);
+    return Reply;
+  }
+
+  platform_reply write(const platform_write &Write) {
+    ++Writes;
+    platform_reply Reply;
+    const auto Found = Objects.find(Write.Object.Key);
+    const std::uint64_t Stands = Found == Objects.end() || Found->second.Deleted
+                                     ? 0
+                                     : Found->second.Version;
+    if (LoseWrites > 0) {
+      --LoseWrites;
+      Reply.Outcome = platform_outcome::Unknown;
+      return Reply;
+    }
+    if (Stands != Write.Expected) {
+      Reply.Outcome =
+          Stands == 0 ? platform_outcome::NotFound : platform_outcome::Conflict;
+      if (Stands != 0)
+        Reply.Object = Found->second;
+      return Reply;
+    }
+    platform_object Object = Write.Object;
+    Object.Deleted = false;
+    store(Object);
+    Reply.Outcome = platform_outcome::Ok;
+    Reply.Object = Objects[Write.Object.Key];
+    if (LoseAnswers > 0) {
+      --LoseAnswers;
+      Reply = platform_reply();
+      Reply.Outcome = platform_outcome::Unknown;
+    }
+    return Reply;
+  }
+
+  platform_reply remove(const object_key &Key, std::uint64_t Expected) {
+    platform_reply Reply = read(Key);
+    if (Reply.Outcome == platform_outcome::Ok &&
+        Reply.Object.Version != Expected)
+      Reply.Outcome = platform_outcome::Conflict;
+    if (Reply.Outcome == platform_outcome::Ok)
+      erase(Key.Kind, Key.Name);
+    return Reply;
+  }
+
+  void store(platform_object Object) {
+    Object.Version = ++StoreVersion;
+    Objects[Object.Key] = std::move(Object);
+  }
+
+  void answer(const platform_link *Link, std::function<platform_reply()> Act,
+              platform_callback Callback) {
+    ++Calls;
+    const bool Lost = Link != nullptr && Link->Cut;
+    const duration Travel = Link != nullptr ? Link->Travel : duration::zero();
+    Timers.after(Travel, [this, Lost, Act = std::move(Act),
+                          Callback = std::move(Callback)] {
+      platform_reply Reply;
+      Reply.Outcome = platform_outcome::Unavailable;
+      Reply.RetryAfter = std::chrono::seconds(1);
+      if (!Down && !Lost)
+        Reply = Act();
+      Timers.after(Delay, [Reply, Callback] { Callback(Reply); });
+    });
+  }
+
+  void watch(const platform_link *Link, std::uint64_t Since, instant Until,
+             platform_callback Callback) {
+    platform_reply Reply;
+    Reply.Outcome = platform_outcome::Ok;
+    Reply.StoreVersion = ServeOlder ? OlderVersion : StoreVersion;
+    std::map<std::uint64_t, platform_object> Ordered;
+    for (const auto &[Key, Object] : ServeOlder ? Older : Objects)
+      if (Object.Version > Since)
+        Ordered[Object.Version] = Object;
+    for (const auto &[Version, Object] : Ordered)
+      Reply.Objects.push_back(Object);
+    if (Down || (Link != nullptr && Link->Cut)) {
+      Reply = platform_reply();
+      Reply.Outcome = platform_outcome::Unavailable;
+    } else if (Reply.Objects.empty() && Timers.now() < Until) {
+      Timers.after(std::chrono::milliseconds(50),
+                   [=, this] { watch(Link, Since, Until, Callback); });
+      return;
+    }
+    Timers.after(Delay, [Reply, Callback] { Callback(Reply); });
+  }
+
+  timer_service &Timers;
+  std::map<object_key, platform_object> Objects;
+  std::map<object_key, platform_object> Older;
+  std::uint64_t StoreVersion = 0;
+  std::uint64_t OlderVersion = 0;
+};
+
+} // namespace marjoramrail::testing
+
+#endif // MARJORAMRAIL_FLEET_FAKE_PLATFORM_H
