--- a/daemons/balancer/balancer_process.cpp
+++ b/daemons/balancer/balancer_process.cpp
@@ -1,42 +1,46 @@
 #include "balancer_process.h"
+#include "wall_clock.h"
 
 #include <glog/logging.h>
-#include <iostream>
 
 namespace marjoramrail::daemons {
 
-static std::int64_t wallClockMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
+/// How often the core learns when the fleet was last heard; a small part of
+/// the least bound that settings allow.
+static constexpr duration HearingPeriod = std::chrono::milliseconds(200);
+
+balancer_process::balancer_process(event_loop &Loop,
+                                   const program_settings &Settings)
+    : Loop(Loop), Settings(Settings),
+      Events(Settings.Name, wallClockMs, [](const std::string &) {}),
+      Port(Loop, Settings.Core),
+      Fleet(Loop, Settings,
+            [this](const membership &Members) { takeView(Members); }),
+      Status(Loop, Metrics, pages()) {
+  Port.show(Metrics);
+  Fleet.show(Metrics);
 }
 
-balancer_process::balancer_process(event_loop &Loop, program_settings Settings)
-    : Loop(Loop), Settings(std::move(Settings)),
-      Events(this->Settings.Name, wallClockMs,
-             [](const std::string &Line) { std::cout << Line << std::endl; }),
-      Fabric(Loop, [this](auto Batch) { receive(Batch); }),
-      Core(this->Settings.Core,
-           {.Send = [this](const endpoint &Agent,
-                           bytes_view Bytes) { Fabric.send(Agent, Bytes); }}),
-      Status(Loop, Metrics,
-             {.Ready = [this] { return !Stopping && Core.services() != 0; },
-              .Pages = {{"/status",
-                         [this] {
-                           return Core.statusJson(this->Loop.timers().now());
-                         }},
-                        {"/timeline", [this] { return Events.recent(); }}}}) {
-  countFaults();
+status_page::hooks balancer_process::pages() {
+  status_page::hooks Hooks;
+  Hooks.Ready = [this] { return !Stopping && Fleet.node().ready(); };
+  Hooks.Pages["/status"] = [this] {
+    return Port.core().statusJson(Loop.timers().now());
+  };
+  Hooks.Pages["/fleet"] = [this] { return Fleet.node().statusJson(); };
+  Hooks.Pages["/timeline"] = [this] { return Events.recent(); };
+  return Hooks;
 }
 
 result<void> balancer_process::open() {
-  if (auto Opened = Fabric.open(Settings.FabricListen); !Opened)
+  if (auto Opened = Port.open(Settings.FabricListen); !Opened)
+    return Opened.error();
+  if (auto Opened = Fleet.open(); !Opened)
     return Opened.error();
   if (auto Opened = Status.open(Settings.StatusListen); !Opened)
     return Opened.error();
+  Loop.timers().every(HearingPeriod, [this] { passOnHearing(); });
   record(event_kind::ProcessStarted, "", "settings are in force");
-  for (const service_view &View : Settings.StaticViews)
-    takeView(View);
   LOG(INFO) << "balancer: " << Settings.Name << " takes packets on "
             << toText(Settings.FabricListen);
   return {};
@@ -44,23 +48,24 @@
 
 void balancer_process::shutDown() {
   Stopping = true;
+  Fleet.node().stop();
   record(event_kind::ProcessStopping, "", "asked to stop");
   LOG(INFO) << "balancer: stops after the grace period";
   Loop.timers().after(Settings.Grace, [this] { Loop.stop(); });
 }
 
-void balancer_process::takeView(const service_view &View) {
-  if (Core.setView(View) != view_outcome::Taken)
+void balancer_process::takeView(const membership &Members) {
+  const service_view &View = Members.View;
+  if (Port.core().setView(View) != view_outcome::Taken)
     return;
   const std::string Version = std::to_string(View.Version);
   LOG(INFO) << "balancer: took view " << Version << " of " << View.Name;
   record(event_kind::ViewTaken, View.Name, "view " + Version);
 }
 
-void balancer_process::receive(std::span<const datagram> Batch) {
-  const instant Now = Loop.timers().now();
-  for (const datagram &Datagram : Batch)
-    Core.onDatagram(Datagram.From, Datagram.Bytes, Now);
+void balancer_process::passOnHearing() {
+  if (const std::optional<instant> Heard = Fleet.node().lastHeard())
+    Port.core().heardOfFleet(*Heard);
 }
 
 void balancer_process::record(event_kind What, const std::string &Service,
@@ -72,24 +77,4 @@
   Events.record(std::move(Event));
 }
 
-void balancer_process::countFaults() {
-  const balancer_counters &Counters = Core.counters();
-  const auto Show = [this](const std::string &Name,
-                           const std::uint64_t &Value) {
-    Metrics.gauge(Name, [&Value] { return static_cast<double>(Value); });
-  };
-  Show("balancer_packets_new", Counters.New);
-  Show("balancer_packets_established", Counters.Established);
-  Show("balancer_packets_from_cache", Counters.FromCache);
-  Show("balancer_notices_taken", Counters.NoticesTaken);
-  for (const auto &[Fault, Name] : PacketFaultNames)
-    if (Fault != packet_fault::None)
-      Show("balancer_dropped_" + std::string(Name),
-           Counters.Dropped[static_cast<std::size_t>(Fault)]);
-  Metrics.gauge("balancer_send_dropped",
-                [this] { return static_cast<double>(Fabric.dropped()); });
-  Metrics.gauge("balancer_view_bytes",
-                [this] { return static_cast<double>(Core.bytes()); });
-}
-
 } // namespace marjoramrail::daemons
--- a/daemons/balancer/balancer_process.h
+++ b/daemons/balancer/balancer_process.h
@@ -1,8 +1,8 @@
-//===- balancer_process.h - The core joined to sockets ----------*- C++ -*-===//
+//===- balancer_process.h - One balancer as a process -----------*- C++ -*-===//
 ///
 /// \file
-/// One balancer: the core, the socket towards fabric and agents, the status
-/// page and the time line, on one loop.
+/// The parts of a balancer on one loop: the packets' port, its part in the
+/// fleet, the status page and the time line.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -10,34 +10,34 @@
 #define MARJORAMRAIL_DAEMONS_BALANCER_PROCESS_H
 
 #include "balancer_settings.h"
-#include "marjoramrail/runtime.h"
+#include "fleet_link.h"
 #include "marjoramrail/timeline.h"
+#include "packet_port.h"
 
 namespace marjoramrail::daemons {
 
 class balancer_process {
 public:
-  balancer_process(event_loop &Loop, program_settings Settings);
+  balancer_process(event_loop &Loop, const program_settings &Settings);
 
-  /// Opens the sockets and takes the settings' views.
   result<void> open();
 
-  /// SIGTERM: says that it is not ready, goes on for the grace period and
-  /// stops the loop.
+  /// SIGTERM: gives the duties back, says that it is not ready, routes on for
+  /// the grace period and stops the loop.
   void shutDown();
 
 private:
-  void takeView(const service_view &View);
-  void receive(std::span<const datagram> Batch);
-  void countFaults();
+  status_page::hooks pages();
+  void takeView(const membership &Members);
+  void passOnHearing();
   void record(event_kind What, const std::string &Service, std::string Why);
 
   event_loop &Loop;
   program_settings Settings;
   metrics Metrics;
   timeline Events;
-  udp_socket Fabric;
-  balancer_core Core;
+  packet_port Port;
+  fleet_link Fleet;
   status_page Status;
   bool Stopping = false;
 };
--- a/daemons/balancer/balancer_settings.cpp
+++ b/daemons/balancer/balancer_settings.cpp
@@ -1,5 +1,5 @@
 #include "balancer_settings.h"
-#include "static_views.h"
+#include "marjoramrail/runtime.h"
 
 namespace marjoramrail::daemons {
 
@@ -12,6 +12,16 @@
       Reader.number(Field, Default, Least, MostSeconds));
 }
 
+/// Without the field only this machine's own processes may talk: a site that
+/// forgets it finds its fleet silent, not open.
+static std::vector<std::string> controlPeers(settings_reader &Reader) {
+  std::vector<std::string> Networks =
+      Reader.texts("control_peers", /*Required=*/false);
+  if (Networks.empty())
+    Networks.emplace_back("127.0.0.0/8");
+  return Networks;
+}
+
 result<program_settings> readSettings(const std::string &Path) {
   BOOST_LEAF_AUTO(Reader, settings_reader::fromFile(Path));
   program_settings Settings;
@@ -20,15 +30,16 @@
   Settings.FabricListen = Reader.address("fabric_listen");
   Settings.ControlListen = Reader.address("control_listen");
   Settings.StatusListen = Reader.address("status_listen");
-  Settings.Platform = Reader.addresses("platform", /*Required=*/false);
+  Settings.Platform = Reader.addresses("platform", /*Required=*/true);
   Settings.Balancers = Reader.addresses("balancers", /*Required=*/false);
   Settings.Grace = seconds(Reader, "grace_seconds", 2, 0);
   Settings.Core.StaleAfter = seconds(Reader, "stale_seconds", 10, 1);
   Settings.Core.CachedOwners = static_cast<std::size_t>(
       Reader.number("cached_owners", 65536, 1, MostCachedOwners));
-  Settings.StaticViews = readStaticViews(Reader);
+  const std::vector<std::string> Networks = controlPeers(Reader);
   if (auto Finished = Reader.finish(); !Finished)
     return Finished.error();
+  BOOST_LEAF_ASSIGN(Settings.ControlPeers, allow_list::parse(Networks));
   return Settings;
 }
 
--- a/daemons/balancer/balancer_settings.h
+++ b/daemons/balancer/balancer_settings.h
@@ -8,10 +8,9 @@
 #ifndef MARJORAMRAIL_DAEMONS_BALANCER_SETTINGS_H
 #define MARJORAMRAIL_DAEMONS_BALANCER_SETTINGS_H
 
+#include "allow_list.h"
 #include "marjoramrail/balancer.h"
 
-#include <vector>
-
 namespace marjoramrail::daemons {
 
 struct program_settings {
@@ -20,20 +19,20 @@
   std::string Zone;
   /// Callers' packets from the fabric, and notices of agents (UDP).
   endpoint FabricListen;
-  /// Announcements and what balancers tell each other.
+  /// Announcements, and what balancers tell each other (UDP).
   endpoint ControlListen;
-  /// /metrics, /healthz, /readyz, /status, /timeline.
+  /// /metrics, /healthz, /readyz, /status, /fleet, /timeline.
   endpoint StatusListen;
   /// Servers of the platform's object API.
   std::vector<endpoint> Platform;
   /// Control addresses of balancers to begin with.
   std::vector<endpoint> Balancers;
+  /// Who may send to ControlListen.
+  allow_list ControlPeers;
   /// How long packets are still routed after SIGTERM, so that the fabric can
   /// learn from /readyz to send them elsewhere.
   duration Grace{};
   balancer_settings Core;
-  /// Views that hold without a fleet.
-  std::vector<service_view> StaticViews;
 };
 
 /// Fails with every fault of the file.
--- /dev/null
+++ b/daemons/balancer/fleet_link.h
@@ -0,0 +1,44 @@
+//===- fleet_link.h - A balancer's part in the fleet ------------*- C++ -*-===//
+///
+/// \file
+/// Joins fleet_node to the control socket and the platform.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_DAEMONS_FLEET_LINK_H
+#define MARJORAMRAIL_DAEMONS_FLEET_LINK_H
+
+#include "balancer_settings.h"
+#include "marjoramrail/fleet.h"
+
+namespace marjoramrail::daemons {
+
+class fleet_link {
+public:
+  using view_hook = std::function<void(const membership &)>;
+
+  fleet_link(event_loop &Loop, const program_settings &Settings,
+             view_hook OnView);
+
+  result<void> open() { return Socket.open(Settings.ControlListen); }
+
+  fleet_node &node() { return Node; }
+
+  void show(metrics &Metrics) const;
+
+private:
+  void receive(std::span<const datagram> Batch);
+  fleet_settings nodeSettings() const;
+  fleet_hooks nodeHooks(view_hook OnView);
+
+  program_settings Settings;
+  udp_socket Socket;
+  platform_client Platform;
+  fleet_node Node;
+  /// Datagrams from hosts that the settings do not allow.
+  std::uint64_t ForeignDatagrams = 0;
+};
+
+} // namespace marjoramrail::daemons
+
+#endif // MARJORAMRAIL_DAEMONS_FLEET_LINK_H
--- a/daemons/balancer/main.cpp
+++ b/daemons/balancer/main.cpp
@@ -13,7 +13,7 @@
   if (onlyCheckSettings())
     return {};
   event_loop Loop;
-  balancer_process Process(Loop, std::move(Settings));
+  balancer_process Process(Loop, Settings);
   if (auto Opened = Process.open(); !Opened)
     return Opened.error();
   Loop.onTerminate([&] { Process.shutDown(); });
