--- a/include/marjoramrail/platform.h
+++ b/include/marjoramrail/platform.h
@@ -68,7 +68,8 @@
   /// JSON text of at most 1 MB.
   std::string Body;
   /// Who wrote it, and the writer's own count: after a lost answer the writer
-  /// reads the object back and finds out whether its write took effect.
+  /// reads the object back and finds out whether its write took effect. Kind,
+  /// name and writer: 1 to 128 letters, digits, ".", "_", ":" and "-".
   std::string Writer;
   std::uint64_t WriterSequence = 0;
   /// In a watch: the object is gone.
--- a/test/fleet/fake_platform.h
+++ b/test/fleet/fake_platform.h
@@ -11,6 +11,8 @@
 
 #include "marjoramrail/platform.h"
 
+#include <algorithm>
+#include <cctype>
 #include <list>
 
 namespace marjoramrail::testing {
@@ -120,8 +122,25 @@
     return Reply;
   }
 
+  /// The rule of platform.h for kinds, names and writers; the client refuses
+  /// others before a byte is sent.
+  static bool isKeyPart(const std::string &Text) {
+    const auto Allowed = [](unsigned char Character) {
+      return std::isalnum(Character) != 0 ||
+             std::string_view("._:-").find(static_cast<char>(Character)) !=
+                 std::string_view::npos;
+    };
+    return !Text.empty() && std::all_of(Text.begin(), Text.end(), Allowed);
+  }
+
   platform_reply write(const platform_write &Write) {
     ++Writes;
+    if (!isKeyPart(Write.Object.Writer) || !isKeyPart(Write.Object.Key.Name)) {
+      platform_reply Refused;
+      Refused.Outcome = platform_outcome::Invalid;
+      Refused.Reason = "writer or name";
+      return Refused;
+    }
     platform_reply Reply;
     const auto Found = Objects.find(Write.Object.Key);
     const std::uint64_t Stands = Found == Objects.end() || Found->second.Deleted
