--- /dev/null
+++ b/standins/load/report_main.cpp
@@ -0,0 +1,70 @@
+// marjoram-report: reads the evidence of an experiment and says what was kept.
+
+#include "audit.h"
+
+#include <filesystem>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+
+using namespace marjoramrail::standins;
+
+DEFINE_string(folder, "", "Where callers' logs and targets' records stand.");
+DEFINE_string(prefix, "report", "The word before the summary line.");
+DEFINE_string(killed, "", "Hosts that the plan kills, separated by commas.");
+DEFINE_string(excluded, "",
+              "Hosts that the plan freezes or drains: no part of imbalance.");
+
+static std::set<std::string> namesIn(const std::string &List) {
+  std::set<std::string> Names;
+  std::istringstream In(List);
+  for (std::string Name; std::getline(In, Name, ',');)
+    Names.insert(Name);
+  return Names;
+}
+
+static evidence readFolder(const std::string &Folder) {
+  evidence Evidence;
+  for (const auto &Entry : std::filesystem::directory_iterator(Folder)) {
+    if (Entry.path().extension() != ".jsonl")
+      continue;
+    std::ifstream In(Entry.path());
+    Evidence.read(In);
+  }
+  return Evidence;
+}
+
+static void printBalance(const audit_result &Result) {
+  for (const auto &[Name, Balance] : Result.Services) {
+    std::cout << Name << ": work imbalance " << Balance.WorkImbalance
+              << ", flow imbalance " << Balance.FlowImbalance << ", flows";
+    for (const auto &[Host, Flows] : Balance.FlowsByHost)
+      std::cout << " " << Host << "=" << Flows;
+    std::cout << "\n";
+  }
+}
+
+int main(int Argc, char **Argv) {
+  gflags::SetUsageMessage("Audits the evidence of an experiment; exit code 1 "
+                          "if a promise broke.");
+  gflags::ParseCommandLineFlags(&Argc, &Argv, /*remove_flags=*/true);
+  if (!std::filesystem::is_directory(FLAGS_folder)) {
+    std::cerr << "marjoram-report: --folder=" << FLAGS_folder
+              << " is not a folder\n";
+    return 2;
+  }
+  const evidence Evidence = readFolder(FLAGS_folder);
+  audit_settings Settings;
+  Settings.KilledHosts = namesIn(FLAGS_killed);
+  Settings.ExcludedHosts = namesIn(FLAGS_excluded);
+  const audit_result Result = audit(Evidence, Settings);
+  printBalance(Result);
+  if (Evidence.Unreadable > 0)
+    std::cout << "lines cut short: " << Evidence.Unreadable << "\n";
+  if (Result.Wrong > 0 || Result.RefusedButRan > 0)
+    std::cout << "wrong answers: " << Result.Wrong
+              << ", refused but ran: " << Result.RefusedButRan << "\n";
+  std::cout << FLAGS_prefix << ": " << summaryLine(Result) << std::endl;
+  return Result.kept() ? 0 : 1;
+}
