Add marjoramctl: verbs on the resource API and the time line

Each verb is a function over platform_api with its output in hooks, tested against the stand-in's pure store with planned faults. apply reads and checks all files whole, also against what stands, before its first write, and says what stands if a later write fails. A change whose answer is lost is read back; where the old version still stands the same conditional write is sent again, so that at most one copy wins. This is kept apart from the fleet's platform_writer: that one never repeats and has no outcome for the operator's 'unknown'.

Flags are gflags, set word by word: ParseCommandLineFlags ends the process with code 1 on a bad flag, where operators are promised 2.

--- /dev/null
+++ b/daemons/marjoramctl/certain_change.cpp
@@ -0,0 +1,150 @@
+#include "certain_change.h"
+
+namespace marjoramrail::ctl {
+
+/// Read-backs and repeats span about ten seconds, the length of an ordinary
+/// blink of the platform; an operator waits no longer for a prompt.
+static constexpr int MaxAttempts = 20;
+static constexpr duration AttemptPause = std::chrono::milliseconds(500);
+
+namespace {
+
+class certain_change : public std::enable_shared_from_this<certain_change> {
+public:
+  certain_change(ctl_context &Context, platform_write Write, bool Removes,
+                 change_callback Done)
+      : Context(Context), Write(std::move(Write)), Removes(Removes),
+        Done(std::move(Done)) {}
+
+  void start() {
+    const auto OnReply = [Self =
+                              shared_from_this()](const platform_reply &Reply) {
+      Self->answered(Reply);
+    };
+    if (Removes)
+      Context.Platform.Remove(Write.Object.Key, Write.Expected, OnReply);
+    else
+      Context.Platform.Write(Write, OnReply);
+  }
+
+private:
+  void answered(const platform_reply &Reply);
+  void readBack();
+  void resolve(const platform_reply &Stands);
+  void later(void (certain_change::*Next)());
+  bool ours(const platform_object &Object) const;
+  void succeed(const platform_object &Object);
+
+  ctl_context &Context;
+  platform_write Write;
+  bool Removes;
+  change_callback Done;
+  /// Once an answer was lost, a refusal of a repeat says nothing of the first.
+  bool LostAnswer = false;
+  int Attempts = 0;
+};
+
+} // namespace
+
+bool certain_change::ours(const platform_object &Object) const {
+  return Object.Writer == Write.Object.Writer &&
+         Object.WriterSequence == Write.Object.WriterSequence;
+}
+
+void certain_change::succeed(const platform_object &Object) {
+  platform_reply Reply;
+  Reply.Outcome = platform_outcome::Ok;
+  Reply.Object = Object;
+  Done(Reply);
+}
+
+void certain_change::answered(const platform_reply &Reply) {
+  if (Reply.Outcome == platform_outcome::Unknown) {
+    LostAnswer = true;
+    Context.Err("marjoramctl: " + toText(Write.Object.Key) +
+                ": the answer was lost; reading back");
+    return readBack();
+  }
+  if (!LostAnswer)
+    return Done(Reply);
+  if (Reply.Outcome == platform_outcome::Unavailable)
+    return later(&certain_change::readBack);
+  if (Reply.Outcome == platform_outcome::Conflict ||
+      Reply.Outcome == platform_outcome::NotFound)
+    return resolve(Reply);
+  Done(Reply);
+}
+
+void certain_change::readBack() {
+  Context.Platform.Read(Write.Object.Key, [Self = shared_from_this()](
+                                              const platform_reply &Reply) {
+    Self->resolve(Reply);
+  });
+}
+
+void certain_change::later(void (certain_change::*Next)()) {
+  if (++Attempts > MaxAttempts) {
+    platform_reply Reply;
+    Reply.Outcome = platform_outcome::Unknown;
+    Reply.Reason = "the platform cannot be read; \"get\" will show it later";
+    return Done(Reply);
+  }
+  Context.Timers.after(AttemptPause,
+                       [Self = shared_from_this(), Next] { (*Self.*Next)(); });
+}
+
+/// \p Stands is what was read back, or what a repeat met.
+void certain_change::resolve(const platform_reply &Stands) {
+  const bool Missing = Stands.Outcome == platform_outcome::NotFound ||
+                       (Stands.Outcome == platform_outcome::Conflict &&
+                        Stands.Object.Version == 0);
+  const bool Found = !Missing && (Stands.Outcome == platform_outcome::Ok ||
+                                  Stands.Outcome == platform_outcome::Conflict);
+  if (!Missing && !Found)
+    return later(&certain_change::readBack);
+  if (Removes && Missing)
+    return succeed({});
+  if (Found && !Removes && ours(Stands.Object))
+    return succeed(Stands.Object);
+  const std::uint64_t Version = Missing ? 0 : Stands.Object.Version;
+  if (Version == Write.Expected)
+    return later(&certain_change::start);
+  // A platform that answers with old state says nothing of our write.
+  if (Version < Write.Expected && Found)
+    return later(&certain_change::readBack);
+  platform_reply Reply;
+  Reply.Outcome = platform_outcome::Conflict;
+  Reply.Object = Stands.Object;
+  Reply.Reason = Missing ? "it has been deleted meanwhile"
+                         : "version " + std::to_string(Version) + " of " +
+                               Stands.Object.Writer +
+                               " stands; whether ours stood before it cannot "
+                               "be known";
+  Done(Reply);
+}
+
+void writeCertainly(ctl_context &Context, const object_key &Key,
+                    const std::string &Body, std::uint64_t Expected,
+                    change_callback Done) {
+  platform_write Write;
+  Write.Object.Key = Key;
+  Write.Object.Body = Body;
+  Write.Object.Writer = Context.Writer;
+  Write.Object.WriterSequence = ++Context.Sequence;
+  Write.Expected = Expected;
+  std::make_shared<certain_change>(Context, std::move(Write), false,
+                                   std::move(Done))
+      ->start();
+}
+
+void removeCertainly(ctl_context &Context, const object_key &Key,
+                     std::uint64_t Expected, change_callback Done) {
+  platform_write Write;
+  Write.Object.Key = Key;
+  Write.Expected = Expected;
+  std::make_shared<certain_change>(Context, std::move(Write), true,
+                                   std::move(Done))
+      ->start();
+}
+
+} // namespace marjoramrail::ctl
--- /dev/null
+++ b/daemons/marjoramctl/flow_story.cpp
@@ -0,0 +1,145 @@
+#include "flow_story.h"
+#include "printing.h"
+
+#include <algorithm>
+
+namespace marjoramrail::ctl {
+
+static bool matches(const std::string &Wanted, const std::string &Value) {
+  return Wanted.empty() || Wanted == Value;
+}
+
+/// A host is meant where it acted as well as where it was acted on.
+bool event_filter::passes(const timeline_event &Event) const {
+  return matches(Service, Event.Service) && matches(Flow, Event.Flow) &&
+         (matches(Host, Event.Host) || Host == Event.Process);
+}
+
+std::string toText(const timeline_event &Event) {
+  std::string Line = wallText(Event.WallMs) + " #" +
+                     std::to_string(Event.Clock) + " " + Event.Process + " " +
+                     std::string(nameOf(EventKindNames, Event.What));
+  for (const std::string &Part : {Event.Service, Event.Host, Event.Flow})
+    if (!Part.empty())
+      Line.append(" ").append(Part);
+  if (!Event.Why.empty())
+    Line += ": " + Event.Why;
+  return Line;
+}
+
+/// Events that change where flows of a service go.
+static bool changesRouting(event_kind What) {
+  switch (What) {
+  case event_kind::ViewTaken:
+  case event_kind::ViewWritten:
+  case event_kind::LeaseTaken:
+  case event_kind::LeaseLost:
+  case event_kind::WriteFenced:
+  case event_kind::TargetJoined:
+  case event_kind::TargetDown:
+  case event_kind::TargetDraining:
+  case event_kind::GenerationAdded:
+  case event_kind::GenerationDropped:
+  case event_kind::DrainDone:
+  case event_kind::FaultInjected:
+    return true;
+  default:
+    return false;
+  }
+}
+
+namespace {
+
+/// What the flow's own events amount to.
+struct flow_summary {
+  std::string Service;
+  std::string Owner;
+  int HandedOn = 0;
+  int Relayed = 0;
+  int Refused = 0;
+  int Unknown = 0;
+  std::string End = "it lives, as far as the events go";
+
+  void take(const timeline_event &Event);
+  std::string text(const std::string &Flow) const;
+};
+
+} // namespace
+
+void flow_summary::take(const timeline_event &Event) {
+  if (Service.empty())
+    Service = Event.Service;
+  const std::string Why = Event.Why.empty() ? "" : " (" + Event.Why + ")";
+  switch (Event.What) {
+  case event_kind::FlowAccepted:
+    Owner = Event.Host.empty() ? Event.Process : Event.Host;
+    break;
+  case event_kind::FlowHandedOn:
+    ++HandedOn;
+    break;
+  case event_kind::RequestRelayed:
+    ++Relayed;
+    break;
+  case event_kind::RequestRefused:
+    ++Refused;
+    break;
+  case event_kind::RequestUnknown:
+    ++Unknown;
+    break;
+  case event_kind::FlowReset:
+    End = "reset by " + Event.Process + Why;
+    break;
+  case event_kind::FlowClosed:
+    End = "closed" + Why;
+    break;
+  case event_kind::FlowSilent:
+    End = "closed since it had gone silent" + Why;
+    break;
+  default:
+    break;
+  }
+}
+
+std::string flow_summary::text(const std::string &Flow) const {
+  return "flow " + Flow + " of " + Service + ": " +
+         (Owner.empty() ? "no owner recorded" : "owner " + Owner) +
+         ", handed on " + std::to_string(HandedOn) + " times, requests " +
+         std::to_string(Relayed) + " relayed, " + std::to_string(Refused) +
+         " refused, " + std::to_string(Unknown) + " unknown; end: " + End;
+}
+
+std::vector<std::string> explainFlow(const std::vector<timeline_event> &Events,
+                                     const std::string &Flow) {
+  const auto IsOwn = [&](const timeline_event &Event) {
+    return Event.Flow == Flow;
+  };
+  const auto First = std::find_if(Events.begin(), Events.end(), IsOwn);
+  if (First == Events.end())
+    return {};
+  const auto End = std::find_if(Events.rbegin(), Events.rend(), IsOwn).base();
+  flow_summary Summary;
+  for (auto It = First; It != End; ++It)
+    if (IsOwn(*It))
+      Summary.take(*It);
+  std::vector<std::string> Lines = {Summary.text(Flow)};
+  // The last change before the flow began is the one that routed it.
+  const auto Routes = [&](const timeline_event &Event) {
+    return changesRouting(Event.What) &&
+           (Event.Service.empty() || Event.Service == Summary.Service);
+  };
+  const auto Cause = std::find_if(
+      std::make_reverse_iterator(First), Events.rend(), [&](const auto &Event) {
+        return Routes(Event) && Event.Service == Summary.Service;
+      });
+  if (Cause != Events.rend())
+    Lines.push_back("  before  " + toText(*Cause));
+  for (auto It = First; It != End; ++It) {
+    if (IsOwn(*It))
+      Lines.push_back("  flow    " + toText(*It));
+    else if (Routes(*It))
+      Lines.push_back("  change  " + toText(*It));
+  }
+  return Lines;
+}
+
+} // namespace marjoramrail::ctl
--- /dev/null
+++ b/daemons/marjoramctl/main.cpp
@@ -0,0 +1,77 @@
+// marjoramctl: the operators' tool. Reads the command line, joins a verb to
+// the platform and prints.
+
+#include "command_line.h"
+#include "page_fetcher.h"
+
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+#include <unistd.h>
+
+using namespace marjoramrail;
+using namespace marjoramrail::ctl;
+
+static result<std::string> readFile(const std::string &Path) {
+  std::ifstream In(Path);
+  if (!In)
+    return fail(step::ValidateObject, Path, "the file cannot be read");
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  return Text.str();
+}
+
+/// Unlike that of any other run: a process id alone comes again.
+static std::string writerName() {
+  std::random_device Random;
+  return "operator-" + std::to_string(getuid()) + "-" +
+         std::to_string(getpid()) + "-" + std::to_string(Random());
+}
+
+static exit_code runCommand(const command &Command) {
+  event_loop Loop;
+  platform_client Client(Loop, {.Servers = Command.Platform,
+                                .Writer = "operator",
+                                .Timeout = Command.Timeout});
+  ctl_context Context{
+      .Platform = Client.api(),
+      .Timers = Loop.timers(),
+      .Out = [](const std::string &Line) { std::cout << Line << std::endl; },
+      .Err = [](const std::string &Line) { std::cerr << Line << std::endl; },
+      .ReadFile = readFile,
+      .FetchPage =
+          [&](const endpoint &Process, const std::string &Path,
+              page_callback Done) {
+            fetchPage(Loop, Process, Path, Command.Timeout, std::move(Done));
+          },
+      .Writer = writerName()};
+  exit_code Code = exit_code::Ok;
+  bool Ended = false;
+  Command.Verb->Run(Context, Command.Options, [&](exit_code Given) {
+    Code = Given;
+    Ended = true;
+    Loop.stop();
+  });
+  if (!Ended)
+    Loop.run();
+  return Code;
+}
+
+int main(int Argc, char **Argv) {
+  const std::vector<std::string> Words(Argv + 1, Argv + Argc);
+  exit_code Code = exit_code::Usage;
+  const auto Failure = failureOf([&]() -> result<void> {
+    BOOST_LEAF_AUTO(Command, readCommand(Words));
+    if (!Command.Help.empty()) {
+      std::cout << Command.Help;
+      Code = exit_code::Ok;
+      return {};
+    }
+    Code = runCommand(Command);
+    return {};
+  });
+  if (Failure)
+    std::cerr << "marjoramctl: " << marjoramrail::toText(*Failure) << std::endl;
+  return static_cast<int>(Code);
+}
--- /dev/null
+++ b/daemons/marjoramctl/object_files.cpp
@@ -0,0 +1,127 @@
+#include "object_files.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace marjoramrail::ctl {
+
+object_key keyOf(const resource_object &Object) {
+  return {std::string(nameOf(ResourceKindNames, Object.Kind)), Object.Name};
+}
+
+static int orderOf(resource_kind Kind) {
+  switch (Kind) {
+  case resource_kind::Zone:
+    return 0;
+  case resource_kind::Service:
+    return 1;
+  case resource_kind::Drain:
+    return 2;
+  }
+  return 2;
+}
+
+/// Two files that both hold an object would undo each other.
+static bool tellRepeats(ctl_context &Context,
+                        const std::vector<resource_object> &Objects) {
+  std::set<object_key> Seen;
+  bool Repeats = false;
+  for (const resource_object &Object : Objects) {
+    if (Seen.insert(keyOf(Object)).second)
+      continue;
+    tell(Context, {step::ValidateObject, toText(keyOf(Object)),
+                   "stands in more than one file"});
+    Repeats = true;
+  }
+  return Repeats;
+}
+
+std::optional<std::vector<resource_object>>
+readObjectFiles(ctl_context &Context, const std::vector<std::string> &Paths) {
+  std::vector<resource_object> All;
+  bool Faulty = false;
+  for (const std::string &Path : Paths) {
+    const auto Failure = failureOf([&]() -> result<void> {
+      BOOST_LEAF_AUTO(Text, Context.ReadFile(Path));
+      BOOST_LEAF_AUTO(Objects, parseObjectFile(Text, Path));
+      All.insert(All.end(), Objects.begin(), Objects.end());
+      return {};
+    });
+    if (Failure)
+      tell(Context, *Failure);
+    Faulty |= Failure.has_value();
+  }
+  if (tellRepeats(Context, All) || Faulty)
+    return std::nullopt;
+  std::stable_sort(All.begin(), All.end(),
+                   [](const resource_object &A, const resource_object &B) {
+                     return orderOf(A.Kind) < orderOf(B.Kind);
+                   });
+  return All;
+}
+
+namespace {
+
+/// What would stand after \p Objects have been applied.
+struct standing {
+  std::map<std::string, service_spec> Services;
+  std::set<std::string> Zones;
+};
+
+} // namespace
+
+static standing readStanding(const std::vector<platform_object> &Services,
+                             const std::vector<platform_object> &Zones) {
+  standing Standing;
+  for (const platform_object &Object : Services)
+    // An object that cannot be read cannot be compared with; it must not keep
+    // an operator from applying the object that mends it.
+    static_cast<void>(failureOf([&]() -> result<void> {
+      BOOST_LEAF_AUTO(Spec, parseService(Object.Body, Object.Key.Name));
+      Standing.Services[Spec.Name] = Spec;
+      return {};
+    }));
+  for (const platform_object &Object : Zones)
+    Standing.Zones.insert(Object.Key.Name);
+  return Standing;
+}
+
+static result<void> checkService(const resource_object &Object,
+                                 standing &Standing) {
+  BOOST_LEAF_AUTO(Spec, parseService(Object.Spec, Object.Name));
+  std::vector<service_spec> Others;
+  for (const auto &[Name, Service] : Standing.Services)
+    Others.push_back(Service);
+  if (auto Checked = checkAgainst(Spec, Others); !Checked)
+    return Checked.error();
+  for (const std::string &Zone : Spec.Zones)
+    if (Standing.Zones.count(Zone) == 0)
+      return fail(step::ValidateObject, "service/" + Spec.Name,
+                  "field zones: there is no zone " + Zone);
+  Standing.Services[Spec.Name] = Spec;
+  return {};
+}
+
+bool checkTogether(ctl_context &Context,
+                   const std::vector<resource_object> &Objects,
+                   const std::vector<platform_object> &StandingServices,
+                   const std::vector<platform_object> &StandingZones) {
+  standing Standing = readStanding(StandingServices, StandingZones);
+  for (const resource_object &Object : Objects)
+    if (Object.Kind == resource_kind::Zone)
+      Standing.Zones.insert(Object.Name);
+  bool Right = true;
+  for (const resource_object &Object : Objects) {
+    if (Object.Kind != resource_kind::Service)
+      continue;
+    const auto Failure =
+        failureOf([&] { return checkService(Object, Standing); });
+    if (Failure)
+      tell(Context, *Failure);
+    Right &= !Failure;
+  }
+  return Right;
+}
+
+} // namespace marjoramrail::ctl
--- /dev/null
+++ b/daemons/marjoramctl/verbs.cpp
@@ -0,0 +1,116 @@
+#include "command_line.h"
+
+namespace marjoramrail::ctl {
+
+static const char *const Codes =
+    "Exit codes: 0 done, 1 refused or not there, 2 usage, 3 conflict,\n"
+    "4 platform unavailable, 5 outcome unknown.\n";
+
+const std::vector<verb_entry> &verbs() {
+  static const std::vector<verb_entry> Table = {
+      {"apply",
+       "write the objects of files",
+       "FILE...",
+       "Reads all files and checks them whole, also against what stands, "
+       "before\n"
+       "anything is written. Each object is written under the version that "
+       "was\n"
+       "read, so that a colleague's change in between is a conflict, which is\n"
+       "shown, and not undone. An object that stands as it is stays "
+       "untouched.\n"
+       "If an answer is lost, the object is read back and the outcome is "
+       "told.\n",
+       {"if_version"},
+       runApply},
+      {"get",
+       "print one object",
+       "KIND NAME",
+       "Prints an object with its version and writer, in the form that apply\n"
+       "reads. Kinds: service, zone, drain, service-status, drain-status.\n",
+       {},
+       runGet},
+      {"list",
+       "list the objects of a kind",
+       "KIND",
+       "Prints name, version and writer of each object.\n",
+       {},
+       runList},
+      {"watch",
+       "print changes as they come",
+       "[KIND [NAME]]",
+       "Prints one line of JSON for each change, from --since on. Lives "
+       "through\n"
+       "outages of the platform; ends by a signal or after --for_seconds.\n",
+       {"since", "for_seconds"},
+       runWatch},
+      {"delete",
+       "delete an object",
+       "KIND NAME",
+       "Deletes a service, zone or drain if the version read, or "
+       "--if-version,\n"
+       "still stands.\n",
+       {"if_version"},
+       runDelete},
+      {"drain",
+       "empty a target host or a balancer",
+       "HOST",
+       "Writes a drain object for the host and shows how far it is. With "
+       "--wait\n"
+       "it ends with code 0 when the VM can be stopped without cutting off a\n"
+       "flow or a request, and with 1 when --for_seconds have passed before.\n"
+       "--undo takes the drain back.\n",
+       {"reason", "wait", "undo", "for_seconds", "if_version"},
+       runDrain},
+      {"status",
+       "show what is in force, and where not",
+       "[SERVICE]",
+       "Prints each service's version, on how many nodes it is in force, "
+       "which\n"
+       "lag, its targets and conditions, and the drains.\n",
+       {},
+       runStatus},
+      {"timeline",
+       "merge the events of all processes",
+       "[FILE...]",
+       "Reads events from files of JSON lines and from the status pages of "
+       "the\n"
+       "processes at --from, puts causes before effects and prints those that\n"
+       "pass --service, --flow and --host. --explain=FLOW tells one flow's "
+       "life:\n"
+       "who routed it, when, why.\n",
+       {"from", "service", "flow", "host", "explain"},
+       runTimeline},
+      {"validate",
+       "check files of objects",
+       "FILE...",
+       "Checks files without the platform: file, field, reason, range "
+       "allowed.\n",
+       {},
+       runValidate},
+  };
+  return Table;
+}
+
+const verb_entry *findVerb(std::string_view Name) {
+  for (const verb_entry &Verb : verbs())
+    if (Verb.Name == Name)
+      return &Verb;
+  return nullptr;
+}
+
+std::string generalHelp() {
+  std::string Text = "marjoramctl VERB [ARGUMENTS] [FLAGS]\n\n";
+  for (const verb_entry &Verb : verbs()) {
+    std::string Line = "  " + std::string(Verb.Name);
+    Line.resize(12, ' ');
+    Text += Line + std::string(Verb.Summary) + "\n";
+  }
+  return Text + "\nmarjoramctl VERB --help tells more.\n" + Codes;
+}
+
+std::string helpOf(const verb_entry &Verb) {
+  return "marjoramctl " + std::string(Verb.Name) + " " +
+         std::string(Verb.Arguments) + "\n\n" + std::string(Verb.Help) + "\n";
+}
+
+} // namespace marjoramrail::ctl
--- /dev/null
+++ b/test/daemons/marjoramctl/timeline_test.cpp
@@ -0,0 +1,100 @@
+#include <doctest/doctest.h>
+
+#include "fake_site.h"
+#include "flow_story.h"
+
+using namespace marjoramrail;
+using namespace marjoramrail::ctl;
+
+static const std::string Flow = "10.1.0.1:4000>10.77.0.1:443";
+
+static std::string line(std::uint64_t Clock, const std::string &Process,
+                        event_kind What, const std::string &FlowOfEvent,
+                        const std::string &Why) {
+  timeline_event Event;
+  Event.Clock = Clock;
+  Event.WallMs = 1700000000000 + static_cast<std::int64_t>(Clock);
+  Event.Process = Process;
+  Event.What = What;
+  Event.Service = "ledger";
+  Event.Flow = FlowOfEvent;
+  Event.Why = Why;
+  return toJsonLine(Event) + "\n";
+}
+
+/// Two files and a page, out of order, with a line cut off by a kill.
+static void fill(fake_site &Test) {
+  Test.Files["agent-1.log"] =
+      line(4, "ledger-1", event_kind::FlowAccepted, Flow, "first choice") +
+      line(9, "ledger-1", event_kind::FlowReset, Flow, "target gone") +
+      "{\"clock\":10,\"wa";
+  Test.Files["balancer-1.log"] =
+      line(2, "balancer-1", event_kind::ViewTaken, "", "version 7") +
+      "I1202 glog's own line\n" +
+      line(6, "balancer-1", event_kind::TargetDown, "", "ledger-1 is silent");
+  Test.Pages[endpoint{0x7f000001, 9000}] =
+      line(5, "ledger-2", event_kind::FlowAccepted, "10.1.0.2:1>10.77.0.1:443",
+           "second choice");
+}
+
+TEST_CASE("timeline merges files and pages and leaves out broken lines") {
+  // A process was killed in the middle of a line; what the others recorded
+  // must still be told.
+  fake_site Test;
+  fill(Test);
+  ctl_options Options;
+  Options.Arguments = {"agent-1.log", "balancer-1.log"};
+  Options.From = {{0x7f000001, 9000}};
+
+  CHECK(Test.run(runTimeline, Options) == exit_code::Ok);
+
+  CHECK(Test.Output.find("version 7") < Test.Output.find("first choice"));
+  CHECK(Test.Output.find("first choice") < Test.Output.find("second choice"));
+  CHECK(Test.Output.find("second choice") < Test.Output.find("is silent"));
+  CHECK(Test.told("agent-1.log: 1 lines left out"));
+}
+
+TEST_CASE("timeline filters by host, flow and service") {
+  fake_site Test;
+  fill(Test);
+  ctl_options Options;
+  Options.Arguments = {"agent-1.log", "balancer-1.log"};
+  Options.Host = "ledger-1";
+
+  Test.run(runTimeline, Options);
+
+  CHECK(Test.printed("target gone"));
+  CHECK(!Test.printed("version 7"));
+}
+
+TEST_CASE("timeline explains one flow: who routed it, when, why") {
+  fake_site Test;
+  fill(Test);
+  ctl_options Options;
+  Options.Arguments = {"agent-1.log", "balancer-1.log"};
+  Options.Explain = Flow;
+
+  CHECK(Test.run(runTimeline, Options) == exit_code::Ok);
+
+  CHECK(Test.printed("owner ledger-1, handed on 0 times"));
+  CHECK(Test.printed("end: reset by ledger-1 (target gone)"));
+  CHECK(Test.Output.find("before  ") < Test.Output.find("flow    "));
+  CHECK(Test.printed("change  2023-11-14T22:13:20.006Z #6 balancer-1 "
+                     "target-down ledger: ledger-1 is silent"));
+}
+
+TEST_CASE("timeline tells of processes that do not answer, and goes on") {
+  fake_site Test;
+  fill(Test);
+  ctl_options Options;
+  Options.Arguments = {"agent-1.log"};
+  Options.From = {{0x7f000001, 9001}};
+
+  CHECK(Test.run(runTimeline, Options) == exit_code::Unavailable);
+
+  CHECK(Test.printed("first choice"));
+  CHECK(Test.told("receive 127.0.0.1:9001: no answer"));
+  Options.From = {};
+  Options.Explain = "10.9.9.9:1>10.77.0.1:443";
+  CHECK(Test.run(runTimeline, Options) == exit_code::Refused);
+}
