--- a/include/marjoramrail/fleet.h
+++ b/include/marjoramrail/fleet.h
@@ -80,11 +80,13 @@
 
 /// What the fleet knows of a target beyond what routing needs.
 struct target_info {
-  std::string Host;
+  std::string Host = {};
   /// Where its agent takes relayed requests (TCP).
-  endpoint Relay;
+  endpoint Relay = {};
   /// Requests that the target runs at a time.
   std::uint32_t Slots = 0;
+  /// The agent itself wishes to take no new work.
+  bool DrainWish = false;
 
   bool operator==(const target_info &) const = default;
 };
@@ -119,10 +121,10 @@
   std::string Service;
   std::string Zone;
   /// Where the agent takes routed packets; announcements leave from there.
-  endpoint Agent;
-  endpoint Relay;
+  endpoint Agent = {};
+  endpoint Relay = {};
   /// Balancers' control endpoints to begin with.
-  std::vector<endpoint> Seeds;
+  std::vector<endpoint> Seeds = {};
   std::uint32_t Slots = 1;
   /// Must be larger after each restart; seconds since 1970 will do.
   std::uint32_t Incarnation = 1;
@@ -147,14 +149,14 @@
 };
 
 struct announcer_hooks {
-  fleet_send Send;
-  std::function<agent_report()> Describe;
+  fleet_send Send = nullptr;
+  std::function<agent_report()> Describe = nullptr;
   /// A newer view of its service. Versions only grow.
-  std::function<void(const membership &)> OnView;
+  std::function<void(const membership &)> OnView = nullptr;
   /// The fleet held this agent for dead (it was frozen or cut off): its flows
   /// have been given up, others may have answered for it. It goes on under the
   /// new incarnation and must forget all flows of the former.
-  std::function<void(std::uint32_t Incarnation)> OnDeclaredDown;
+  std::function<void(std::uint32_t Incarnation)> OnDeclaredDown = nullptr;
 };
 
 /// Announces one agent to a few balancers and receives its service's view.
@@ -192,8 +194,8 @@
   std::string Name;
   std::string Zone;
   /// control_listen, as others reach it.
-  endpoint Control;
-  std::vector<endpoint> Seeds;
+  endpoint Control = {};
+  std::vector<endpoint> Seeds = {};
   /// Duties: services are spread over this many leases. The same everywhere.
   std::uint32_t Shards = 8;
   /// Makes the random choices (peers to talk to) repeatable.
@@ -205,9 +207,9 @@
   duration Lease = std::chrono::seconds(6);
   /// Between two messages to random peers.
   duration GossipPeriod = std::chrono::seconds(1);
-  /// A host that is silent for this long is asked, and held for dead when it
-  /// does not answer: three lost announcements in a row.
-  duration SilenceBound = std::chrono::milliseconds(3500);
+  /// A host that is silent for this long is asked, twice: two announcements to
+  /// each of three balancers were lost, or it is dead.
+  duration SilenceBound = std::chrono::milliseconds(2600);
   /// Bytes a second that this node sends for control at most; bursts of up to
   /// four seconds' worth are allowed.
   std::uint32_t BytesPerSecond = 4096;
@@ -217,22 +219,22 @@
 struct balancer_info {
   std::string Name;
   std::string Zone;
-  endpoint Control;
+  endpoint Control = {};
   std::uint32_t Incarnation = 0;
 
   bool operator==(const balancer_info &) const = default;
 };
 
 struct fleet_hooks {
-  fleet_send Send;
+  fleet_send Send = nullptr;
   /// A newer view of any service. Versions only grow.
-  std::function<void(const membership &)> OnView;
+  std::function<void(const membership &)> OnView = nullptr;
   /// The balancers held for alive, this one among them, in order of name.
-  std::function<void(const std::vector<balancer_info> &)> OnBalancers;
+  std::function<void(const std::vector<balancer_info> &)> OnBalancers = nullptr;
   /// Wall clock for status conditions.
-  std::function<std::int64_t()> WallClockMs;
+  std::function<std::int64_t()> WallClockMs = nullptr;
   /// One short sentence per decision, for the log and the time line.
-  std::function<void(const std::string &)> Note;
+  std::function<void(const std::string &)> Note = nullptr;
 };
 
 struct fleet_counters {
--- a/include/marjoramrail/routing.h
+++ b/include/marjoramrail/routing.h
@@ -99,6 +99,9 @@
   bool operator==(const service_view &) const = default;
 };
 
+/// Targets of one service that a router holds.
+inline constexpr std::size_t MaxTargets = 65535;
+
 /// More generations than this would make routing slow and packets long; the
 /// writer of a view coalesces changes before it gets there.
 inline constexpr std::size_t MaxGenerations = 8;
@@ -123,6 +126,8 @@
   bool contains(std::uint16_t Item) const;
   /// Adds \p Item unless it is there or the list is full.
   void add(std::uint16_t Item);
+  /// Moves the item at \p Index to the front; the others keep their order.
+  void moveToFront(std::size_t Index);
 
 private:
   std::array<std::uint16_t, Capacity> Items{};
@@ -132,13 +137,17 @@
 /// Routes the flows of one service under one version of its view.
 class service_router {
 public:
+  /// Takes the first MaxGenerations of \p View and at most MaxTargets; weights
+  /// above MaxWeight count as MaxWeight, members that are no target as absent.
   explicit service_router(const service_view &View);
 
   service_id id() const { return Id; }
   std::uint64_t version() const { return Version; }
 
   /// Where a new flow goes: the newest generation's choices in order, without
-  /// targets that are draining or down.
+  /// targets that are draining or down. Always among owners(), so the choices
+  /// are picked by weight first and filtered by state afterwards: a balancer
+  /// that has not heard of a drain would otherwise look elsewhere.
   owner_list choices(const flow_key &Flow) const;
 
   /// Who may own an existing flow: the choices of every generation, newest
@@ -150,22 +159,28 @@
     return Targets[Position];
   }
 
+  std::size_t targetCount() const { return Targets.size(); }
+  /// The target whose agent listens on \p Agent, or null.
+  const target *findAgent(const endpoint &Agent) const;
+
   /// Bytes that this router holds, for the budget of 32 MB per node.
   std::size_t bytes() const;
 
 private:
-  struct share {
-    std::uint16_t Position;
-    std::uint16_t Weight;
-  };
+  /// owners() for rows of \p Generations weights, a number known to the
+  /// compiler so that it can work on several at a time.
+  template <std::size_t Generations>
+  owner_list ownersOver(const flow_key &Flow) const;
 
   service_id Id;
   std::uint64_t Version;
+  /// Generations, rounded up to a power of two; those past the last have no
+  /// members.
+  std::size_t RowSize;
   std::vector<target> Targets;
-  /// Members of all generations, newest first; Ends[i] is one past the last
-  /// member of generation i.
-  std::vector<share> Shares;
-  std::vector<std::uint16_t> Ends;
+  /// One row for each target: its weight in each generation, newest first; 0
+  /// where it is no member.
+  std::vector<std::uint16_t> Weights;
 };
 
 } // namespace marjoramrail
--- /dev/null
+++ b/src/fleet/lease_keeper.h
@@ -0,0 +1,95 @@
+//===- lease_keeper.h - One duty, one holder --------------------*- C++ -*-===//
+///
+/// \file
+/// The lease of one shard, an object `lease/shard-N` in the platform.
+///
+/// Two clocks are never compared. The holder counts its lease from the moment
+/// before it sent the write, so it ends no later than anyone else thinks. An
+/// observer counts from the moment it first saw the object as it stands, so it
+/// takes over no earlier than the holder has given up. Neither guards against
+/// a holder that is paused between looking at its clock and acting: that is
+/// what the term is for, which every write of the duty carries.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_FLEET_LEASE_KEEPER_H
+#define MARJORAMRAIL_FLEET_LEASE_KEEPER_H
+
+#include "fleet/platform_writer.h"
+
+namespace marjoramrail::internal {
+
+struct lease_settings {
+  std::uint32_t Shard = 0;
+  std::string Name;
+  endpoint Control = {};
+  duration Length = std::chrono::seconds(6);
+};
+
+/// What stands in the lease object.
+struct lease_record {
+  std::string Holder;
+  std::uint64_t Term = 0;
+  /// Changes with each renewal, so that an observer sees life.
+  std::uint64_t Renewals = 0;
+  endpoint Control = {};
+};
+
+std::string toBody(const lease_record &Record);
+result<lease_record> parseLease(const std::string &Body);
+
+class lease_keeper {
+public:
+  struct hooks {
+    std::function<void(std::uint64_t Term)> OnHeld = nullptr;
+    std::function<void()> OnLost = nullptr;
+    /// Who holds it, as last read or written.
+    std::function<void(const lease_record &)> OnSeen = nullptr;
+  };
+
+  lease_keeper(timer_service &Timers, platform_writer &Writer,
+               lease_settings Settings, hooks Hooks);
+
+  /// Whether this node is among those that should compete for the lease.
+  void setWanted(bool Wanted) { WantedHere = Wanted; }
+
+  /// Renews, observes or takes over; call it a few times per lease.
+  void tick();
+
+  /// True only while the lease runs by this node's own clock.
+  bool holds() const;
+  std::uint64_t term() const { return Mine.Term; }
+
+  /// Gives the lease back, so that the next holder need not wait for its end.
+  void release();
+
+private:
+  void observe();
+  void saw(const platform_reply &Reply);
+  void claim(std::uint64_t Term, std::uint64_t Expected);
+  void renew();
+  void send(lease_record Record, std::uint64_t Expected);
+  void sent(const lease_record &Record, instant SentAt,
+            const write_result &Result);
+  void lose();
+
+  timer_service &Timers;
+  platform_writer &Writer;
+  lease_settings Settings;
+  hooks Hooks;
+  bool WantedHere = false;
+  bool Busy = false;
+  bool Held = false;
+  lease_record Mine;
+  instant Expiry;
+  instant RenewedAt;
+  std::optional<instant> ObservedAt;
+  std::uint64_t Version = 0;
+  /// As an observer: the version seen and when it was seen first.
+  std::optional<std::uint64_t> SeenVersion;
+  instant SeenSince;
+};
+
+} // namespace marjoramrail::internal
+
+#endif // MARJORAMRAIL_FLEET_LEASE_KEEPER_H
--- /dev/null
+++ b/src/work/concurrency_limit.cpp
@@ -0,0 +1,140 @@
+#include "work/concurrency_limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marjoramrail::internal {
+
+namespace {
+
+/// A cut has helped if answers take less than this share of before.
+constexpr double CutHelped = 0.85;
+/// A raise of one slot in L has not helped if answers take longer by more than
+/// this share of 1/L: the target then only divides the same speed by more.
+constexpr double RaiseTolerance = 0.5;
+/// The mean of requests that ran alone is over about this many: within 9%.
+constexpr std::uint32_t AloneMemory = 128;
+/// Until then it is not used.
+constexpr std::uint32_t AloneNeeded = 32;
+constexpr duration DefaultPause = std::chrono::milliseconds(100);
+constexpr duration MaxPause = std::chrono::seconds(1);
+
+double toSeconds(duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+} // namespace
+
+concurrency_limit::concurrency_limit(std::uint32_t Slots, double MaxFactor,
+                                     duration ColdStart)
+    : Declared(std::max<std::size_t>(Slots, 1)),
+      Most(std::max<std::size_t>(
+          Declared, std::size_t(std::lround(Declared * MaxFactor)))),
+      ColdStart(ColdStart), Limit(Declared) {}
+
+bool concurrency_limit::ramping(instant Now) const {
+  if (!Started)
+    Started = Now;
+  return Now - *Started < ColdStart;
+}
+
+std::size_t concurrency_limit::limit(instant Now) const {
+  if (!ramping(Now))
+    return Limit;
+  const double Age = toSeconds(Now - *Started) / toSeconds(ColdStart);
+  return std::min(Limit, 1 + std::size_t(double(Declared - 1) * Age));
+}
+
+duration concurrency_limit::pause(instant Now) const {
+  return std::max(duration::zero(), PausedUntil - Now);
+}
+
+void concurrency_limit::answered(duration Elapsed, bool Alone, bool Wanted,
+                                 instant Now) {
+  const double Seconds = toSeconds(Elapsed);
+  if (Alone)
+    learnAlone(Seconds);
+  if (ramping(Now))
+    return;
+  Sum += Seconds;
+  WantedCount += Wanted ? 1 : 0;
+  if (++Count < Window)
+    return;
+  const double Mean = Sum / Count;
+  const bool Needed = WantedCount * 2 > Count;
+  Sum = 0;
+  Count = 0;
+  WantedCount = 0;
+  closeWindow(Mean, Needed);
+}
+
+void concurrency_limit::learnAlone(double Seconds) {
+  AloneCount = std::min(AloneCount + 1, AloneMemory);
+  AloneMean += (Seconds - AloneMean) / AloneCount;
+}
+
+bool concurrency_limit::crowded(double Mean, double Ratio) const {
+  return AloneCount >= AloneNeeded && Mean > Ratio * AloneMean;
+}
+
+void concurrency_limit::closeWindow(double Mean, bool Wanted) {
+  if (Trial != trial::None) {
+    judgeTrial(Mean);
+    return;
+  }
+  if (HoldOff > 0) {
+    --HoldOff;
+    return;
+  }
+  if (crowded(Mean, CutRatio) && Limit > 1) {
+    const double Ratio = std::min(Mean / AloneMean, 2.0);
+    const auto Next = std::size_t(std::lround(double(Limit) / Ratio));
+    beginTrial(trial::Cut, std::clamp<std::size_t>(Next, 1, Limit - 1), Mean);
+    return;
+  }
+  if (Wanted && AloneCount < AloneNeeded && Limit > 1) {
+    // Always busy, so nothing ever ran alone: see whether fewer run faster.
+    beginTrial(trial::Cut, Limit - Limit / 2, Mean);
+    return;
+  }
+  if (Wanted && Limit < Most)
+    beginTrial(trial::Raise, Limit + 1, Mean);
+}
+
+void concurrency_limit::beginTrial(trial Kind, std::size_t Next, double Mean) {
+  Trial = Kind;
+  LimitBefore = Limit;
+  MeanBefore = Mean;
+  Limit = Next;
+}
+
+void concurrency_limit::judgeTrial(double Mean) {
+  const bool WasCut = Trial == trial::Cut;
+  const double Allowed =
+      WasCut ? CutHelped : 1 + RaiseTolerance / double(LimitBefore);
+  Trial = trial::None;
+  const bool Crowded = !WasCut && crowded(Mean, Allowed);
+  if (Mean <= MeanBefore * Allowed && !Crowded) {
+    NextHoldOff = FirstHoldOff;
+    HoldOff = WasCut ? FirstHoldOff : 0;
+    return;
+  }
+  Limit = LimitBefore;
+  HoldOff = NextHoldOff;
+  NextHoldOff = std::min(NextHoldOff * 2, MaxHoldOff);
+}
+
+void concurrency_limit::shed(std::size_t InFlight, duration RetryAfter,
+                             instant Now) {
+  if (InFlight > 1) {
+    Limit = std::min(Limit, InFlight - 1);
+    Trial = trial::None;
+    HoldOff = FirstHoldOff;
+    return;
+  }
+  const duration Asked =
+      RetryAfter > duration::zero() ? RetryAfter : DefaultPause;
+  PausedUntil = std::max(PausedUntil, Now + std::min(Asked, MaxPause));
+}
+
+} // namespace marjoramrail::internal
