Batch confirmations, send news without beats, count each silent peer once

A node of a small fleet doubted itself for ever after one peer's death, since that peer was asked, and its silence counted, again and again ('a zone that goes at once' failed). Change: confirmations of several services in one acknowledged report, news of their own kind, requests repeated elsewhere, one answer counted per peer.

--- a/bench/fleet/main.cpp
+++ b/bench/fleet/main.cpp
@@ -58,6 +58,7 @@
 }
 
 struct spent {
+  std::array<double, FleetMessageNames.size()> ByKind{};
   double Bytes = 0;
   double Received = 0;
   double Calls = 0;
@@ -98,7 +99,8 @@
     settle();
     rest(Measured);
     Measured.InForceMs = changes(40, 500ms, Measured, true);
-    changes(100, 100ms, Measured, false);
+    // Long enough that the burst of four seconds' budget is spent.
+    changes(400, 100ms, Measured, false);
     Measured.DetectMs = deaths();
     return Measured;
   }
@@ -108,6 +110,8 @@
     spent Sum;
     for (const auto &Balancer : Fleet.Balancers) {
       const fleet_counters &Counters = Balancer->Node->counters();
+      for (std::size_t I = 0; I < Sum.ByKind.size(); ++I)
+        Sum.ByKind[I] += static_cast<double>(Counters.BytesByKind[I]);
       Sum.Bytes += static_cast<double>(Counters.BytesSent);
       Sum.Received += static_cast<double>(Counters.BytesReceived);
       Sum.PutOff += static_cast<double>(Counters.PutOff);
@@ -117,6 +121,14 @@
     return Sum;
   }
 
+  void printKinds(const std::string &When, const spent &Start, const spent &End,
+                  double Per) const {
+    for (std::size_t I = 0; I < Start.ByKind.size(); ++I)
+      if (End.ByKind[I] > Start.ByKind[I])
+        print("bytes_" + When + "_" + std::string(FleetMessageNames[I].second),
+              Nodes, (End.ByKind[I] - Start.ByKind[I]) / Per, "B/s");
+  }
+
   bool know(const std::string &Service, std::uint64_t Version,
             const char *Host = nullptr) const {
     return std::all_of(
@@ -157,6 +169,9 @@
     Measured.RestCpu = Spent * 1e6 / Per;
     Measured.RestCalls = (End.Calls - Start.Calls) / Seconds;
     print("control_bytes_per_s_rest", Nodes, Measured.RestBytes, "B/s");
+    print("control_bytes_received_per_s_rest", Nodes,
+          (End.Received - Start.Received) / Per, "B/s");
+    printKinds("rest", Start, End, Per);
     print("control_cpu_us_per_s", Nodes, Measured.RestCpu, "us/s");
     print("platform_calls_per_s", Nodes, Measured.RestCalls, "1/s");
     print("platform_writes_per_s", Nodes, (End.Writes - Start.Writes) / Seconds,
@@ -206,6 +221,9 @@
     const std::string Rate = Alone ? "2" : "10";
     const double Bytes = (End.Bytes - Start.Bytes) / Per;
     print("control_bytes_per_s_" + Rate + "_changes", Nodes, Bytes, "B/s");
+    print("control_bytes_received_per_s_" + Rate + "_changes", Nodes,
+          (End.Received - Start.Received) / Per, "B/s");
+    printKinds(Rate + "_changes", Start, End, Per);
     print("control_cpu_us_per_s_" + Rate + "_changes", Nodes, Spent * 1e6 / Per,
           "us/s");
     print("platform_calls_per_s_" + Rate + "_changes", Nodes,
--- a/include/marjoramrail/fleet.h
+++ b/include/marjoramrail/fleet.h
@@ -237,7 +237,44 @@
   std::function<void(const std::string &)> Note = nullptr;
 };
 
+/// The kinds of fleet messages, for accounting.
+enum class fleet_message {
+  Announcement,
+  Assignment,
+  HostPing,
+  ViewFull,
+  Beat,
+  BucketDigests,
+  BucketVersions,
+  ViewRequest,
+  ViewDelta,
+  HostReport,
+  ProbeRequest,
+  ForceReport,
+  ForceAck,
+  News,
+};
+
+inline constexpr name_table<fleet_message, 14> FleetMessageNames = {{
+    {fleet_message::Announcement, "announcement"},
+    {fleet_message::Assignment, "assignment"},
+    {fleet_message::HostPing, "host_ping"},
+    {fleet_message::ViewFull, "view_full"},
+    {fleet_message::Beat, "beat"},
+    {fleet_message::BucketDigests, "bucket_digests"},
+    {fleet_message::BucketVersions, "bucket_versions"},
+    {fleet_message::ViewRequest, "view_request"},
+    {fleet_message::ViewDelta, "view_delta"},
+    {fleet_message::HostReport, "host_report"},
+    {fleet_message::ProbeRequest, "probe_request"},
+    {fleet_message::ForceReport, "force_report"},
+    {fleet_message::ForceAck, "force_ack"},
+    {fleet_message::News, "news"},
+}};
+
 struct fleet_counters {
+  /// Bytes count with their IPv4 and UDP headers.
+  std::array<std::uint64_t, FleetMessageNames.size()> BytesByKind{};
   std::uint64_t DatagramsSent = 0;
   std::uint64_t BytesSent = 0;
   std::uint64_t DatagramsReceived = 0;
--- a/src/fleet/announcer.cpp
+++ b/src/fleet/announcer.cpp
@@ -46,11 +46,13 @@
            Timers.now() - *LastHeard > SilentPeriods * Settings.Period;
   }
 
-  void announce() {
+  /// \p Urgent tells all its balancers.
+  void announce(bool Urgent) {
     ++Rounds;
     const announcement Mine = describe();
-    for (const endpoint &Balancer : Balancers)
-      send(Balancer, Mine);
+    for (std::size_t I = 0; I < Balancers.size(); ++I)
+      if (I == 0 || Urgent || Rounds % PeriodsPerSecondary == 0)
+        send(Balancers[I], Mine);
     if (Settings.Seeds.empty() || !cutOff())
       return;
     for (std::size_t I = 0; I < Settings.Fanout; ++I) {
@@ -61,8 +63,9 @@
   }
 
   void take(const endpoint &, const assignment &Assigned) {
-    if (!Assigned.Balancers.empty())
-      Balancers = Assigned.Balancers;
+    if (Assigned.Balancers.empty())
+      return;
+    Balancers = Assigned.Balancers;
   }
 
   void take(const endpoint &From, const host_ping &) { send(From, describe()); }
@@ -87,7 +90,7 @@
       return;
     if (Hooks.OnDeclaredDown)
       Hooks.OnDeclaredDown(Settings.Incarnation);
-    announce();
+    announce(true);
   }
 
   /// The fleet gave this very incarnation up: callers have been told that its
@@ -124,7 +127,7 @@
                                   std::move(Hooks))) {
   impl *Self = Impl.get();
   Self->Timer =
-      Timers.every(Self->Settings.Period, [Self] { Self->announce(); });
+      Timers.every(Self->Settings.Period, [Self] { Self->announce(false); });
 }
 
 announcer::~announcer() { Impl->Timers.cancel(Impl->Timer); }
@@ -144,7 +147,7 @@
   Impl->Faults += Failure ? 1 : 0;
 }
 
-void announcer::announceNow() { Impl->announce(); }
+void announcer::announceNow() { Impl->announce(true); }
 
 std::uint32_t announcer::incarnation() const {
   return Impl->Settings.Incarnation;
--- a/src/fleet/fleet_node.cpp
+++ b/src/fleet/fleet_node.cpp
@@ -29,6 +29,8 @@
 /// Everything is looked at now and then, e.g. to forget hosts long gone.
 constexpr duration LookAtAllPeriod = std::chrono::seconds(60);
 constexpr std::size_t DutiesPerBeat = 3;
+/// IPv4 and UDP headers; on the wire they count like the rest.
+constexpr std::size_t UdpOverhead = 28;
 
 std::string writerName(const fleet_settings &Settings) {
   return Settings.Name + "#" + std::to_string(Settings.Incarnation);
@@ -95,9 +97,10 @@
   void take(const endpoint &, const probe_request &Request) {
     Hearing.probe(Request);
   }
-  void take(const endpoint &, const force_report &Report) {
-    Force.take(Report);
+  void take(const endpoint &From, const force_report &Report) {
+    Force.take(From, Report);
   }
+  void take(const endpoint &, const force_ack &Ack) { Force.take(Ack); }
   template <typename Other>
   void take(const endpoint &From, const Other &Message) {
     Gossip.take(From, Message);
@@ -255,19 +258,22 @@
     return false;
   }
   const auto Bytes = encode(Message);
+  std::size_t Overhead = 0;
   const std::size_t Sent =
       sendInPieces(Bytes, ++LastMessage, [&](fleet_bytes Piece) {
         ++Counters.DatagramsSent;
+        Overhead += UdpOverhead;
         Hooks.Send(To, Piece);
       });
-  Counters.BytesSent += Sent;
-  Budget.spend(Sent);
+  Counters.BytesSent += Sent + Overhead;
+  Counters.BytesByKind[Message.index()] += Sent + Overhead;
+  Budget.spend(Sent + Overhead);
   return true;
 }
 
 void fleet_node::impl::input(const endpoint &From, fleet_bytes Bytes) {
   ++Counters.DatagramsReceived;
-  Counters.BytesReceived += Bytes.size();
+  Counters.BytesReceived += Bytes.size() + UdpOverhead;
   bool Fault = false;
   const auto Whole = Joiner.add(From, Bytes, Fault);
   Counters.Faults += Fault ? 1 : 0;
--- a/src/fleet/force_tree.cpp
+++ b/src/fleet/force_tree.cpp
@@ -8,11 +8,16 @@
 
 namespace {
 
-/// A report is sent again after this, doubled each time, since it may be lost.
-constexpr duration FirstRepeat = std::chrono::seconds(1);
-constexpr int MostRepeats = 5;
-/// Reports of children that come close together go up as one.
-constexpr duration Settle = std::chrono::milliseconds(200);
+/// A report that was not acknowledged is sent again after this.
+constexpr duration Repeat = std::chrono::seconds(2);
+constexpr int MostTries = 5;
+/// What comes within this goes up in one report. Five levels take two seconds,
+/// and a status is for people.
+constexpr duration Settle = std::chrono::milliseconds(400);
+/// Entries that fit one datagram.
+constexpr std::size_t MaxEntries = 20;
+/// After a change of the tree, only what changed lately is reported again.
+constexpr duration Lately = std::chrono::minutes(1);
 /// Names in a status; an operator needs a few to look at, not thousands.
 constexpr std::size_t MaxLagging = 3;
 
@@ -52,28 +57,35 @@
 
 void force_tree::changed(const std::string &Service, service_force &Force) {
   Force.ChangedAt = Timers.now();
-  Force.Repeats = 0;
+  Force.Report = 0;
+  Force.Tries = 0;
   Active.insert(Service);
 }
 
-void force_tree::take(const force_report &Report) {
-  service_force &Force = Services[Report.Service];
-  force_report &Known = Force.Children[Report.From];
-  if (Report.Version < Known.Version)
-    return;
-  const bool Same = Report.Version == Known.Version &&
-                    Report.NamesDigest == Known.NamesDigest &&
-                    Report.Nodes == Known.Nodes;
-  Known = Report;
-  if (!Same)
-    changed(Report.Service, Force);
+void force_tree::take(const endpoint &From, const force_report &Report) {
+  for (const force_entry &Entry : Report.Entries) {
+    service_force &Force = Services[Entry.Service];
+    force_entry &Known = Force.Children[Report.From];
+    if (Entry.Version < Known.Version || Entry == Known)
+      continue;
+    Known = Entry;
+    changed(Entry.Service, Force);
+  }
+  Hooks.Send(From, force_ack{Report.Number});
+}
+
+void force_tree::take(const force_ack &Ack) {
+  std::erase_if(Active, [&](const std::string &Service) {
+    const service_force &Force = Services[Service];
+    return Force.Report == Ack.Number && Force.Report != 0;
+  });
 }
 
-force_report force_tree::sum(const std::string &Service,
-                             const service_force &Force) {
+force_entry force_tree::sum(const std::string &Service,
+                            const service_force &Force) {
   const balancer_info &Self = Peers.self();
-  force_report Sum{Service, Views.versionOf(Service), Self.Name,
-                   1,       hashOfName(Self.Name),    {}};
+  force_entry Sum{
+      Service, Views.versionOf(Service), 1, hashOfName(Self.Name), {}};
   const place &Place = placeUnder(Hooks.Holder(Service));
   for (const std::string &Child : Place.Children) {
     const auto Found = Force.Children.find(Child);
@@ -93,44 +105,69 @@
   return Sum;
 }
 
-bool force_tree::send(const std::string &Service, service_force &Force,
-                      const std::string &Holder) {
-  const place &Place = placeUnder(Holder);
-  if (!Place.Parent)
-    Hooks.OnChange(Service);
-  else if (!Hooks.Send(Place.Parent->Control, sum(Service, Force)))
+bool force_tree::due(const service_force &Force) const {
+  if (Timers.now() - Force.ChangedAt < Settle)
     return false;
-  Force.SentAt = Timers.now();
-  return ++Force.Repeats >= MostRepeats;
+  return Force.Report == 0 || Timers.now() - Force.SentAt >= Repeat;
 }
 
-void force_tree::tick() {
-  // Another tree: children that reported elsewhere have to report here.
-  if (PeersVersion != Peers.version()) {
-    PeersVersion = Peers.version();
-    for (auto &[Service, Force] : Services)
-      if (Timers.now() - Force.ChangedAt < std::chrono::minutes(1)) {
-        Force.Repeats = 0;
-        Active.insert(Service);
-      }
+/// In another tree, children that reported elsewhere have to report here.
+void force_tree::reportAgain() {
+  PeersVersion = Peers.version();
+  for (auto &[Service, Force] : Services) {
+    if (Timers.now() - Force.ChangedAt >= Lately)
+      continue;
+    Force.Report = 0;
+    Force.Tries = 0;
+    Active.insert(Service);
   }
+}
+
+void force_tree::tick() {
+  if (PeersVersion != Peers.version())
+    reportAgain();
+  if (Timers.now() - TickedAt < Settle)
+    return;
+  TickedAt = Timers.now();
+  std::map<endpoint, std::vector<std::string>> ByParent;
   for (auto At = Active.begin(); At != Active.end();) {
     service_force &Force = Services[*At];
-    const duration Wait = FirstRepeat * (1 << Force.Repeats);
-    const bool Settling = Timers.now() - Force.ChangedAt < Settle;
-    const bool Repeated =
-        Force.Repeats > 0 && Timers.now() - Force.SentAt < Wait;
     const std::string Holder = Hooks.Holder(*At);
-    const bool Sends = !Settling && !Repeated && !Holder.empty();
-    const bool Done = Sends && send(*At, Force, Holder);
+    if (!due(Force) || Holder.empty()) {
+      ++At;
+      continue;
+    }
+    const auto &Parent = placeUnder(Holder).Parent;
+    if (Parent)
+      ByParent[Parent->Control].push_back(*At);
+    else
+      Hooks.OnChange(*At);
+    const bool Done = !Parent || ++Force.Tries > MostTries;
     At = Done ? Active.erase(At) : std::next(At);
   }
+  for (const auto &[Parent, Names] : ByParent)
+    send(Parent, Names);
+}
+
+void force_tree::send(const endpoint &Parent,
+                      const std::vector<std::string> &Names) {
+  for (std::size_t First = 0; First < Names.size(); First += MaxEntries) {
+    force_report Report{Peers.self().Name, ++LastReport, {}};
+    const std::size_t End = std::min(Names.size(), First + MaxEntries);
+    for (std::size_t I = First; I < End; ++I) {
+      service_force &Force = Services[Names[I]];
+      Report.Entries.push_back(sum(Names[I], Force));
+      Force.Report = Report.Number;
+      Force.SentAt = Timers.now();
+    }
+    Hooks.Send(Parent, Report);
+  }
 }
 
 force_summary force_tree::summary(const std::string &Service) {
   force_summary Summary;
   Summary.Of = static_cast<std::uint32_t>(Peers.living().size());
-  const force_report Sum = sum(Service, Services[Service]);
+  const force_entry Sum = sum(Service, Services[Service]);
   std::uint64_t Everyone = 0;
   for (const balancer_info &Peer : Peers.living())
     Everyone ^= hashOfName(Peer.Name);
--- a/src/fleet/force_tree.h
+++ b/src/fleet/force_tree.h
@@ -19,8 +19,8 @@
 class force_tree {
 public:
   struct hooks {
-    /// False if the byte budget is spent; it is tried again.
-    std::function<bool(const endpoint &, const message &)> Send;
+    /// May not send if the byte budget is spent.
+    std::function<void(const endpoint &, const message &)> Send;
     /// The name of the holder of the service's shard; empty if not known.
     std::function<std::string(const std::string &Service)> Holder;
     /// At the root: the sum has changed.
@@ -34,7 +34,8 @@
              const view_store &Views, hooks Hooks);
 
   void viewTaken(const std::string &Service);
-  void take(const force_report &Report);
+  void take(const endpoint &From, const force_report &Report);
+  void take(const force_ack &Ack);
   void tick();
 
   /// What this node knows as the root.
@@ -42,11 +43,12 @@
 
 private:
   struct service_force {
-    std::map<std::string, force_report> Children;
-    force_report Sent;
+    std::map<std::string, force_entry> Children;
     instant ChangedAt;
+    /// The report that carried it last, until it is acknowledged.
+    std::uint32_t Report = 0;
     instant SentAt;
-    int Repeats = 0;
+    int Tries = 0;
   };
 
   /// This node's place in the tree under one holder.
@@ -57,11 +59,11 @@
   };
 
   const place &placeUnder(const std::string &Holder);
-  force_report sum(const std::string &Service, const service_force &Force);
+  force_entry sum(const std::string &Service, const service_force &Force);
   void changed(const std::string &Service, service_force &Force);
-  /// Returns true when nothing is left to say.
-  bool send(const std::string &Service, service_force &Force,
-            const std::string &Holder);
+  bool due(const service_force &Force) const;
+  void reportAgain();
+  void send(const endpoint &Parent, const std::vector<std::string> &Names);
 
   timer_service &Timers;
   const peer_table &Peers;
@@ -72,6 +74,8 @@
   std::set<std::string> Active;
   std::map<std::string, place> Places;
   std::uint64_t PeersVersion = 0;
+  std::uint32_t LastReport = 0;
+  instant TickedAt;
 };
 
 } // namespace marjoramrail::internal
--- a/src/fleet/gossip.cpp
+++ b/src/fleet/gossip.cpp
@@ -10,6 +10,9 @@
 
 /// News that come within this go out as one beat.
 constexpr duration SpreadDelay = std::chrono::milliseconds(60);
+/// Between two rounds of news: when many changes come, each datagram carries
+/// several of them instead of its headers for one.
+constexpr duration SpreadPause = std::chrono::milliseconds(300);
 /// Peers that a node tells its news to at once; each then does the same.
 constexpr int SpreadFanout = 2;
 /// Peers that a node tells each new version to at once. With four, rumour
@@ -19,20 +22,21 @@
 /// without an exchange of digests while changes keep coming.
 constexpr std::size_t MaxRecent = 12;
 constexpr duration RecentFor = std::chrono::seconds(5);
-/// A requested view that did not come is asked for again, elsewhere or here.
-constexpr duration RequestAgain = std::chrono::milliseconds(400);
+/// A requested view that did not come is asked for again, of another peer: the
+/// first may have spent its byte budget.
+constexpr duration RequestAgain = std::chrono::milliseconds(600);
+constexpr int MaxRequests = 4;
 constexpr duration DigestsPause = std::chrono::seconds(2);
 /// Digests differ all the time while changes come; then they are compared
 /// only this often.
-constexpr duration DigestsPauseBusy = std::chrono::seconds(10);
+constexpr duration DigestsPauseBusy = std::chrono::seconds(5);
 constexpr duration Quiet = std::chrono::seconds(2);
 /// So that a beat with all of them fits one datagram.
 constexpr std::size_t MaxNews = 8;
 constexpr std::size_t MaxFill = 16;
 constexpr std::size_t MaxVersions = 24;
-/// Buckets answered at a time, and versions in an answer.
-constexpr std::size_t MaxBuckets = 4;
-constexpr std::size_t MaxListed = 1000;
+/// Versions in an answer to digests: three datagrams.
+constexpr std::size_t MaxListed = 150;
 constexpr std::size_t MaxAsked = 40;
 /// A fleet that was cut in two for longer than the dead are remembered finds
 /// itself again through the seeds.
@@ -76,7 +80,15 @@
   }
 }
 
-beat gossip::makeBeat(bool WantsAnswer, bool Fill, bool Periodic) {
+news gossip::makeNews() {
+  news News;
+  News.Peers = Peers.newsToSend(MaxNews, false);
+  News.Views = hotViews();
+  News.Duties = Hooks.Duties(false);
+  return News;
+}
+
+beat gossip::makeBeat(bool WantsAnswer, bool Fill) {
   beat Beat;
   Beat.From = Peers.self();
   Beat.WantsAnswer = WantsAnswer;
@@ -85,15 +97,14 @@
   Beat.Peers = Peers.newsToSend(Fill ? MaxFill : MaxNews, Fill);
   if (!Fill)
     Beat.Views = hotViews();
-  if (Periodic)
-    addRecent(Beat.Views);
-  Beat.Duties = Hooks.Duties(Periodic);
+  addRecent(Beat.Views);
+  Beat.Duties = Hooks.Duties(true);
   return Beat;
 }
 
 void gossip::period() {
   if (const auto Peer = Peers.nextToAsk(Timers.now()))
-    Hooks.Send(Peer->Control, makeBeat(true, PeersDiffer, true), true);
+    Hooks.Send(Peer->Control, makeBeat(true, PeersDiffer), true);
   const bool Alone = Peers.living().size() < 2;
   if (Alone || Periods % PeriodsPerSeed == 0)
     callSeed();
@@ -106,7 +117,7 @@
     return;
   const std::size_t At = SeedCalls++ % Count;
   Hooks.Send(At < Seeds.size() ? Seeds[At] : Contacts[At - Seeds.size()],
-             makeBeat(true, false, true), true);
+             makeBeat(true, false), true);
 }
 
 void gossip::addContact(const endpoint &Control) {
@@ -123,6 +134,26 @@
     Hooks.OnPeersChanged();
   if (Peers.hasNews() || !HotViews.empty())
     spreadSoon();
+  requestAgain();
+}
+
+void gossip::requestAgain() {
+  view_request Request;
+  for (auto At = Requested.begin(); At != Requested.end();) {
+    const bool Overdue = Timers.now() - At->second.AskedAt >= RequestAgain;
+    if (Overdue && At->second.Times >= MaxRequests) {
+      At = Requested.erase(At);
+      continue;
+    }
+    if (Overdue && Request.Have.size() < MaxAsked) {
+      At->second = {Timers.now(), At->second.Times + 1};
+      Request.Have.push_back({At->first, Views.versionOf(At->first)});
+    }
+    ++At;
+  }
+  const auto Peer = Peers.random();
+  if (Peer && !Request.Have.empty())
+    Hooks.Send(Peer->Control, Request, true);
 }
 
 void gossip::viewTaken(const std::string &Service) {
@@ -139,42 +170,53 @@
 void gossip::spreadSoon() {
   if (SpreadTimer)
     return;
-  SpreadTimer = Timers.after(SpreadDelay, [this] {
+  const duration Pause = SpreadPause - (Timers.now() - SpreadAt);
+  SpreadTimer = Timers.after(std::max(SpreadDelay, Pause), [this] {
     SpreadTimer.reset();
     spread();
   });
 }
 
 void gossip::spread() {
+  SpreadAt = Timers.now();
   for (int I = 0; I < SpreadFanout; ++I) {
     const auto Peer = Peers.random();
-    if (!Peer)
+    const bool Nothing = !Peers.hasNews() && HotViews.empty();
+    if (!Peer || (Nothing && I > 0))
       return;
-    if (!Hooks.Send(Peer->Control, makeBeat(false, false, false), false))
+    if (!Hooks.Send(Peer->Control, makeNews(), false))
       return;
   }
 }
 
-void gossip::take(const endpoint &From, const beat &Beat) {
-  Met = true;
-  bool Changed = Peers.heard(Beat.From, Timers.now());
+std::size_t gossip::takeNews(const endpoint &From, const news &News) {
   std::size_t Unknown = 0;
-  for (const peer_news &News : Beat.Peers) {
-    const bool New = Peers.take(News, Timers.now());
-    Unknown += New ? 1 : 0;
-    Changed = Changed || New;
-  }
-  if (Changed)
+  for (const peer_news &Peer : News.Peers)
+    Unknown += Peers.take(Peer, Timers.now()) ? 1 : 0;
+  if (Unknown > 0)
     Hooks.OnPeersChanged();
-  for (const duty_news &Duty : Beat.Duties)
+  for (const duty_news &Duty : News.Duties)
     Hooks.OnDuty(Duty);
-  compare(From, Beat.Views);
+  compare(From, News.Views);
+  return Unknown;
+}
+
+void gossip::take(const endpoint &From, const news &News) {
+  takeNews(From, News);
+}
+
+void gossip::take(const endpoint &From, const beat &Beat) {
+  Met = true;
+  if (Peers.heard(Beat.From, Timers.now()))
+    Hooks.OnPeersChanged();
+  const std::size_t Unknown =
+      takeNews(From, {Beat.Peers, Beat.Views, Beat.Duties});
   PeersDiffer = Beat.PeersDigest != Peers.digest();
   if (Beat.WantsAnswer)
-    Hooks.Send(From, makeBeat(false, PeersDiffer, true), true);
+    Hooks.Send(From, makeBeat(false, PeersDiffer), true);
   else if (Unknown * 2 > MaxFill)
     // There is more where this came from: a new node learns the fleet fast.
-    Hooks.Send(From, makeBeat(true, true, false), false);
+    Hooks.Send(From, makeBeat(true, true), false);
   if (Beat.ViewsDigest != Views.digest() && digestsDue())
     exchangeDigests(From);
 }
@@ -205,7 +247,7 @@
     Answer.Buckets.push_back(I);
     for (view_version &Version : Views.versionsIn(I))
       Answer.Views.push_back(std::move(Version));
-    if (Answer.Buckets.size() >= MaxBuckets || Answer.Views.size() >= MaxListed)
+    if (Answer.Views.size() >= MaxListed)
       break;
   }
   if (!Answer.Buckets.empty())
@@ -218,14 +260,14 @@
   std::map<std::string, std::uint64_t> Theirs;
   for (const view_version &Version : Versions.Views)
     Theirs[Version.Service] = Version.Version;
-  beat Beat = makeBeat(false, false, false);
+  news News;
   for (const std::uint32_t Bucket : Versions.Buckets)
     for (view_version &Mine : Views.versionsIn(Bucket))
       if (Theirs[Mine.Service] < Mine.Version &&
-          Beat.Views.size() < MaxVersions)
-        Beat.Views.push_back(std::move(Mine));
-  if (!Beat.Views.empty())
-    Hooks.Send(From, Beat, false);
+          News.Views.size() < MaxVersions)
+        News.Views.push_back(std::move(Mine));
+  if (!News.Views.empty())
+    Hooks.Send(From, News, false);
 }
 
 void gossip::compare(const endpoint &From,
@@ -236,9 +278,10 @@
     if (Version.Version <= Mine || Request.Have.size() >= MaxAsked)
       continue;
     const auto Asked = Requested.find(Version.Service);
-    if (Asked != Requested.end() && Timers.now() - Asked->second < RequestAgain)
+    if (Asked != Requested.end() &&
+        Timers.now() - Asked->second.AskedAt < RequestAgain)
       continue;
-    Requested[Version.Service] = Timers.now();
+    Requested[Version.Service] = {Timers.now(), 1};
     Request.Have.push_back({Version.Service, Mine});
   }
   if (!Request.Have.empty())
@@ -272,12 +315,10 @@
 }
 
 void gossip::leave() {
-  beat Beat = makeBeat(false, false, false);
-  Beat.Peers.insert(Beat.Peers.begin(),
-                    peer_news{Peers.self(), peer_state::Dead});
-  for (int I = 0; I < SpreadFanout; ++I)
+  const news News{{peer_news{Peers.self(), peer_state::Dead}}, {}, {}};
+  for (int I = 0; I < TellTimes; ++I)
     if (const auto Peer = Peers.random())
-      Hooks.Send(Peer->Control, Beat, true);
+      Hooks.Send(Peer->Control, News, true);
 }
 
 } // namespace marjoramrail::internal
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -44,6 +44,7 @@
   void tick();
 
   void take(const endpoint &From, const beat &Beat);
+  void take(const endpoint &From, const news &News);
   void take(const endpoint &From, const bucket_digests &Digests);
   void take(const endpoint &From, const bucket_versions &Versions);
   void take(const endpoint &From, const view_request &Request);
@@ -65,11 +66,20 @@
   bool met() const { return Met; }
 
 private:
-  beat makeBeat(bool WantsAnswer, bool Fill, bool Periodic);
+  struct request {
+    instant AskedAt;
+    int Times = 0;
+  };
+
+  beat makeBeat(bool WantsAnswer, bool Fill);
+  news makeNews();
+  /// Returns how many of the peers were unknown.
+  std::size_t takeNews(const endpoint &From, const news &News);
   std::vector<view_version> hotViews();
   void addRecent(std::vector<view_version> &Versions);
   bool digestsDue() const;
   void spread();
+  void requestAgain();
   void callSeed();
   void compare(const endpoint &From, const std::vector<view_version> &Theirs);
   void exchangeDigests(const endpoint &From);
@@ -84,8 +94,9 @@
   /// The views that changed last, newest first.
   std::deque<std::pair<std::string, instant>> Recent;
   /// Views asked for and not yet received.
-  std::map<std::string, instant> Requested;
+  std::map<std::string, request> Requested;
   std::optional<timer_id> SpreadTimer;
+  instant SpreadAt;
   instant DigestsAt;
   bool PeersDiffer = false;
   bool Met = false;
--- a/src/fleet/hearing.cpp
+++ b/src/fleet/hearing.cpp
@@ -17,6 +17,8 @@
 constexpr duration NeedsPause = std::chrono::seconds(5);
 /// Between two pushes of a view to one agent that has not got it yet.
 constexpr duration PushPause = std::chrono::milliseconds(900);
+/// An agent needs an answer now and then, to know that it is heard.
+constexpr duration AnswerPause = std::chrono::milliseconds(2500);
 constexpr duration RandomAskPause = std::chrono::seconds(2);
 /// Fewer hosts than this say nothing about the node's own link.
 constexpr std::size_t EnoughToDoubt = 3;
@@ -47,11 +49,6 @@
 void hearing::announced(const endpoint &From,
                         const announcement &Announcement) {
   const auto Assigned = Hooks.Assigned(Announcement.Host);
-  assignment Answer;
-  if (hashOfEndpoints(Assigned) != Announcement.AssignedHash)
-    Answer.Balancers = Assigned;
-  Hooks.Send(From, Answer);
-
   const std::string Key = keyOf(Announcement.Service, Announcement.Host);
   const auto Found = Hosts.find(Key);
   const bool WasAsked = Found != Hosts.end() && Found->second.Asked;
@@ -66,6 +63,7 @@
   // What was pushed and is not in force got lost: the next push is whole.
   Host.PushedVersion = 0;
   Host.Primary = !Assigned.empty() && Assigned.front() == Self;
+  answer(Host, Assigned);
   if (WasAsked)
     Hooks.Report(report_kind::Differs, Announcement);
   report(Host);
@@ -80,6 +78,22 @@
     Hosts.erase(Key);
 }
 
+void hearing::answer(host &Host, const std::vector<endpoint> &Assigned) {
+  assignment Answer;
+  if (hashOfEndpoints(Assigned) != Host.Last.AssignedHash)
+    Answer.Balancers = Assigned;
+  else if (Host.AnsweredAt &&
+           Timers.now() - *Host.AnsweredAt <
+               (Host.Primary ? 1 : PeriodsPerSecondary) * AnswerPause)
+    return;
+  Host.AnsweredAt = Timers.now();
+  Hooks.Send(Host.From, Answer);
+}
+
+duration hearing::boundFor(const host &Host) const {
+  return Host.Primary ? SilenceBound : PeriodsPerSecondary * SilenceBound;
+}
+
 bool hearing::differs(const announcement &Heard,
                       const membership *Members) const {
   const auto Place = placeOf(Members, Heard.Host);
@@ -141,19 +155,24 @@
   const std::string Key = keyOf(Request.Service, Request.Host);
   const auto Found = Hosts.find(Key);
   if (Found != Hosts.end() && !Found->second.Asked &&
-      Timers.now() - Found->second.HeardAt < SilenceBound) {
+      Timers.now() - Found->second.HeardAt < SilenceBound / 2) {
     Hooks.Report(report_kind::Differs, Found->second.Last);
     return;
   }
-  if (Found != Hosts.end())
+  if (Found != Hosts.end()) {
+    // It is asked now, not when its own silence is due.
+    Found->second.HeardAt =
+        std::min(Found->second.HeardAt, Timers.now() - boundFor(Found->second));
+    Found->second.Asked = true;
     return;
+  }
   host Host;
   Host.Last.Service = Request.Service;
   Host.Last.Host = Request.Host;
   Host.Last.Agent = Request.Agent;
   Host.Last.Incarnation = Request.Incarnation;
   Host.From = Request.Agent;
-  Host.HeardAt = Timers.now() - SilenceBound;
+  Host.HeardAt = Timers.now() - boundFor(Host);
   Host.Asked = true;
   Hosts[Key] = Host;
 }
@@ -171,13 +190,13 @@
 bool hearing::mostAreSilent() const {
   std::size_t Silent = 0;
   for (const auto &[Key, Host] : Hosts)
-    Silent += Timers.now() - Host.HeardAt >= SilenceBound ? 1 : 0;
+    Silent += Timers.now() - Host.HeardAt >= boundFor(Host) ? 1 : 0;
   return Hosts.size() >= EnoughToDoubt && Silent * 2 > Hosts.size();
 }
 
 bool hearing::checkSilence(host &Host, bool Trusted) {
   const instant Now = Timers.now();
-  if (Now - Host.HeardAt < SilenceBound)
+  if (Now - Host.HeardAt < boundFor(Host))
     return true;
   if (!stillSought(Host))
     return false;
--- a/src/fleet/hearing.h
+++ b/src/fleet/hearing.h
@@ -58,6 +58,7 @@
     bool Asked = false;
     int Pings = 0;
     instant PingedAt;
+    std::optional<instant> AnsweredAt;
     instant ReportedAt;
     std::optional<std::uint64_t> NeedsReported;
     instant NeedsAt;
@@ -67,6 +68,9 @@
     bool Primary = false;
   };
 
+  void answer(host &Host, const std::vector<endpoint> &Assigned);
+  /// How long this host may be silent here.
+  duration boundFor(const host &Host) const;
   void report(host &Host);
   bool differs(const announcement &Heard, const membership *Members) const;
   void push(host &Host, const membership &Members);
--- a/src/fleet/message.cpp
+++ b/src/fleet/message.cpp
@@ -27,9 +27,11 @@
 json pack(const peer_news &Value);
 json pack(const view_version &Value);
 json pack(const duty_news &Value);
+json pack(const force_entry &Value);
 void unpack(const json &From, peer_news &To);
 void unpack(const json &From, view_version &To);
 void unpack(const json &From, duty_news &To);
+void unpack(const json &From, force_entry &To);
 
 template <typename T> json pack(const std::vector<T> &Values) {
   json Packed = json::array();
@@ -195,17 +197,38 @@
   From.at(3).get_to(To.Incarnation);
 }
 
-json pack(const force_report &Value) {
-  return {Value.Service, Value.Version,     Value.From,
-          Value.Nodes,   Value.NamesDigest, pack(Value.Lagging)};
+json pack(const force_entry &Value) {
+  return {Value.Service, Value.Version, Value.Nodes, Value.NamesDigest,
+          pack(Value.Lagging)};
 }
-void unpack(const json &From, force_report &To) {
+void unpack(const json &From, force_entry &To) {
   From.at(0).get_to(To.Service);
   From.at(1).get_to(To.Version);
-  From.at(2).get_to(To.From);
-  From.at(3).get_to(To.Nodes);
-  From.at(4).get_to(To.NamesDigest);
-  unpack(From.at(5), To.Lagging);
+  From.at(2).get_to(To.Nodes);
+  From.at(3).get_to(To.NamesDigest);
+  unpack(From.at(4), To.Lagging);
+}
+
+json pack(const force_report &Value) {
+  return {Value.From, Value.Number, pack(Value.Entries)};
+}
+void unpack(const json &From, force_report &To) {
+  From.at(0).get_to(To.From);
+  From.at(1).get_to(To.Number);
+  unpack(From.at(2), To.Entries);
+}
+
+json pack(const force_ack &Value) { return json::array({Value.Number}); }
+void unpack(const json &From, force_ack &To) { From.at(0).get_to(To.Number); }
+
+json pack(const news &Value) {
+  return json::array(
+      {pack(Value.Peers), pack(Value.Views), pack(Value.Duties)});
+}
+void unpack(const json &From, news &To) {
+  unpack(From.at(0), To.Peers);
+  unpack(From.at(1), To.Views);
+  unpack(From.at(2), To.Duties);
 }
 
 /// Makes the alternative with index \p Kind and reads its fields.
--- a/src/fleet/message.h
+++ b/src/fleet/message.h
@@ -129,22 +129,44 @@
   std::uint32_t Incarnation = 0;
 };
 
-/// Up the tree to the holder: on how many nodes a view is in force.
-struct force_report {
+/// On how many nodes of a subtree a view is in force.
+struct force_entry {
   std::string Service;
   std::uint64_t Version = 0;
-  std::string From;
   std::uint32_t Nodes = 0;
   /// XOR of the hashes of their names: the holder compares it with its own
   /// list, so a node counted twice or missing never passes for all.
   std::uint64_t NamesDigest = 0;
   std::vector<std::string> Lagging;
+
+  bool operator==(const force_entry &) const = default;
+};
+
+/// Up the tree to a holder; several services at a time.
+struct force_report {
+  std::string From;
+  std::uint32_t Number = 0;
+  std::vector<force_entry> Entries;
+};
+
+/// The report with this number has come.
+struct force_ack {
+  std::uint32_t Number = 0;
+};
+
+/// What a beat says, without the sign of life: to spread what is new.
+struct news {
+  std::vector<peer_news> Peers;
+  std::vector<view_version> Views;
+  std::vector<duty_news> Duties;
 };
 
 using message =
     std::variant<announcement, assignment, host_ping, view_full, beat,
                  bucket_digests, bucket_versions, view_request, view_delta,
-                 host_report, probe_request, force_report>;
+                 host_report, probe_request, force_report, force_ack, news>;
+
+static_assert(std::variant_size_v<message> == FleetMessageNames.size());
 
 std::vector<std::uint8_t> encode(const message &Message);
 
--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -19,7 +19,7 @@
 /// The dead are remembered for as long as old news of them may go round.
 constexpr duration RememberDead = std::chrono::seconds(60);
 /// The answers that trustsItself() looks at.
-constexpr int AnswersKept = 4;
+constexpr std::size_t AnswersKept = 8;
 
 int timesToSpread(std::size_t Peers) {
   return 3 + 2 * static_cast<int>(std::bit_width(Peers));
@@ -64,6 +64,11 @@
   Entry.Since = Now;
   if (News.State == peer_state::Alive)
     Entry.Missed = 0;
+  // The silence of the dead is explained and says nothing about this node.
+  if (News.State == peer_state::Dead)
+    std::erase_if(Answers, [&](const answer &Answer) {
+      return Answer.Name == News.Info.Name;
+    });
   spread(News.Info.Name);
   if (Moved)
     rebuild();
@@ -107,7 +112,7 @@
   if (Found != Peers.end()) {
     entry &Entry = Found->second;
     if (Entry.AskedAt)
-      noteAnswer(true);
+      noteAnswer(Peer.Name, true);
     Entry.AskedAt.reset();
     Entry.Missed = 0;
     // Heard with our own ears: a suspicion of this incarnation that we hold
@@ -119,13 +124,21 @@
   return take({Peer, peer_state::Alive}, Now);
 }
 
-void peer_table::noteAnswer(bool Came) {
-  Answers = Answers << 1 | (Came ? 1U : 0U);
+/// Each peer counts once: a silent one is asked more often, and counting its
+/// silence each time would make a node of a small fleet doubt itself for ever.
+void peer_table::noteAnswer(const std::string &Name, bool Came) {
+  std::erase_if(Answers,
+                [&](const answer &Answer) { return Answer.Name == Name; });
+  Answers.push_front({Name, Came});
+  if (Answers.size() > AnswersKept)
+    Answers.pop_back();
 }
 
 bool peer_table::trustsItself() const {
-  const std::uint32_t Last = Answers & ((1U << AnswersKept) - 1);
-  return std::popcount(Last) * 2 >= AnswersKept;
+  const auto Came =
+      std::count_if(Answers.begin(), Answers.end(),
+                    [](const answer &Answer) { return Answer.Came; });
+  return static_cast<std::size_t>(Came) * 2 >= Answers.size();
 }
 
 std::optional<balancer_info> peer_table::nextToAsk(instant Now) {
@@ -158,7 +171,7 @@
 
 bool peer_table::missAnswer(entry &Entry, instant Now) {
   Entry.AskedAt.reset();
-  noteAnswer(false);
+  noteAnswer(Entry.News.Info.Name, false);
   // Asked again next, not after a whole round through the fleet.
   Round.push_back(Entry.News.Info.Name);
   if (Entry.News.State != peer_state::Alive ||
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -15,6 +15,7 @@
 
 #include "fleet/message.h"
 
+#include <deque>
 #include <map>
 #include <random>
 
@@ -71,7 +72,7 @@
   bool set(entry &Entry, const peer_news &News, instant Now);
   void spread(const std::string &Name);
   void rebuild();
-  void noteAnswer(bool Came);
+  void noteAnswer(const std::string &Name, bool Came);
   bool missAnswer(entry &Entry, instant Now);
 
   balancer_info Self;
@@ -84,8 +85,12 @@
   std::string FillCursor;
   std::uint64_t Version = 0;
   std::uint64_t Digest = 0;
-  /// The last answers, one bit each, newest lowest; 1 = came.
-  std::uint32_t Answers = ~0U;
+  struct answer {
+    std::string Name;
+    bool Came = false;
+  };
+  /// The last answers, or their lack, of different peers; newest first.
+  std::deque<answer> Answers;
 };
 
 } // namespace marjoramrail::internal
--- a/src/fleet/rendezvous.cpp
+++ b/src/fleet/rendezvous.cpp
@@ -36,8 +36,7 @@
   for (const endpoint &Endpoint : Endpoints) {
     const std::uint64_t Word =
         std::uint64_t{Endpoint.Address} << 16 | Endpoint.Port;
-    // Order does not matter: the agent announces to all of them alike.
-    Hash ^= XXH3_64bits(&Word, sizeof(Word));
+    Hash = XXH3_64bits_withSeed(&Word, sizeof(Word), Hash);
   }
   return static_cast<std::uint32_t>(Hash);
 }
--- a/src/fleet/rendezvous.h
+++ b/src/fleet/rendezvous.h
@@ -23,7 +23,13 @@
 /// The shard whose holder writes a service's membership.
 std::uint32_t shardOf(std::string_view Service, std::uint32_t Shards);
 
-/// A short digest of the endpoints that an agent announces to.
+/// Periods between two announcements to a balancer that is not the first of a
+/// host's: three heartbeats a second to 12,000 nodes from 130,000 hosts would
+/// take all of a node's byte budget, and the others only have to answer for the
+/// first when it is cut off or has died.
+inline constexpr int PeriodsPerSecondary = 3;
+
+/// A short digest of the endpoints that an agent announces to, in order.
 std::uint32_t hashOfEndpoints(const std::vector<endpoint> &Endpoints);
 
 } // namespace marjoramrail::internal
