Name the fleet's writers with characters that the platform takes

Cause: no balancer ever became ready beside the platform stand-in: each lease write was refused, 'writer: expected 1 to 128 of letters, digits, . _ : and -', because fleet_node names its writer NAME#INCARNATION. The fakes of the fleet's tests take any name. Change: ':' in place of '#'.

--- a/src/fleet/fleet_node.cpp
+++ b/src/fleet/fleet_node.cpp
@@ -31,7 +31,7 @@
 constexpr std::size_t DutiesPerBeat = 3;
 
 std::string writerName(const fleet_settings &Settings) {
-  return Settings.Name + "#" + std::to_string(Settings.Incarnation);
+  return Settings.Name + ":" + std::to_string(Settings.Incarnation);
 }
 
 balancer_info infoOf(const fleet_settings &Settings) {
