Connect to peers from the address that they know

Cause: relayed requests were answered 502 'outcome unknown' at once: an agent takes relays only from its peers' addresses, and the kernel connected from another address of the VM (127.0.0.1), so the peer closed the connection. Ruled out: a broken HTTP/2 session (no input error was seen), the peer ending the connection for silence or GOAWAY (none was seen). Change: tcp_stream::connect() can bind; agents connect from their own address. Conclusion: mended; a runtime test connects from a given address.

--- a/daemons/agent/kernel_stream.h
+++ b/daemons/agent/kernel_stream.h
@@ -9,8 +9,10 @@
 namespace marjoramrail {
 
 /// Connects to the target or to a peer agent.
-std::unique_ptr<byte_stream>
-connectByKernel(event_loop &Loop, const endpoint &Peer, byte_events Events);
+std::unique_ptr<byte_stream> connectByKernel(event_loop &Loop,
+                                             const endpoint &Peer,
+                                             byte_events Events,
+                                             std::uint32_t FromAddress);
 
 /// A peer agent's connection that relays requests here.
 class peer_connection {
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -109,9 +109,12 @@
   tcp_stream(const tcp_stream &) = delete;
   tcp_stream &operator=(const tcp_stream &) = delete;
 
-  /// Starts to connect; the outcome comes through a hook.
+  /// Starts to connect; the outcome comes through a hook. \p FromAddress, if
+  /// not 0, is the address to connect from: peers know a process by the address
+  /// in its settings, and the kernel may choose another one of the VM.
   static std::unique_ptr<tcp_stream> connect(event_loop &Loop,
-                                             const endpoint &Peer, hooks Hooks);
+                                             const endpoint &Peer, hooks Hooks,
+                                             std::uint32_t FromAddress = 0);
 
   void setHooks(hooks Hooks);
   endpoint peer() const;
--- a/src/runtime/tcp_stream.cpp
+++ b/src/runtime/tcp_stream.cpp
@@ -93,13 +93,29 @@
              sizeof(On));
 }
 
-std::unique_ptr<tcp_stream>
-tcp_stream::connect(event_loop &Loop, const endpoint &Peer, hooks Hooks) {
+/// Returns a socket bound to \p Address, or -1: libevent then makes its own,
+/// and a failure shows when it connects.
+static evutil_socket_t socketFrom(std::uint32_t Address) {
+  if (Address == 0)
+    return -1;
+  const int Socket =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const sockaddr_in Local = toSockaddr({Address, 0});
+  if (Socket >= 0)
+    bind(Socket, reinterpret_cast<const sockaddr *>(&Local), sizeof(Local));
+  return Socket;
+}
+
+std::unique_ptr<tcp_stream> tcp_stream::connect(event_loop &Loop,
+                                                const endpoint &Peer,
+                                                hooks Hooks,
+                                                std::uint32_t FromAddress) {
   auto State = std::make_unique<impl>();
   State->Peer = Peer;
   State->Hooks = std::move(Hooks);
-  State->Events = bufferevent_socket_new(
-      Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  State->Events =
+      bufferevent_socket_new(Loop.base(), socketFrom(FromAddress),
+                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   State->listen();
   sockaddr_in Address = toSockaddr(Peer);
   bufferevent_socket_connect(
--- a/test/runtime/sockets_test.cpp
+++ b/test/runtime/sockets_test.cpp
@@ -72,3 +72,25 @@
   CHECK(Received == "request");
   CHECK(ServerClosed);
 }
+
+TEST_CASE("tcp_stream connects from the address it is told to") {
+  // An agent takes relayed requests only from the addresses of its peers. The
+  // kernel would connect from another address of the VM, the relay would be
+  // turned away and the caller told that the outcome is unknown.
+  event_loop Loop;
+  endpoint Seen;
+  std::unique_ptr<tcp_stream> Accepted;
+  tcp_listener Listener(Loop, [&](std::unique_ptr<tcp_stream> Stream) {
+    Accepted = std::move(Stream);
+    Seen = Accepted->peer();
+    Loop.stop();
+  });
+  REQUIRE(Listener.open({0x7f010203, 0}));
+  Loop.timers().after(seconds(10), [&] { Loop.stop(); });
+
+  const auto Client =
+      tcp_stream::connect(Loop, Listener.local(), {}, 0x7f040506);
+  Loop.run();
+
+  CHECK(Seen.Address == 0x7f040506);
+}
