--- a/daemons/agent/agent_process.h
+++ b/daemons/agent/agent_process.h
@@ -28,6 +28,9 @@
   /// latest after the settings' bound.
   void terminate();
 
+  /// A view of the service; the fleet's come by the announcer.
+  void takeView(const membership &Next);
+
 private:
   void takeBatch(std::span<const datagram> Batch);
   void takePeerMessage(const datagram &Datagram);
@@ -37,7 +40,6 @@
   void sendReset(const tcp_packet &Packet);
   void sendAnswer(bytes_view Packet);
 
-  void takeView(const membership &Members);
   void useView(const membership &Members);
   void readRules(std::uint64_t SpecVersion);
   void takeRules(const platform_reply &Reply);
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -84,6 +84,8 @@
     event_base_loop(Impl->Base.get(), EVLOOP_ONCE);
     Timers.advance(monotonicNow());
   }
+  // It may be run again.
+  Impl->Stopped = false;
 }
 
 void event_loop::stop() {
