--- a/src/fleet/fleet_node.cpp
+++ b/src/fleet/fleet_node.cpp
@@ -33,7 +33,7 @@
 constexpr std::size_t UdpOverhead = 28;
 
 std::string writerName(const fleet_settings &Settings) {
-  return Settings.Name + "#" + std::to_string(Settings.Incarnation);
+  return Settings.Name + ":" + std::to_string(Settings.Incarnation);
 }
 
 balancer_info infoOf(const fleet_settings &Settings) {
