Relay from the agent's own address, and only once the other side has spoken

Relays connected from another address than the agent's, so the peer closed them as foreign, and what had been sent already had to count as unknown. Change: kernel connections leave from the agent's address; a link sends requests when the other side's first bytes have come, so a connection that is taken and ended gives an explicit not run.

--- a/daemons/agent/agent_process.cpp
+++ b/daemons/agent/agent_process.cpp
@@ -213,7 +213,7 @@
   Proxied.SilentFlow = Settings.SilentFlow;
   proxy_hooks Hooks;
   Hooks.Connect = [this](const endpoint &Peer, byte_events Events) {
-    return connectByKernel(Loop, Peer, std::move(Events));
+    return connectByKernel(Loop, Settings.RelayListen, Peer, std::move(Events));
   };
   Hooks.RelayOf = [this](host_id Peer) { return relayOf(Peer); };
   Proxy =
--- a/daemons/agent/kernel_stream.cpp
+++ b/daemons/agent/kernel_stream.cpp
@@ -6,13 +6,14 @@
 
 class kernel_stream : public byte_stream {
 public:
-  kernel_stream(event_loop &Loop, const endpoint &Peer, byte_events Events) {
+  kernel_stream(event_loop &Loop, const endpoint &Local, const endpoint &Peer,
+                byte_events Events) {
     tcp_stream::hooks Hooks;
     Hooks.OnConnected = std::move(Events.OnConnected);
     Hooks.OnData = std::move(Events.OnData);
     Hooks.OnClosed = [OnClosed = std::move(Events.OnClosed)](
                          const std::string &) { OnClosed(); };
-    Stream = tcp_stream::connect(Loop, Peer, std::move(Hooks));
+    Stream = tcp_stream::connectFrom(Loop, Local, Peer, std::move(Hooks));
   }
 
   void write(std::string_view Bytes) override { Stream->write(Bytes); }
@@ -23,9 +24,11 @@
 
 } // namespace
 
-std::unique_ptr<byte_stream>
-connectByKernel(event_loop &Loop, const endpoint &Peer, byte_events Events) {
-  return std::make_unique<kernel_stream>(Loop, Peer, std::move(Events));
+std::unique_ptr<byte_stream> connectByKernel(event_loop &Loop,
+                                             const endpoint &Local,
+                                             const endpoint &Peer,
+                                             byte_events Events) {
+  return std::make_unique<kernel_stream>(Loop, Local, Peer, std::move(Events));
 }
 
 peer_connection::peer_connection(event_loop &Loop,
--- a/daemons/agent/kernel_stream.h
+++ b/daemons/agent/kernel_stream.h
@@ -8,9 +8,12 @@
 
 namespace marjoramrail {
 
-/// Connects to the target or to a peer agent.
-std::unique_ptr<byte_stream>
-connectByKernel(event_loop &Loop, const endpoint &Peer, byte_events Events);
+/// Connects to the target or to a peer agent, which knows us by the address of
+/// \p Local.
+std::unique_ptr<byte_stream> connectByKernel(event_loop &Loop,
+                                             const endpoint &Local,
+                                             const endpoint &Peer,
+                                             byte_events Events);
 
 /// A peer agent's connection that relays requests here.
 class peer_connection {
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -113,6 +113,12 @@
   static std::unique_ptr<tcp_stream> connect(event_loop &Loop,
                                              const endpoint &Peer, hooks Hooks);
 
+  /// Connects from the address of \p Local, by which the peer knows us.
+  static std::unique_ptr<tcp_stream> connectFrom(event_loop &Loop,
+                                                 const endpoint &Local,
+                                                 const endpoint &Peer,
+                                                 hooks Hooks);
+
   void setHooks(hooks Hooks);
   endpoint peer() const;
   void write(std::string_view Bytes);
--- a/src/proxy/client_link.cpp
+++ b/src/proxy/client_link.cpp
@@ -42,7 +42,7 @@
 void client_link::send(request_id Id, const h2_head &Head, std::string Body,
                        bool End) {
   waiting Request{Head, std::move(Body), End};
-  if (Connected)
+  if (Standing)
     submit(Id, Request);
   else
     Waiting[Id] = std::move(Request);
@@ -113,12 +113,20 @@
     return;
   if (!Session->input(Bytes))
     return closed();
+  if (!std::exchange(Standing, true))
+    submitWaiting();
   Hooks.OnInput();
 }
 
 void client_link::connected() {
   Connected = true;
   Session->flush();
+}
+
+/// The other side has spoken, so it is there and takes requests. Sent any
+/// earlier, a request that meets a closing or a refusing process would have to
+/// be told as unknown although nobody saw it.
+void client_link::submitWaiting() {
   for (const auto &[Id, Request] : std::exchange(Waiting, {}))
     submit(Id, Request);
 }
--- a/src/proxy/client_link.h
+++ b/src/proxy/client_link.h
@@ -58,6 +58,7 @@
   void submit(request_id Id, const waiting &Request);
   void input(std::string_view Bytes);
   void connected();
+  void submitWaiting();
   void closed();
   void onHead(h2_stream Stream, const h2_head &Head, bool End);
   void onData(h2_stream Stream, std::string_view Bytes, bool End);
@@ -71,6 +72,8 @@
   std::map<request_id, h2_stream> ByRequest;
   std::map<h2_stream, request_id> ByStream;
   bool Connected = false;
+  /// The other side's first bytes have come.
+  bool Standing = false;
   bool Over = false;
   bool Closed = false;
 };
--- a/src/runtime/tcp_stream.cpp
+++ b/src/runtime/tcp_stream.cpp
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace marjoramrail {
 
@@ -93,13 +94,36 @@
              sizeof(On));
 }
 
+/// A socket bound to the address of \p Local with any port; -1, by which
+/// libevent makes an unbound one, if there is none or it cannot be had.
+static evutil_socket_t boundSocket(const endpoint &Local) {
+  if (Local.Address == 0)
+    return -1;
+  const int Socket =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const sockaddr_in Address = toSockaddr({Local.Address, 0});
+  if (Socket < 0 || bind(Socket, reinterpret_cast<const sockaddr *>(&Address),
+                         sizeof(Address)) == 0)
+    return Socket;
+  close(Socket);
+  return -1;
+}
+
 std::unique_ptr<tcp_stream>
 tcp_stream::connect(event_loop &Loop, const endpoint &Peer, hooks Hooks) {
+  return connectFrom(Loop, endpoint(), Peer, std::move(Hooks));
+}
+
+std::unique_ptr<tcp_stream> tcp_stream::connectFrom(event_loop &Loop,
+                                                    const endpoint &Local,
+                                                    const endpoint &Peer,
+                                                    hooks Hooks) {
   auto State = std::make_unique<impl>();
   State->Peer = Peer;
   State->Hooks = std::move(Hooks);
-  State->Events = bufferevent_socket_new(
-      Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  State->Events =
+      bufferevent_socket_new(Loop.base(), boundSocket(Local),
+                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   State->listen();
   sockaddr_in Address = toSockaddr(Peer);
   bufferevent_socket_connect(
--- a/test/proxy/proxy_bench.h
+++ b/test/proxy/proxy_bench.h
@@ -31,6 +31,7 @@
   std::unique_ptr<h2_session> Session;
   std::deque<seen> Requests;
   bool Open = true;
+  bool Connected = false;
 
   far_server() {
     h2_hooks Hooks;
@@ -197,7 +198,10 @@
     far_server &Server = *List.back();
     Server.Events = std::move(Events);
     Timers.after(std::chrono::milliseconds(1), [this, To, &Server] {
-      Unreachable[To] ? Server.Events.OnClosed() : Server.Events.OnConnected();
+      if (Unreachable[To])
+        return Server.Events.OnClosed();
+      Server.Connected = true;
+      Server.Events.OnConnected();
     });
     return std::make_unique<stream>(Server);
   }
@@ -214,7 +218,7 @@
   }
 
   static bool moveServer(far_server &Server) {
-    if (!Server.Open)
+    if (!Server.Open || !Server.Connected)
       return false;
     const std::string Up = std::exchange(Server.ToServer, {});
     if (!Up.empty())
--- a/test/proxy/request_proxy_test.cpp
+++ b/test/proxy/request_proxy_test.cpp
@@ -124,6 +124,25 @@
   CHECK(Caller.Answers[Asked].Head.get("x-marjoramrail-run") == "no");
 }
 
+TEST_CASE("a request is not sent to a process that takes connections and ends "
+          "them") {
+  // The target's listener still takes connections while its process goes down.
+  // Nobody has seen the request, so the caller may be told to send it again.
+  proxy_bench Bench;
+  near_caller &Caller = Bench.open();
+  const h2_stream Asked = Caller.ask("/work");
+  Bench.exchange();
+  far_server &Target = Bench.target();
+  Target.Open = false;
+  Target.ToProxy.clear();
+  Target.Events.OnConnected();
+
+  Bench.cut(Target);
+
+  CHECK(Caller.Answers[Asked].Status == "503");
+  CHECK(Target.ToServer.find("ledger") == std::string::npos);
+}
+
 TEST_CASE("a target that came back gets requests again") {
   proxy_bench Bench;
   near_caller &Caller = Bench.open();
