Carry the balancer's address in the routed header, for notices of owners

Cause: an owner that gets a packet by way of another agent does not know which balancer sent it, and only then is its notice worth anything: the cache could never fill. Change: the u16 that had to be zero and four more bytes hold the balancer's address; agents pass it on unchanged. Ruled out: the agent that passes a packet on telling the balancer (it does not know the owner either).

--- a/daemons/balancer/balancer_settings.cpp
+++ b/daemons/balancer/balancer_settings.cpp
@@ -33,6 +33,7 @@
   Settings.Platform = Reader.addresses("platform", /*Required=*/true);
   Settings.Balancers = Reader.addresses("balancers", /*Required=*/false);
   Settings.Grace = seconds(Reader, "grace_seconds", 2, 0);
+  Settings.Core.Self = Settings.FabricListen;
   Settings.Core.StaleAfter = seconds(Reader, "stale_seconds", 10, 1);
   Settings.Core.CachedOwners = static_cast<std::size_t>(
       Reader.number("cached_owners", 65536, 1, MostCachedOwners));
--- a/include/marjoramrail/balancer.h
+++ b/include/marjoramrail/balancer.h
@@ -35,6 +35,8 @@
 namespace marjoramrail {
 
 struct balancer_settings {
+  /// Where agents send their notices; without it they send none.
+  endpoint Self = {};
   /// Packets are marked routed_flag::Stale when nothing was heard of the fleet
   /// for longer. A few heartbeats: shorter would mark packets at each lost one.
   duration StaleAfter = std::chrono::seconds(10);
--- a/include/marjoramrail/wire.h
+++ b/include/marjoramrail/wire.h
@@ -7,9 +7,11 @@
 /// A routed packet is one UDP datagram, integers in network byte order:
 ///
 ///   u16 magic 0x4d52 | u8 format 1 | u8 flags | u32 service | u64 version |
-///   u8 position | u8 count | u16 zero | count x (u32 address, u16 port) |
-///   the caller's IPv4 packet, unchanged
+///   u8 position | u8 count | u32 address, u16 port of the balancer |
+///   count x (u32 address, u16 port) | the caller's IPv4 packet, unchanged
 ///
+/// The balancer's address goes along so that the owner at the end of the way
+/// can name itself to it (owner_notice); it is 0 if the balancer wants no word.
 /// `version` is the view's version at the balancer; `position` is the place in
 /// the list that this datagram was sent to. An agent that does not own the flow
 /// raises it and sends the datagram on, so a packet visits each owner at most
@@ -99,7 +101,7 @@
 /// As many as owner_list holds: the choices of all generations of a view.
 inline constexpr std::size_t MaxRoutedOwners = 32;
 inline constexpr std::size_t MaxPacketBytes = 1500;
-inline constexpr std::size_t RoutedFixedBytes = 20;
+inline constexpr std::size_t RoutedFixedBytes = 24;
 inline constexpr std::size_t MaxRoutedBytes =
     RoutedFixedBytes + MaxRoutedOwners * 6 + MaxPacketBytes;
 
@@ -120,6 +122,8 @@
   std::uint8_t Flags = 0;
   std::uint8_t Position = 0;
   std::uint8_t Count = 0;
+  /// Where the owner may send its notice.
+  endpoint Balancer;
   std::array<endpoint, MaxRoutedOwners> Owners{};
   bytes_view Packet;
 
@@ -141,8 +145,9 @@
 /// An agent's word to a balancer that it owns a flow, so that the flow's next
 /// packets reach it without a detour. The balancer may forget it at any time.
 ///
-/// One UDP datagram from the owner's routed socket to the address that the
-/// packet came from, integers in network byte order:
+/// One UDP datagram from the owner's routed socket to routed_packet::Balancer,
+/// worth sending when a packet came by way of another agent (Position > 0);
+/// integers in network byte order:
 ///
 ///   u16 magic 0x4d4f | u8 format 1 | u8 zero | u32 service | u64 version |
 ///   3 x (u32 address, u16 port): caller, service, owner
--- a/src/balancer/balancer_core.cpp
+++ b/src/balancer/balancer_core.cpp
@@ -114,6 +114,7 @@
   routed_packet Routed;
   Routed.Service = Router.id();
   Routed.Version = Router.version();
+  Routed.Balancer = Settings.Self;
   if (isStale(Now))
     Routed.Flags |= static_cast<std::uint8_t>(routed_flag::Stale);
   Routed.Count = static_cast<std::uint8_t>(Owners.size());
--- a/src/wire/routed_packet.cpp
+++ b/src/wire/routed_packet.cpp
@@ -35,7 +35,7 @@
   Writer.put(Routed.Version);
   Writer.put(Routed.Position);
   Writer.put(Routed.Count);
-  Writer.put(std::uint16_t(0));
+  Writer.put(Routed.Balancer);
   for (std::size_t I = 0; I < Routed.Count; ++I)
     Writer.put(Routed.Owners[I]);
   std::copy(Routed.Packet.begin(), Routed.Packet.end(), Writer.position());
@@ -69,8 +69,7 @@
   Routed.Version = Reader.take<std::uint64_t>();
   Routed.Position = Reader.take<std::uint8_t>();
   Routed.Count = Reader.take<std::uint8_t>();
-  if (Reader.take<std::uint16_t>() != 0)
-    return packet_fault::BadFormat;
+  Routed.Balancer = Reader.takeEndpoint();
   const packet_fault Fault = checkList(Routed, Bytes.size());
   if (Fault != packet_fault::None)
     return Fault;
