--- a/test/runtime/sockets_test.cpp
+++ b/test/runtime/sockets_test.cpp
@@ -89,7 +89,7 @@
   Loop.timers().after(seconds(10), [&] { Loop.stop(); });
 
   const auto Client =
-      tcp_stream::connect(Loop, Listener.local(), {}, 0x7f040506);
+      tcp_stream::connectFrom(Loop, {0x7f040506, 0}, Listener.local(), {});
   Loop.run();
 
   CHECK(Seen.Address == 0x7f040506);
