Keep the order of each link in the fabric; see the present in every hook

Cause: documents took 120 to 262 ms after their target had finished. The fabric's jitter let answers on one link overtake each other; the callers' TCP took that for loss. Beside it: hooks of sockets saw the time at which the loop fell asleep, so delays counted there ended too early. Ruled out: Nagle's algorithm (off), the target (begin to end 4 ms), admission (no wait). With jitter 0 the slow answers were gone: p99 31 ms. Change: packets of one link keep their order, reorder_percent is a fault of its own; timer_service::observe() and event_loop::wake() at each socket event.

--- a/include/marjoramrail/base.h
+++ b/include/marjoramrail/base.h
@@ -22,6 +22,7 @@
 #ifndef MARJORAMRAIL_BASE_H
 #define MARJORAMRAIL_BASE_H
 
+#include <algorithm>
 #include <array>
 #include <boost/leaf.hpp>
 #include <chrono>
@@ -217,6 +218,12 @@
   /// callback sees now() as its own due time. Time never goes back.
   void advance(instant To);
 
+  /// Moves the clock to \p To without firing anything: what is due fires on
+  /// the next advance(). For a loop that has slept and is in an event's hook,
+  /// where a delay counted from the old time would end too early and a timer's
+  /// callback could destroy what the event is about.
+  void observe(instant To) { Now = std::max(Now, To); }
+
   /// The next due time, for the loop's sleep.
   std::optional<instant> nextDue() const;
 
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -48,6 +48,10 @@
   void run();
   void stop();
 
+  /// Moves the timers' clock to the present, see timer_service::observe().
+  /// Every event of a socket starts with it, since the loop may have slept.
+  void wake();
+
   /// Runs \p Task when the current callback has returned, for owners that must
   /// not destroy an object from within its own hook.
   void defer(std::function<void()> Task);
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -88,6 +88,8 @@
   Impl->Stopped = false;
 }
 
+void event_loop::wake() { Timers.observe(monotonicNow()); }
+
 void event_loop::stop() {
   Impl->Stopped = true;
   event_base_loopbreak(Impl->Base.get());
--- a/src/runtime/tcp_stream.cpp
+++ b/src/runtime/tcp_stream.cpp
@@ -13,6 +13,7 @@
 using namespace internal;
 
 struct tcp_stream::impl {
+  event_loop *Loop = nullptr;
   endpoint Peer;
   hooks Hooks;
   bufferevent *Events = nullptr;
@@ -44,6 +45,7 @@
 }
 
 void tcp_stream::impl::read() {
+  Loop->wake();
   evbuffer *Input = bufferevent_get_input(Events);
   const std::size_t Size = evbuffer_get_length(Input);
   const auto *Bytes =
@@ -55,6 +57,7 @@
 }
 
 void tcp_stream::impl::drained() {
+  Loop->wake();
   if (Closing)
     return event(BEV_EVENT_EOF);
   if (std::exchange(Finishing, false))
@@ -64,6 +67,7 @@
 }
 
 void tcp_stream::impl::event(short What) {
+  Loop->wake();
   if ((What & BEV_EVENT_CONNECTED) != 0) {
     Connected = true;
     if (Hooks.OnConnected)
@@ -119,6 +123,7 @@
                                                     const endpoint &Peer,
                                                     hooks Hooks) {
   auto State = std::make_unique<impl>();
+  State->Loop = &Loop;
   State->Peer = Peer;
   State->Hooks = std::move(Hooks);
   State->Events =
@@ -182,7 +187,9 @@
 void tcp_listener::impl::accept(evconnlistener *, evutil_socket_t Socket,
                                 sockaddr *Address, int, void *User) {
   auto &Self = *static_cast<impl *>(User);
+  Self.Loop.wake();
   auto State = std::make_unique<tcp_stream::impl>();
+  State->Loop = &Self.Loop;
   State->Peer = toEndpoint(*reinterpret_cast<sockaddr_in *>(Address));
   State->Connected = true;
   State->Events =
--- a/src/runtime/udp_socket.cpp
+++ b/src/runtime/udp_socket.cpp
@@ -65,6 +65,7 @@
 };
 
 void udp_socket::impl::receive() {
+  Loop.wake();
   std::array<datagram, BatchSize> Batch;
   for (int Round = 0; Round < BatchesPerWakeup; ++Round) {
     for (mmsghdr &Header : In.Headers)
--- a/standins/fabric/control_message.cpp
+++ b/standins/fabric/control_message.cpp
@@ -82,6 +82,9 @@
   } else if (Name == "duplicate_percent") {
     BOOST_LEAF_ASSIGN(Faults.DuplicatePercent,
                       numberOf(Name, Value, MostPercent));
+  } else if (Name == "reorder_percent") {
+    BOOST_LEAF_ASSIGN(Faults.ReorderPercent,
+                      numberOf(Name, Value, MostPercent));
   } else if (Name == "delay_ms") {
     BOOST_LEAF_AUTO(Count, numberOf(Name, Value, MostMilliseconds));
     Faults.Delay = milliseconds(Count);
--- a/standins/fabric/control_message.h
+++ b/standins/fabric/control_message.h
@@ -7,7 +7,8 @@
 ///   {"balancers": ["127.0.0.1:4000", ...]}   the list to spray over
 ///   {"drop_percent": 1}                      lost, in each direction
 ///   {"duplicate_percent": 1}                 sent twice
-///   {"delay_ms": 3, "jitter_ms": 1}          3 to 4 ms one way; may reorder
+///   {"delay_ms": 3, "jitter_ms": 1}          3 to 4 ms one way
+///   {"reorder_percent": 1}                   may overtake on their own link
 ///   {"cut": ["127.0.0.1:4000", ...]}         nothing to that balancer, or
 ///                                            from that agent, gets through;
 ///                                            [] ends all cuts
--- a/standins/fabric/fabric_model.cpp
+++ b/standins/fabric/fabric_model.cpp
@@ -39,7 +39,7 @@
   std::uniform_int_distribution<std::size_t> Pick(0, Balancers.size() - 1);
   const endpoint To = Balancers[Pick(Random)];
   if (!isCut(To))
-    carry(fabric_side::Balancers, To, Bytes, Now);
+    carry(fabric_side::Balancers, {From, To}, Bytes, Now);
 }
 
 void fabric_model::fromAgent(const endpoint &From, bytes_view Bytes,
@@ -56,34 +56,43 @@
     return;
   }
   if (!isCut(From))
-    carry(fabric_side::Callers, Behind->second, Bytes, Now);
+    carry(fabric_side::Callers, {From, Behind->second}, Bytes, Now);
 }
 
-void fabric_model::carry(fabric_side Side, const endpoint &To, bytes_view Bytes,
+void fabric_model::carry(fabric_side Side, const link &Link, bytes_view Bytes,
                          instant Now) {
   if (chance(Faults.DropPercent)) {
     ++Counters.Dropped;
     return;
   }
-  carryOnce(Side, To, Bytes, Now);
+  carryOnce(Side, Link, Bytes, Now);
   if (!chance(Faults.DuplicatePercent))
     return;
   ++Counters.Duplicated;
-  carryOnce(Side, To, Bytes, Now);
+  carryOnce(Side, Link, Bytes, Now);
 }
 
-void fabric_model::carryOnce(fabric_side Side, const endpoint &To,
-                             bytes_view Bytes, instant Now) {
+instant fabric_model::dueOn(const link &Link, instant Now) {
   duration Delay = Faults.Delay;
   if (Faults.Jitter > duration(0))
     Delay += duration(std::uniform_int_distribution<duration::rep>(
         0, Faults.Jitter.count())(Random));
-  if (Delay > duration(0)) {
-    Queue.add(Now + Delay, Side, To, Bytes);
+  if (chance(Faults.ReorderPercent))
+    return Now + Delay;
+  instant &Last = LastDue[Link];
+  Last = std::max(Last, Now + Delay);
+  return Last;
+}
+
+void fabric_model::carryOnce(fabric_side Side, const link &Link,
+                             bytes_view Bytes, instant Now) {
+  const instant Due = dueOn(Link, Now);
+  if (Due > Now) {
+    Queue.add(Due, Side, Link.To, Bytes);
     return;
   }
   ++Counters.Delivered;
-  Send(Side, To, Bytes);
+  Send(Side, Link.To, Bytes);
 }
 
 void fabric_model::deliverDue(instant Now) {
--- a/standins/fabric/fabric_model.h
+++ b/standins/fabric/fabric_model.h
@@ -30,8 +30,12 @@
   double DropPercent = 0;
   double DuplicatePercent = 0;
   duration Delay{};
-  /// Added to the delay, evenly spread from 0.
+  /// Added to the delay, evenly spread from 0. Packets between the same two
+  /// endpoints keep their order, as on a real link whose queue is longer or
+  /// shorter; those of one flow over different balancers may overtake.
   duration Jitter{};
+  /// Packets that may overtake others on their own link all the same.
+  double ReorderPercent = 0;
   std::vector<fabric_cut> Cuts;
 };
 
@@ -73,12 +77,18 @@
   const fabric_counters &counters() const { return Counters; }
 
 private:
+  struct link {
+    endpoint From;
+    endpoint To;
+    auto operator<=>(const link &) const = default;
+  };
+
   bool chance(double Percent);
   bool isCut(const endpoint &Endpoint);
-  void carry(fabric_side Side, const endpoint &To, bytes_view Bytes,
-             instant Now);
-  void carryOnce(fabric_side Side, const endpoint &To, bytes_view Bytes,
+  void carry(fabric_side Side, const link &Link, bytes_view Bytes, instant Now);
+  void carryOnce(fabric_side Side, const link &Link, bytes_view Bytes,
                  instant Now);
+  instant dueOn(const link &Link, instant Now);
 
   std::mt19937_64 Random;
   send_hook Send;
@@ -87,6 +97,8 @@
   /// By the callers' own addresses.
   std::unordered_map<std::uint32_t, endpoint> CallerBehind;
   delay_queue Queue;
+  /// When the last packet of each link is due.
+  std::map<link, instant> LastDue;
   fabric_counters Counters;
 };
 
--- a/test/base/timer_service_test.cpp
+++ b/test/base/timer_service_test.cpp
@@ -37,3 +37,16 @@
 
   CHECK(Timers.now() == instant(seconds(5)));
 }
+
+TEST_CASE("timer_service fires what observe() passed on the next advance") {
+  timer_service Timers;
+  int Fired = 0;
+  Timers.after(seconds(1), [&] { ++Fired; });
+
+  Timers.observe(instant(seconds(2)));
+  const int FiredByObserving = Fired;
+  Timers.advance(instant(seconds(2)));
+
+  CHECK(FiredByObserving == 0);
+  CHECK(Fired == 1);
+}
--- a/test/runtime/sockets_test.cpp
+++ b/test/runtime/sockets_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace marjoramrail;
 using std::chrono::seconds;
 
@@ -94,3 +96,34 @@
 
   CHECK(Seen.Address == 0x7f040506);
 }
+
+TEST_CASE("a hook sees the time at which its datagram came") {
+  // A loop without timers sleeps until a packet comes. With the clock still at
+  // the time when it fell asleep, a deadline counted in the hook would pass too
+  // early and callers would be refused for nothing.
+  event_loop Loop;
+  instant Seen;
+  udp_socket Receiver(Loop, [&](std::span<const datagram>) {
+    Seen = Loop.timers().now();
+    Loop.stop();
+  });
+  REQUIRE(Receiver.open(AnyPort));
+  const endpoint To = Receiver.local();
+  instant Sent;
+
+  std::thread Elsewhere([&] {
+    event_loop Other;
+    udp_socket Sender(Other, [](std::span<const datagram>) {});
+    CHECK(Sender.open(AnyPort));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    Other.wake();
+    Sent = Other.timers().now();
+    const std::uint8_t Byte = 1;
+    Sender.send(To, {&Byte, 1});
+    Sender.flush();
+  });
+  Loop.run();
+  Elsewhere.join();
+
+  CHECK(Seen >= Sent);
+}
--- a/test/standins/fabric_model_test.cpp
+++ b/test/standins/fabric_model_test.cpp
@@ -136,3 +136,29 @@
   CHECK(Model.counters().Unreadable == 2);
   CHECK(ToBalancers.empty());
 }
+
+TEST_CASE_FIXTURE(fabric_fixture, "jitter keeps the order of one link") {
+  // Answers that overtook each other made the callers' TCP take them for lost
+  // and fall back to one segment per delayed acknowledgement; documents took
+  // 200 ms instead of 10.
+  std::vector<std::uint8_t> Order;
+  fabric_model Jittering(
+      7, [&](fabric_side Side, const endpoint &, bytes_view Bytes) {
+        if (Side == fabric_side::Callers)
+          Order.push_back(Bytes[4]);
+      });
+  Jittering.setBalancers({First});
+  Jittering.faults().Jitter = milliseconds(5);
+  Jittering.fromCaller(Caller, samplePacket(Flow, AckBit), Now);
+  const flow_key Back{Flow.Service, Flow.Caller};
+
+  for (std::uint8_t Number = 0; Number < 50; ++Number) {
+    auto Answer = samplePacket(Back, AckBit);
+    Answer[4] = Number; // the IP identification, which the fabric ignores
+    Jittering.fromAgent(Agent, Answer, Now);
+  }
+  Jittering.deliverDue(Now + milliseconds(10));
+
+  CHECK(Order.size() == 50);
+  CHECK(std::is_sorted(Order.begin(), Order.end()));
+}
