Run keyed requests at most once: claims and records over the relay links

key_desk joins work's key_claims and key_keeper to the proxy; messages to peers are posted over the relay links, a claim is made before admission (its round trips would keep a slot idle), a keyed request whose flow is lost runs on so that the repeat finds its outcome.

Found by the new tests: the flush of a whole answer closed the stream before the request was taken out, so every answered request counted as cancelled, and its slot's time was never learnt; CBOR that claims an array larger than memory threw from a call that was told not to throw, so twelve forged bytes ended the agent; a body that went on while relayed was cut short on the second try.

--- a/include/marjoramrail/proxy.h
+++ b/include/marjoramrail/proxy.h
@@ -11,6 +11,9 @@
 ///  - 503 or 429 with retry-after and {"run":"no",...}: the target never saw
 ///    the request; it may be sent again.
 ///  - 502 or 504 with {"run":"unknown"}: the target may or may not have run it.
+///  - 409 with {"run":"unknown"}: another try of the same Idempotency-Key is
+///    under way; 410 with {"run":"yes"}: it ran, its answer was too long to be
+///    kept.
 ///  - anything else is the target's own answer.
 ///
 /// Usage:
@@ -69,6 +72,11 @@
   duration SilentFlow = std::chrono::seconds(60);
   /// Bytes of a request's body taken in before it runs.
   std::size_t MaxBufferedBody = 64 * 1024;
+  /// Of this agent; it names the runner in key records.
+  std::uint32_t Incarnation = 0;
+  /// See key_keeper.
+  bool FirstEver = false;
+  key_settings Keys;
 };
 
 struct proxy_hooks {
@@ -132,6 +140,9 @@
   /// Answers whose flow or stream was gone.
   std::uint64_t LateAnswers = 0;
   std::uint64_t SilentFlows = 0;
+  /// Keyed requests that were answered from their record or not granted.
+  std::uint64_t KeysHeld = 0;
+  std::uint64_t BadKeyMessages = 0;
 };
 
 class request_proxy {
@@ -150,6 +161,13 @@
   /// or are refused, running ones finish.
   void drain();
 
+  /// Who keeps which key. Until the first one, keyed requests are refused.
+  void takeKeyView(const key_view &View);
+  /// The fleet held this agent for down.
+  void lapsed(std::uint32_t Incarnation);
+  /// False while an old generation is needed for key records.
+  bool keysSettled() const;
+
   /// For peers.
   load_report load();
   void takePeerLoad(const load_report &Peer);
--- a/src/agent/peer_message.cpp
+++ b/src/agent/peer_message.cpp
@@ -1,7 +1,6 @@
+#include "base/cbor.h"
 #include "marjoramrail/agent.h"
 
-#include <nlohmann/json.hpp>
-
 namespace marjoramrail {
 
 using nlohmann::json;
@@ -98,8 +97,7 @@
   };
   if (!isPeerMessage(Bytes))
     return Refused();
-  const json Fields = json::from_cbor(Bytes.begin() + std::size(PeerMagic),
-                                      Bytes.end(), true, false);
+  const json Fields = internal::readCbor(Bytes.subspan(std::size(PeerMagic)));
   if (!Fields.is_array() || Fields.size() != PeerFields)
     return Refused();
   field_reader Reader(Fields);
--- a/src/proxy/answers.cpp
+++ b/src/proxy/answers.cpp
@@ -1,5 +1,6 @@
 #include "proxy/answers.h"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -46,6 +47,47 @@
   return answer(DeadlinePassed ? "504" : "502", {{"run", "unknown"}});
 }
 
+std::string keptAnswer(const std::string &Status, const std::string &Body) {
+  return Status + "\n" + Body;
+}
+
+static own_answer repeatedAnswer(const std::string &Kept) {
+  const std::size_t End = Kept.find('\n');
+  // Too long to be kept: it ran, and that is all that is known.
+  if (End == std::string::npos)
+    return answer("410", {{"run", "yes"}, {"reason", "answer_not_kept"}});
+  own_answer Answer;
+  Answer.Head.add(":status", Kept.substr(0, End));
+  Answer.Body = Kept.substr(End + 1);
+  return Answer;
+}
+
+own_answer keyAnswer(const key_result &Result, bool IsRetry) {
+  constexpr duration ComeBack = std::chrono::seconds(1);
+  switch (Result.Verdict) {
+  case key_verdict::Done:
+    return repeatedAnswer(Result.Outcome);
+  case key_verdict::RunningElsewhere: {
+    own_answer Answer =
+        answer("409", {{"run", "unknown"}, {"reason", "in_progress"}});
+    Answer.Head.add("retry-after", "1");
+    return Answer;
+  }
+  case key_verdict::Run:
+  case key_verdict::Unknown:
+    return unknownOutcome(false);
+  case key_verdict::NotSure:
+  case key_verdict::Full:
+  case key_verdict::NoAnswer:
+    break;
+  }
+  own_answer Answer = notRun("key_record", ComeBack);
+  // This try did not run, but an earlier one may have.
+  if (IsRetry)
+    Answer.Body = json{{"run", "unknown"}, {"reason", "key_record"}}.dump();
+  return Answer;
+}
+
 bool saysNotRun(const h2_head &Head) { return Head.get(RunHeader) == "no"; }
 
 std::optional<std::uint64_t> numberOf(const h2_head &Head,
--- a/src/proxy/answers.h
+++ b/src/proxy/answers.h
@@ -30,6 +30,12 @@
 /// "May or may not have run": 502, or 504 if the deadline passed.
 own_answer unknownOutcome(bool DeadlinePassed);
 
+/// What a repeat of a key is told, or a first try that cannot be claimed.
+own_answer keyAnswer(const key_result &Result, bool IsRetry);
+
+/// The form in which an answer is kept with its key, and back.
+std::string keptAnswer(const std::string &Status, const std::string &Body);
+
 /// Whether \p Head says explicitly that the request was not run.
 bool saysNotRun(const h2_head &Head);
 
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -9,6 +9,8 @@
 namespace marjoramrail::internal {
 
 enum class exchange_state {
+  /// Its key's claim is being asked for.
+  Claiming,
   /// Not sent anywhere.
   Waiting,
   /// Sent to the target; its slot is taken.
@@ -25,7 +27,13 @@
   /// What has come of the body before the request was sent.
   std::string Body;
   bool BodyEnded = false;
+  /// More came after it was relayed than is kept for another try.
+  bool BodyLost = false;
   exchange_state State = exchange_state::Waiting;
+  /// Its key has been granted to it.
+  bool Claimed = false;
+  /// With Claimed: the answer so far, to be kept with the key.
+  std::string Kept;
   std::optional<host_id> Peer;
   client_link *Link = nullptr;
   instant Began;
--- a/src/proxy/request_proxy.cpp
+++ b/src/proxy/request_proxy.cpp
@@ -1,6 +1,8 @@
 #include "marjoramrail/proxy.h"
 #include "proxy/answers.h"
 #include "proxy/exchange.h"
+#include "proxy/key_codec.h"
+#include "proxy/key_desk.h"
 #include "proxy/request_head.h"
 
 #include <algorithm>
@@ -23,6 +25,14 @@
 /// Parts of SilentFlow between two looks at each flow.
 constexpr int SilenceChecks = 3;
 constexpr std::uint8_t NoMoreHops = 255;
+/// Where peers post messages of key records.
+constexpr std::string_view KeysPath = "/.marjoramrail/keys";
+/// Longer keys are refused: records of them are held at two agents.
+constexpr std::size_t LongestKey = 128;
+/// A batch of records in a sync is far smaller.
+constexpr std::size_t LongestKeyBatch = 1024 * 1024;
+/// Ids of posted key messages, apart from those of requests.
+constexpr std::uint64_t FirstPostId = 1ULL << 63;
 
 } // namespace
 
@@ -40,6 +50,11 @@
   std::map<answer_place, request_id> ByPlace;
   /// Requests of which bytes are held back in either direction.
   std::set<request_id> Held;
+  key_desk Keys;
+  bool KeysKnown = false;
+  std::uint64_t LastPost = FirstPostId;
+  /// Batches of key messages that are coming in.
+  std::map<answer_place, std::string> KeyBatches;
   std::unique_ptr<client_link> Target;
   std::map<host_id, std::unique_ptr<client_link>> PeerLinks;
   /// Links that take no more requests; freed outside of their own events.
@@ -76,12 +91,22 @@
   void erase(request_id Id);
 
   // Links' side.
+  // Key records.
+  void startClaim(request_id Id, exchange &Exchange);
+  void onClaim(request_id Id, const key_result &Result);
+  void settle(request_id Id, exchange &Exchange, key_state State);
+  void postKeys(host_id Peer, const key_messages &Messages);
+  void takeKeys(answer_place Place, std::string_view Bytes, bool End);
+  void leaveRunning(answer_place Place);
+  void flowGone(flow_number Gone);
+
   client_link &targetLink();
   client_link &peerLink(host_id Peer, const endpoint &Address);
   std::unique_ptr<client_link> newLink(const endpoint &Address);
   void retire(std::unique_ptr<client_link> &Link);
   void onAnswerHead(request_id Id, const h2_head &Head, bool End);
   void onAnswerData(request_id Id, std::string_view Bytes, bool End);
+  void countLate(request_id Id);
   void onNotRun(request_id Id);
   void answerOver(request_id Id);
   void holdBody(request_id Id, std::size_t Bytes);
@@ -101,7 +126,16 @@
           [this](const work_request &Request, relay_reason Why,
                  const load_report &Own,
                  instant Now) { return Peers.pick(Request, Why, Own, Now); },
-          Settings.Seed) {
+          Settings.Seed),
+      Keys(Timers,
+           {Settings.Host, Settings.Incarnation, Settings.FirstEver,
+            Settings.Keys},
+           {[this](host_id Peer, const key_messages &Messages) {
+              postKeys(Peer, Messages);
+            },
+            [this](request_id Id, const key_result &Result) {
+              onClaim(Id, Result);
+            }}) {
   Periodic.push_back(Timers.every(Settings.SilentFlow / SilenceChecks,
                                   [this] { checkSilence(); }));
 }
@@ -125,6 +159,9 @@
 
 void request_proxy::impl::onRequest(answer_place Place, const h2_head &Head,
                                     bool End) {
+  const flow_origin &Origin = Flows.at(Place.Flow)->origin();
+  if (Origin.IsPeer && Head.get(":path") == KeysPath)
+    return takeKeys(Place, {}, End);
   // Trailers come as a second head of the same stream.
   if (ByPlace.contains(Place))
     return onBody(Place, {}, End);
@@ -135,19 +172,116 @@
   Exchange.Place = Place;
   Exchange.Head = Head;
   Exchange.BodyEnded = End;
-  Exchange.Work =
-      readWork(Head, Flows.at(Place.Flow)->origin(), Settings, Id, Now);
+  Exchange.Work = readWork(Head, Origin, Settings, Id, Now);
   ByPlace[Place] = Id;
   if (Exchange.Work.Deadline)
     Exchange.Deadline = Timers.after(*Exchange.Work.Deadline - Now,
                                      [this, Id] { deadlinePassed(Id); });
   if (Exchange.Work.RelayedBy)
     Peers.relayedHere(*Exchange.Work.RelayedBy, Now);
-  offer(Id);
+  // While draining all goes to peers, and whoever runs it makes the claim.
+  if (Exchange.Work.Key.empty() || Draining)
+    offer(Id);
+  else
+    startClaim(Id, Exchange);
+}
+
+//===----------------------------------------------------------------------===//
+// Key records
+//===----------------------------------------------------------------------===//
+
+/// The claim comes before admission: it takes some round trips, for which a
+/// slot of the target would stand idle.
+void request_proxy::impl::startClaim(request_id Id, exchange &Exchange) {
+  if (!KeysKnown || Exchange.Work.Key.size() > LongestKey)
+    return onClaim(Id, {Exchange.Work.Key, key_verdict::NotSure, ""});
+  Exchange.State = exchange_state::Claiming;
+  Keys.claim(Exchange.Work.Key, Id);
+}
+
+void request_proxy::impl::onClaim(request_id Id, const key_result &Result) {
+  const auto Found = Exchanges.find(Id);
+  if (Found == Exchanges.end())
+    return;
+  exchange &Exchange = Found->second;
+  Exchange.State = exchange_state::Waiting;
+  if (Result.Verdict == key_verdict::Run) {
+    Exchange.Claimed = true;
+    return offer(Id);
+  }
+  ++Counts.KeysHeld;
+  answer(Id, keyAnswer(Result, Exchange.Work.Retry));
+}
+
+void request_proxy::impl::settle(request_id Id, exchange &Exchange,
+                                 key_state State) {
+  const bool Asked = Exchange.State == exchange_state::Claiming;
+  if (Asked || std::exchange(Exchange.Claimed, false))
+    Keys.settle(Exchange.Work.Key, Id, State, Exchange.Kept);
+}
+
+void request_proxy::impl::postKeys(host_id Peer, const key_messages &Messages) {
+  const auto Address = Hooks.RelayOf ? Hooks.RelayOf(Peer) : std::nullopt;
+  if (!Address)
+    return;
+  const h2_head Head{{{":method", "POST"},
+                      {":scheme", "http"},
+                      {":authority", toText(*Address)},
+                      {":path", std::string(KeysPath)}}};
+  peerLink(Peer, *Address)
+      .send(request_id{++LastPost}, Head, encodeKeyMessages(Messages), true);
+}
+
+void request_proxy::impl::takeKeys(answer_place Place, std::string_view Bytes,
+                                   bool End) {
+  std::string &Batch = KeyBatches[Place];
+  caller_flow &Flow = *Flows.at(Place.Flow);
+  Flow.consumed(Place.Stream, Bytes.size());
+  if (Batch.size() + Bytes.size() <= LongestKeyBatch)
+    Batch += Bytes;
+  if (!End)
+    return;
+  const auto Failure = failureOf([&]() -> result<void> {
+    BOOST_LEAF_AUTO(Messages, decodeKeyMessages(Batch));
+    for (const key_message &Message : Messages)
+      if (Message.To == Settings.Host)
+        Keys.receive(Message);
+    return {};
+  });
+  if (Failure)
+    ++Counts.BadKeyMessages;
+  KeyBatches.erase(Place);
+  Flow.respond(Place.Stream, {{{":status", Failure ? "400" : "204"}}}, true);
+}
+
+/// A keyed request goes on when its caller's flow is lost: the repeat that will
+/// come by another flow then finds the outcome instead of "unknown".
+void request_proxy::impl::leaveRunning(answer_place Place) {
+  const auto Found = ByPlace.find(Place);
+  exchange &Exchange = Exchanges.at(Found->second);
+  const bool Leave =
+      Exchange.Claimed && Exchange.State == exchange_state::Running;
+  if (!Leave)
+    return onCancel(Place);
+  ByPlace.erase(Found);
+}
+
+void request_proxy::impl::flowGone(flow_number Gone) {
+  Flows.erase(Gone);
+  std::vector<answer_place> Places;
+  for (auto It = ByPlace.lower_bound({Gone, 0});
+       It != ByPlace.end() && It->first.Flow == Gone; ++It)
+    Places.push_back(It->first);
+  for (const answer_place Place : Places)
+    leaveRunning(Place);
+  std::erase_if(KeyBatches,
+                [&](const auto &Item) { return Item.first.Flow == Gone; });
 }
 
 void request_proxy::impl::onBody(answer_place Place, std::string_view Bytes,
                                  bool End) {
+  if (KeyBatches.contains(Place))
+    return takeKeys(Place, Bytes, End);
   const auto Found = ByPlace.find(Place);
   if (Found == ByPlace.end()) {
     // The request is over; its bytes still hold the connection's window.
@@ -166,6 +300,12 @@
       holdBody(Found->second, Bytes.size());
     return;
   }
+  if (Exchange.State == exchange_state::Relayed) {
+    Exchange.BodyLost |=
+        Exchange.Body.size() + Bytes.size() > Settings.MaxBufferedBody;
+    if (!Exchange.BodyLost)
+      Exchange.Body += Bytes;
+  }
   Exchange.Link->data(Found->second, Bytes, End);
   holdBody(Found->second, Bytes.size());
   releaseHeld();
@@ -180,6 +320,8 @@
   ++Counts.Cancelled;
   if (Exchange.Link)
     Exchange.Link->cancel(Id);
+  const bool MayHaveRun = Exchange.State == exchange_state::Running;
+  settle(Id, Exchange, MayHaveRun ? key_state::Unknown : key_state::Released);
   if (Exchange.State != exchange_state::Relayed)
     Work.cancelled(Id, Timers.now());
   erase(Id);
@@ -192,7 +334,10 @@
     return;
   exchange &Exchange = Found->second;
   Exchange.Deadline.reset();
-  if (Exchange.State == exchange_state::Waiting) {
+  const bool Begun = Exchange.State == exchange_state::Running ||
+                     Exchange.State == exchange_state::Relayed;
+  if (!Begun) {
+    settle(Id, Exchange, key_state::Released);
     Work.cancelled(Id, Timers.now());
     ++Counts.Refused;
     answer(Id, notRun(refusal::DeadlineTooClose, duration::zero()));
@@ -241,6 +386,7 @@
     return;
   case verdict::Refuse:
     ++Counts.Refused;
+    settle(Decision.Id, Found->second, key_state::Released);
     return answer(Decision.Id, notRun(Decision.Reason, Decision.RetryAfter));
   case verdict::Relay:
     return relay(Decision.Id, Found->second, Decision.Peer);
@@ -259,6 +405,8 @@
 void request_proxy::impl::relay(request_id Id, exchange &Exchange,
                                 host_id Peer) {
   const auto Address = Hooks.RelayOf ? Hooks.RelayOf(Peer) : std::nullopt;
+  // Whoever runs it makes the claim.
+  settle(Id, Exchange, key_state::Released);
   Exchange.State = exchange_state::Relayed;
   Exchange.Peer = Peer;
   if (!Address)
@@ -279,13 +427,15 @@
   Peers.notRun(*Exchange.Peer, RetryAfter, Timers.now());
   Exchange.Link = nullptr;
   Exchange.Work.Hops = NoMoreHops;
-  // A body that went on while it was relayed has not been kept.
-  if (Exchange.State == exchange_state::Relayed && !Exchange.BodyEnded) {
+  if (Exchange.BodyLost) {
     ++Counts.Refused;
     return answer(Id, notRun("relay", RetryAfter));
   }
   Exchange.State = exchange_state::Waiting;
-  offer(Id);
+  if (Exchange.Work.Key.empty() || Draining)
+    offer(Id);
+  else
+    startClaim(Id, Exchange);
 }
 
 //===----------------------------------------------------------------------===//
@@ -315,6 +465,7 @@
 
 void request_proxy::impl::outcomeUnknown(request_id Id, bool DeadlinePassed) {
   const bool Ran = Exchanges.at(Id).State == exchange_state::Running;
+  settle(Id, Exchanges.at(Id), key_state::Unknown);
   const duration Elapsed = Timers.now() - Exchanges.at(Id).Began;
   ++Counts.Unknown;
   answer(Id, unknownOutcome(DeadlinePassed));
@@ -395,11 +546,17 @@
   return *Link;
 }
 
+/// Answers to posted key messages say nothing; they are no one's.
+void request_proxy::impl::countLate(request_id Id) {
+  if (static_cast<std::uint64_t>(Id) < FirstPostId)
+    ++Counts.LateAnswers;
+}
+
 void request_proxy::impl::onAnswerHead(request_id Id, const h2_head &Head,
                                        bool End) {
   const auto Found = Exchanges.find(Id);
   if (Found == Exchanges.end()) {
-    ++Counts.LateAnswers;
+    countLate(Id);
     return;
   }
   exchange &Exchange = Found->second;
@@ -407,42 +564,52 @@
     Exchange.Link->cancel(Id);
     return relayFailed(Id, retryAfterOf(Head));
   }
-  Exchange.Shed = Head.get(":status") == "503";
-  Exchange.ShedRetryAfter = retryAfterOf(Head);
-  caller_flow *Flow = flowOf(Exchange);
-  if (!Flow)
-    return;
   const bool Informational = Head.get(":status").starts_with("1");
   if (Exchange.HeadSent || Informational)
     return;
+  Exchange.Shed = Head.get(":status") == "503";
+  Exchange.ShedRetryAfter = retryAfterOf(Head);
   Exchange.HeadSent = true;
-  Flow->respond(Exchange.Place.Stream, Head, End);
+  if (Exchange.Claimed)
+    Exchange.Kept = keptAnswer(std::string(Head.get(":status")), "");
+  caller_flow *Flow = flowOf(Exchange);
+  if (Flow)
+    Flow->respond(Exchange.Place.Stream, Head, End);
   if (End)
     answerOver(Id);
-  Flow->flush();
+  if (Flow)
+    Flow->flush();
 }
 
 void request_proxy::impl::onAnswerData(request_id Id, std::string_view Bytes,
                                        bool End) {
   const auto Found = Exchanges.find(Id);
   if (Found == Exchanges.end()) {
-    ++Counts.LateAnswers;
+    countLate(Id);
     return;
   }
   exchange &Exchange = Found->second;
+  if (Exchange.Claimed && Exchange.Kept.size() <= Settings.Keys.MaxOutcome)
+    Exchange.Kept += Bytes;
   caller_flow *Flow = flowOf(Exchange);
-  if (!Flow)
+  if (!Flow) {
+    // The caller is gone; the outcome is kept for its repeat.
+    Exchange.Link->consumed(Id, Bytes.size());
+    if (End)
+      answerOver(Id);
     return;
-  const h2_stream Stream = Exchange.Place.Stream;
-  Flow->data(Stream, Bytes, End);
+  }
+  Flow->data(Exchange.Place.Stream, Bytes, End);
   Exchange.AnswerHeld += Bytes.size();
+  // The flush of a whole answer closes the stream, which must not look like a
+  // caller that gives up.
+  if (End)
+    answerOver(Id);
   Flow->flush();
   // The flush may have ended the flow, and the request with it.
   const auto Still = Exchanges.find(Id);
   if (Still == Exchanges.end())
     return;
-  if (End)
-    return answerOver(Id);
   Held.insert(Id);
   releaseHeld();
 }
@@ -450,6 +617,7 @@
 void request_proxy::impl::answerOver(request_id Id) {
   ++Counts.Answered;
   const bool Shed = Exchanges.at(Id).Shed;
+  settle(Id, Exchanges.at(Id), Shed ? key_state::Released : key_state::Done);
   finish(Id, Shed ? work_outcome::Shed : work_outcome::Answered);
   erase(Id);
   decideQueued();
@@ -463,6 +631,7 @@
   if (Exchange.State == exchange_state::Relayed)
     return relayFailed(Id, UnreachableRetry);
   Exchange.ShedRetryAfter = UnreachableRetry;
+  settle(Id, Exchange, key_state::Released);
   finish(Id, work_outcome::Shed);
   ++Counts.Refused;
   answer(Id, notRun("target", UnreachableRetry));
@@ -539,15 +708,7 @@
   };
   Inner.OnCancel = [&Self](answer_place Place) { Self.onCancel(Place); };
   Inner.OnInput = [&Self] { Self.releaseHeld(); };
-  Inner.OnDestroyed = [&Self](flow_number Gone) {
-    Self.Flows.erase(Gone);
-    std::vector<answer_place> Places;
-    for (auto It = Self.ByPlace.lower_bound({Gone, 0});
-         It != Self.ByPlace.end() && It->first.Flow == Gone; ++It)
-      Places.push_back(It->first);
-    for (const answer_place Place : Places)
-      Self.onCancel(Place);
-  };
+  Inner.OnDestroyed = [&Self](flow_number Gone) { Self.flowGone(Gone); };
   auto Flow = std::make_unique<caller_flow>(
       Number, Origin, std::move(Hooks), std::move(Inner), Self.Timers.now());
   Self.Flows[Number] = Flow.get();
@@ -574,6 +735,19 @@
   Self.decideQueued();
 }
 
+void request_proxy::takeKeyView(const key_view &View) {
+  Impl->KeysKnown = true;
+  Impl->Keys.takeView(View);
+}
+
+void request_proxy::lapsed(std::uint32_t Incarnation) {
+  Impl->Keys.lapsed(Incarnation);
+}
+
+bool request_proxy::keysSettled() const {
+  return Impl->KeysKnown && Impl->Keys.settled();
+}
+
 load_report request_proxy::load() {
   load_report Report = Impl->Work.load(Impl->Timers.now());
   Report.Host = Impl->Settings.Host;
--- a/test/agent/peers_test.cpp
+++ b/test/agent/peers_test.cpp
@@ -182,6 +182,13 @@
   CHECK(Back.value() == Message);
 }
 
+TEST_CASE("a message that claims to be larger than any memory is refused") {
+  // Twelve forged bytes would otherwise end the agent and all its flows.
+  const std::vector<std::uint8_t> Forged = {0x4d, 0x41, 0x9b, 0xff, 0xff, 0xff,
+                                            0xff, 0xff, 0xff, 0xff, 0xff, 0x01};
+  CHECK(!decodePeerMessage(Forged));
+}
+
 TEST_CASE("bytes that are no message between agents are refused") {
   const auto Good = encodePeerMessage({});
   for (std::size_t Size = 0; Size < Good.size(); ++Size)
--- a/test/proxy/proxy_bench.h
+++ b/test/proxy/proxy_bench.h
@@ -122,7 +122,9 @@
   std::deque<std::unique_ptr<near_caller>> Callers;
   std::unique_ptr<request_proxy> Proxy;
 
-  explicit proxy_bench(std::uint32_t Slots = 4) {
+  explicit proxy_bench(std::uint32_t Slots = 4, bool FirstEver = true) {
+    Settings.Incarnation = 1;
+    Settings.FirstEver = FirstEver;
     Settings.Host = host_id(1);
     Settings.Target = TargetAddress;
     Settings.Admission.Slots = Slots;
@@ -133,6 +135,7 @@
     };
     Hooks.RelayOf = [](host_id) { return std::optional(PeerAddress); };
     Proxy = std::make_unique<request_proxy>(Timers, Settings, std::move(Hooks));
+    Proxy->takeKeyView({{{host_id(1), 1, false}}, {{1, {host_id(1)}}}});
   }
 
   ~proxy_bench() {
--- a/test/proxy/request_proxy_test.cpp
+++ b/test/proxy/request_proxy_test.cpp
@@ -19,6 +19,8 @@
   CHECK(Caller.Answers[Asked].Status == "200");
   CHECK(Caller.Answers[Asked].Body == "done");
   CHECK(Bench.Proxy->inProgress() == 0);
+  CHECK(Bench.Proxy->counts().Answered == 1);
+  CHECK(Bench.Proxy->counts().Cancelled == 0);
 }
 
 TEST_CASE(
