Let agents claim keys for real, and name themselves to balancers

Whether a host ever ran an agent is marked in the platform (one write in its life): key records live in memory, and only the first agents of a service may take an empty record for the whole truth. Agents send an owner notice when a packet came by way of another.

--- a/daemons/agent/agent_process.cpp
+++ b/daemons/agent/agent_process.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <glog/logging.h>
+#include <nlohmann/json.hpp>
 #include <random>
 
 namespace marjoramrail {
@@ -99,6 +100,9 @@
   Report.Busy = static_cast<std::uint32_t>(Proxy->inProgress());
   Report.Flows = static_cast<std::uint32_t>(Owner->flows());
   Report.OldestGeneration = Owner->oldestNeededGeneration();
+  const auto &Generations = Members->View.Generations;
+  if (!Proxy->keysSettled() && !Generations.empty())
+    Report.OldestGeneration = Generations.back().Number;
   Report.ViewVersion = Owner->viewVersion();
   return Report;
 }
@@ -110,7 +114,7 @@
   Members = Next;
   if (Platform && Next.SpecVersion != RulesAsked)
     readRules(Next.SpecVersion);
-  if (RulesKnown || !Platform)
+  if (Begun || !Platform)
     useView(Next);
 }
 
@@ -142,7 +146,71 @@
     RulesAsked = 0;
   }
   if (!std::exchange(RulesKnown, true))
-    useView(*Members);
+    markFirstStart();
+}
+
+/// Whether an agent ever ran on this host is kept in the platform: key records
+/// live in memory alone, and an agent that took itself for the first would run
+/// an amendment a second time. One write in the life of a host.
+void agent_process::markFirstStart() {
+  platform_object Mark;
+  Mark.Key = {"agent", Settings.Name};
+  Mark.Body = nlohmann::json{{"incarnation", Incarnation}}.dump();
+  Platform->api().Write({Mark, 0}, [this](const platform_reply &Reply) {
+    takeFirstStart(Reply);
+  });
+}
+
+void agent_process::takeFirstStart(const platform_reply &Reply) {
+  if (Reply.Outcome == platform_outcome::Unknown)
+    return readBackFirstStart();
+  begin(Reply.Outcome == platform_outcome::Ok);
+}
+
+/// The answer was lost; the mark that stands says whose it is.
+void agent_process::readBackFirstStart() {
+  Platform->api().Read(
+      {"agent", Settings.Name}, [this](const platform_reply &Reply) {
+        const auto Mark =
+            nlohmann::json::parse(Reply.Object.Body, nullptr, false);
+        begin(Reply.Outcome == platform_outcome::Ok && Mark.is_object() &&
+              Mark.value("incarnation", 0U) == Incarnation);
+      });
+}
+
+void agent_process::begin(bool First) {
+  NeverRan = First;
+  Begun = true;
+  useView(*Members);
+}
+
+/// A host that joins later has to learn the records from those before it.
+bool agent_process::isFirstEver(const service_view &View) const {
+  if (!NeverRan || View.Generations.empty() ||
+      View.Generations.back().Number != 1)
+    return false;
+  const auto &Oldest = View.Generations.back().Members;
+  return std::any_of(Oldest.begin(), Oldest.end(), [&](const member &Member) {
+    return std::any_of(View.Targets.begin(), View.Targets.end(),
+                       [&](const target &Target) {
+                         return Target.Id == Member.Host &&
+                                Target.Agent == Settings.RoutedListen;
+                       });
+  });
+}
+
+static key_view keyViewOf(const service_view &View) {
+  key_view Keys;
+  for (const target &Target : View.Targets)
+    Keys.Hosts.push_back(
+        {Target.Id, Target.Incarnation, Target.State == target_state::Down});
+  for (const generation &Generation : View.Generations) {
+    key_generation Members{Generation.Number, {}};
+    for (const member &Member : Generation.Members)
+      Members.Members.push_back(Member.Host);
+    Keys.Generations.push_back(std::move(Members));
+  }
+  return Keys;
 }
 
 void agent_process::useView(const membership &Next) {
@@ -153,6 +221,7 @@
   if (!Owner)
     return;
   Owner->takeView(View, Loop.timers().now());
+  Proxy->takeKeyView(keyViewOf(View));
   if (Position && View.Targets[*Position].State == target_state::Draining)
     drain("the fleet's view");
   if (Address == View.Address)
@@ -196,14 +265,14 @@
     Proxy->takePeerLoad(Peer);
   };
   Owner = std::make_unique<flow_owner>(Owned, std::move(Hooks));
-  startProxy(Host);
+  startProxy(View, Host);
   if (Draining) {
     Owner->drain();
     Proxy->drain();
   }
 }
 
-void agent_process::startProxy(host_id Host) {
+void agent_process::startProxy(const service_view &View, host_id Host) {
   proxy_settings Proxied;
   Proxied.Host = Host;
   Proxied.Target = Settings.Target;
@@ -211,6 +280,8 @@
   Proxied.Admission.ColdStart = std::chrono::seconds(Settings.ColdStartSeconds);
   Proxied.Seed = seedOf(Settings);
   Proxied.SilentFlow = Settings.SilentFlow;
+  Proxied.Incarnation = Incarnation;
+  Proxied.FirstEver = isFirstEver(View);
   proxy_hooks Hooks;
   Hooks.Connect = [this](const endpoint &Peer, byte_events Events) {
     return connectByKernel(Loop, Settings.RelayListen, Peer, std::move(Events));
@@ -251,8 +322,10 @@
   LOG(WARNING) << "agent: the fleet held this agent for dead; its "
                << Flows.size() << " flows are given up";
   Incarnation = Next;
-  if (Owner)
+  if (Owner) {
     Owner->restart(Next);
+    Proxy->lapsed(Next);
+  }
   Flows.clear();
 }
 
@@ -315,17 +388,29 @@
     return;
   }
   act(Owner->decide(Routed, Packet, Datagram.From, Loop.timers().now()), Packet,
-      Routed.Packet);
+      Routed);
+}
+
+/// The balancer sends the flow's next packets here without a detour.
+void agent_process::sendNotice(const routed_packet &Routed,
+                               const flow_key &Flow) {
+  if (Routed.Position == 0 || Routed.Balancer == endpoint())
+    return;
+  const owner_notice Notice{Routed.Service, Owner->viewVersion(), Flow,
+                            Settings.RoutedListen};
+  std::array<std::uint8_t, OwnerNoticeBytes> Buffer;
+  const std::size_t Size = encodeOwnerNotice(Notice, Buffer);
+  Socket.send(Routed.Balancer, {Buffer.data(), Size});
 }
 
 void agent_process::act(const packet_decision &Decision,
-                        const tcp_packet &Packet, bytes_view Bytes) {
+                        const tcp_packet &Packet, const routed_packet &Came) {
   if (Decision.ForgetFlow)
     Stack.forget(Packet.Flow);
   switch (Decision.Action) {
   case packet_action::Deliver:
-    Stack.input(Bytes);
-    return;
+    Stack.input(Came.Packet);
+    return sendNotice(Came, Packet.Flow);
   case packet_action::PassOn: {
     std::array<std::uint8_t, MaxRoutedBytes> Buffer;
     const routed_packet &Routed = Decision.Routed;
@@ -451,9 +536,33 @@
   return Hooks;
 }
 
+void agent_process::registerProxyMetrics() {
+  using counter = std::uint64_t proxy_counts::*;
+  const std::pair<const char *, counter> Counters[] = {
+      {"requests", &proxy_counts::Requests},
+      {"answered", &proxy_counts::Answered},
+      {"refused", &proxy_counts::Refused},
+      {"relayed", &proxy_counts::Relayed},
+      {"unknown", &proxy_counts::Unknown},
+      {"cancelled", &proxy_counts::Cancelled},
+      {"late_answers", &proxy_counts::LateAnswers},
+      {"silent_flows", &proxy_counts::SilentFlows},
+      {"keys_held", &proxy_counts::KeysHeld},
+      {"bad_key_messages", &proxy_counts::BadKeyMessages},
+  };
+  for (const auto &[Name, Counter] : Counters)
+    Metrics.gauge(std::string("agent_requests_") + Name,
+                  [this, Counter = Counter] {
+                    return Proxy ? double(Proxy->counts().*Counter) : 0;
+                  });
+  Metrics.gauge("agent_keys_settled",
+                [this] { return Proxy && Proxy->keysSettled() ? 1.0 : 0.0; });
+}
+
 void agent_process::registerMetrics() {
   Metrics.gauge("agent_flows",
                 [this] { return Owner ? double(Owner->flows()) : 0; });
+  registerProxyMetrics();
   Metrics.gauge("agent_view_version",
                 [this] { return Owner ? double(Owner->viewVersion()) : 0; });
   for (const auto &[Reason, Name] : PacketReasonNames)
--- a/daemons/agent/agent_process.h
+++ b/daemons/agent/agent_process.h
@@ -36,15 +36,21 @@
   void takePeerMessage(const datagram &Datagram);
   void takeRouted(const datagram &Datagram);
   void act(const packet_decision &Decision, const tcp_packet &Packet,
-           bytes_view Bytes);
+           const routed_packet &Came);
+  void sendNotice(const routed_packet &Routed, const flow_key &Flow);
   void sendReset(const tcp_packet &Packet);
   void sendAnswer(bytes_view Packet);
 
   void useView(const membership &Members);
   void readRules(std::uint64_t SpecVersion);
   void takeRules(const platform_reply &Reply);
+  void markFirstStart();
+  void takeFirstStart(const platform_reply &Reply);
+  void readBackFirstStart();
+  void begin(bool NeverRan);
+  bool isFirstEver(const service_view &View) const;
   void startOwner(const service_view &View, host_id Host);
-  void startProxy(host_id Host);
+  void startProxy(const service_view &View, host_id Host);
   void acceptPeer(std::unique_ptr<tcp_stream> Stream);
   std::optional<endpoint> relayOf(host_id Peer) const;
   void drain(const std::string &Why);
@@ -58,6 +64,7 @@
   announcer_settings announcerSettings() const;
   status_page::hooks pages();
   void registerMetrics();
+  void registerProxyMetrics();
   void record(event_kind What, const std::string &Flow, const std::string &Why);
   std::uint64_t &count(const char *Reason);
 
@@ -78,6 +85,9 @@
   /// The version of the service's rules that was asked for last.
   std::uint64_t RulesAsked = 0;
   bool RulesKnown = false;
+  /// This host's first agent ever: there are no key records it could have lost.
+  bool NeverRan = false;
+  bool Begun = false;
   std::map<std::uint64_t, std::unique_ptr<peer_connection>> PeerConnections;
   std::uint64_t LastPeerConnection = 0;
   std::optional<endpoint> Address;
