Claim a key where the request runs, while it waits; split the proxy's sources

Change: admission first; the claim runs while the request waits for its slot, and requests that go to a peer are claimed there alone.

--- a/daemons/agent/agent_process.h
+++ b/daemons/agent/agent_process.h
@@ -70,6 +70,7 @@
 
   event_loop &Loop;
   agent_settings Settings;
+  std::uint32_t Seed;
   std::uint32_t Incarnation;
   metrics Metrics;
   timeline Line;
--- /dev/null
+++ b/daemons/agent/agent_view.cpp
@@ -0,0 +1,285 @@
+#include "agent_process.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+namespace marjoramrail {
+
+announcer_settings agent_process::announcerSettings() const {
+  announcer_settings Announced;
+  Announced.Host = Settings.Name;
+  Announced.Service = Settings.Service;
+  Announced.Zone = Settings.Zone;
+  Announced.Agent = Settings.RoutedListen;
+  Announced.Relay = Settings.RelayListen;
+  Announced.Seeds = Settings.Balancers;
+  Announced.Slots = Settings.Slots;
+  Announced.Incarnation = Incarnation;
+  return Announced;
+}
+
+announcer_hooks agent_process::announcerHooks() {
+  announcer_hooks Hooks;
+  Hooks.Send = [this](const endpoint &To, fleet_bytes Bytes) {
+    Socket.send(To, Bytes);
+  };
+  Hooks.Describe = [this] { return describe(); };
+  Hooks.OnView = [this](const membership &Members) { takeView(Members); };
+  Hooks.OnDeclaredDown = [this](std::uint32_t Next) { declaredDown(Next); };
+  return Hooks;
+}
+
+agent_report agent_process::describe() const {
+  agent_report Report;
+  Report.Draining = Draining;
+  if (!Owner)
+    return Report;
+  Report.Busy = static_cast<std::uint32_t>(Proxy->inProgress());
+  Report.Flows = static_cast<std::uint32_t>(Owner->flows());
+  Report.OldestGeneration = Owner->oldestNeededGeneration();
+  const auto &Generations = Members->View.Generations;
+  if (!Proxy->keysSettled() && !Generations.empty())
+    Report.OldestGeneration = Generations.back().Number;
+  Report.ViewVersion = Owner->viewVersion();
+  return Report;
+}
+
+/// The service's rules are read when a view carries a newer version of them, so
+/// that agents make no calls to the platform while nothing changes. The first
+/// view waits for them, but not for a platform that is down.
+void agent_process::takeView(const membership &Next) {
+  Members = Next;
+  if (Platform && Next.SpecVersion != RulesAsked)
+    readRules(Next.SpecVersion);
+  if (Begun || !Platform)
+    useView(Next);
+}
+
+void agent_process::readRules(std::uint64_t SpecVersion) {
+  RulesAsked = SpecVersion;
+  Platform->api().Read(
+      {std::string(nameOf(ResourceKindNames, resource_kind::Service)),
+       Settings.Service},
+      [this](const platform_reply &Reply) { takeRules(Reply); });
+}
+
+void agent_process::takeRules(const platform_reply &Reply) {
+  if (Reply.Outcome == platform_outcome::Ok) {
+    const auto Failure = failureOf([&]() -> result<void> {
+      BOOST_LEAF_AUTO(Spec, parseService(Reply.Object.Body, Settings.Service));
+      Settings.Protocol = Spec.Protocol;
+      Settings.MaxSharePercent = Spec.MaxSharePercent;
+      Settings.SilentFlow = std::chrono::seconds(Spec.SilentFlowSeconds);
+      return {};
+    });
+    if (Failure)
+      LOG(WARNING) << "agent: rules of the service: " << toText(*Failure);
+    if (Owner)
+      Owner->setMaxShare(Settings.MaxSharePercent);
+  } else {
+    LOG(WARNING) << "agent: goes on with its settings, the platform says "
+                 << nameOf(PlatformOutcomeNames, Reply.Outcome);
+    // Asked again with the next view.
+    RulesAsked = 0;
+  }
+  if (!std::exchange(RulesKnown, true))
+    markFirstStart();
+}
+
+/// Whether an agent ever ran on this host is kept in the platform: key records
+/// live in memory alone, and an agent that took itself for the first would run
+/// an amendment a second time. One write in the life of a host.
+void agent_process::markFirstStart() {
+  platform_object Mark;
+  Mark.Key = {"agent", Settings.Name};
+  Mark.Body = nlohmann::json{{"incarnation", Incarnation}}.dump();
+  Platform->api().Write({Mark, 0}, [this](const platform_reply &Reply) {
+    takeFirstStart(Reply);
+  });
+}
+
+void agent_process::takeFirstStart(const platform_reply &Reply) {
+  if (Reply.Outcome == platform_outcome::Unknown)
+    return readBackFirstStart();
+  begin(Reply.Outcome == platform_outcome::Ok);
+}
+
+/// The answer was lost; the mark that stands says whose it is.
+void agent_process::readBackFirstStart() {
+  Platform->api().Read(
+      {"agent", Settings.Name}, [this](const platform_reply &Reply) {
+        const auto Mark =
+            nlohmann::json::parse(Reply.Object.Body, nullptr, false);
+        begin(Reply.Outcome == platform_outcome::Ok && Mark.is_object() &&
+              Mark.value("incarnation", 0U) == Incarnation);
+      });
+}
+
+void agent_process::begin(bool First) {
+  NeverRan = First;
+  Begun = true;
+  useView(*Members);
+}
+
+/// A host that joins later has to learn the records from those before it.
+bool agent_process::isFirstEver(const service_view &View) const {
+  if (!NeverRan || View.Generations.empty() ||
+      View.Generations.back().Number != 1)
+    return false;
+  const auto &Oldest = View.Generations.back().Members;
+  return std::any_of(Oldest.begin(), Oldest.end(), [&](const member &Member) {
+    return std::any_of(View.Targets.begin(), View.Targets.end(),
+                       [&](const target &Target) {
+                         return Target.Id == Member.Host &&
+                                Target.Agent == Settings.RoutedListen;
+                       });
+  });
+}
+
+static key_view keyViewOf(const service_view &View) {
+  key_view Keys;
+  for (const target &Target : View.Targets)
+    Keys.Hosts.push_back(
+        {Target.Id, Target.Incarnation, Target.State == target_state::Down});
+  for (const generation &Generation : View.Generations) {
+    key_generation Members{Generation.Number, {}};
+    for (const member &Member : Generation.Members)
+      Members.Members.push_back(Member.Host);
+    Keys.Generations.push_back(std::move(Members));
+  }
+  return Keys;
+}
+
+void agent_process::useView(const membership &Next) {
+  const service_view &View = Next.View;
+  const auto Position = findTarget(Next, Settings.RoutedListen);
+  if (Position && !Owner)
+    startOwner(View, View.Targets[*Position].Id);
+  if (!Owner)
+    return;
+  Owner->takeView(View, Loop.timers().now());
+  Proxy->takeKeyView(keyViewOf(View));
+  if (Position && View.Targets[*Position].State == target_state::Draining)
+    drain("the fleet's view");
+  if (Address == View.Address)
+    return;
+  Address = View.Address;
+  Stack.addAddress(View.Address.Address);
+  const auto Failure = failureOf([&] {
+    return Stack.listen(View.Address, [this](std::unique_ptr<stack_flow> Flow) {
+      accept(std::move(Flow));
+    });
+  });
+  if (Failure)
+    LOG(ERROR) << "agent: " << toText(*Failure);
+  LOG(INFO) << "agent: took view " << View.Version << " of " << View.Name;
+}
+
+void agent_process::startOwner(const service_view &View, host_id Host) {
+  flow_owner_settings Owned;
+  Owned.Service = View.Id;
+  Owned.Host = Host;
+  Owned.Self = Settings.RoutedListen;
+  Owned.Incarnation = Incarnation;
+  Owned.MaxSharePercent = Settings.MaxSharePercent;
+  flow_owner_hooks Hooks;
+  Hooks.Send = [this](const endpoint &To, const peer_message &Message) {
+    Socket.send(To, encodePeerMessage(Message));
+  };
+  Hooks.Load = [this] {
+    const load_report Own = Proxy->load();
+    return peer_load{Own.Busy, Own.Pressure, Own.Slots, Own.Accepting,
+                     Own.Service};
+  };
+  Hooks.OnReport = [this](const peer_message &Message) {
+    load_report Peer;
+    Peer.Host = Message.Host;
+    Peer.Busy = Message.Load.Busy;
+    Peer.Pressure = Message.Load.Pressure;
+    Peer.Slots = Message.Load.Slots;
+    Peer.Accepting = Message.Load.Accepting;
+    Peer.Service = Message.Load.Service;
+    Proxy->takePeerLoad(Peer);
+  };
+  Owner = std::make_unique<flow_owner>(Owned, std::move(Hooks));
+  startProxy(View, Host);
+  if (Draining) {
+    Owner->drain();
+    Proxy->drain();
+  }
+}
+
+void agent_process::startProxy(const service_view &View, host_id Host) {
+  proxy_settings Proxied;
+  Proxied.Host = Host;
+  Proxied.Target = Settings.Target;
+  Proxied.Admission.Slots = Settings.Slots;
+  Proxied.Admission.ColdStart = std::chrono::seconds(Settings.ColdStartSeconds);
+  Proxied.Seed = Seed;
+  Proxied.SilentFlow = Settings.SilentFlow;
+  Proxied.Incarnation = Incarnation;
+  Proxied.FirstEver = isFirstEver(View);
+  proxy_hooks Hooks;
+  Hooks.Connect = [this](const endpoint &Peer, byte_events Events) {
+    return connectByKernel(Loop, Settings.RelayListen, Peer, std::move(Events));
+  };
+  Hooks.RelayOf = [this](host_id Peer) { return relayOf(Peer); };
+  Proxy =
+      std::make_unique<request_proxy>(Loop.timers(), Proxied, std::move(Hooks));
+}
+
+std::optional<endpoint> agent_process::relayOf(host_id Peer) const {
+  const auto &Targets = Members->View.Targets;
+  for (std::size_t I = 0; I < Targets.size(); ++I)
+    if (Targets[I].Id == Peer && Targets[I].State != target_state::Down)
+      return Members->Info.at(I).Relay;
+  return std::nullopt;
+}
+
+/// Only the service's own agents may relay: anyone else could pass for another
+/// caller, or run requests past the callers' queues.
+void agent_process::acceptPeer(std::unique_ptr<tcp_stream> Stream) {
+  const std::uint32_t From = Stream->peer().Address;
+  const bool Known =
+      Proxy && std::any_of(Members->Info.begin(), Members->Info.end(),
+                           [&](const target_info &Info) {
+                             return Info.Relay.Address == From;
+                           });
+  if (!Known) {
+    ++count("foreign_peer");
+    return;
+  }
+  const std::uint64_t Number = ++LastPeerConnection;
+  PeerConnections[Number] = std::make_unique<peer_connection>(
+      Loop, std::move(Stream), *Proxy,
+      [this, Number] { PeerConnections.erase(Number); });
+}
+
+void agent_process::declaredDown(std::uint32_t Next) {
+  LOG(WARNING) << "agent: the fleet held this agent for dead; its "
+               << Flows.size() << " flows are given up";
+  Incarnation = Next;
+  if (Owner) {
+    Owner->restart(Next);
+    Proxy->lapsed(Next);
+  }
+  Flows.clear();
+}
+
+void agent_process::tick() {
+  const instant Now = Loop.timers().now();
+  if (!Owner)
+    return;
+  if (const auto Heard = Announcer.lastHeard();
+      Heard && *Heard > LastConfirmed) {
+    LastConfirmed = *Heard;
+    Owner->confirmView(*Heard);
+  }
+  Owner->tick(Now);
+  if (Stopping)
+    finishIfIdle();
+  Socket.flush();
+}
+
+} // namespace marjoramrail
--- /dev/null
+++ b/src/proxy/caller_side.cpp
@@ -0,0 +1,105 @@
+#include "proxy/proxy_state.h"
+
+namespace marjoramrail {
+
+caller_flow *request_proxy::impl::flowOf(const exchange &Exchange) {
+  const auto Found = Flows.find(Exchange.Place.Flow);
+  return Found == Flows.end() ? nullptr : Found->second;
+}
+
+void request_proxy::impl::onRequest(answer_place Place, const h2_head &Head,
+                                    bool End) {
+  const flow_origin &Origin = Flows.at(Place.Flow)->origin();
+  if (Origin.IsPeer && Head.get(":path") == KeysPath)
+    return takeKeys(Place, {}, End);
+  // Trailers come as a second head of the same stream.
+  if (ByPlace.contains(Place))
+    return onBody(Place, {}, End);
+  ++Counts.Requests;
+  const request_id Id{++LastId};
+  const instant Now = Timers.now();
+  exchange &Exchange = Exchanges[Id];
+  Exchange.Place = Place;
+  Exchange.Head = Head;
+  Exchange.BodyEnded = End;
+  Exchange.Work = readWork(Head, Origin, Settings, Id, Now);
+  ByPlace[Place] = Id;
+  if (Exchange.Work.Deadline)
+    Exchange.Deadline = Timers.after(*Exchange.Work.Deadline - Now,
+                                     [this, Id] { deadlinePassed(Id); });
+  if (Exchange.Work.RelayedBy)
+    Peers.relayedHere(*Exchange.Work.RelayedBy, Now);
+  offer(Id);
+}
+
+void request_proxy::impl::onBody(answer_place Place, std::string_view Bytes,
+                                 bool End) {
+  if (KeyBatches.contains(Place))
+    return takeKeys(Place, Bytes, End);
+  const auto Found = ByPlace.find(Place);
+  if (Found == ByPlace.end()) {
+    // The request is over; its bytes still hold the connection's window.
+    if (const auto Flow = Flows.find(Place.Flow); Flow != Flows.end())
+      Flow->second->consumed(Place.Stream, Bytes.size());
+    return;
+  }
+  exchange &Exchange = Exchanges.at(Found->second);
+  Exchange.BodyEnded |= End;
+  caller_flow &Flow = *flowOf(Exchange);
+  if (!Exchange.Link) {
+    Exchange.Body += Bytes;
+    if (Exchange.Body.size() <= Settings.MaxBufferedBody)
+      Flow.consumed(Place.Stream, Bytes.size());
+    else
+      holdBody(Found->second, Bytes.size());
+    return;
+  }
+  if (Exchange.State == exchange_state::Relayed) {
+    Exchange.BodyLost |=
+        Exchange.Body.size() + Bytes.size() > Settings.MaxBufferedBody;
+    if (!Exchange.BodyLost)
+      Exchange.Body += Bytes;
+  }
+  Exchange.Link->data(Found->second, Bytes, End);
+  holdBody(Found->second, Bytes.size());
+  releaseHeld();
+}
+
+void request_proxy::impl::onCancel(answer_place Place) {
+  const auto Found = ByPlace.find(Place);
+  if (Found == ByPlace.end())
+    return;
+  const request_id Id = Found->second;
+  exchange &Exchange = Exchanges.at(Id);
+  ++Counts.Cancelled;
+  if (Exchange.Link)
+    Exchange.Link->cancel(Id);
+  const bool MayHaveRun = Exchange.State == exchange_state::Running;
+  settle(Id, Exchange, MayHaveRun ? key_state::Unknown : key_state::Released);
+  if (Exchange.State != exchange_state::Relayed)
+    Work.cancelled(Id, Timers.now());
+  erase(Id);
+  decideQueued();
+}
+
+void request_proxy::impl::deadlinePassed(request_id Id) {
+  const auto Found = Exchanges.find(Id);
+  if (Found == Exchanges.end())
+    return;
+  exchange &Exchange = Found->second;
+  Exchange.Deadline.reset();
+  const bool Begun = Exchange.State == exchange_state::Running ||
+                     Exchange.State == exchange_state::Relayed;
+  if (!Begun) {
+    settle(Id, Exchange, key_state::Released);
+    Work.cancelled(Id, Timers.now());
+    ++Counts.Refused;
+    answer(Id, notRun(refusal::DeadlineTooClose, duration::zero()));
+    return decideQueued();
+  }
+  if (Exchange.Link)
+    Exchange.Link->cancel(Id);
+  outcomeUnknown(Id, true);
+}
+
+} // namespace marjoramrail
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -9,9 +9,7 @@
 namespace marjoramrail::internal {
 
 enum class exchange_state {
-  /// Its key's claim is being asked for.
-  Claiming,
-  /// Not sent anywhere.
+  /// Not sent anywhere: it waits for a slot, its key's claim or both.
   Waiting,
   /// Sent to the target; its slot is taken.
   Running,
@@ -19,6 +17,9 @@
   Relayed,
 };
 
+/// How far the claim of a request's key is.
+enum class claim_state { None, Asked, Granted };
+
 /// One request from its head to the end of its answer.
 struct exchange {
   answer_place Place;
@@ -30,9 +31,11 @@
   /// More came after it was relayed than is kept for another try.
   bool BodyLost = false;
   exchange_state State = exchange_state::Waiting;
-  /// Its key has been granted to it.
-  bool Claimed = false;
-  /// With Claimed: the answer so far, to be kept with the key.
+  /// It has its slot.
+  bool Admitted = false;
+  claim_state Claim = claim_state::None;
+  int ClaimTries = 0;
+  /// With a claim granted: the answer so far, to be kept with the key.
   std::string Kept;
   std::optional<host_id> Peer;
   client_link *Link = nullptr;
--- /dev/null
+++ b/src/proxy/link_side.cpp
@@ -0,0 +1,184 @@
+#include "proxy/proxy_state.h"
+
+namespace marjoramrail {
+
+std::unique_ptr<client_link>
+request_proxy::impl::newLink(const endpoint &Address) {
+  link_hooks Link;
+  Link.OnHead = [this](request_id Id, const h2_head &Head, bool End) {
+    onAnswerHead(Id, Head, End);
+  };
+  Link.OnData = [this](request_id Id, std::string_view Bytes, bool End) {
+    onAnswerData(Id, Bytes, End);
+  };
+  Link.OnNotRun = [this](request_id Id) { onNotRun(Id); };
+  Link.OnLost = [this](request_id Id) {
+    if (Exchanges.contains(Id))
+      outcomeUnknown(Id, false);
+  };
+  Link.OnInput = [this] { releaseHeld(); };
+  Link.OnLateAnswer = [this] { ++Counts.LateAnswers; };
+  return std::make_unique<client_link>(Address, Hooks.Connect, std::move(Link));
+}
+
+void request_proxy::impl::retire(std::unique_ptr<client_link> &Link) {
+  if (!Link || !Link->isOver())
+    return;
+  Retired.push_back(std::move(Link));
+  Timers.after(duration::zero(), [this] { freeRetired(); });
+}
+
+void request_proxy::impl::freeRetired() {
+  Retired.remove_if([](const auto &Link) { return Link->isIdle(); });
+  if (!Retired.empty())
+    Timers.after(std::chrono::seconds(1), [this] { freeRetired(); });
+}
+
+client_link &request_proxy::impl::targetLink() {
+  retire(Target);
+  if (!Target)
+    Target = newLink(Settings.Target);
+  return *Target;
+}
+
+client_link &request_proxy::impl::peerLink(host_id Peer,
+                                           const endpoint &Address) {
+  auto &Link = PeerLinks[Peer];
+  retire(Link);
+  if (!Link)
+    Link = newLink(Address);
+  return *Link;
+}
+
+/// Answers to posted key messages say nothing; they are no one's.
+void request_proxy::impl::countLate(request_id Id) {
+  if (static_cast<std::uint64_t>(Id) < FirstPostId)
+    ++Counts.LateAnswers;
+}
+
+void request_proxy::impl::onAnswerHead(request_id Id, const h2_head &Head,
+                                       bool End) {
+  const auto Found = Exchanges.find(Id);
+  if (Found == Exchanges.end()) {
+    countLate(Id);
+    return;
+  }
+  exchange &Exchange = Found->second;
+  if (Exchange.State == exchange_state::Relayed && saysNotRun(Head)) {
+    Exchange.Link->cancel(Id);
+    return relayFailed(Id, retryAfterOf(Head));
+  }
+  const bool Informational = Head.get(":status").starts_with("1");
+  if (Exchange.HeadSent || Informational)
+    return;
+  Exchange.Shed = Head.get(":status") == "503";
+  Exchange.ShedRetryAfter = retryAfterOf(Head);
+  Exchange.HeadSent = true;
+  if (Exchange.Claim == claim_state::Granted)
+    Exchange.Kept = keptAnswer(std::string(Head.get(":status")), "");
+  caller_flow *Flow = flowOf(Exchange);
+  if (Flow)
+    Flow->respond(Exchange.Place.Stream, Head, End);
+  if (End)
+    answerOver(Id);
+  if (Flow)
+    Flow->flush();
+}
+
+void request_proxy::impl::onAnswerData(request_id Id, std::string_view Bytes,
+                                       bool End) {
+  const auto Found = Exchanges.find(Id);
+  if (Found == Exchanges.end()) {
+    countLate(Id);
+    return;
+  }
+  exchange &Exchange = Found->second;
+  if (Exchange.Claim == claim_state::Granted &&
+      Exchange.Kept.size() <= Settings.Keys.MaxOutcome)
+    Exchange.Kept += Bytes;
+  caller_flow *Flow = flowOf(Exchange);
+  if (!Flow) {
+    // The caller is gone; the outcome is kept for its repeat.
+    Exchange.Link->consumed(Id, Bytes.size());
+    if (End)
+      answerOver(Id);
+    return;
+  }
+  Flow->data(Exchange.Place.Stream, Bytes, End);
+  Exchange.AnswerHeld += Bytes.size();
+  // The flush of a whole answer closes the stream, which must not look like a
+  // caller that gives up.
+  if (End)
+    answerOver(Id);
+  Flow->flush();
+  // The flush may have ended the flow, and the request with it.
+  const auto Still = Exchanges.find(Id);
+  if (Still == Exchanges.end())
+    return;
+  Held.insert(Id);
+  releaseHeld();
+}
+
+void request_proxy::impl::answerOver(request_id Id) {
+  ++Counts.Answered;
+  const bool Shed = Exchanges.at(Id).Shed;
+  settle(Id, Exchanges.at(Id), Shed ? key_state::Released : key_state::Done);
+  finish(Id, Shed ? work_outcome::Shed : work_outcome::Answered);
+  erase(Id);
+  decideQueued();
+}
+
+void request_proxy::impl::onNotRun(request_id Id) {
+  const auto Found = Exchanges.find(Id);
+  if (Found == Exchanges.end())
+    return;
+  exchange &Exchange = Found->second;
+  if (Exchange.State == exchange_state::Relayed)
+    return relayFailed(Id, UnreachableRetry);
+  Exchange.ShedRetryAfter = UnreachableRetry;
+  settle(Id, Exchange, key_state::Released);
+  finish(Id, work_outcome::Shed);
+  ++Counts.Refused;
+  answer(Id, notRun("target", UnreachableRetry));
+  decideQueued();
+}
+
+void request_proxy::impl::holdBody(request_id Id, std::size_t Bytes) {
+  Exchanges.at(Id).BodyHeld += Bytes;
+  Held.insert(Id);
+}
+
+/// Goes on with what was held back, once the other side has taken its part.
+void request_proxy::impl::releaseHeld() {
+  std::erase_if(Held, [this](request_id Id) {
+    const auto Found = Exchanges.find(Id);
+    return Found == Exchanges.end() || releaseHeld(Id, Found->second);
+  });
+}
+
+/// Returns true if nothing is held any more.
+bool request_proxy::impl::releaseHeld(request_id Id, exchange &Exchange) {
+  caller_flow *Flow = flowOf(Exchange);
+  if (!Flow || !Exchange.Link)
+    return !Flow;
+  if (Exchange.AnswerHeld > 0 &&
+      Flow->queued(Exchange.Place.Stream) <= MaxAnswerQueued)
+    Exchange.Link->consumed(Id,
+                            std::exchange(Exchange.AnswerHeld, std::size_t(0)));
+  if (Exchange.BodyHeld > 0 &&
+      Exchange.Link->queued(Id) <= Settings.MaxBufferedBody)
+    Flow->consumed(Exchange.Place.Stream,
+                   std::exchange(Exchange.BodyHeld, std::size_t(0)));
+  return Exchange.AnswerHeld == 0 && Exchange.BodyHeld == 0;
+}
+
+void request_proxy::impl::checkSilence() {
+  std::vector<caller_flow *> All;
+  for (const auto &[Number, Flow] : Flows)
+    All.push_back(Flow);
+  for (caller_flow *Flow : All)
+    if (Flow->checkSilence(Timers.now(), Settings.SilentFlow))
+      ++Counts.SilentFlows;
+}
+
+} // namespace marjoramrail
--- /dev/null
+++ b/src/proxy/proxy_state.h
@@ -0,0 +1,136 @@
+//===- proxy_state.h - The inside of request_proxy --------------*- C++ -*-===//
+///
+/// \file
+/// Declares what the sources of request_proxy share; each has one side of it:
+/// callers (caller_side), key records (key_side), decisions (decision_side),
+/// answers and links (answer_side, link_side).
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_SRC_PROXY_PROXY_STATE_H
+#define MARJORAMRAIL_SRC_PROXY_PROXY_STATE_H
+
+#include "marjoramrail/proxy.h"
+#include "proxy/answers.h"
+#include "proxy/exchange.h"
+#include "proxy/key_codec.h"
+#include "proxy/key_desk.h"
+#include "proxy/request_head.h"
+
+#include <algorithm>
+#include <list>
+#include <set>
+
+namespace marjoramrail {
+
+using namespace internal;
+
+namespace internal {
+
+/// Answer bytes in a caller's session before the target is held back.
+inline constexpr std::size_t MaxAnswerQueued = 256 * 1024;
+/// Between the two GOAWAYs: longer than a round trip, so that a request sent
+/// before the first was seen is counted by the second.
+inline constexpr duration ShutdownPause = std::chrono::seconds(1);
+/// A target or peer that does not take connections is asked again after this.
+inline constexpr duration UnreachableRetry = std::chrono::seconds(1);
+/// Parts of SilentFlow between two looks at each flow.
+inline constexpr int SilenceChecks = 3;
+inline constexpr std::uint8_t NoMoreHops = 255;
+/// Where peers post messages of key records.
+inline constexpr std::string_view KeysPath = "/.marjoramrail/keys";
+/// Longer keys are refused: records of them are held at two agents.
+inline constexpr std::size_t LongestKey = 128;
+/// A batch of records in a sync is far smaller.
+inline constexpr std::size_t LongestKeyBatch = 1024 * 1024;
+/// Ids of posted key messages, apart from those of requests.
+inline constexpr std::uint64_t FirstPostId = 1ULL << 63;
+
+} // namespace internal
+
+struct request_proxy::impl {
+  timer_service &Timers;
+  proxy_settings Settings;
+  proxy_hooks Hooks;
+  relay_choice Peers;
+  admission Work;
+  proxy_counts Counts;
+  std::uint64_t LastId = 0;
+  std::uint64_t LastFlow = 0;
+  std::map<flow_number, caller_flow *> Flows;
+  std::map<request_id, exchange> Exchanges;
+  std::map<answer_place, request_id> ByPlace;
+  /// Requests of which bytes are held back in either direction.
+  std::set<request_id> Held;
+  key_desk Keys;
+  bool KeysKnown = false;
+  std::uint64_t LastPost = FirstPostId;
+  /// Batches of key messages that are coming in.
+  std::map<answer_place, std::string> KeyBatches;
+  std::unique_ptr<client_link> Target;
+  std::map<host_id, std::unique_ptr<client_link>> PeerLinks;
+  /// Links that take no more requests; freed outside of their own events.
+  std::list<std::unique_ptr<client_link>> Retired;
+  std::vector<timer_id> Periodic;
+  bool TickSet = false;
+  bool Deciding = false;
+  bool Draining = false;
+
+  impl(timer_service &Timers, const proxy_settings &Settings,
+       proxy_hooks Hooks);
+  ~impl();
+
+  // Callers' side.
+  void onRequest(answer_place Place, const h2_head &Head, bool End);
+  void onBody(answer_place Place, std::string_view Bytes, bool End);
+  void onCancel(answer_place Place);
+  void deadlinePassed(request_id Id);
+  caller_flow *flowOf(const exchange &Exchange);
+
+  // Decisions.
+  void offer(request_id Id);
+  void act(const decision &Decision);
+  void decideQueued();
+  void runIfClaimed(request_id Id);
+  void run(request_id Id, exchange &Exchange);
+  void relay(request_id Id, exchange &Exchange, host_id Peer);
+  void relayFailed(request_id Id, duration RetryAfter);
+
+  // Answers.
+  void answer(request_id Id, const own_answer &Answer);
+  void give(exchange &Exchange, const own_answer &Answer);
+  void outcomeUnknown(request_id Id, bool DeadlinePassed);
+  void finish(request_id Id, work_outcome Outcome);
+  void erase(request_id Id);
+
+  // Links' side.
+  // Key records.
+  void startClaim(request_id Id, exchange &Exchange);
+  bool claimAgain(request_id Id);
+  void onClaim(request_id Id, const key_result &Result);
+  void settle(request_id Id, exchange &Exchange, key_state State);
+  void postKeys(host_id Peer, const key_messages &Messages);
+  void takeKeys(answer_place Place, std::string_view Bytes, bool End);
+  void leaveRunning(answer_place Place);
+  void flowGone(flow_number Gone);
+
+  client_link &targetLink();
+  client_link &peerLink(host_id Peer, const endpoint &Address);
+  std::unique_ptr<client_link> newLink(const endpoint &Address);
+  void retire(std::unique_ptr<client_link> &Link);
+  void onAnswerHead(request_id Id, const h2_head &Head, bool End);
+  void onAnswerData(request_id Id, std::string_view Bytes, bool End);
+  void countLate(request_id Id);
+  void onNotRun(request_id Id);
+  void answerOver(request_id Id);
+  void holdBody(request_id Id, std::size_t Bytes);
+  void releaseHeld();
+  bool releaseHeld(request_id Id, exchange &Exchange);
+
+  void checkSilence();
+  void freeRetired();
+};
+
+} // namespace marjoramrail
+
+#endif // MARJORAMRAIL_SRC_PROXY_PROXY_STATE_H
