--- a/daemons/marjoramctl/command_line.cpp
+++ b/daemons/marjoramctl/command_line.cpp
@@ -7,6 +7,8 @@
               "Addresses of the platform, ADDRESS:PORT,...; default: the "
               "environment's MARJORAM_PLATFORM.");
 DEFINE_uint32(timeout_ms, 5000, "How long one call of the platform may take.");
+DEFINE_uint32(retry_seconds, 0,
+              "How long to try again while the platform is unavailable.");
 DEFINE_uint64(if_version, 0, "Write only if this version stands; 0 creates.");
 DEFINE_uint64(since, 0, "The version of the store to watch from.");
 DEFINE_uint32(for_seconds, 0, "How long to go on; 0 is without bound.");
@@ -21,8 +23,8 @@
 
 namespace marjoramrail::ctl {
 
-static const std::vector<std::string_view> CommonFlags = {"platform",
-                                                          "timeout_ms"};
+static const std::vector<std::string_view> CommonFlags = {
+    "platform", "timeout_ms", "retry_seconds"};
 
 static boost::leaf::error_id usage(const std::string &Verb,
                                    const std::string &Reason) {
@@ -109,6 +111,7 @@
   Options.Flow = FLAGS_flow;
   Options.Host = FLAGS_host;
   Options.Explain = FLAGS_explain;
+  Command.Retry = std::chrono::seconds(FLAGS_retry_seconds);
   Command.Timeout = std::chrono::milliseconds(FLAGS_timeout_ms);
   const char *Environment = std::getenv("MARJORAM_PLATFORM");
   const std::string Platform = !FLAGS_platform.empty() ? FLAGS_platform
@@ -121,35 +124,57 @@
   return {};
 }
 
+static bool isFlag(const std::string &Word) {
+  return Word.rfind("--", 0) == 0 &&
+         Word.find_first_not_of('-') != std::string::npos;
+}
+
+/// Sets the flag at \p Words[At] and returns the position after it.
+static result<std::size_t> readFlag(const verb_entry &Verb,
+                                    const std::vector<std::string> &Words,
+                                    std::size_t At) {
+  std::optional<std::string> Next;
+  if (At + 1 < Words.size())
+    Next = Words[At + 1];
+  const bool HadNext = Next.has_value();
+  if (auto Set = setFlag(Verb, Words[At], Next); !Set)
+    return Set.error();
+  return At + (HadNext && !Next ? 2 : 1);
+}
+
+static std::string fullHelp(const verb_entry &Verb) {
+  return helpOf(Verb) + "Flags:\n" + flagHelp(Verb.Flags) +
+         flagHelp(CommonFlags);
+}
+
+/// The flags of every verb may also stand before the verb.
 result<command> readCommand(const std::vector<std::string> &Words) {
+  static const verb_entry BeforeVerb{"marjoramctl", "", "", "", {}, nullptr};
   command Command;
-  if (Words.empty())
+  std::size_t At = 0;
+  while (At < Words.size() && isFlag(Words[At]) && Words[At] != "--help") {
+    BOOST_LEAF_ASSIGN(At, readFlag(BeforeVerb, Words, At));
+  }
+  if (At == Words.size())
     return usage("", "expected a verb");
-  if (Words[0] == "--help" || Words[0] == "help") {
+  if (Words[At] == "--help" || Words[At] == "help") {
     Command.Help = generalHelp();
     return Command;
   }
-  Command.Verb = findVerb(Words[0]);
+  Command.Verb = findVerb(Words[At]);
   if (!Command.Verb)
-    return usage("", "there is no verb " + Words[0]);
-  for (std::size_t I = 1; I < Words.size(); ++I) {
-    if (Words[I] == "--help") {
-      Command.Help = helpOf(*Command.Verb) + "Flags:\n" +
-                     flagHelp(Command.Verb->Flags) + flagHelp(CommonFlags);
+    return usage("", "there is no verb " + Words[At]);
+  ++At;
+  while (At < Words.size()) {
+    if (Words[At] == "--help") {
+      Command.Help = fullHelp(*Command.Verb);
       return Command;
     }
-    if (Words[I].size() < 2 || Words[I].rfind("--", 0) != 0 ||
-        Words[I].find_first_not_of('-') == std::string::npos) {
-      Command.Options.Arguments.push_back(Words[I]);
+    if (!isFlag(Words[At])) {
+      Command.Options.Arguments.push_back(Words[At++]);
       continue;
     }
-    std::optional<std::string> Next;
-    if (I + 1 < Words.size())
-      Next = Words[I + 1];
-    const bool HadNext = Next.has_value();
-    if (auto Set = setFlag(*Command.Verb, Words[I], Next); !Set)
-      return Set.error();
-    I += HadNext && !Next;
+    BOOST_LEAF_ASSIGN(At, readFlag(*Command.Verb, Words, At));
   }
   if (auto Read = readFlags(Command); !Read)
     return Read.error();
--- a/daemons/marjoramctl/command_line.h
+++ b/daemons/marjoramctl/command_line.h
@@ -35,6 +35,9 @@
   ctl_options Options;
   std::vector<endpoint> Platform;
   duration Timeout = duration::zero();
+  /// How long a verb is run again while the platform is unavailable. Nothing
+  /// was done then, or of several objects some stand, which apply leaves alone.
+  duration Retry = duration::zero();
   /// Text to print instead of running: the help that was asked for.
   std::string Help;
 };
--- a/daemons/marjoramctl/main.cpp
+++ b/daemons/marjoramctl/main.cpp
@@ -46,15 +46,22 @@
             fetchPage(Loop, Process, Path, Command.Timeout, std::move(Done));
           },
       .Writer = writerName()};
+  constexpr duration RetryPause = std::chrono::milliseconds(500);
+  const instant GiveUp = Loop.timers().now() + Command.Retry;
   exit_code Code = exit_code::Ok;
-  bool Ended = false;
-  Command.Verb->Run(Context, Command.Options, [&](exit_code Given) {
-    Code = Given;
-    Ended = true;
-    Loop.stop();
-  });
-  if (!Ended)
-    Loop.run();
+  std::function<void()> Attempt;
+  Attempt = [&] {
+    Command.Verb->Run(Context, Command.Options, [&](exit_code Given) {
+      if (Given == exit_code::Unavailable && Loop.timers().now() < GiveUp) {
+        Loop.timers().after(RetryPause, Attempt);
+        return;
+      }
+      Code = Given;
+      Loop.stop();
+    });
+  };
+  Loop.defer(Attempt);
+  Loop.run();
   return Code;
 }
 
--- a/include/marjoramrail/platform.h
+++ b/include/marjoramrail/platform.h
@@ -31,7 +31,8 @@
 /// deletion that watches see. An object is answered as
 ///   {"kind", "name", "version", "writer", "sequence", "deleted", "body": TEXT}
 /// and a list or a watch as {"version": STORE_VERSION, "objects": [...]}.
-/// Kinds and names are 1 to 128 of A-Z, a-z, 0-9, ".", "_", ":" and "-".
+/// Kinds and names are 1 to 128 of A-Z, a-z, 0-9, ".", "_", ":" and "-"; a
+/// writer is 1 to 128 printable characters without spaces.
 ///
 //===----------------------------------------------------------------------===//
 
--- a/src/platform/call.cpp
+++ b/src/platform/call.cpp
@@ -42,8 +42,9 @@
     return "kind" + Rule;
   if (Call.Verb != call_verb::List && !isKeyPart(Call.Key.Name))
     return "name" + Rule;
-  if (Call.changes() && !isKeyPart(Call.Writer))
-    return "writer" + Rule;
+  if (Call.changes() && !isWriter(Call.Writer))
+    return "writer: expected 1 to " + std::to_string(MaxKeyLength) +
+           " printable characters without spaces";
   if (Call.Body.size() > MaxObjectBytes)
     return "body: expected at most " + std::to_string(MaxObjectBytes) +
            " bytes";
--- a/src/platform/object_codec.cpp
+++ b/src/platform/object_codec.cpp
@@ -20,6 +20,13 @@
          std::all_of(Text.begin(), Text.end(), isKeyCharacter);
 }
 
+bool isWriter(std::string_view Text) {
+  return !Text.empty() && Text.size() <= MaxKeyLength &&
+         std::all_of(Text.begin(), Text.end(), [](char Character) {
+           return Character > ' ' && Character <= '~';
+         });
+}
+
 static std::string dump(const ordered_json &Json) {
   return Json.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
 }
--- a/src/platform/object_codec.h
+++ b/src/platform/object_codec.h
@@ -22,6 +22,9 @@
 /// Whether \p Text can be a kind or a name.
 bool isKeyPart(std::string_view Text);
 
+/// Whether \p Text can be a writer: what one header field carries unchanged.
+bool isWriter(std::string_view Text);
+
 /// The JSON text of one object.
 std::string encodeObject(const platform_object &Object);
 
--- a/test/daemons/marjoramctl/command_line_test.cpp
+++ b/test/daemons/marjoramctl/command_line_test.cpp
@@ -36,6 +36,17 @@
   CHECK(!Command->Options.IfVersion);
 }
 
+TEST_CASE("readCommand takes the common flags before the verb") {
+  const auto Command =
+      readCommand({"--platform=127.0.0.1:1", "list", "service"});
+
+  REQUIRE(Command);
+  CHECK(Command->Verb->Name == "list");
+  CHECK(Command->Options.Arguments == std::vector<std::string>{"service"});
+  CHECK(faultOf({"--wait", "drain"}).find("takes no flag --wait") !=
+        std::string::npos);
+}
+
 TEST_CASE("readCommand names what it does not take") {
   CHECK(faultOf({}).find("expected a verb") == 0);
   CHECK(faultOf({"aply"}).find("there is no verb aply") == 0);
--- a/test/platform/call_test.cpp
+++ b/test/platform/call_test.cpp
@@ -52,6 +52,8 @@
 TEST_CASE("faultOf refuses what would change a request's meaning") {
   call Call = write();
   CHECK(faultOf(Call).empty());
+  Call.Writer = "balancer-1#1764720000";
+  CHECK(faultOf(Call).empty());
   Call.Writer = "a\r\nIf-Match: 0";
   CHECK(faultOf(Call).find("writer") == 0);
   Call = write();
