--- a/bench/fleet/main.cpp
+++ b/bench/fleet/main.cpp
@@ -142,8 +142,13 @@
   }
 
   void settle() {
+    instant Looked;
     const auto Took = Fleet.runUntil(
         [&] {
+          // A look costs as much as the fleet itself.
+          if (Fleet.Net.now() - Looked < 500ms)
+            return false;
+          Looked = Fleet.Net.now();
           for (int I = 0; I < Services; ++I)
             if (!Fleet.agreed("service" + std::to_string(I), HostsPerService))
               return false;
--- a/src/fleet/byte_budget.h
+++ b/src/fleet/byte_budget.h
@@ -18,6 +18,18 @@
 
 namespace marjoramrail::internal {
 
+/// Who waits when the budget runs low.
+enum class urgency {
+  /// Signs of life and reports on hosts: small, bounded by themselves, and a
+  /// fleet that stops them for lack of budget would take its nodes for dead.
+  Now,
+  /// Views and the news of them.
+  Soon,
+  /// Confirmations and digests; only while half of the burst is left, so that
+  /// they never hold up a view.
+  Later,
+};
+
 class byte_budget {
 public:
   byte_budget(std::uint32_t BytesPerSecond, instant Now)
@@ -26,9 +38,11 @@
   /// True if anything may be sent now. A message may overdraw the budget, so
   /// that one larger than the burst is sent at all; then it takes as much
   /// longer until the next.
-  bool open(instant Now) {
+  bool open(instant Now, urgency Urgency) {
     refill(Now);
-    return Left > 0;
+    if (Urgency == urgency::Later)
+      return Left > BurstSeconds * Rate / 2;
+    return Urgency == urgency::Now || Left > 0;
   }
 
   void spend(std::size_t Bytes) { Left -= static_cast<double>(Bytes); }
--- a/src/fleet/duty_holder.h
+++ b/src/fleet/duty_holder.h
@@ -21,6 +21,7 @@
 
 /// On how many nodes a view is in force, as far as reports have come in.
 struct force_summary {
+  std::uint64_t Version = 0;
   std::uint32_t Nodes = 0;
   std::uint32_t Of = 0;
   bool All = false;
@@ -89,7 +90,9 @@
     std::uint64_t StatusVersion = 0;
     instant StatusAt;
     bool StatusBusy = false;
-    bool StatusKnown = false;
+    /// The view version that was seen in force everywhere. Balancers that join
+    /// later have it before they are ready: the status need not follow them.
+    std::uint64_t EverywhereVersion = 0;
   };
 
   void takeSpec(const platform_object &Object);
--- a/src/fleet/duty_status.cpp
+++ b/src/fleet/duty_status.cpp
@@ -36,7 +36,14 @@
                                      const service_duty &Duty) const {
   service_status Status;
   Status.Name = Service;
-  const force_summary Force = Hooks.InForce(Service);
+  force_summary Force = Hooks.InForce(Service);
+  if (Duty.Stored && Duty.EverywhereVersion == Duty.Stored->View.Version) {
+    Force = {Duty.EverywhereVersion,
+             Duty.Status.InForceOn,
+             Duty.Status.Nodes,
+             true,
+             {}};
+  }
   Status.InForceOn = Force.Nodes;
   Status.Nodes = Force.Of;
   Status.Lagging = Force.Lagging;
@@ -94,6 +101,8 @@
   Duty.StatusBusy = false;
   if (Result.Outcome == write_outcome::Written) {
     Duty.Status = Status;
+    if (Status.Nodes > 0 && Status.InForceOn == Status.Nodes)
+      Duty.EverywhereVersion = Status.ViewVersion;
     Duty.StatusVersion = Result.Object.Version;
     return;
   }
--- a/src/fleet/fleet_node.cpp
+++ b/src/fleet/fleet_node.cpp
@@ -84,7 +84,7 @@
 
   void tick();
   void input(const endpoint &From, fleet_bytes Bytes);
-  bool send(const endpoint &To, const message &Message, bool Essential);
+  bool send(const endpoint &To, const message &Message, urgency Urgency);
 
   void take(const endpoint &From, const announcement &Announcement) {
     Hearing.announced(From, Announcement);
@@ -160,7 +160,7 @@
 gossip::hooks fleet_node::impl::gossipHooks() {
   return {
       .Send = [this](const endpoint &To, const message &Message,
-                     bool Essential) { return send(To, Message, Essential); },
+                     urgency Urgency) { return send(To, Message, Urgency); },
       .OnPeersChanged = [this] { peersChanged(); },
       .OnView = [this](const membership &Members) { takeView(Members); },
       .OnDuty = [this](const duty_news &News) { takeDuty(News); },
@@ -173,7 +173,7 @@
           [this](const endpoint &To, const message &Message) {
             const bool View = std::holds_alternative<view_full>(Message) ||
                               std::holds_alternative<view_delta>(Message);
-            return send(To, Message, !View);
+            return send(To, Message, View ? urgency::Soon : urgency::Now);
           },
       .Report = [this](report_kind Kind,
                        const announcement &Heard) { reportHost(Kind, Heard); },
@@ -186,12 +186,9 @@
   return {
       .Send =
           [this](const endpoint &To, const message &Message) {
-            return send(To, Message, false);
-          },
-      .Holder =
-          [this](const std::string &Service) {
-            return dutyFor(Service).Holder;
+            send(To, Message, urgency::Later);
           },
+      .Holder = [this](const std::string &Service) { return dutyFor(Service); },
       .OnChange =
           [this](const std::string &Service) { Holder.forceChanged(Service); }};
 }
@@ -252,8 +249,8 @@
 }
 
 bool fleet_node::impl::send(const endpoint &To, const message &Message,
-                            bool Essential) {
-  if (!Essential && !Budget.open(Timers.now())) {
+                            urgency Urgency) {
+  if (!Budget.open(Timers.now(), Urgency)) {
     ++Counters.PutOff;
     return false;
   }
@@ -374,14 +371,14 @@
   if (Duty.Holder == Settings.Name)
     Holder.take(Report);
   else if (!Duty.Holder.empty())
-    send(Duty.Control, Report, true);
+    send(Duty.Control, Report, urgency::Now);
 }
 
 void fleet_node::impl::probeOthers(const probe_request &Request) {
   Hearing.probe(Request);
   for (int I = 0; I < ProbeOthers; ++I)
     if (const auto Peer = Peers.random())
-      send(Peer->Control, Request, true);
+      send(Peer->Control, Request, urgency::Now);
 }
 
 std::vector<endpoint> fleet_node::impl::assignedTo(const std::string &Host) {
--- a/src/fleet/gossip.cpp
+++ b/src/fleet/gossip.cpp
@@ -104,7 +104,7 @@
 
 void gossip::period() {
   if (const auto Peer = Peers.nextToAsk(Timers.now()))
-    Hooks.Send(Peer->Control, makeBeat(true, PeersDiffer), true);
+    Hooks.Send(Peer->Control, makeBeat(true, PeersDiffer), urgency::Now);
   const bool Alone = Peers.living().size() < 2;
   if (Alone || Periods % PeriodsPerSeed == 0)
     callSeed();
@@ -117,7 +117,7 @@
     return;
   const std::size_t At = SeedCalls++ % Count;
   Hooks.Send(At < Seeds.size() ? Seeds[At] : Contacts[At - Seeds.size()],
-             makeBeat(true, false), true);
+             makeBeat(true, false), urgency::Now);
 }
 
 void gossip::addContact(const endpoint &Control) {
@@ -153,7 +153,7 @@
   }
   const auto Peer = Peers.random();
   if (Peer && !Request.Have.empty())
-    Hooks.Send(Peer->Control, Request, true);
+    Hooks.Send(Peer->Control, Request, urgency::Now);
 }
 
 void gossip::viewTaken(const std::string &Service) {
@@ -184,7 +184,7 @@
     const bool Nothing = !Peers.hasNews() && HotViews.empty();
     if (!Peer || (Nothing && I > 0))
       return;
-    if (!Hooks.Send(Peer->Control, makeNews(), false))
+    if (!Hooks.Send(Peer->Control, makeNews(), urgency::Soon))
       return;
   }
 }
@@ -213,10 +213,10 @@
       takeNews(From, {Beat.Peers, Beat.Views, Beat.Duties});
   PeersDiffer = Beat.PeersDigest != Peers.digest();
   if (Beat.WantsAnswer)
-    Hooks.Send(From, makeBeat(false, PeersDiffer), true);
+    Hooks.Send(From, makeBeat(false, PeersDiffer), urgency::Now);
   else if (Unknown * 2 > MaxFill)
     // There is more where this came from: a new node learns the fleet fast.
-    Hooks.Send(From, makeBeat(true, true), false);
+    Hooks.Send(From, makeBeat(true, true), urgency::Soon);
   if (Beat.ViewsDigest != Views.digest() && digestsDue())
     exchangeDigests(From);
 }
@@ -234,7 +234,7 @@
   if (Hooks.Send(From,
                  bucket_digests{std::vector<std::uint64_t>(Digests.begin(),
                                                            Digests.end())},
-                 false))
+                 urgency::Later))
     DigestsAt = Timers.now();
 }
 
@@ -251,7 +251,7 @@
       break;
   }
   if (!Answer.Buckets.empty())
-    Hooks.Send(From, Answer, false);
+    Hooks.Send(From, Answer, urgency::Soon);
 }
 
 void gossip::take(const endpoint &From, const bucket_versions &Versions) {
@@ -267,7 +267,7 @@
           News.Views.size() < MaxVersions)
         News.Views.push_back(std::move(Mine));
   if (!News.Views.empty())
-    Hooks.Send(From, News, false);
+    Hooks.Send(From, News, urgency::Soon);
 }
 
 void gossip::compare(const endpoint &From,
@@ -285,7 +285,7 @@
     Request.Have.push_back({Version.Service, Mine});
   }
   if (!Request.Have.empty())
-    Hooks.Send(From, Request, true);
+    Hooks.Send(From, Request, urgency::Now);
 }
 
 void gossip::take(const endpoint &From, const view_request &Request) {
@@ -294,9 +294,9 @@
     if (Members == nullptr || Members->View.Version <= Have.Version)
       continue;
     const view_delta *Delta = Views.deltaFrom(Have.Service, Have.Version);
-    const bool Sent = Delta != nullptr
-                          ? Hooks.Send(From, *Delta, false)
-                          : Hooks.Send(From, view_full{*Members}, false);
+    const bool Sent =
+        Delta != nullptr ? Hooks.Send(From, *Delta, urgency::Soon)
+                         : Hooks.Send(From, view_full{*Members}, urgency::Soon);
     if (!Sent)
       return;
   }
@@ -318,7 +318,7 @@
   const news News{{peer_news{Peers.self(), peer_state::Dead}}, {}, {}};
   for (int I = 0; I < TellTimes; ++I)
     if (const auto Peer = Peers.random())
-      Hooks.Send(Peer->Control, News, true);
+      Hooks.Send(Peer->Control, News, urgency::Now);
 }
 
 } // namespace marjoramrail::internal
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -12,6 +12,7 @@
 #ifndef MARJORAMRAIL_FLEET_GOSSIP_H
 #define MARJORAMRAIL_FLEET_GOSSIP_H
 
+#include "fleet/byte_budget.h"
 #include "fleet/peer_table.h"
 #include "fleet/view_store.h"
 
@@ -20,9 +21,8 @@
 class gossip {
 public:
   struct hooks {
-    /// \p Essential messages are sent whatever the byte budget says; for the
-    /// others it returns false if the budget is spent.
-    std::function<bool(const endpoint &, const message &, bool Essential)> Send;
+    /// Returns false if the byte budget does not allow it now.
+    std::function<bool(const endpoint &, const message &, urgency)> Send;
     std::function<void()> OnPeersChanged;
     /// A view that a peer sent.
     std::function<void(const membership &)> OnView;
