--- /dev/null
+++ b/bench/routing/imbalance.cpp
@@ -0,0 +1,139 @@
+#include "bench/routing/bench.h"
+
+#include "path/path_world.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+
+namespace marjoramrail::bench {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::path_world;
+using test::world_settings;
+
+static constexpr std::uint32_t Hosts = 7;
+static constexpr std::uint32_t Flows = Hosts * 2000;
+/// Mean life of a flow at the target size: 88 million open, 520,000 new ones a
+/// second.
+static constexpr duration FlowLife = seconds(169);
+/// The imbalance counts once a change has had this long; what a new host lacks
+/// until then shows in the peak.
+static constexpr duration Settle = seconds(20);
+
+namespace {
+
+/// Flows that end and begin while hosts change.
+class churning_world {
+public:
+  explicit churning_world(std::uint64_t Seed) : World(settings(Seed)) {
+    World.setMoving(true);
+    constexpr std::uint32_t PerTurn = 10; // 1,000 a second
+    for (std::uint32_t I = 0; I < Flows; ++I) {
+      World.openFlow(I);
+      if (I % PerTurn == PerTurn - 1)
+        World.pass(path_world::Turn);
+    }
+    World.pass(seconds(5));
+  }
+
+  path_world &world() { return World; }
+
+  /// Lets time go by and returns the highest imbalance on the way.
+  double pass(duration Time) {
+    double Peak = 0;
+    const double PerTurn = double(Flows) * double(path_world::Turn.count()) /
+                           double(FlowLife.count());
+    for (duration Gone{}; Gone < Time; Gone += path_world::Turn) {
+      for (Due += PerTurn; Due >= 1; --Due)
+        renewOne();
+      World.pass(path_world::Turn);
+      if (Gone % seconds(1) == duration(0))
+        Peak = std::max(Peak, World.imbalance());
+    }
+    return Peak;
+  }
+
+private:
+  static world_settings settings(std::uint64_t Seed) {
+    world_settings Settings;
+    Settings.Seed = Seed;
+    Settings.Hosts = Hosts;
+    Settings.SendPeriod = seconds(10);
+    Settings.MostLag = seconds(2);
+    return Settings;
+  }
+
+  /// Another caller takes the place of one that leaves.
+  void renewOne() {
+    World.closeFlow(Oldest++);
+    World.openFlow(Next++);
+  }
+
+  path_world World;
+  std::uint32_t Oldest = 0;
+  std::uint32_t Next = Flows;
+  double Due = 0;
+};
+
+/// max/mean of a plain hash modulo the hosts, and the flows that a change of
+/// their number would break.
+struct naive_figures {
+  double Imbalance;
+  std::uint32_t Broken;
+};
+
+} // namespace
+
+static naive_figures naive(std::uint32_t Before, std::uint32_t After) {
+  std::vector<std::uint32_t> Count(After);
+  std::uint32_t Broken = 0;
+  for (std::uint32_t I = 0; I < Flows; ++I) {
+    const std::uint64_t Hash = hashOf(flowOf(I), 0);
+    ++Count[Hash % After];
+    Broken += Hash % Before != Hash % After;
+  }
+  const double Most = *std::max_element(Count.begin(), Count.end());
+  return {Most * After / Flows, Broken};
+}
+
+static double measureService(const std::string &Service, std::uint64_t Seed) {
+  churning_world Churning(Seed);
+  path_world &World = Churning.world();
+  double Worst = 0;
+  const auto Phase = [&](const std::string &Name, std::uint32_t Before,
+                         std::uint32_t After,
+                         const std::function<void()> &Change) {
+    const std::uint64_t BrokenBefore = World.verdict().BrokenPlanned;
+    Change();
+    const double Peak = Churning.pass(Settle);
+    const double Settled = Churning.pass(seconds(5));
+    Worst = std::max(Worst, Settled);
+    const naive_figures Naive = naive(Before, After);
+    const std::string Key = "_" + Service + "_" + Name;
+    print("flow_imbalance" + Key, Settled, "ratio");
+    print("flow_imbalance_peak" + Key, Peak, "ratio");
+    print("flow_imbalance_naive" + Key, Naive.Imbalance, "ratio");
+    print("broken_flows_planned" + Key,
+          double(World.verdict().BrokenPlanned - BrokenBefore), "flows");
+    print("broken_flows_naive" + Key, Naive.Broken, "flows");
+  };
+  Phase("open", Hosts, Hosts, [] {});
+  Phase("add", Hosts, Hosts + 1, [&] { World.addHost(); });
+  Phase("drain", Hosts + 1, Hosts, [&] { World.drainHost(0); });
+  Phase("restart", Hosts, Hosts, [&] { World.restartHost(1); });
+  print("misrouted_" + Service, double(World.verdict().Misrouted), "packets");
+  print("visits_per_packet_" + Service,
+        double(World.verdict().Visits) / double(World.verdict().Deliveries),
+        "agents");
+  return Worst;
+}
+
+void measureImbalance() {
+  const double Ledger = measureService("ledger", 1);
+  const double Dispatch = measureService("dispatch", 2);
+  print("flow_imbalance", std::max(Ledger, Dispatch), "ratio");
+}
+
+} // namespace marjoramrail::bench
--- a/bench/routing/main.cpp
+++ b/bench/routing/main.cpp
@@ -3,7 +3,9 @@
 using namespace marjoramrail::bench;
 
 int main() {
+  measureViewBytes();
   measureRouteCost();
   measureMaglev();
   measureRemap();
+  measureImbalance();
 }
--- a/test/path/path_world.cpp
+++ b/test/path/path_world.cpp
@@ -1,4 +1,5 @@
 #include "path/path_world.h"
+#include "path/addresses.h"
 #include "wire/sample_packet.h"
 
 #include <algorithm>
@@ -9,29 +10,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-static const endpoint ServiceAddress{0x0a640001, 443};
-static constexpr std::uint32_t PayloadBytes = 10;
-static constexpr duration ResendAfter = milliseconds(300);
-static constexpr duration SynResendAfter = seconds(1);
-static constexpr duration SendPeriod = milliseconds(250);
 static constexpr duration PlanPeriod = milliseconds(500);
 
-static endpoint agentOf(std::uint32_t Host) {
-  return {0x0a010000 + Host, 7000};
-}
-static endpoint balancerOf(std::uint32_t Number) {
-  return {0x0a020000 + Number, 4000};
-}
-static flow_key keyOf(std::uint32_t Number) {
-  constexpr std::uint32_t PortsPerCaller = 20000;
-  return {{0x0a030000 + Number / PortsPerCaller,
-           static_cast<std::uint16_t>(10000 + Number % PortsPerCaller)},
-          ServiceAddress};
-}
-static std::uint32_t numberOf(const flow_key &Flow) {
-  return (Flow.Caller.Address - 0x0a030000) * 20000 + Flow.Caller.Port - 10000;
-}
-
 path_world::path_world(const world_settings &Settings)
     : Settings(Settings), Random(Settings.Seed) {
   for (std::uint32_t I = 0; I < Settings.Hosts; ++I)
@@ -363,146 +343,6 @@
   return Sum;
 }
 
-//===----------------------------------------------------------------------===//
-// Callers
-//===----------------------------------------------------------------------===//
-
-void path_world::openFlow(std::uint32_t Number) {
-  caller &Caller = Callers[Number];
-  Caller = caller();
-  Caller.Flow = keyOf(Number);
-  Caller.Initial = static_cast<std::uint32_t>(Random());
-  Caller.Next = Caller.Initial + 1;
-  Caller.State = caller_state::SynSent;
-  Caller.AskedSince = Now;
-  callerSends(Caller, SynBit, 0);
-}
-
-void path_world::closeFlow(std::uint32_t Number) {
-  caller &Caller = Callers[Number];
-  if (Caller.State == caller_state::Established) {
-    // Sent more than once: this caller does not wait for the answer.
-    for (int I = 0; I < 3; ++I)
-      callerSends(Caller, FinBit | AckBit, 0);
-  }
-  Caller.State = caller_state::Closed;
-}
-
-void path_world::callerSends(caller &Caller, std::uint8_t Flags,
-                             std::size_t Payload) {
-  const std::uint32_t Sequence =
-      (Flags & SynBit) != 0 ? Caller.Initial : Caller.Next;
-  const auto To =
-      balancerOf(static_cast<std::uint32_t>(below(Settings.Balancers)));
-  put({cargo::ToBalancer,
-       {},
-       To,
-       samplePacket(Caller.Flow, Flags, Payload, Sequence, Caller.Expected),
-       {},
-       0,
-       0},
-      true);
-  Caller.LastSend = Now;
-}
-
-bool path_world::leavesNow(const caller &Caller) {
-  if (Caller.State == caller_state::Reset)
-    return true;
-  // One turn in 300 of 10 ms: after 3 s on average.
-  constexpr std::uint64_t Turns = 300;
-  return Caller.State == caller_state::Established &&
-         Hosts[Caller.Owner].Draining && below(Turns) == 0;
-}
-
-void path_world::callersTurn() {
-  for (auto &[Number, Caller] : Callers) {
-    if (Caller.State == caller_state::SynSent &&
-        Now - Caller.LastSend >= SynResendAfter)
-      callerSends(Caller, SynBit, 0);
-    if (Moving && leavesNow(Caller)) {
-      closeFlow(Number);
-      openFlow(Number);
-    }
-    if (Caller.State != caller_state::Established)
-      continue;
-    const duration Quiet = Now - Caller.LastSend;
-    if (Quiet < (Caller.Unacknowledged ? ResendAfter : SendPeriod))
-      continue;
-    if (!std::exchange(Caller.Unacknowledged, true))
-      Caller.AskedSince = Now;
-    callerSends(Caller, AckBit, PayloadBytes);
-  }
-}
-
-void path_world::callerReceives(const parcel &Parcel) {
-  tcp_packet Packet;
-  if (parseAnswer(Parcel.Bytes, Packet) != packet_fault::None)
-    return;
-  caller &Caller = Callers[numberOf(Packet.Flow)];
-  if (Caller.State == caller_state::SynSent) {
-    if (Packet.Acknowledged != Caller.Initial + 1 || !Packet.Ack)
-      return;
-    if (Packet.Rst) {
-      ++Verdict.RefusedOpen;
-      Caller.State = caller_state::Reset;
-      return;
-    }
-    if (!Packet.Syn)
-      return;
-    Caller.State = caller_state::Established;
-    Caller.Expected = Packet.Sequence + 1;
-    Caller.Owner = Parcel.Host;
-    Caller.OwnerIncarnation = Parcel.Incarnation;
-    Caller.Unacknowledged = false;
-    ++Verdict.Opened;
-    return callerSends(Caller, AckBit, 0);
-  }
-  if (Caller.State != caller_state::Established)
-    return;
-  if (Packet.Rst) {
-    if (Packet.Sequence == Caller.Expected)
-      callerReset(Caller);
-    return;
-  }
-  if (Packet.Syn)
-    return callerSends(Caller, AckBit, 0);
-  if (Caller.Unacknowledged &&
-      Packet.Acknowledged == Caller.Next + PayloadBytes) {
-    Caller.Next += PayloadBytes;
-    Caller.Unacknowledged = false;
-  }
-}
-
-void path_world::callerReset(caller &Caller) {
-  const host &Owner = Hosts[Caller.Owner];
-  Caller.State = caller_state::Reset;
-  if (Owner.Alive && Owner.Incarnation == Caller.OwnerIncarnation) {
-    ++Verdict.BrokenPlanned;
-    return;
-  }
-  ++Verdict.BrokenByDeath;
-  const instant Since = std::max(Owner.DiedAt, Caller.AskedSince);
-  Verdict.LongestUntold = std::max(Verdict.LongestUntold, Now - Since);
-}
-
-std::size_t path_world::establishedFlows() const {
-  return std::size_t(
-      std::count_if(Callers.begin(), Callers.end(), [](const auto &Item) {
-        return Item.second.State == caller_state::Established;
-      }));
-}
-
-std::size_t path_world::stuckFlows(duration Time) const {
-  return std::size_t(
-      std::count_if(Callers.begin(), Callers.end(), [&](const auto &Item) {
-        const caller &Caller = Item.second;
-        const bool Waits = Caller.State == caller_state::SynSent ||
-                           (Caller.State == caller_state::Established &&
-                            Caller.Unacknowledged);
-        return Waits && Now - Caller.AskedSince > Time;
-      }));
-}
-
 //===----------------------------------------------------------------------===//
 // Views
 //===----------------------------------------------------------------------===//
--- a/test/path/path_world.h
+++ b/test/path/path_world.h
@@ -32,6 +32,8 @@
   double DoublePercent = 0;
   /// One way, evenly spread from 1 ms; more than a turn apart means reordered.
   duration MostDelay = std::chrono::milliseconds(10);
+  /// Between two packets of a caller.
+  duration SendPeriod = std::chrono::milliseconds(250);
   /// How long a node may be behind the newest view.
   duration MostLag = std::chrono::seconds(5);
 };
