--- /dev/null
+++ b/bench/balancer/packet_source.h
@@ -0,0 +1,59 @@
+//===- packet_source.h - As many packets as a core can send -----*- C++ -*-===//
+///
+/// \file
+/// The load of the balancer's bench: callers' packets over loopback, in
+/// batches, from a thread of its own, and a socket in place of the agents.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_BENCH_BALANCER_PACKET_SOURCE_H
+#define MARJORAMRAIL_BENCH_BALANCER_PACKET_SOURCE_H
+
+#include "marjoramrail/wire.h"
+
+#include <atomic>
+#include <thread>
+
+namespace marjoramrail::bench {
+
+/// One caller's packet with \p Payload bytes; \p Number tells flows apart.
+std::vector<std::uint8_t> callerPacket(const endpoint &Service,
+                                       std::uint32_t Number, bool Syn,
+                                       std::size_t Payload);
+
+/// A bound socket that takes what agents would take and reads nothing: its full
+/// buffer drops packets as cheaply as can be.
+class deaf_socket {
+public:
+  deaf_socket();
+  ~deaf_socket();
+  deaf_socket(const deaf_socket &) = delete;
+  deaf_socket &operator=(const deaf_socket &) = delete;
+
+  endpoint local() const;
+
+private:
+  int Socket;
+};
+
+/// Sends \p Packets over and over to one address until it is destroyed.
+class packet_source {
+public:
+  packet_source(const endpoint &To,
+                std::vector<std::vector<std::uint8_t>> Packets);
+  ~packet_source();
+  packet_source(const packet_source &) = delete;
+  packet_source &operator=(const packet_source &) = delete;
+
+private:
+  void run();
+
+  int Socket;
+  std::vector<std::vector<std::uint8_t>> Packets;
+  std::atomic<bool> Stopped = false;
+  std::thread Thread;
+};
+
+} // namespace marjoramrail::bench
+
+#endif // MARJORAMRAIL_BENCH_BALANCER_PACKET_SOURCE_H
