Write the report of an experiment as JSON and HTML; one outcome type

Cause: the load tool and the report library each had outcomes and imbalance. Change: the load tool uses the report library's; marjoram-report writes report.json and report.html.

--- a/standins/load/audit.cpp
+++ b/standins/load/audit.cpp
@@ -61,16 +61,6 @@
   }
 }
 
-double imbalanceOf(const std::map<std::string, double> &Shares) {
-  double Sum = 0;
-  double Highest = 0;
-  for (const auto &[Host, Share] : Shares) {
-    Sum += Share;
-    Highest = std::max(Highest, Share);
-  }
-  return Sum > 0 ? Highest * static_cast<double>(Shares.size()) / Sum : 1;
-}
-
 /// The part of a request's name that its tries share.
 static std::string baseOf(const std::string &Request) {
   return Request.substr(0, Request.find('/'));
@@ -88,7 +78,7 @@
   Result.Requests = Last.size();
   for (const auto &[Request, Outcome] : Last) {
     Result.Ok += Outcome == "ok" ? 1 : 0;
-    Result.Refused += Outcome == "not_run" ? 1 : 0;
+    Result.Refused += Outcome == "refused" ? 1 : 0;
     Result.Unknown += Outcome == "unknown" ? 1 : 0;
   }
 }
@@ -121,24 +111,39 @@
   for (const auto &[Key, Count] : BegunByKey)
     Result.RanTwice += Count > 1 ? 1 : 0;
   for (const attempt_line &Attempt : Evidence.Attempts)
-    if (Attempt.Outcome == "not_run" && Begun.count(Attempt.Request) != 0)
+    if (Attempt.Outcome == "refused" && Begun.count(Attempt.Request) != 0)
       ++Result.RefusedButRan;
 }
 
+/// The shares of one service's hosts, added up by name.
+using shares_by_host = std::map<std::string, std::map<std::string, host_share>>;
+
+static shares_by_host addShares(const evidence &Evidence) {
+  constexpr double MicrosecondsPerSecond = 1e6;
+  shares_by_host Shares;
+  for (const run_line &Run : Evidence.Runs)
+    if (Run.Event == "end")
+      Shares[Run.Service][Run.Host].Work +=
+          static_cast<double>(Run.WorkUs) / MicrosecondsPerSecond;
+  for (const flow_line &Flow : Evidence.Flows)
+    if (Flow.Event == "living" && !Flow.Host.empty())
+      Shares[Flow.Service][Flow.Host].Flows += 1;
+  return Shares;
+}
+
 static void measureBalance(const evidence &Evidence,
                            const audit_settings &Settings,
                            audit_result &Result) {
-  for (const run_line &Run : Evidence.Runs)
-    if (Run.Event == "end" && Settings.ExcludedHosts.count(Run.Host) == 0)
-      Result.Services[Run.Service].WorkByHost[Run.Host] +=
-          static_cast<double>(Run.WorkUs);
-  for (const flow_line &Flow : Evidence.Flows)
-    if (Flow.Event == "living" && !Flow.Host.empty() &&
-        Settings.ExcludedHosts.count(Flow.Host) == 0)
-      Result.Services[Flow.Service].FlowsByHost[Flow.Host] += 1;
-  for (auto &[Name, Balance] : Result.Services) {
-    Balance.WorkImbalance = imbalanceOf(Balance.WorkByHost);
-    Balance.FlowImbalance = imbalanceOf(Balance.FlowsByHost);
+  for (auto &[Service, Hosts] : addShares(Evidence)) {
+    service_shares &Shares = Result.Services[Service];
+    Shares.Service = Service;
+    for (auto &[Host, Share] : Hosts) {
+      Share.Host = Host;
+      Share.Excluded = Settings.ExcludedHosts.count(Host) != 0;
+      Shares.Hosts.push_back(Share);
+    }
+    Shares.FlowImbalance = imbalanceOf(Shares.Hosts, &host_share::Flows);
+    Shares.WorkImbalance = imbalanceOf(Shares.Hosts, &host_share::Work);
   }
 }
 
--- a/standins/load/audit.h
+++ b/standins/load/audit.h
@@ -9,7 +9,7 @@
 #ifndef MARJORAMRAIL_STANDINS_AUDIT_H
 #define MARJORAMRAIL_STANDINS_AUDIT_H
 
-#include "marjoramrail/base.h"
+#include "marjoramrail/report.h"
 
 #include <istream>
 #include <map>
@@ -79,14 +79,6 @@
   std::set<std::string> ExcludedHosts;
 };
 
-struct service_balance {
-  std::map<std::string, double> WorkByHost;
-  std::map<std::string, double> FlowsByHost;
-  /// Highest over mean; 1 is even.
-  double WorkImbalance = 1;
-  double FlowImbalance = 1;
-};
-
 struct audit_result {
   std::uint64_t Requests = 0;
   std::uint64_t Ok = 0;
@@ -102,7 +94,7 @@
   std::uint64_t RanTwice = 0;
   /// Attempts that a caller was told were not run, and that ran.
   std::uint64_t RefusedButRan = 0;
-  std::map<std::string, service_balance> Services;
+  std::map<std::string, service_shares> Services;
 
   double worstImbalance() const;
   /// No promise broke.
@@ -114,9 +106,6 @@
 /// The line that scripts read.
 std::string summaryLine(const audit_result &Result);
 
-/// Highest over mean of \p Shares; 1 for none.
-double imbalanceOf(const std::map<std::string, double> &Shares);
-
 } // namespace marjoramrail::standins
 
 #endif // MARJORAMRAIL_STANDINS_AUDIT_H
--- a/standins/load/caller_flow.cpp
+++ b/standins/load/caller_flow.cpp
@@ -116,7 +116,7 @@
   const h2_stream Stream = Session->request(Head, true);
   if (Stream < 0)
     return Hooks.OnEnd(
-        Attempt, {attempt_outcome::NotRun, "goaway", "", duration::zero()});
+        Attempt, {attempt_outcome::Refused, "goaway", "", duration::zero()});
   pending &Item = Pending[Stream];
   Item.Attempt = std::move(Attempt);
   const duration Patience = milliseconds(Item.Attempt.DeadlineMs) + AnswerSlack;
@@ -207,7 +207,7 @@
   End.Host = Item.Host;
   End.RetryAfter = secondsIn(Item.RetryAfter);
   if (Code == h2_error::RefusedStream) {
-    End.Outcome = attempt_outcome::NotRun;
+    End.Outcome = attempt_outcome::Refused;
     return End;
   }
   if (Code != h2_error::NoError || Item.Status.empty())
@@ -216,7 +216,7 @@
     End.Outcome = isOwnAnswer(Item.Attempt, Item.Body) ? attempt_outcome::Ok
                                                        : attempt_outcome::Wrong;
   else if (runOf(Item.Body) == "no")
-    End.Outcome = attempt_outcome::NotRun;
+    End.Outcome = attempt_outcome::Refused;
   return End;
 }
 
--- a/standins/load/caller_flow.h
+++ b/standins/load/caller_flow.h
@@ -11,6 +11,7 @@
 #define MARJORAMRAIL_STANDINS_CALLER_FLOW_H
 
 #include "marjoramrail/h2.h"
+#include "marjoramrail/report.h"
 #include "marjoramrail/stack.h"
 
 #include <map>
@@ -18,24 +19,6 @@
 
 namespace marjoramrail::standins {
 
-/// How one attempt at a request ended, from what the caller was told.
-enum class attempt_outcome {
-  Ok,
-  /// The caller may rely on it: the target did not run it.
-  NotRun,
-  /// It may have run.
-  Unknown,
-  /// The answer was not whole, or was another request's.
-  Wrong,
-};
-
-inline constexpr name_table<attempt_outcome, 4> AttemptOutcomeNames = {{
-    {attempt_outcome::Ok, "ok"},
-    {attempt_outcome::NotRun, "not_run"},
-    {attempt_outcome::Unknown, "unknown"},
-    {attempt_outcome::Wrong, "wrong"},
-}};
-
 struct attempt {
   /// Unique per attempt; the target's record and its answer carry it.
   std::string Request;
--- a/standins/load/load_run.cpp
+++ b/standins/load/load_run.cpp
@@ -240,7 +240,7 @@
   case attempt_outcome::Wrong:
     ++Totals.Wrong;
     return;
-  case attempt_outcome::NotRun:
+  case attempt_outcome::Refused:
     if (MayRetry) {
       ++Totals.Retries;
       const duration Least = milliseconds(10);
--- a/standins/load/report_main.cpp
+++ b/standins/load/report_main.cpp
@@ -1,6 +1,6 @@
 // marjoram-report: reads the evidence of an experiment and says what was kept.
 
-#include "audit.h"
+#include "audit_report.h"
 
 #include <filesystem>
 #include <fstream>
@@ -8,10 +8,12 @@
 #include <iostream>
 #include <sstream>
 
+using namespace marjoramrail;
 using namespace marjoramrail::standins;
 
 DEFINE_string(folder, "", "Where callers' logs and targets' records stand.");
 DEFINE_string(prefix, "report", "The word before the summary line.");
+DEFINE_string(title, "An experiment", "The heading of the report.");
 DEFINE_string(killed, "", "Hosts that the plan kills, separated by commas.");
 DEFINE_string(excluded, "",
               "Hosts that the plan freezes or drains: no part of imbalance.");
@@ -36,15 +38,22 @@
 }
 
 static void printBalance(const audit_result &Result) {
-  for (const auto &[Name, Balance] : Result.Services) {
-    std::cout << Name << ": work imbalance " << Balance.WorkImbalance
-              << ", flow imbalance " << Balance.FlowImbalance << ", flows";
-    for (const auto &[Host, Flows] : Balance.FlowsByHost)
-      std::cout << " " << Host << "=" << Flows;
+  for (const auto &[Name, Shares] : Result.Services) {
+    std::cout << Name << ": work imbalance " << Shares.WorkImbalance
+              << ", flow imbalance " << Shares.FlowImbalance << ", flows";
+    for (const host_share &Host : Shares.Hosts)
+      std::cout << " " << Host.Host << "=" << Host.Flows;
     std::cout << "\n";
   }
 }
 
+static void writeReport(const evidence &Evidence, const audit_result &Result) {
+  const experiment_report Report = reportOf(FLAGS_title, Evidence, Result);
+  std::ofstream(FLAGS_folder + "/report.json") << toJson(Report);
+  std::ofstream(FLAGS_folder + "/report.html") << toHtml(Report);
+  std::cout << "report: " << FLAGS_folder << "/report.html\n";
+}
+
 int main(int Argc, char **Argv) {
   gflags::SetUsageMessage("Audits the evidence of an experiment; exit code 1 "
                           "if a promise broke.");
@@ -60,6 +69,7 @@
   Settings.ExcludedHosts = namesIn(FLAGS_excluded);
   const audit_result Result = audit(Evidence, Settings);
   printBalance(Result);
+  writeReport(Evidence, Result);
   if (Evidence.Unreadable > 0)
     std::cout << "lines cut short: " << Evidence.Unreadable << "\n";
   if (Result.Wrong > 0 || Result.RefusedButRan > 0)
--- a/test/standins/audit_test.cpp
+++ b/test/standins/audit_test.cpp
@@ -45,7 +45,7 @@
 
 TEST_CASE("audit finds an attempt that was refused and ran all the same") {
   evidence Evidence;
-  Evidence.Attempts = {attempt("1/1", "", "not_run")};
+  Evidence.Attempts = {attempt("1/1", "", "refused")};
   Evidence.Runs = {begin("a", "1/1", "")};
 
   CHECK(audit(Evidence, {}).RefusedButRan == 1);
@@ -53,7 +53,7 @@
 
 TEST_CASE("audit counts a request by its last try") {
   evidence Evidence;
-  Evidence.Attempts = {attempt("1/1", "", "not_run"), attempt("1/2", "", "ok")};
+  Evidence.Attempts = {attempt("1/1", "", "refused"), attempt("1/2", "", "ok")};
 
   const audit_result Result = audit(Evidence, {});
 
