--- a/src/proxy/caller_side.cpp
+++ b/src/proxy/caller_side.cpp
@@ -29,7 +29,7 @@
                                      [this, Id] { deadlinePassed(Id); });
   if (Exchange.Work.RelayedBy)
     Peers.relayedHere(*Exchange.Work.RelayedBy, Now);
-  offer(Id);
+  begin(Id, Exchange);
 }
 
 void request_proxy::impl::onBody(answer_place Place, std::string_view Bytes,
--- a/src/proxy/decision_side.cpp
+++ b/src/proxy/decision_side.cpp
@@ -2,6 +2,16 @@
 
 namespace marjoramrail {
 
+/// A claim comes before admission: while a view changes it may take a second,
+/// for which a slot would stand idle and other requests would be refused. While
+/// draining all goes to peers, and whoever runs a request claims its key.
+void request_proxy::impl::begin(request_id Id, exchange &Exchange) {
+  if (Exchange.Work.Key.empty() || Draining)
+    offer(Id);
+  else
+    startClaim(Id, Exchange);
+}
+
 void request_proxy::impl::offer(request_id Id) {
   act(Work.offer(Exchanges.at(Id).Work, Timers.now()));
   decideQueued();
@@ -95,7 +105,7 @@
     return answer(Id, notRun("relay", RetryAfter));
   }
   Exchange.State = exchange_state::Waiting;
-  offer(Id);
+  begin(Id, Exchange);
 }
 
 } // namespace marjoramrail
--- a/src/proxy/key_side.cpp
+++ b/src/proxy/key_side.cpp
@@ -2,10 +2,6 @@
 
 namespace marjoramrail {
 
-/// A claim is asked for as soon as the request is to run here, be it at once or
-/// after a wait: where slots are short it then costs no time in one. Requests
-/// that go to a peer are claimed there alone; had both claimed, the peer would
-/// find the key taken.
 void request_proxy::impl::startClaim(request_id Id, exchange &Exchange) {
   if (Exchange.Work.Key.empty() || Exchange.Claim != claim_state::None)
     return;
@@ -23,8 +19,8 @@
   if (Result.Verdict == key_verdict::Run) {
     Exchange.Claim = claim_state::Granted;
     if (Exchange.Admitted)
-      run(Id, Exchange);
-    return;
+      return run(Id, Exchange);
+    return offer(Id);
   }
   Exchange.Claim = claim_state::None;
   if (Result.Verdict == key_verdict::RunningElsewhere && claimAgain(Id))
@@ -35,9 +31,8 @@
   decideQueued();
 }
 
-/// The agent that relayed a request may have claimed its key while it was
-/// waiting there, and the word that it gave the claim back may still be under
-/// way.
+/// The agent that relayed a request had claimed its key before, and the word
+/// that it gave the claim back may still be under way.
 bool request_proxy::impl::claimAgain(request_id Id) {
   constexpr int Tries = 4;
   constexpr duration Pause = std::chrono::milliseconds(30);
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -88,6 +88,7 @@
   caller_flow *flowOf(const exchange &Exchange);
 
   // Decisions.
+  void begin(request_id Id, exchange &Exchange);
   void offer(request_id Id);
   void act(const decision &Decision);
   void decideQueued();
