Refuse deep JSON; feed mutated texts to the parsers

A text of a megabyte of brackets ended the process that read it: the JSON library copies and prints values by recursion. Such an object in the platform would have ended every balancer, each time that it started.

parseJson() is the one place where texts from outside become JSON for settings and objects; the line of a syntax error is counted there only.

--- a/daemons/marjoramctl/printing.cpp
+++ b/daemons/marjoramctl/printing.cpp
@@ -10,7 +10,10 @@
 using ordered_json = nlohmann::ordered_json;
 
 static ordered_json toJson(const platform_object &Object) {
-  ordered_json Spec = ordered_json::parse(Object.Body, nullptr, false);
+  // Printing goes by recursion: deeper parts are left out, not met.
+  const auto KeepShallow = [](int Depth, ordered_json::parse_event_t,
+                              ordered_json &) { return Depth <= MaxJsonDepth; };
+  ordered_json Spec = ordered_json::parse(Object.Body, KeepShallow, false);
   if (Spec.is_discarded())
     Spec = Object.Body;
   return {{"kind", Object.Key.Kind}, {"name", Object.Key.Name}, {"spec", Spec}};
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -195,6 +195,16 @@
   std::unique_ptr<impl> Impl;
 };
 
+/// Deeper JSON is refused: the JSON library copies and prints values by
+/// recursion, and one object with a megabyte of brackets would exhaust the
+/// stack of every process that reads it.
+inline constexpr int MaxJsonDepth = 32;
+
+/// Parses JSON with comments into \p Into. The failure carries \p Step, \p Peer
+/// and the line of a syntax error.
+result<void> parseJson(std::string_view Text, const std::string &Peer,
+                       step Step, nlohmann::json &Into);
+
 /// Reads settings, JSON with comments, and refuses what it does not know: a
 /// misspelt key would otherwise leave a default in force on a VM that no one
 /// logs in to. Every error names file, field, reason and the range allowed.
--- a/src/resource/object_file.cpp
+++ b/src/resource/object_file.cpp
@@ -93,15 +93,9 @@
 result<std::vector<resource_object>> parseObjectFile(std::string_view Text,
                                                      const std::string &File) {
   json Content;
-  try {
-    Content = json::parse(Text, nullptr, true, /*ignore_comments=*/true);
-  } catch (const json::parse_error &Error) {
-    return fail(step::ValidateObject, File,
-                "line " + std::to_string(internal::lineOf(Text, Error.byte)) +
-                    ": not JSON");
-  } catch (const json::out_of_range &) {
-    return fail(step::ValidateObject, File, "a number is too large for JSON");
-  }
+  if (auto Parsed = parseJson(Text, File, step::ValidateObject, Content);
+      !Parsed)
+    return Parsed.error();
   file_reader Reader;
   if (Content.is_array())
     for (std::size_t I = 0; I < Content.size(); ++I)
--- a/src/resource/object_reader.cpp
+++ b/src/resource/object_reader.cpp
@@ -31,12 +31,6 @@
                                    step::ValidateObject);
 }
 
-std::size_t internal::lineOf(std::string_view Text, std::size_t Byte) {
-  const std::string_view Before = Text.substr(0, Byte);
-  return 1 + static_cast<std::size_t>(
-                 std::count(Before.begin(), Before.end(), '\n'));
-}
-
 /// Keeps whether an object could be read and drops the object.
 template <typename Object> static result<void> outcomeOf(result<Object> Read) {
   if (!Read)
--- a/src/resource/object_reader.h
+++ b/src/resource/object_reader.h
@@ -22,9 +22,6 @@
 /// Returns whether \p Name can name an object or a zone.
 bool isName(std::string_view Name);
 
-/// The line of \p Text, from 1, that holds its byte number \p Byte.
-std::size_t lineOf(std::string_view Text, std::size_t Byte);
-
 /// What a name must be, for refusals.
 inline constexpr const char *NameRule =
     "expected 1 to 63 of a-z, 0-9 and \"-\", beginning with a letter or digit";
--- a/src/runtime/settings_reader.cpp
+++ b/src/runtime/settings_reader.cpp
@@ -56,22 +56,36 @@
   return std::to_string(1 + std::count(Text.begin(), End, '\n'));
 }
 
-result<settings_reader> settings_reader::fromText(std::string_view Text,
-                                                  std::string File, step Step) {
-  auto State = std::make_unique<impl>();
-  State->Step = Step;
-  State->File = std::move(File);
-  State->Faults = std::make_shared<std::vector<std::string>>();
+result<void> parseJson(std::string_view Text, const std::string &Peer,
+                       step Step, json &Into) {
+  bool TooDeep = false;
+  const auto KeepShallow = [&](int Depth, json::parse_event_t, json &) {
+    TooDeep |= Depth > MaxJsonDepth;
+    return Depth <= MaxJsonDepth;
+  };
   try {
-    State->Object = json::parse(Text, nullptr, true, /*ignore_comments=*/true);
+    Into = json::parse(Text, KeepShallow, true, /*ignore_comments=*/true);
   } catch (const json::parse_error &Error) {
-    return fail(Step, State->File,
-                "line " + lineAt(Text, Error.byte) + ": not JSON");
+    return fail(Step, Peer, "line " + lineAt(Text, Error.byte) + ": not JSON");
   } catch (const json::out_of_range &) {
     // nlohmann::json reports a number such as 1e999 by another exception than
     // a syntax error; uncaught, it would end the process.
-    return fail(Step, State->File, "a number is too large for JSON");
+    return fail(Step, Peer, "a number is too large for JSON");
   }
+  if (TooDeep)
+    return fail(Step, Peer,
+                "nested deeper than " + std::to_string(MaxJsonDepth));
+  return {};
+}
+
+result<settings_reader> settings_reader::fromText(std::string_view Text,
+                                                  std::string File, step Step) {
+  auto State = std::make_unique<impl>();
+  State->Step = Step;
+  State->File = std::move(File);
+  State->Faults = std::make_shared<std::vector<std::string>>();
+  if (auto Parsed = parseJson(Text, State->File, Step, State->Object); !Parsed)
+    return Parsed.error();
   if (!State->Object.is_object())
     return fail(Step, State->File, "expected an object");
   return settings_reader(std::move(State));
--- /dev/null
+++ b/test/resource/mutated_objects_test.cpp
@@ -0,0 +1,84 @@
+#include "marjoramrail/resource.h"
+#include "mutated_json.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+
+// Objects come from files that people edit and from a platform that others
+// write to as well. A text that crashes the parser would take down every
+// balancer at once, since all read the same object.
+
+static constexpr int Texts = 4000;
+
+/// Feeds mutations of \p Right to a parser: each is taken or refused by name.
+template <typename Parser>
+static void check(const std::string &Right, Parser Parse) {
+  mutated_json Mutations(Right, 1);
+  int Taken = 0;
+  for (int I = 0; I < Texts; ++I) {
+    const std::string Text = Mutations.next();
+    const auto Failure = failureOf([&]() -> result<void> {
+      auto Parsed = Parse(Text);
+      if (!Parsed)
+        return Parsed.error();
+      return {};
+    });
+    Taken += !Failure;
+    if (!Failure)
+      continue;
+    CHECK(Failure->Step == step::ValidateObject);
+    CHECK(!Failure->Peer.empty());
+    CHECK(!Failure->Reason.empty());
+  }
+  // Most mutations must have broken something, or this test shows nothing.
+  CHECK(Taken < Texts / 2);
+}
+
+TEST_CASE("mutated services are taken or refused by name") {
+  check(R"({"number":1,"address":"10.77.0.1:443","protocol":"http2",
+            "zones":["oostende","brugge"],"slots_per_target":4,
+            "max_share_percent":105,"cold_start_seconds":10})",
+        [](const std::string &Text) { return parseService(Text, "ledger"); });
+}
+
+TEST_CASE("mutated zones, drains and statuses are taken or refused by name") {
+  check(R"({"number":1,"region":"be-west"})",
+        [](const std::string &Text) { return parseZone(Text, "brugge"); });
+  check(R"({"reason":"new kernel"})",
+        [](const std::string &Text) { return parseDrain(Text, "ledger-3"); });
+  check(R"({"host":"ledger-3","flows":3,"requests":1,"safe_to_stop":false})",
+        [](const std::string &Text) {
+          return parseDrainStatus(Text, "ledger-3");
+        });
+  check(R"({"accepted_version":4,"view_version":5,"in_force_on":2,"nodes":3,
+            "lagging":["balancer-3"],"targets_ready":6,"targets_draining":1,
+            "conditions":[{"type":"Serving","holds":true,"since_ms":1}]})",
+        [](const std::string &Text) {
+          return parseServiceStatus(Text, "ledger");
+        });
+}
+
+TEST_CASE("mutated files of objects are taken or refused by name") {
+  check(R"([{"kind":"zone","name":"brugge",
+             "spec":{"number":1,"region":"be-west"}},
+            {"kind":"service","name":"ledger",
+             "spec":{"number":1,"address":"10.77.0.1:443",
+                     "zones":["brugge"]}}])",
+        [](const std::string &Text) { return parseObjectFile(Text, "file"); });
+}
+
+TEST_CASE("a megabyte of brackets is refused and does not exhaust the stack") {
+  // The JSON library prints a value by recursion, as a refusal that shows the
+  // value does. One such object in the platform would end every process that
+  // reads it, each time that it starts.
+  const std::string Deep = std::string(500000, '[') + std::string(500000, ']');
+
+  const auto Failure = failureOf([&]() -> result<void> {
+    BOOST_LEAF_CHECK(parseService("{\"address\":" + Deep + "}", "ledger"));
+    return {};
+  });
+
+  REQUIRE(Failure);
+  CHECK(Failure->Reason == "nested deeper than 32");
+}
