--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -48,6 +48,10 @@
   void run();
   void stop();
 
+  /// Moves the timers' clock to the present, see timer_service::observe().
+  /// Every event of a socket starts with it, since the loop may have slept.
+  void wake();
+
   /// Runs \p Task when the current callback has returned, for owners that must
   /// not destroy an object from within its own hook.
   void defer(std::function<void()> Task);
@@ -113,6 +117,12 @@
   static std::unique_ptr<tcp_stream> connect(event_loop &Loop,
                                              const endpoint &Peer, hooks Hooks);
 
+  /// Connects from the address of \p Local, by which the peer knows us.
+  static std::unique_ptr<tcp_stream> connectFrom(event_loop &Loop,
+                                                 const endpoint &Local,
+                                                 const endpoint &Peer,
+                                                 hooks Hooks);
+
   void setHooks(hooks Hooks);
   endpoint peer() const;
   void write(std::string_view Bytes);
