Let agents tell balancers of a silent peer; try it last

Believed about and from agents of the service alone; in error it costs a detour. Agents send none yet. Ruled out: balancers that probe agents (130,000 hosts would not fit a control budget), every n-th packet to the second owner (at the target size one balancer sends a host too few packets to notice within a second).

--- a/include/marjoramrail/balancer.h
+++ b/include/marjoramrail/balancer.h
@@ -97,8 +97,8 @@
   void heardOfFleet(instant Now);
   bool isStale(instant Now) const;
 
-  /// Takes a datagram of the fabric or an agent's owner_notice. Returns the
-  /// reason why it was dropped, or None.
+  /// Takes a datagram of the fabric or an agent's notice. Returns the reason
+  /// why it was dropped, or None.
   packet_fault onDatagram(const endpoint &From, bytes_view Bytes, instant Now);
 
   const balancer_counters &counters() const;
--- a/include/marjoramrail/routing.h
+++ b/include/marjoramrail/routing.h
@@ -128,6 +128,8 @@
   void add(std::uint16_t Item);
   /// Moves the item at \p Index to the front; the others keep their order.
   void moveToFront(std::size_t Index);
+  /// Moves the item at \p Index to the end; the others keep their order.
+  void moveToBack(std::size_t Index);
 
 private:
   std::array<std::uint16_t, Capacity> Items{};
--- a/include/marjoramrail/wire.h
+++ b/include/marjoramrail/wire.h
@@ -177,6 +177,32 @@
 
 packet_fault decodeOwnerNotice(bytes_view Bytes, owner_notice &Notice);
 
+/// An agent's word to a balancer that a peer does not answer. Sent as soon as
+/// there is a doubt: the balancer only tries that peer last for a while, so
+/// that packets reach an agent that can find the truth, instead of vanishing
+/// until the fleet has declared the peer down.
+///
+/// One UDP datagram from the sender's routed socket, integers in network byte
+/// order: u16 magic 0x4d53 | u8 format 1 | u8 zero | u32 service |
+/// u32 address, u16 port of the silent agent
+struct silence_notice {
+  service_id Service{};
+  endpoint Silent;
+
+  bool operator==(const silence_notice &) const = default;
+};
+
+inline constexpr std::size_t SilenceNoticeBytes = 14;
+
+/// Writes \p Notice to \p Buffer and returns its size; 0 if it does not fit.
+std::size_t encodeSilenceNotice(const silence_notice &Notice,
+                                std::span<std::uint8_t> Buffer);
+
+/// True if \p Bytes has the size and the magic number of a silence notice.
+bool isSilenceNotice(bytes_view Bytes);
+
+packet_fault decodeSilenceNotice(bytes_view Bytes, silence_notice &Notice);
+
 /// A reset that answers \p Packet in the service's name, so that a caller whose
 /// flow has no owner any more learns it at once instead of by silence. Returns
 /// the size of the IPv4 packet written to \p Buffer (40 bytes are needed), or 0
--- a/src/balancer/balancer_core.cpp
+++ b/src/balancer/balancer_core.cpp
@@ -1,5 +1,6 @@
 #include "balancer/owner_cache.h"
 #include "balancer/service_table.h"
+#include "balancer/silent_agents.h"
 #include "marjoramrail/balancer.h"
 
 #include <algorithm>
@@ -15,6 +16,7 @@
   balancer_hooks Hooks;
   service_table Services;
   owner_cache Cache;
+  silent_agents Silent;
   balancer_counters Counters;
   std::optional<instant> LastHeard;
   std::array<std::uint8_t, MaxRoutedBytes> Buffer{};
@@ -25,6 +27,7 @@
 
   bool isStale(instant Now) const;
   packet_fault takeNotice(const endpoint &From, bytes_view Bytes);
+  packet_fault takeSilence(const endpoint &From, bytes_view Bytes, instant Now);
   packet_fault route(bytes_view Bytes, instant Now);
   packet_fault send(const service_router &Router, const owner_list &Owners,
                     bytes_view Bytes, instant Now);
@@ -63,6 +66,24 @@
   return packet_fault::None;
 }
 
+/// Believed from agents of the service alone, and about their peers.
+packet_fault balancer_core::impl::takeSilence(const endpoint &From,
+                                              bytes_view Bytes, instant Now) {
+  silence_notice Notice;
+  const packet_fault Fault = decodeSilenceNotice(Bytes, Notice);
+  if (Fault != packet_fault::None)
+    return Fault;
+  const routed_service *Service = Services.findNumber(Notice.Service);
+  if (Service == nullptr)
+    return packet_fault::UnknownService;
+  if (From == Notice.Silent || !Service->Router.findAgent(From) ||
+      !Service->Router.findAgent(Notice.Silent))
+    return packet_fault::ForeignSender;
+  Silent.add(Notice.Silent, Now);
+  ++Counters.NoticesTaken;
+  return packet_fault::None;
+}
+
 //===----------------------------------------------------------------------===//
 // Callers' packets
 //===----------------------------------------------------------------------===//
@@ -104,6 +125,7 @@
     return packet_fault::NoTarget;
   if (!Opens)
     Owners.moveToFront(firstOf(Router, Owners, Packet.Flow));
+  Silent.demote(Router, Owners, Now);
   ++(Opens ? Counters.New : Counters.Established);
   return send(Router, Owners, Bytes, Now);
 }
@@ -154,9 +176,13 @@
 
 packet_fault balancer_core::onDatagram(const endpoint &From, bytes_view Bytes,
                                        instant Now) {
-  const packet_fault Fault = isOwnerNotice(Bytes)
-                                 ? Impl->takeNotice(From, Bytes)
-                                 : Impl->route(Bytes, Now);
+  packet_fault Fault = packet_fault::None;
+  if (isOwnerNotice(Bytes))
+    Fault = Impl->takeNotice(From, Bytes);
+  else if (isSilenceNotice(Bytes))
+    Fault = Impl->takeSilence(From, Bytes, Now);
+  else
+    Fault = Impl->route(Bytes, Now);
   if (Fault != packet_fault::None)
     ++Impl->Counters.Dropped[static_cast<std::size_t>(Fault)];
   return Fault;
--- a/src/routing/service_router.cpp
+++ b/src/routing/service_router.cpp
@@ -35,6 +35,11 @@
   std::rotate(Items.begin(), Items.begin() + Index, Items.begin() + Index + 1);
 }
 
+void owner_list::moveToBack(std::size_t Index) {
+  std::rotate(Items.begin() + Index, Items.begin() + Index + 1,
+              Items.begin() + Count);
+}
+
 //===----------------------------------------------------------------------===//
 // service_router
 //===----------------------------------------------------------------------===//
--- a/test/balancer/balancer_core_test.cpp
+++ b/test/balancer/balancer_core_test.cpp
@@ -1,52 +1,11 @@
-#include "marjoramrail/balancer.h"
-#include "routing/sample_view.h"
-#include "wire/sample_packet.h"
+#include "balancer/core_fixture.h"
 
-#include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
 using namespace marjoramrail;
 using namespace marjoramrail::test;
 using std::chrono::seconds;
 
-namespace {
-
-const endpoint Fabric{0x0a0f0001, 9000};
-const endpoint Self{0x0a0f0002, 4000};
-
-/// A core that keeps what it sent last.
-struct core_fixture {
-  endpoint To;
-  byte_string Sent;
-  routed_packet Routed;
-  instant Now = instant(seconds(100));
-  balancer_core Core{
-      {.Self = Self, .StaleAfter = seconds(10), .CachedOwners = 1024},
-      {.Send = [this](const endpoint &Agent, bytes_view Bytes) {
-        To = Agent;
-        Sent.assign(Bytes.begin(), Bytes.end());
-        REQUIRE(decodeRouted(Sent, Routed) == packet_fault::None);
-      }}};
-
-  core_fixture() {
-    Core.setView(sampleView(7));
-    Core.heardOfFleet(Now);
-  }
-
-  packet_fault send(const flow_key &Flow, std::uint8_t Flags) {
-    return Core.onDatagram(Fabric, samplePacket(Flow, Flags), Now);
-  }
-
-  packet_fault name(const flow_key &Flow, const endpoint &Owner,
-                    const endpoint &From, service_id Service = service_id(1)) {
-    byte_string Notice(OwnerNoticeBytes);
-    encodeOwnerNotice({Service, 1, Flow, Owner}, Notice);
-    return Core.onDatagram(From, Notice, Now);
-  }
-};
-
-} // namespace
-
 TEST_CASE_FIXTURE(core_fixture, "a SYN goes to the first of its choices") {
   const flow_key Flow = sampleFlow(1);
   const service_router Router(sampleView(7));
