Tell operators when a drained VM can be stopped

Ruled out: the duty holder as its writer: it hears of a draining host only until the view says so, and the counts are the agent's anyway. Change: drain_reporter, written by the host's agent while it drains, one object, conditional writes, a former drain's status taken away first. Agents use it. Conclusion: drains of targets show progress; drains of balancers do not yet.

--- a/daemons/agent/agent_process.cpp
+++ b/daemons/agent/agent_process.cpp
@@ -40,9 +40,12 @@
       RelayListener(Loop, [this](std::unique_ptr<tcp_stream> Stream) {
         acceptPeer(std::move(Stream));
       }) {
-  if (Settings.Platform != endpoint())
-    Platform.emplace(
-        Loop, platform_client_settings{{Settings.Platform}, Settings.Name});
+  if (Settings.Platform == endpoint())
+    return;
+  Platform.emplace(
+      Loop, platform_client_settings{{Settings.Platform}, Settings.Name});
+  DrainReporter.emplace(Loop.timers(), Platform->api(), Settings.Name,
+                        [this] { return describeDrain(); });
 }
 
 agent_process::~agent_process() {
@@ -100,6 +103,7 @@
     return;
   LOG(INFO) << "agent: drains " << Flows.size() << " flows, by " << Why;
   record(event_kind::TargetDraining, "", Why);
+  DrainingSinceMs = wallClockMs();
   if (Owner) {
     Owner->drain();
     Proxy->drain();
@@ -109,6 +113,18 @@
     Side->drain();
 }
 
+std::optional<drain_status> agent_process::describeDrain() const {
+  if (!Draining)
+    return std::nullopt;
+  drain_status Status;
+  Status.Host = Settings.Name;
+  Status.Flows = static_cast<std::uint32_t>(Flows.size());
+  Status.Requests = static_cast<std::uint32_t>(Proxy ? Proxy->inProgress() : 0);
+  Status.SafeToStop = Status.Flows == 0 && Status.Requests == 0;
+  Status.SinceMs = DrainingSinceMs;
+  return Status;
+}
+
 void agent_process::terminate() {
   record(event_kind::ProcessStopping, "", "SIGTERM");
   Stopping = true;
--- a/daemons/agent/agent_process.h
+++ b/daemons/agent/agent_process.h
@@ -60,6 +60,7 @@
   void tick();
   void finishIfIdle();
   agent_report describe() const;
+  std::optional<drain_status> describeDrain() const;
   announcer_hooks announcerHooks();
   announcer_settings announcerSettings() const;
   status_page::hooks pages();
@@ -80,6 +81,7 @@
   announcer Announcer;
   tcp_listener RelayListener;
   std::optional<platform_client> Platform;
+  std::optional<drain_reporter> DrainReporter;
   std::unique_ptr<flow_owner> Owner;
   std::unique_ptr<request_proxy> Proxy;
   std::optional<membership> Members;
@@ -95,6 +97,7 @@
   std::unordered_map<flow_key, std::unique_ptr<flow_side>, flow_key_hash> Flows;
   instant LastConfirmed;
   bool Draining = false;
+  std::int64_t DrainingSinceMs = 0;
   bool Stopping = false;
 };
 
--- a/include/marjoramrail/fleet.h
+++ b/include/marjoramrail/fleet.h
@@ -294,6 +294,45 @@
   std::uint64_t OlderIgnored = 0;
 };
 
+/// Tells operators how far a drain has come, as the object drain-status/HOST.
+/// Written by the host's own agent, which alone knows what it still holds, and
+/// only while it drains: each write is one of the platform's few hundred.
+class drain_reporter {
+public:
+  /// \p Describe: nothing while the host is not draining.
+  using describe = std::function<std::optional<drain_status>()>;
+
+  static constexpr duration Period = std::chrono::seconds(1);
+
+  drain_reporter(timer_service &Timers, platform_api Platform, std::string Host,
+                 describe Describe);
+  ~drain_reporter();
+  drain_reporter(const drain_reporter &) = delete;
+  drain_reporter &operator=(const drain_reporter &) = delete;
+
+  /// Looks now instead of at the next period.
+  void look();
+
+private:
+  void read(std::function<void(const platform_reply &)> Then);
+  void write(const drain_status &Status);
+  void clear();
+
+  timer_service &Timers;
+  platform_api Platform;
+  std::string Host;
+  describe Describe;
+  timer_id Ticker;
+  /// What the platform holds, as far as it is known.
+  std::optional<drain_status> Written;
+  std::uint64_t Version = 0;
+  std::uint64_t Sequence = 0;
+  bool VersionKnown = false;
+  bool Cleared = false;
+  bool Busy = false;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
 /// A balancer's part in the fleet.
 class fleet_node {
 public:
