Relay a keyed request only when its claim is given back everywhere

Cause: relayed while the old claim's end was under way and a view changed, four keys of 4,958 requests counted as unknown for good though no target saw them. Change: key_claims::ended() tells when every keeper has acknowledged; a relay waits for it, at most 500 ms.

--- a/include/marjoramrail/work.h
+++ b/include/marjoramrail/work.h
@@ -470,6 +470,9 @@
   std::vector<key_result> results();
   /// Claims and notices under way.
   std::size_t open() const;
+  /// True if nothing of \p Key is: every live keeper has acknowledged the end
+  /// of its last claim.
+  bool ended(const std::string &Key) const;
 
 private:
   struct impl;
--- a/src/proxy/decision_side.cpp
+++ b/src/proxy/decision_side.cpp
@@ -77,11 +77,38 @@
 
 void request_proxy::impl::relay(request_id Id, exchange &Exchange,
                                 host_id Peer) {
-  const auto Address = Hooks.RelayOf ? Hooks.RelayOf(Peer) : std::nullopt;
+  Exchange.Peer = Peer;
   // Whoever runs it makes the claim.
-  settle(Id, Exchange, key_state::Released);
+  if (Exchange.Claim != claim_state::None) {
+    settle(Id, Exchange, key_state::Released);
+    return relayOnceReleased(Id, Timers.now());
+  }
+  sendToPeer(Id, Exchange);
+}
+
+/// Two claims of one key at a time, the old one not given back everywhere yet,
+/// could look to the keepers like two runs: the key would count as unknown for
+/// good although nobody ran it.
+void request_proxy::impl::relayOnceReleased(request_id Id, instant Since) {
+  constexpr duration Longest = std::chrono::milliseconds(500);
+  constexpr duration Pause = std::chrono::milliseconds(5);
+  const auto Found = Exchanges.find(Id);
+  if (Found == Exchanges.end())
+    return;
+  exchange &Exchange = Found->second;
+  if (Keys.ended(Exchange.Work.Key))
+    return sendToPeer(Id, Exchange);
+  if (Timers.now() - Since >= Longest) {
+    ++Counts.Refused;
+    return answer(Id, notRun("key_record", UnreachableRetry));
+  }
+  Timers.after(Pause, [this, Id, Since] { relayOnceReleased(Id, Since); });
+}
+
+void request_proxy::impl::sendToPeer(request_id Id, exchange &Exchange) {
+  const host_id Peer = *Exchange.Peer;
+  const auto Address = Hooks.RelayOf ? Hooks.RelayOf(Peer) : std::nullopt;
   Exchange.State = exchange_state::Relayed;
-  Exchange.Peer = Peer;
   if (!Address)
     return relayFailed(Id, UnreachableRetry);
   ++Counts.Relayed;
--- a/src/proxy/key_desk.cpp
+++ b/src/proxy/key_desk.cpp
@@ -69,6 +69,11 @@
     Abandoned.insert(Key);
 }
 
+bool key_desk::ended(const std::string &Key) const {
+  return !Claimants.contains(Key) && !Abandoned.contains(Key) &&
+         Claims.ended(Key);
+}
+
 void key_desk::post(key_messages Messages) {
   for (key_message &Message : Messages) {
     if (Message.To == Settings.Host)
--- a/src/proxy/key_desk.h
+++ b/src/proxy/key_desk.h
@@ -40,6 +40,8 @@
 
   /// The result comes by OnResult, never from within this call.
   void claim(const std::string &Key, request_id Id);
+  /// True if no keeper can still hold a claim of this agent for \p Key.
+  bool ended(const std::string &Key) const;
   /// Ends the claim of \p Id: after a Run, or while it is still asked.
   void settle(const std::string &Key, request_id Id, key_state State,
               const std::string &Outcome);
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -95,6 +95,8 @@
   void runIfClaimed(request_id Id);
   void run(request_id Id, exchange &Exchange);
   void relay(request_id Id, exchange &Exchange, host_id Peer);
+  void relayOnceReleased(request_id Id, instant Since);
+  void sendToPeer(request_id Id, exchange &Exchange);
   void relayFailed(request_id Id, duration RetryAfter);
 
   // Answers.
--- a/src/work/key_claims.cpp
+++ b/src/work/key_claims.cpp
@@ -332,6 +332,13 @@
   return std::exchange(Impl->Results, {});
 }
 
+bool key_claims::ended(const std::string &Key) const {
+  const auto Notice = Impl->Notices.lower_bound({Key, host_id{0}});
+  const bool Noticed =
+      Notice != Impl->Notices.end() && Notice->first.first == Key;
+  return !Noticed && !Impl->Attempts.contains(Key);
+}
+
 std::size_t key_claims::open() const {
   return Impl->Attempts.size() + Impl->Notices.size();
 }
--- a/test/proxy/keyed_request_test.cpp
+++ b/test/proxy/keyed_request_test.cpp
@@ -111,6 +111,30 @@
   CHECK(Bench.target().Requests.size() == 1);
 }
 
+TEST_CASE("a keyed request is relayed only when its claim is given back") {
+  // The agent claimed the key, then had to relay the request. A peer that asks
+  // for the key while the first claim still stands somewhere could leave it
+  // unknown for good: an amendment that nobody ran and nobody will.
+  proxy_bench Bench(1);
+  load_report Idle;
+  Idle.Host = host_id(2);
+  Idle.Slots = 4;
+  near_caller &Caller = Bench.open();
+  Caller.ask("/work");
+  Bench.pass(milliseconds(20));
+  Caller.ask("/work", Keyed);
+  Bench.pass(milliseconds(30));
+  Bench.Proxy->takePeerLoad(Idle);
+
+  Bench.Proxy->drain();
+  CHECK(Bench.Servers[PeerAddress].empty());
+  Bench.pass(milliseconds(100));
+
+  REQUIRE(Bench.Servers[PeerAddress].size() == 1);
+  REQUIRE(Bench.peer().Requests.size() == 1);
+  CHECK(Bench.peer().Requests[0].Head.get("idempotency-key") == "k1");
+}
+
 TEST_CASE("an agent that may have lost records runs no keyed request") {
   // The agent was restarted and its records are gone. A repeat of an amendment
   // that ran before would look new.
