--- a/standins/platform/http_server.cpp
+++ b/standins/platform/http_server.cpp
@@ -112,9 +112,8 @@
   evhtp_request_set_hook(Request, evhtp_hook_on_request_fini, asHook(Forget),
                          this);
   http_request Read = readRequest(Request);
-  const bool OwnPage = Read.Path == "/v1/faults" || Read.Path == "/v1/counters";
   const auto Delay = std::chrono::milliseconds(Core.faults().DelayMs);
-  if (OwnPage || Delay.count() == 0)
+  if (isOwnPage(Read.Path) || Delay.count() == 0)
     return process(Id, Read);
   // A late change takes effect although its sender may have given it up.
   Loop.timers().after(Delay, [this, Id, Read = std::move(Read),
--- a/standins/platform/platform_core.cpp
+++ b/standins/platform/platform_core.cpp
@@ -63,8 +63,13 @@
   return Json.dump();
 }
 
-/// The stand-in's own pages, which no fault touches.
+bool isOwnPage(std::string_view Path) {
+  return Path == "/v1/faults" || Path == "/v1/counters" || Path == "/readyz";
+}
+
 verdict platform_core::handleOwnPage(const http_request &Request) {
+  if (Request.Path == "/readyz")
+    return answer(200, "{}");
   if (Request.Path == "/v1/counters")
     return answer(200, toJson(Counters, Store.version()));
   if (Request.Method == "GET")
@@ -96,7 +101,7 @@
 }
 
 verdict platform_core::handle(const http_request &Request, instant Now) {
-  if (Request.Path == "/v1/faults" || Request.Path == "/v1/counters")
+  if (isOwnPage(Request.Path))
     return handleOwnPage(Request);
   if (auto Refused = refuseByFault())
     return *Refused;
--- a/standins/platform/platform_core.h
+++ b/standins/platform/platform_core.h
@@ -35,6 +35,10 @@
   int RetryAfter = 0;
 };
 
+/// Whether \p Path is one of the stand-in's own pages, which no fault touches:
+/// /v1/faults, /v1/counters and /readyz.
+bool isOwnPage(std::string_view Path);
+
 /// What becomes of a request.
 struct verdict {
   enum class action { Answer, CloseWithoutAnswer, WaitForChange };
