Let the time line's clock follow the wall clock (hybrid logical clock)

A count of events orders only what messages connect, and balancers' and agents' messages do not carry the clock yet. Ruled out: the merge (it sorted by the clock as told). Change: the clock is the wall clock in microseconds, raised by one an event and by messages that carry it (Kulkarni and others, 2014). Unconnected processes fall back to the wall clock; connected ones keep causes first. A message more than an hour ahead is not followed.

--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -2,8 +2,11 @@
 ///
 /// \file
 /// Each process records what it decided as one JSON object per line, with the
-/// wall clock and a logical clock that messages carry, so that a merge over all
-/// processes puts causes before their effects even where clocks disagree.
+/// wall clock and a hybrid logical clock (Kulkarni and others, "Logical
+/// Physical Clocks", 2014): it follows the wall clock, never goes back, and a
+/// message that carries it pushes it on. A merge over all processes so puts
+/// causes before their effects even where wall clocks disagree, and falls back
+/// to the wall clock between processes that exchange no messages.
 ///
 /// Usage:
 /// \code
@@ -88,7 +91,8 @@
   std::string Host;
   /// One short sentence.
   std::string Why;
-  /// Filled in by record(): milliseconds since 1970, logical clock, process.
+  /// Filled in by record(): milliseconds since 1970, hybrid logical clock in
+  /// microseconds since 1970 or later, process.
   std::int64_t WallMs = 0;
   std::uint64_t Clock = 0;
   std::string Process;
@@ -111,6 +115,9 @@
 
   void record(timeline_event Event);
   std::uint64_t clock() const { return Clock; }
+  /// Takes in the clock of a received message, unless it is more than an hour
+  /// ahead of the wall clock: one corrupted message would otherwise put the
+  /// events of the whole fleet in a far future.
   void witness(std::uint64_t Received);
 
   /// The last events as JSON lines, for the page /timeline.
--- a/src/timeline/timeline.cpp
+++ b/src/timeline/timeline.cpp
@@ -6,18 +6,22 @@
 
 namespace marjoramrail {
 
-/// A message with a greater clock is taken for a fault and not followed: one
-/// corrupted message would otherwise exhaust the clock of the whole fleet, and
-/// events after it could no longer be put in order.
-static constexpr std::uint64_t GreatestClock = std::uint64_t(1) << 62;
+/// Clocks count in microseconds: with one step an event they would outrun the
+/// wall clock at a thousand events a second if they counted milliseconds.
+static std::uint64_t clockOf(std::int64_t WallMs) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(WallMs, 0)) * 1000;
+}
+
+static constexpr std::int64_t MaxAheadMs = 3600 * 1000;
 
 timeline::timeline(std::string Process, wall_clock WallMs, sink Sink)
     : Process(std::move(Process)), WallMs(std::move(WallMs)),
       Sink(std::move(Sink)) {}
 
 void timeline::record(timeline_event Event) {
-  Event.Clock = ++Clock;
   Event.WallMs = WallMs();
+  Clock = std::max(Clock + 1, clockOf(Event.WallMs));
+  Event.Clock = Clock;
   Event.Process = Process;
   const std::string Line = toJsonLine(Event);
   if (Sink)
@@ -28,7 +32,7 @@
 }
 
 void timeline::witness(std::uint64_t Received) {
-  if (Received <= GreatestClock)
+  if (Received <= clockOf(WallMs() + MaxAheadMs))
     Clock = std::max(Clock, Received);
 }
 
