--- a/include/marjoramrail/balancer.h
+++ b/include/marjoramrail/balancer.h
@@ -35,6 +35,8 @@
 namespace marjoramrail {
 
 struct balancer_settings {
+  /// Where agents send their notices; without it they send none.
+  endpoint Self = {};
   /// Packets are marked routed_flag::Stale when nothing was heard of the fleet
   /// for longer. A few heartbeats: shorter would mark packets at each lost one.
   duration StaleAfter = std::chrono::seconds(10);
@@ -95,8 +97,8 @@
   void heardOfFleet(instant Now);
   bool isStale(instant Now) const;
 
-  /// Takes a datagram of the fabric or an agent's owner_notice. Returns the
-  /// reason why it was dropped, or None.
+  /// Takes a datagram of the fabric or an agent's notice. Returns the reason
+  /// why it was dropped, or None.
   packet_fault onDatagram(const endpoint &From, bytes_view Bytes, instant Now);
 
   const balancer_counters &counters() const;
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -48,6 +48,10 @@
   void run();
   void stop();
 
+  /// Moves the timers' clock to the present, see timer_service::observe().
+  /// Every event of a socket starts with it, since the loop may have slept.
+  void wake();
+
   /// Runs \p Task when the current callback has returned, for owners that must
   /// not destroy an object from within its own hook.
   void defer(std::function<void()> Task);
@@ -113,6 +117,12 @@
   static std::unique_ptr<tcp_stream> connect(event_loop &Loop,
                                              const endpoint &Peer, hooks Hooks);
 
+  /// Connects from the address of \p Local, by which the peer knows us.
+  static std::unique_ptr<tcp_stream> connectFrom(event_loop &Loop,
+                                                 const endpoint &Local,
+                                                 const endpoint &Peer,
+                                                 hooks Hooks);
+
   void setHooks(hooks Hooks);
   endpoint peer() const;
   void write(std::string_view Bytes);
@@ -195,6 +205,16 @@
   std::unique_ptr<impl> Impl;
 };
 
+/// Deeper JSON is refused: the JSON library copies and prints values by
+/// recursion, and one object with a megabyte of brackets would exhaust the
+/// stack of every process that reads it.
+inline constexpr int MaxJsonDepth = 32;
+
+/// Parses JSON with comments into \p Into. The failure carries \p Step, \p Peer
+/// and the line of a syntax error.
+result<void> parseJson(std::string_view Text, const std::string &Peer,
+                       step Step, nlohmann::json &Into);
+
 /// Reads settings, JSON with comments, and refuses what it does not know: a
 /// misspelt key would otherwise leave a default in force on a VM that no one
 /// logs in to. Every error names file, field, reason and the range allowed.
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -84,8 +84,12 @@
     event_base_loop(Impl->Base.get(), EVLOOP_ONCE);
     Timers.advance(monotonicNow());
   }
+  // It may be run again.
+  Impl->Stopped = false;
 }
 
+void event_loop::wake() { Timers.observe(monotonicNow()); }
+
 void event_loop::stop() {
   Impl->Stopped = true;
   event_base_loopbreak(Impl->Base.get());
--- a/test/proxy/proxy_bench.h
+++ b/test/proxy/proxy_bench.h
@@ -31,6 +31,7 @@
   std::unique_ptr<h2_session> Session;
   std::deque<seen> Requests;
   bool Open = true;
+  bool Connected = false;
 
   far_server() {
     h2_hooks Hooks;
@@ -121,7 +122,9 @@
   std::deque<std::unique_ptr<near_caller>> Callers;
   std::unique_ptr<request_proxy> Proxy;
 
-  explicit proxy_bench(std::uint32_t Slots = 4) {
+  explicit proxy_bench(std::uint32_t Slots = 4, bool FirstEver = true) {
+    Settings.Incarnation = 1;
+    Settings.FirstEver = FirstEver;
     Settings.Host = host_id(1);
     Settings.Target = TargetAddress;
     Settings.Admission.Slots = Slots;
@@ -132,6 +135,7 @@
     };
     Hooks.RelayOf = [](host_id) { return std::optional(PeerAddress); };
     Proxy = std::make_unique<request_proxy>(Timers, Settings, std::move(Hooks));
+    Proxy->takeKeyView({{{host_id(1), 1, false}}, {{1, {host_id(1)}}}});
   }
 
   ~proxy_bench() {
@@ -197,7 +201,10 @@
     far_server &Server = *List.back();
     Server.Events = std::move(Events);
     Timers.after(std::chrono::milliseconds(1), [this, To, &Server] {
-      Unreachable[To] ? Server.Events.OnClosed() : Server.Events.OnConnected();
+      if (Unreachable[To])
+        return Server.Events.OnClosed();
+      Server.Connected = true;
+      Server.Events.OnConnected();
     });
     return std::make_unique<stream>(Server);
   }
@@ -214,7 +221,7 @@
   }
 
   static bool moveServer(far_server &Server) {
-    if (!Server.Open)
+    if (!Server.Open || !Server.Connected)
       return false;
     const std::string Up = std::exchange(Server.ToServer, {});
     if (!Up.empty())
