Believe no list that is older than the lease

Cause: a holder that took over while the replica that answers lists was behind gave a drained target work again ('a new holder does not believe a list that is behind its lease' failed without the change). Versions come from one counter of the store, so the lease's own version says how new a list must be.

--- a/src/fleet/lease_keeper.h
+++ b/src/fleet/lease_keeper.h
@@ -59,6 +59,8 @@
   /// True only while the lease runs by this node's own clock.
   bool holds() const;
   std::uint64_t term() const { return Mine.Term; }
+  /// The store version at which the lease was last written.
+  std::uint64_t version() const { return Version; }
 
   /// Gives the lease back, so that the next holder need not wait for its end.
   void release();
--- a/src/fleet/node_wiring.cpp
+++ b/src/fleet/node_wiring.cpp
@@ -119,6 +119,7 @@
       note("took duty " + std::to_string(Shard) + " in term " +
            std::to_string(Term));
       // The objects of this shard have been passed over until now.
+      Feed.require(Leases[Shard]->version());
       Feed.restart();
       Holder.lookAtAll();
     };
--- a/src/fleet/platform_feed.cpp
+++ b/src/fleet/platform_feed.cpp
@@ -152,7 +152,12 @@
   // A tombstone is kept: an older state would bring the object back.
 }
 
+void platform_feed::require(std::uint64_t Version) {
+  Highest = std::max(Highest, Version);
+}
+
 void platform_feed::wrote(const platform_object &Object) {
+  require(Object.Version);
   std::uint64_t &Known = Versions[Object.Key];
   Known = std::max(Known, Object.Version);
 }
--- a/src/fleet/platform_feed.h
+++ b/src/fleet/platform_feed.h
@@ -35,6 +35,12 @@
   /// True once every kind has been listed since start().
   bool synced() const { return Running && KindsLeft == 0; }
 
+  /// Nothing older than store version \p Version is believed from now on. A
+  /// lease that was just taken tells the version at which the platform stands;
+  /// a list from a replica that is behind it would bring back what was changed
+  /// since.
+  void require(std::uint64_t Version);
+
   /// An object that a write of ours has just made, so that the watch does not
   /// bring it as news.
   void wrote(const platform_object &Object);
--- a/test/fleet/duty_test.cpp
+++ b/test/fleet/duty_test.cpp
@@ -223,6 +223,32 @@
   CHECK(Site.versionsOnlyGrew());
 }
 
+TEST_CASE("a new holder does not believe a list that is behind its lease") {
+  // The holder dies while the replica that answers lists is behind. Believed,
+  // the new holder would give a drained target work again.
+  site Site;
+  REQUIRE(Site.settle());
+  Site.run(5s);
+  Site.Platform.remember();
+  Site.Platform.put("drain", "ledger-3", toJson(drain_spec{"ledger-3", "x"}));
+  Site.run(5s);
+  REQUIRE(Site.seenByAll("ledger-3", target_state::Draining));
+
+  Site.Platform.ListOlder = true;
+  Site.holderOf("ledger")->Dead = true;
+  bool Reverted = false;
+  for (int I = 0; I < 300; ++I) {
+    Site.run(100ms);
+    Reverted = Reverted || Site.seenByAll("ledger-3", target_state::Ready);
+  }
+  CHECK_FALSE(Reverted);
+  Site.Platform.ListOlder = false;
+  Site.run(20s);
+
+  CHECK(Site.seenByAll("ledger-3", target_state::Draining));
+  CHECK(Site.holderOf("ledger") != nullptr);
+}
+
 TEST_CASE("answers lost after the write took effect change nothing") {
   site Site;
   Site.Platform.LoseAnswers = 10;
--- a/test/fleet/fake_platform.h
+++ b/test/fleet/fake_platform.h
@@ -41,6 +41,8 @@
   int LoseWrites = 0;
   /// Reads and lists answer from the state kept by remember().
   bool ServeOlder = false;
+  /// Only lists and watches do, as from another replica than reads.
+  bool ListOlder = false;
   std::uint64_t Calls = 0;
   std::uint64_t Writes = 0;
 
@@ -115,10 +117,11 @@
   }
 
   platform_reply list(const std::string &Kind) const {
+    const bool Behind = ServeOlder || ListOlder;
     platform_reply Reply;
     Reply.Outcome = platform_outcome::Ok;
-    Reply.StoreVersion = ServeOlder ? OlderVersion : StoreVersion;
-    for (const auto &[Key, Object] : ServeOlder ? Older : Objects)
+    Reply.StoreVersion = Behind ? OlderVersion : StoreVersion;
+    for (const auto &[Key, Object] : Behind ? Older : Objects)
       if (Key.Kind == Kind && !Object.Deleted)
         Reply.Objects.push_back(Object);
     return Reply;
@@ -209,9 +212,10 @@
              platform_callback Callback) {
     platform_reply Reply;
     Reply.Outcome = platform_outcome::Ok;
-    Reply.StoreVersion = ServeOlder ? OlderVersion : StoreVersion;
+    const bool Behind = ServeOlder || ListOlder;
+    Reply.StoreVersion = Behind ? OlderVersion : StoreVersion;
     std::map<std::uint64_t, platform_object> Ordered;
-    for (const auto &[Key, Object] : ServeOlder ? Older : Objects)
+    for (const auto &[Key, Object] : Behind ? Older : Objects)
       if (Object.Version > Since)
         Ordered[Object.Version] = Object;
     for (const auto &[Version, Object] : Ordered)
