--- a/test/fleet/spread_test.cpp
+++ b/test/fleet/spread_test.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/byte_budget.h"
 #include "fleet/datagrams.h"
+#include "fleet/force_tree.h"
 #include "fleet/message.h"
 #include "fleet/peer_table.h"
 
@@ -223,6 +224,34 @@
   CHECK(Budget.open(instant(2s), urgency::Soon));
 }
 
+TEST_CASE("a balancer counted twice does not stand for one that is missing") {
+  // While nodes know different peers, one may report to two parents and another
+  // to none. The sum is then right by number, and an operator would read that a
+  // change is in force where it is not.
+  timer_service Timers;
+  peer_table Peers({"a", "zone", {1, 1}, 1}, 1);
+  Peers.take({{"b", "zone", {2, 2}, 1}, peer_state::Alive}, instant());
+  Peers.take({{"c", "zone", {3, 3}, 1}, peer_state::Alive}, instant());
+  const view_store Views;
+  force_tree Tree(Timers, Peers, Views,
+                  {.Send = [](const endpoint &, const message &) {},
+                   .Holder =
+                       [](const std::string &) {
+                         return duty_news{0, 1, "a", {1, 1}};
+                       },
+                   .OnChange = [](const std::string &) {}});
+  const std::uint64_t Self = hashOfName("a");
+  const std::uint64_t Other = hashOfName("b");
+
+  Tree.take({}, {"root", 1, {{"ledger", 1, 3, Self ^ Other ^ Other, {}}}});
+  CHECK_FALSE(Tree.summary("ledger").All);
+  CHECK(Tree.summary("ledger").Nodes == 2);
+
+  Tree.take(
+      {}, {"root", 2, {{"ledger", 2, 3, Self ^ Other ^ hashOfName("c"), {}}}});
+  CHECK(Tree.summary("ledger").All);
+}
+
 TEST_CASE("a node that nobody answers buries nobody") {
   // Its own link is what failed. Were it to bury its peers, it would think
   // itself alone and claim every duty.
