Tell a dead owner's callers within a second

Cause: packets whose first owner is dead vanish; balancers heard of it through the fleet alone, and callers after 9.1 s (KNOWN-RED.txt). Change: the agents of a service watch each other in a ring (neighbour_watch); a doubt goes to the balancers that sent packets lately, a conclusion to the peers (peer_message_kind::Silent). peer_watch's first bound 300 -> 250 ms. flow_owner_hooks::TellSilence is new; agent_process sends the notice. Failed first: the same test without the ring, 9.08 s against 1 s (was red). Conclusion: the red test is green and no longer expected to fail; a new one holds that pauses of 300 ms break nothing.

--- a/daemons/agent/agent_process.cpp
+++ b/daemons/agent/agent_process.cpp
@@ -195,6 +195,12 @@
     Peer.Service = Message.Load.Service;
     Proxy->takePeerLoad(Peer);
   };
+  Hooks.TellSilence = [this](const endpoint &Balancer,
+                             const silence_notice &Notice) {
+    std::array<std::uint8_t, SilenceNoticeBytes> Buffer;
+    encodeSilenceNotice(Notice, Buffer);
+    Socket.send(Balancer, Buffer);
+  };
   Owner = std::make_unique<flow_owner>(Owned, std::move(Hooks));
   startProxy(Host);
   if (Draining) {
--- a/include/marjoramrail/agent.h
+++ b/include/marjoramrail/agent.h
@@ -54,14 +54,17 @@
   ProbeFor,
   /// "Subject has answered my probe for you."
   Vouch,
+  /// "Subject answers neither me nor those that I asked to probe it."
+  Silent,
 };
 
-inline constexpr name_table<peer_message_kind, 5> PeerMessageKindNames = {{
+inline constexpr name_table<peer_message_kind, 6> PeerMessageKindNames = {{
     {peer_message_kind::Report, "report"},
     {peer_message_kind::Heard, "heard"},
     {peer_message_kind::Probe, "probe"},
     {peer_message_kind::ProbeFor, "probe-for"},
     {peer_message_kind::Vouch, "vouch"},
+    {peer_message_kind::Silent, "silent"},
 }};
 
 /// How busy the target beside an agent is, for the relay of requests.
@@ -204,6 +207,9 @@
   std::function<void(const endpoint &To, const peer_message &)> Send;
   /// The target's load for reports; may be empty.
   std::function<peer_load()> Load;
+  /// Tells a balancer that a peer may be dead; may be empty.
+  std::function<void(const endpoint &Balancer, const silence_notice &)>
+      TellSilence;
   /// A peer's report, for the relay of requests; may be empty.
   std::function<void(const peer_message &)> OnReport;
 };
--- a/src/agent/flow_owner.cpp
+++ b/src/agent/flow_owner.cpp
@@ -1,6 +1,7 @@
 #include "agent/flow_table.h"
 #include "agent/generation_gate.h"
 #include "agent/load_share.h"
+#include "agent/neighbour_watch.h"
 #include "agent/peer_watch.h"
 #include "marjoramrail/agent.h"
 
@@ -75,6 +76,7 @@
   generation_gate Gate;
   load_share Share;
   peer_watch Watch;
+  neighbour_watch Ring;
 
   std::optional<service_view> View;
   /// All generations at once, and each for itself, newest first.
@@ -140,6 +142,8 @@
   void sendReports(instant Now);
   void askForWords(instant Now);
   void sendProbes(instant Now);
+  void probeNeighbour(instant Now);
+  void tellOfNeighbour(bool WasSuspect, instant Now);
   void sendReport(const endpoint &To, bool ReplyWanted) const;
 };
 
@@ -167,6 +171,7 @@
   Gate.takeView(Newer);
   Share.takeView(Newer);
   Watch.setPeers(Peers);
+  Ring.takeView(Newer, Settings.Host);
   // Peers that wait for this agent's word should not wait for its next turn.
   for (const endpoint &Peer : Peers)
     sendReport(Peer, false);
@@ -538,6 +543,32 @@
       sendReport(Target->Agent, true);
 }
 
+void flow_owner::impl::probeNeighbour(instant Now) {
+  const std::optional<endpoint> &Neighbour = Ring.neighbour();
+  if (!Neighbour || Watch.isDoubted(*Neighbour))
+    return;
+  Watch.passedOn(*Neighbour, Now);
+  Hooks.Send(*Neighbour, message(peer_message_kind::Probe));
+}
+
+/// Balancers hear of a doubt at once, for they only take a detour; the peers,
+/// which reset flows on it, hear of the conclusion.
+void flow_owner::impl::tellOfNeighbour(bool WasSuspect, instant Now) {
+  const std::optional<endpoint> &Neighbour = Ring.neighbour();
+  if (!Neighbour)
+    return;
+  const bool Doubted = Watch.isDoubted(*Neighbour);
+  for (const endpoint &Balancer : Ring.toTell(Doubted, Now))
+    if (Hooks.TellSilence)
+      Hooks.TellSilence(Balancer, {Settings.Service, *Neighbour});
+  if (WasSuspect || !Watch.isSuspect(*Neighbour))
+    return;
+  peer_message Silent = message(peer_message_kind::Silent);
+  Silent.Subject = *Neighbour;
+  for (const endpoint &Peer : Peers)
+    Hooks.Send(Peer, Silent);
+}
+
 void flow_owner::impl::sendProbes(instant Now) {
   for (const peer_probe &Probe : Watch.tick(Now)) {
     peer_message Message = message(Probe.Via ? peer_message_kind::ProbeFor
@@ -583,6 +614,8 @@
   const bool PassedOn = Routed.Service == Impl->Settings.Service &&
                         Routed.Balancer != endpoint() &&
                         Routed.Balancer != From;
+  if (Routed.Balancer != endpoint() && Routed.Balancer == From)
+    Impl->Ring.sawBalancer(From, Now);
   if (Impl->View && (PassedOn || Impl->find(From)))
     Impl->answer(From, Now);
   // A forged position past the list must not wrap around to its start.
@@ -627,6 +660,8 @@
     return Impl->takeProbeFor(Message, From);
   case peer_message_kind::Vouch:
     return Impl->Watch.heard(Message.Subject, Now);
+  case peer_message_kind::Silent:
+    return Impl->Watch.toldSilent(Message.Subject, Now);
   }
 }
 
@@ -641,7 +676,11 @@
     return;
   Impl->sendReports(Now);
   Impl->askForWords(Now);
+  const std::optional<endpoint> &Neighbour = Impl->Ring.neighbour();
+  const bool WasSuspect = Neighbour && Impl->Watch.isSuspect(*Neighbour);
+  Impl->probeNeighbour(Now);
   Impl->sendProbes(Now);
+  Impl->tellOfNeighbour(WasSuspect, Now);
 }
 
 std::size_t flow_owner::flows() const { return Impl->Table.live(); }
--- /dev/null
+++ b/src/agent/neighbour_watch.cpp
@@ -0,0 +1,47 @@
+#include "agent/neighbour_watch.h"
+
+namespace marjoramrail::internal {
+
+void neighbour_watch::takeView(const service_view &View, host_id Self) {
+  const target *Next = nullptr;
+  const target *Least = nullptr;
+  for (const target &Target : View.Targets) {
+    if (Target.State == target_state::Down || Target.Id == Self)
+      continue;
+    if (Least == nullptr || Target.Id < Least->Id)
+      Least = &Target;
+    if (Target.Id > Self && (Next == nullptr || Target.Id < Next->Id))
+      Next = &Target;
+  }
+  const target *Chosen = Next != nullptr ? Next : Least;
+  Neighbour.reset();
+  if (Chosen != nullptr)
+    Neighbour = Chosen->Agent;
+}
+
+void neighbour_watch::sawBalancer(const endpoint &Balancer, instant Now) {
+  const auto Found = Balancers.find(Balancer);
+  if (Found != Balancers.end())
+    Found->second = Now;
+  else if (Balancers.size() < MaxBalancers)
+    Balancers.emplace(Balancer, Now);
+}
+
+std::vector<endpoint> neighbour_watch::toTell(bool Doubted, instant Now) {
+  std::vector<endpoint> Told;
+  if (!Doubted) {
+    LastTold.reset();
+    return Told;
+  }
+  if (LastTold && Now - *LastTold < TellPeriod)
+    return Told;
+  LastTold = Now;
+  std::erase_if(Balancers, [&](const auto &Item) {
+    return Now - Item.second > BalancerLife;
+  });
+  for (const auto &[Balancer, Seen] : Balancers)
+    Told.push_back(Balancer);
+  return Told;
+}
+
+} // namespace marjoramrail::internal
--- a/src/agent/peer_watch.cpp
+++ b/src/agent/peer_watch.cpp
@@ -81,6 +81,25 @@
   return Due;
 }
 
+void peer_watch::toldSilent(const endpoint &Peer, instant Now) {
+  const auto Found = Peers.find(Peer);
+  if (Found == Peers.end())
+    return;
+  peer &Silent = Found->second;
+  if (Silent.LastHeard && Now - *Silent.LastHeard < AnswerBound)
+    return;
+  Silent.Suspect = true;
+  // This one asks for itself too, so that a suspicion ends.
+  if (!Silent.Unanswered)
+    Silent.Unanswered = Now;
+}
+
+bool peer_watch::isDoubted(const endpoint &Peer) const {
+  const auto Found = Peers.find(Peer);
+  return Found != Peers.end() &&
+         (Found->second.Suspect || Found->second.ProbedSince);
+}
+
 bool peer_watch::isSuspect(const endpoint &Peer) const {
   const auto Found = Peers.find(Peer);
   return Found != Peers.end() && Found->second.Suspect;
--- a/src/agent/peer_watch.h
+++ b/src/agent/peer_watch.h
@@ -30,9 +30,11 @@
 /// another peer has answered since the probes began.
 class peer_watch {
 public:
-  /// An answer takes a round trip of at most 10 ms between zones; links that
-  /// drop packets make one packet's silence common and 300 ms of it rare.
-  static constexpr duration AnswerBound = std::chrono::milliseconds(300);
+  /// An answer takes a round trip of at most 10 ms between zones. On links that
+  /// drop packets one packet's silence is common, so it only begins the probes;
+  /// with these a dead owner is found within 700 ms, and its callers, who send
+  /// again within 300 ms, know within a second.
+  static constexpr duration AnswerBound = std::chrono::milliseconds(250);
   /// Probes go out three times, 100 ms apart, directly and through a peer.
   static constexpr duration ProbePeriod = std::chrono::milliseconds(100);
   static constexpr int Probes = 3;
@@ -45,6 +47,13 @@
   /// Probes that are due now; also draws the conclusions.
   std::vector<peer_probe> tick(instant Now);
 
+  /// Another peer came to its conclusion, which holds unless this one has heard
+  /// from \p Peer meanwhile.
+  void toldSilent(const endpoint &Peer, instant Now);
+
+  /// Probes of the peer are under way, or it is a suspect.
+  bool isDoubted(const endpoint &Peer) const;
+
   /// The peer is silent while others answer.
   bool isSuspect(const endpoint &Peer) const;
   /// Nobody answered the probes: it may be us.
--- a/test/path/owner_death_test.cpp
+++ b/test/path/owner_death_test.cpp
@@ -17,6 +17,7 @@
   World.pass(seconds(3));
   const std::size_t Owned = World.flowsOf(2);
 
+  World.pass(Seed * path_world::Turn * 2);
   World.killHost(2, seconds(4));
   World.pass(seconds(15));
 
@@ -26,20 +27,37 @@
   return World.verdict();
 }
 
-TEST_CASE("an owner's death breaks its own flows alone, and tells them") {
-  // A host's VM ends without a word. Its callers' amendments would hang until
-  // their own timeouts, and other hosts' flows must not suffer from the doubt.
-  for (const std::uint64_t Seed : {1, 2, 3, 4}) {
+TEST_CASE("an owner's death breaks its own flows alone, and tells them soon") {
+  // A host's VM ends without a word, and the fleet needs seconds to agree that
+  // it is dead. Its callers' amendments would hang until their own timeouts,
+  // and other hosts' flows must not suffer from the doubt.
+  for (const std::uint64_t Seed : {1, 2, 3, 4, 5, 6}) {
     const world_verdict Verdict = killOne(Seed);
     CHECK(Verdict.BrokenPlanned == 0);
     CHECK(Verdict.Misrouted == 0);
+    CHECK(Verdict.LongestUntold <= seconds(1));
   }
 }
 
-TEST_CASE("callers learn of an owner's death within a second" *
-          doctest::should_fail()) {
-  // Packets whose first owner is dead vanish until the fleet has declared it
-  // down, for no balancer hears of its silence sooner: callers wait for
-  // seconds. Listed in KNOWN-RED.txt.
-  CHECK(killOne(1).LongestUntold <= seconds(1));
+TEST_CASE("a host that stands still for a moment keeps its flows") {
+  // A VM pauses while it is moved. Taken for dead too soon, it would lose two
+  // thousand sessions that only had to wait.
+  for (const std::uint64_t Seed : {1, 2, 3, 4}) {
+    CAPTURE(Seed);
+    world_settings Settings;
+    Settings.Seed = Seed;
+    Settings.LossPercent = 1;
+    path_world World(Settings);
+    for (std::uint32_t I = 0; I < 300; ++I)
+      World.openFlow(I);
+    World.pass(seconds(3));
+
+    for (int Time = 0; Time < 10; ++Time) {
+      World.freezeHost(2, std::chrono::milliseconds(300));
+      World.pass(seconds(2));
+    }
+
+    CHECK(World.establishedFlows() == 300);
+    CHECK(World.verdict().BrokenPlanned == 0);
+  }
 }
--- a/test/path/path_world.cpp
+++ b/test/path/path_world.cpp
@@ -78,6 +78,10 @@
   const auto Number = hostAt(Parcel.To);
   if (!Number || !Hosts[*Number].Core)
     return;
+  if (Hosts[*Number].FrozenUntil > Now) {
+    Bag.emplace(Hosts[*Number].FrozenUntil, Parcel);
+    return;
+  }
   if (Parcel.Kind == cargo::Peer)
     Hosts[*Number].Core->receive(Parcel.Message, Parcel.From, Now);
   else
@@ -92,7 +96,7 @@
     spreadViews();
     if (Now.time_since_epoch() % flow_owner::TickPeriod == duration(0))
       for (host &Host : Hosts)
-        if (Host.Alive && Host.Core) {
+        if (Host.Alive && Host.Core && Host.FrozenUntil <= Now) {
           // Balancers answer announcements whatever view they have.
           Host.Core->confirmView(Now);
           Host.Core->tick(Now);
@@ -129,6 +133,13 @@
   Hooks.Send = [this, Number](const endpoint &To, const peer_message &Message) {
     put({cargo::Peer, Hosts[Number].Agent, To, {}, Message, 0, 0}, true);
   };
+  Hooks.TellSilence = [this, Number](const endpoint &To,
+                                     const silence_notice &Notice) {
+    std::vector<std::uint8_t> Bytes(SilenceNoticeBytes);
+    encodeSilenceNotice(Notice, Bytes);
+    put({cargo::Notice, Hosts[Number].Agent, To, std::move(Bytes), {}, 0, 0},
+        true);
+  };
   Host.Core = std::make_unique<flow_owner>(Core, std::move(Hooks));
   if (Host.Draining)
     Host.Core->drain();
--- a/test/path/path_world.h
+++ b/test/path/path_world.h
@@ -78,6 +78,11 @@
   void drainHost(std::uint32_t Host);
   /// The process ends without a word; the fleet finds out after \p Found.
   void killHost(std::uint32_t Host, duration Found);
+  /// The host's process stands still and takes up what waits for it after
+  /// \p Time, as a VM does that is moved or starved.
+  void freezeHost(std::uint32_t Host, duration Time) {
+    Hosts[Host].FrozenUntil = Now + Time;
+  }
   /// Kills and starts again with a new incarnation and no flows.
   void restartHost(std::uint32_t Host);
   /// Stops a drained host that has no flows left; false if it has.
@@ -115,6 +120,7 @@
     bool Known = true; // to the fleet, as alive
     bool Draining = false;
     instant DiedAt;
+    instant FrozenUntil;
     std::unique_ptr<flow_owner> Core;
     std::unordered_map<flow_key, held_flow, flow_key_hash> Stack;
     std::uint64_t Version = 0;
