--- a/src/fleet/duty_holder.cpp
+++ b/src/fleet/duty_holder.cpp
@@ -12,7 +12,9 @@
 /// between the first one and the host may be what failed.
 constexpr std::size_t Opinions = 2;
 /// Time for the others that were asked to answer.
-constexpr duration ProbeTime = std::chrono::milliseconds(1000);
+constexpr duration ProbeTime = std::chrono::milliseconds(1500);
+/// Those asked answer once; while nothing is decided they are asked again.
+constexpr duration AskAgain = std::chrono::seconds(3);
 /// A report of silence older than this no longer counts.
 constexpr duration SilenceCounts = std::chrono::seconds(5);
 /// After an unavailable platform or a write that met another version.
@@ -61,34 +63,63 @@
   }
 }
 
+/// Other services that have the number or the address of \p Spec. All services
+/// are known by these two only: 46,000 whole specs would not fit.
+std::vector<service_spec> duty_holder::sharers(const service_spec &Spec) const {
+  std::vector<service_spec> Others;
+  const auto Numbered = Numbers.find(Spec.Number);
+  if (Numbered != Numbers.end() && Numbered->second != Spec.Name) {
+    Others.emplace_back().Name = Numbered->second;
+    Others.back().Number = Spec.Number;
+  }
+  const auto Addressed = Addresses.find(Spec.Address);
+  if (Addressed != Addresses.end() && Addressed->second != Spec.Name) {
+    Others.emplace_back().Name = Addressed->second;
+    Others.back().Address = Spec.Address;
+  }
+  return Others;
+}
+
+result<service_spec> duty_holder::readSpec(const platform_object &Object) {
+  auto Spec = parseService(Object.Body, Object.Key.Name);
+  if (!Spec)
+    return Spec.error();
+  auto Checked = checkAgainst(*Spec, sharers(*Spec));
+  if (!Checked)
+    return Checked.error();
+  Numbers[Spec->Number] = Spec->Name;
+  Addresses[Spec->Address] = Spec->Name;
+  return *Spec;
+}
+
 void duty_holder::takeSpec(const platform_object &Object) {
   const std::string &Name = Object.Key.Name;
+  if (Object.Deleted) {
+    std::erase_if(Addresses,
+                  [&](const auto &Known) { return Known.second == Name; });
+  }
+  std::optional<service_spec> Spec;
+  std::optional<failure> Failure;
+  if (!Object.Deleted)
+    Failure = failureOf([&]() -> result<void> {
+      auto Read = readSpec(Object);
+      if (!Read)
+        return Read.error();
+      Spec = *Read;
+      return {};
+    });
+  if (!Hooks.Mine(Name))
+    return;
   service_duty &Duty = Duties[Name];
   Due.insert(Name);
-  if (Object.Version <= Duty.SpecVersion)
-    return;
-  if (Object.Deleted) {
-    Duty.Spec.reset();
+  if (Object.Version < Duty.SpecVersion)
     return;
-  }
-  const auto Failure = failureOf([&]() -> result<void> {
-    auto Spec = parseService(Object.Body, Name);
-    if (!Spec)
-      return Spec.error();
-    std::vector<service_spec> Others;
-    for (const auto &[Other, Known] : Duties)
-      if (Other != Name && Known.Spec)
-        Others.push_back(*Known.Spec);
-    auto Checked = checkAgainst(*Spec, Others);
-    if (!Checked)
-      return Checked.error();
-    Duty.Spec = *Spec;
+  if (!Failure) {
+    Duty.Spec = Spec;
     Duty.SpecVersion = Object.Version;
     Duty.Invalid.clear();
-    return {};
-  });
-  if (!Failure)
     return;
+  }
   // The last good spec stays in force; the status says what is wrong.
   Duty.Invalid = describe(*Failure);
   note("refused " + Duty.Invalid);
@@ -96,29 +127,37 @@
 
 void duty_holder::takeMembership(const platform_object &Object) {
   const std::string &Name = Object.Key.Name;
+  std::optional<membership> Members;
+  if (!Object.Deleted) {
+    const auto Failure = failureOf([&]() -> result<void> {
+      auto Read = parseBody(Object.Body, Name);
+      if (!Read)
+        return Read.error();
+      Members = *Read;
+      return {};
+    });
+    if (Failure) {
+      note("cannot read " + describe(*Failure));
+      return;
+    }
+    Hooks.OnWritten(*Members);
+  }
+  if (!Hooks.Mine(Name))
+    return;
   service_duty &Duty = Duties[Name];
   Due.insert(Name);
   if (Object.Version <= Duty.StoredVersion)
     return;
   Duty.StoredVersion = Object.Deleted ? 0 : Object.Version;
-  if (Object.Deleted) {
-    Duty.Stored.reset();
-    return;
-  }
-  const auto Failure = failureOf([&]() -> result<void> {
-    auto Members = parseBody(Object.Body, Name);
-    if (!Members)
-      return Members.error();
-    Duty.Stored = *Members;
-    return {};
-  });
-  if (Failure)
-    note("cannot read " + describe(*Failure));
-  else
-    Hooks.OnWritten(*Duty.Stored);
+  Duty.Stored = std::move(Members);
 }
 
 void duty_holder::lookAtAll() {
+  // Shards that went elsewhere leave nothing behind.
+  std::erase_if(Duties, [&](const auto &Duty) {
+    return !Duty.second.Busy && !Duty.second.StatusBusy &&
+           !Hooks.Mine(Duty.first);
+  });
   for (const auto &[Name, Duty] : Duties)
     Due.insert(Name);
 }
@@ -130,7 +169,7 @@
     return;
   service_duty &Duty = Found->second;
   if (Report.Kind == report_kind::Silent)
-    silent(Service, Duty, Report);
+    silent(Duty, Report);
   else
     heard(Duty, Report);
   Due.insert(Service);
@@ -152,21 +191,25 @@
   Evidence.Dead = false;
 }
 
-void duty_holder::silent(const std::string &Service, service_duty &Duty,
-                         const host_report &Report) {
-  const announcement &About = Report.Heard;
-  silence &Silence = Duty.Silences[About.Host];
+void duty_holder::silent(service_duty &Duty, const host_report &Report) {
+  silence &Silence = Duty.Silences[Report.Heard.Host];
   const bool First = Silence.By.empty();
-  if (First)
-    Silence.Since = Timers.now();
-  Silence.Incarnation = std::max(Silence.Incarnation, About.Incarnation);
+  if (First || Report.Heard.Incarnation > Silence.About.Incarnation)
+    Silence.About = Report.Heard;
   Silence.By[Report.From] = Timers.now();
-  if (First)
-    Hooks.Probe({Service, About.Host, About.Agent, About.Incarnation});
+  if (!First)
+    return;
+  Silence.Since = Silence.AskedAt = Timers.now();
+  askOthers(Report.Heard);
+}
+
+void duty_holder::askOthers(const announcement &About) {
+  Hooks.Probe({About.Service, About.Host, About.Agent, About.Incarnation});
 }
 
 bool duty_holder::judgeSilences(service_duty &Duty) {
   const std::size_t Needed = std::min(Opinions, Hooks.Balancers());
+  std::vector<announcement> Undecided;
   for (auto At = Duty.Silences.begin(); At != Duty.Silences.end();) {
     auto &[Host, Silence] = *At;
     std::erase_if(Silence.By, [&](const auto &Opinion) {
@@ -180,10 +223,16 @@
         Timers.now() - Silence.Since >= ProbeTime) {
       host_evidence &Evidence = Duty.Evidence[Host];
       Evidence.Dead = true;
-      Evidence.DeadIncarnation = Silence.Incarnation;
+      Evidence.DeadIncarnation = Silence.About.Incarnation;
+    } else if (Timers.now() - Silence.AskedAt >= AskAgain) {
+      Silence.AskedAt = Timers.now();
+      Undecided.push_back(Silence.About);
     }
     ++At;
   }
+  // An answer may come within the call and end the silence.
+  for (const announcement &About : Undecided)
+    askOthers(About);
   return !Duty.Silences.empty();
 }
 
--- a/src/fleet/duty_holder.h
+++ b/src/fleet/duty_holder.h
@@ -21,6 +21,7 @@
 
 /// On how many nodes a view is in force, as far as reports have come in.
 struct force_summary {
+  std::uint64_t Version = 0;
   std::uint32_t Nodes = 0;
   std::uint32_t Of = 0;
   bool All = false;
@@ -32,6 +33,8 @@
   struct hooks {
     /// The term under which this node holds the service's shard, if it does.
     std::function<std::optional<std::uint64_t>(const std::string &)> Term;
+    /// Whether this node holds, or may come to hold, the service's shard.
+    std::function<bool(const std::string &)> Mine;
     /// The newest view of a service that the node knows.
     std::function<const membership *(const std::string &)> Known;
     /// A membership that now stands in the platform.
@@ -69,7 +72,9 @@
   struct silence {
     std::map<std::string, instant> By;
     instant Since;
-    std::uint32_t Incarnation = 0;
+    /// When others were last asked.
+    instant AskedAt;
+    announcement About;
   };
 
   struct service_duty {
@@ -89,15 +94,19 @@
     std::uint64_t StatusVersion = 0;
     instant StatusAt;
     bool StatusBusy = false;
-    bool StatusKnown = false;
+    /// The view version that was seen in force everywhere. Balancers that join
+    /// later have it before they are ready: the status need not follow them.
+    std::uint64_t EverywhereVersion = 0;
   };
 
   void takeSpec(const platform_object &Object);
+  result<service_spec> readSpec(const platform_object &Object);
+  std::vector<service_spec> sharers(const service_spec &Spec) const;
   void takeMembership(const platform_object &Object);
   void heard(service_duty &Duty, const host_report &Report);
-  void silent(const std::string &Service, service_duty &Duty,
-              const host_report &Report);
+  void silent(service_duty &Duty, const host_report &Report);
   bool judgeSilences(service_duty &Duty);
+  void askOthers(const announcement &About);
   void step(const std::string &Service, service_duty &Duty);
   plan_input inputFor(const std::string &Service, service_duty &Duty,
                       std::uint64_t Term);
@@ -117,6 +126,9 @@
   fleet_counters &Counters;
   hooks Hooks;
   std::map<std::string, service_duty> Duties;
+  /// Who has a service number or an address, over all shards.
+  std::map<service_id, std::string> Numbers;
+  std::map<endpoint, std::string> Addresses;
   std::map<std::string, zone_id> Zones;
   std::set<std::string> Drained;
   /// Services to look at in the next tick.
--- a/test/work/load_model.h
+++ b/test/work/load_model.h
@@ -75,6 +75,10 @@
   int Attempts = 4;
   /// One way, between agents.
   double RelaySeconds = 0.003;
+  double ReportSeconds = 0.25;
+  /// A target that has just started takes this many times longer at first,
+  /// less and less over ten seconds.
+  double ColdSlowness = 1;
   caller_policy Caller = caller_policy::Obeys;
   agent_policy Agent = agent_policy::Ours;
   std::vector<host_fault> Faults;
@@ -89,6 +93,8 @@
   std::uint64_t Offered = 0;
   /// Answered while the caller still waited.
   std::uint64_t Answered = 0;
+  /// Of Answered, those that were at the first attempt.
+  std::uint64_t AnsweredFirst = 0;
   std::uint64_t Refusals = 0;
   /// Attempts that ended without an answer or a refusal.
   std::uint64_t GivenUp = 0;
@@ -109,7 +115,8 @@
   /// Answered shares of all requests of light callers.
   double LightAnswered = 0;
   double Imbalance = 0;
-  std::size_t LastLimit = 0;
+  /// Mean over the hosts, at the end.
+  double LastLimit = 0;
 };
 
 outcome play(const scenario &Scenario);
