--- a/daemons/agent/agent_view.cpp
+++ b/daemons/agent/agent_view.cpp
@@ -219,6 +219,7 @@
 void agent_process::startProxy(const service_view &View, host_id Host) {
   proxy_settings Proxied;
   Proxied.Host = Host;
+  Proxied.Name = Settings.Name;
   Proxied.Target = Settings.Target;
   Proxied.Admission.Slots = Settings.Slots;
   Proxied.Admission.ColdStart = std::chrono::seconds(Settings.ColdStartSeconds);
--- a/include/marjoramrail/proxy.h
+++ b/include/marjoramrail/proxy.h
@@ -61,6 +61,10 @@
 
 struct proxy_settings {
   host_id Host{};
+  /// Added to each answer's Via field (RFC 9110, 7.6.3), so that a caller's
+  /// log shows the agent that owns the flow, last, and one that ran the request
+  /// by relay, before it. Empty: no field.
+  std::string Name;
   endpoint Target;
   admission_settings Admission;
   relay_settings Relay;
--- a/src/proxy/answers.cpp
+++ b/src/proxy/answers.cpp
@@ -107,4 +107,17 @@
   return seconds(std::min(Seconds.value_or(0), Most));
 }
 
+h2_head passedBy(const std::string &Name, const h2_head &Head) {
+  h2_head Passed = Head;
+  const std::string Here = "2 " + Name;
+  for (h2_field &Field : Passed.Fields) {
+    if (Field.Name != "via")
+      continue;
+    Field.Value += ", " + Here;
+    return Passed;
+  }
+  Passed.add("via", Here);
+  return Passed;
+}
+
 } // namespace marjoramrail::internal
--- a/src/proxy/answers.h
+++ b/src/proxy/answers.h
@@ -46,6 +46,9 @@
 std::optional<std::uint64_t> numberOf(const h2_head &Head,
                                       std::string_view Name);
 
+/// \p Head with \p Name at the end of its Via field.
+h2_head passedBy(const std::string &Name, const h2_head &Head);
+
 } // namespace marjoramrail::internal
 
 #endif // MARJORAMRAIL_SRC_PROXY_ANSWERS_H
--- a/src/proxy/link_side.cpp
+++ b/src/proxy/link_side.cpp
@@ -1,3 +1,4 @@
+#include "proxy/answers.h"
 #include "proxy/proxy_state.h"
 
 namespace marjoramrail {
@@ -78,7 +79,9 @@
     Exchange.Kept = keptAnswer(std::string(Head.get(":status")), "");
   caller_flow *Flow = flowOf(Exchange);
   if (Flow)
-    Flow->respond(Exchange.Place.Stream, Head, End);
+    Flow->respond(Exchange.Place.Stream,
+                  Settings.Name.empty() ? Head : passedBy(Settings.Name, Head),
+                  End);
   if (End)
     answerOver(Id);
   if (Flow)
--- a/standins/load/caller_flow.cpp
+++ b/standins/load/caller_flow.cpp
@@ -130,14 +130,18 @@
   Session->flush();
 }
 
+/// The agent that owns the flow, which is the last one an answer passed.
+static std::string ownerIn(std::string_view Via) {
+  const auto Space = Via.rfind(' ');
+  return Space == std::string_view::npos ? ""
+                                         : std::string(Via.substr(Space + 1));
+}
+
 void caller_flow::onHead(h2_stream Stream, const h2_head &Head) {
-  if (const auto From = Head.get("x-host"); !From.empty() && Host.empty())
-    Host = From;
-  if (Stream == LongStream) {
-    if (const auto From = Head.get("x-host"); !From.empty())
-      Host = From;
+  if (const std::string Owner = ownerIn(Head.get("via")); !Owner.empty())
+    Host = Owner;
+  if (Stream == LongStream)
     return;
-  }
   const auto Found = Pending.find(Stream);
   if (Found == Pending.end())
     return;
--- a/standins/load/caller_flow.h
+++ b/standins/load/caller_flow.h
@@ -67,7 +67,7 @@
   bool usable() const { return Open && !Leaving && !Gone; }
   void send(attempt Attempt);
 
-  /// The host that answered last on this flow's long stream, else at all.
+  /// The host whose agent owns the flow, once an answer has come.
   const std::string &host() const { return Host; }
   std::uint64_t ticks() const { return Ticks; }
 
