--- a/test/fleet/fake_platform.h
+++ b/test/fleet/fake_platform.h
@@ -23,6 +23,8 @@
   bool Cut = false;
   /// How long a call travels before it takes effect.
   duration Travel = duration::zero();
+  /// How much longer an answer takes than for others.
+  duration Back = duration::zero();
 };
 
 class fake_platform {
@@ -39,6 +41,8 @@
   int LoseWrites = 0;
   /// Reads and lists answer from the state kept by remember().
   bool ServeOlder = false;
+  /// Only lists and watches do, as from another replica than reads.
+  bool ListOlder = false;
   std::uint64_t Calls = 0;
   std::uint64_t Writes = 0;
 
@@ -113,10 +117,11 @@
   }
 
   platform_reply list(const std::string &Kind) const {
+    const bool Behind = ServeOlder || ListOlder;
     platform_reply Reply;
     Reply.Outcome = platform_outcome::Ok;
-    Reply.StoreVersion = ServeOlder ? OlderVersion : StoreVersion;
-    for (const auto &[Key, Object] : ServeOlder ? Older : Objects)
+    Reply.StoreVersion = Behind ? OlderVersion : StoreVersion;
+    for (const auto &[Key, Object] : Behind ? Older : Objects)
       if (Key.Kind == Kind && !Object.Deleted)
         Reply.Objects.push_back(Object);
     return Reply;
@@ -190,15 +195,16 @@
               platform_callback Callback) {
     ++Calls;
     const bool Lost = Link != nullptr && Link->Cut;
+    const duration Back = Link != nullptr ? Link->Back : duration::zero();
     const duration Travel = Link != nullptr ? Link->Travel : duration::zero();
-    Timers.after(Travel, [this, Lost, Act = std::move(Act),
+    Timers.after(Travel, [this, Lost, Back, Act = std::move(Act),
                           Callback = std::move(Callback)] {
       platform_reply Reply;
       Reply.Outcome = platform_outcome::Unavailable;
       Reply.RetryAfter = std::chrono::seconds(1);
       if (!Down && !Lost)
         Reply = Act();
-      Timers.after(Delay, [Reply, Callback] { Callback(Reply); });
+      Timers.after(Delay + Back, [Reply, Callback] { Callback(Reply); });
     });
   }
 
@@ -206,9 +212,10 @@
              platform_callback Callback) {
     platform_reply Reply;
     Reply.Outcome = platform_outcome::Ok;
-    Reply.StoreVersion = ServeOlder ? OlderVersion : StoreVersion;
+    const bool Behind = ServeOlder || ListOlder;
+    Reply.StoreVersion = Behind ? OlderVersion : StoreVersion;
     std::map<std::uint64_t, platform_object> Ordered;
-    for (const auto &[Key, Object] : ServeOlder ? Older : Objects)
+    for (const auto &[Key, Object] : Behind ? Older : Objects)
       if (Object.Version > Since)
         Ordered[Object.Version] = Object;
     for (const auto &[Version, Object] : Ordered)
