--- /dev/null
+++ b/src/agent/packet_way.cpp
@@ -0,0 +1,262 @@
+#include "agent/flow_owner_state.h"
+
+namespace marjoramrail {
+
+namespace {
+
+/// SYNs come again after 1, 3 and 7 s; all of these go the same way.
+constexpr duration HandOnLife = std::chrono::seconds(10);
+/// A flood of SYNs must not fill the memory; beyond it the way is chosen anew.
+constexpr std::size_t MaxHandOns = 65536;
+
+bool takesNewFlows(const target &Target) {
+  return Target.State == target_state::Cold ||
+         Target.State == target_state::Ready;
+}
+
+bool visited(const routed_packet &Routed, std::size_t Count,
+             const endpoint &Agent) {
+  const auto End = Routed.Owners.begin() + std::ptrdiff_t(Count);
+  return std::find(Routed.Owners.begin(), End, Agent) != End;
+}
+
+bool append(routed_packet &Routed, const endpoint &Agent) {
+  if (Routed.Count >= MaxRoutedOwners || visited(Routed, Routed.Count, Agent))
+    return false;
+  Routed.Owners[Routed.Count++] = Agent;
+  return true;
+}
+
+void mark(routed_packet &Routed, routed_flag Flag) {
+  Routed.Flags |= static_cast<std::uint8_t>(Flag);
+}
+
+void unmark(routed_packet &Routed, routed_flag Flag) {
+  Routed.Flags &= static_cast<std::uint8_t>(~static_cast<unsigned>(Flag));
+}
+
+} // namespace
+
+packet_decision flow_owner::impl::decide(const routed_packet &Routed,
+                                         const tcp_packet &Packet,
+                                         instant Now) {
+  if (Routed.Service != Settings.Service)
+    return {packet_action::Drop, packet_reason::WrongService, {}, false};
+  if (!View)
+    return {packet_action::Drop, packet_reason::NoView, {}, false};
+  if (Packet.Flow.Service != View->Address)
+    return {packet_action::Drop, packet_reason::WrongAddress, {}, false};
+  const flow_match Match = Table.match(Packet, Now);
+  if (Match == flow_match::Ours)
+    return {packet_action::Deliver, packet_reason::Owned, {}, false};
+  packet_decision Decision = Packet.opensFlow() ? decideSyn(Routed, Packet, Now)
+                                                : passOn(Routed, Packet, Now);
+  Decision.ForgetFlow = Match == flow_match::CompletedElsewhere;
+  return Decision;
+}
+
+/// The agents that may take a new flow under \p Generation, in the flow's
+/// order, this one left out; \p Included tells whether it is among them.
+std::vector<endpoint> flow_owner::impl::candidates(const flow_key &Flow,
+                                                   std::size_t Generation,
+                                                   bool &Included) const {
+  std::vector<endpoint> Others;
+  Included = false;
+  for (const std::uint16_t Position : PerGeneration[Generation].choices(Flow)) {
+    const target &Target = View->Targets[Position];
+    if (Target.Id == Settings.Host)
+      Included = true;
+    else if (takesNewFlows(Target) && !Watch.isSuspect(Target.Agent))
+      Others.push_back(Target.Agent);
+  }
+  return Others;
+}
+
+packet_decision flow_owner::impl::decideSyn(const routed_packet &Routed,
+                                            const tcp_packet &Packet,
+                                            instant Now) {
+  if (!Routed.has(routed_flag::LastResort))
+    if (auto Again = repeatHandOn(Routed, Packet, Now))
+      return *Again;
+  if (PerGeneration.empty())
+    return passOn(Routed, Packet, Now);
+  if (Routed.Position == 0)
+    Share.noteOffered();
+  const std::size_t Open = Gate.newestOpen();
+  bool Included = false;
+  const std::vector<endpoint> Others = candidates(Packet.Flow, Open, Included);
+  std::vector<endpoint> Next = Others;
+  std::erase_if(Next, [&](const endpoint &Agent) {
+    return visited(Routed, std::min(Routed.Position + 1, int(Routed.Count)),
+                   Agent);
+  });
+  const bool MayTake = Included && !IsDraining;
+  const bool MustTake = Next.empty() || Routed.has(routed_flag::LastResort);
+  if (MayTake && (MustTake || Share.mayAccept(Table.live(), Now))) {
+    Table.open(Packet, Now);
+    Share.noteAccepted();
+    return {packet_action::Deliver, packet_reason::Accepted, {}, false};
+  }
+  if (Next.empty())
+    return lastResort(Routed, Packet, Others, Now);
+  packet_reason Reason = packet_reason::OverShare;
+  if (IsDraining)
+    Reason = packet_reason::Draining;
+  else if (!Included)
+    Reason = packet_reason::GenerationNotOpen;
+  return handOn(Routed, Packet, Next, Reason, Now);
+}
+
+/// The end of a SYN's way at an agent that cannot take it. Those before it may
+/// have had too much and taken this one for able, not knowing yet that it
+/// drains: the caller would see its connection refused by a service that has
+/// room. So they get the SYN back, one after the other and once each, and must
+/// take it.
+packet_decision
+flow_owner::impl::lastResort(const routed_packet &Routed,
+                             const tcp_packet &Packet,
+                             const std::vector<endpoint> &Others, instant Now) {
+  routed_packet Back = Routed;
+  const auto End = Back.Owners.begin() + Back.Count;
+  const auto Next =
+      std::find_if(Others.begin(), Others.end(), [&](const endpoint &Agent) {
+        return std::count(Back.Owners.begin(), End, Agent) <= 1;
+      });
+  if (Next == Others.end() || Back.Count == MaxRoutedOwners)
+    return passOn(Routed, Packet, Now);
+  mark(Back, routed_flag::LastResort);
+  Back.Position = Back.Count;
+  Back.Owners[Back.Count++] = *Next;
+  Watch.passedOn(*Next, Now);
+  return {packet_action::PassOn, packet_reason::Draining, Back, false};
+}
+
+/// A SYN that is resent must not be decided anew: loads have changed by then,
+/// two agents would answer, and the caller would have to sort it out.
+std::optional<packet_decision>
+flow_owner::impl::repeatHandOn(const routed_packet &Routed,
+                               const tcp_packet &Packet, instant Now) {
+  const auto Found = HandOns.find(Packet.Flow);
+  if (Found == HandOns.end())
+    return std::nullopt;
+  const endpoint To = Found->second.To;
+  const target *Target = find(To);
+  const bool Usable = Found->second.Until > Now && Target &&
+                      Target->State != target_state::Down &&
+                      !Watch.isSuspect(To) &&
+                      !visited(Routed, Routed.Position, To);
+  if (!Usable) {
+    HandOns.erase(Found);
+    return std::nullopt;
+  }
+  return handOn(Routed, Packet, {To}, packet_reason::HandedOnAgain, Now);
+}
+
+packet_decision flow_owner::impl::handOn(const routed_packet &Routed,
+                                         const tcp_packet &Packet,
+                                         const std::vector<endpoint> &Next,
+                                         packet_reason Reason, instant Now) {
+  packet_decision Decision{packet_action::PassOn, Reason, Routed, false};
+  routed_packet &Out = Decision.Routed;
+  // What has been visited stays in the list, so that the packet cannot return.
+  Out.Count = static_cast<std::uint8_t>(
+      std::min(Out.Position + 1, int(MaxRoutedOwners) - 1));
+  Out.Owners[Out.Count - 1] = Settings.Self;
+  for (const endpoint &Agent : Next)
+    append(Out, Agent);
+  Out.Position = static_cast<std::uint8_t>(Out.Position + 1);
+  if (Out.Position >= Out.Count)
+    return endOfList(Routed, Packet, false, Now);
+  mark(Out, routed_flag::HandedOn);
+  if (HandOns.size() < MaxHandOns)
+    HandOns.try_emplace(Packet.Flow, hand_on{Next.front(), Now + HandOnLife});
+  Watch.passedOn(Out.Owners[Out.Position], Now);
+  return Decision;
+}
+
+/// Moves on to the next agent in the list that is worth a try. Silent ones move
+/// to the list's end instead of out of it: who of the others suspects wrongly
+/// costs the packet a detour then, where the flow would be reset by the last
+/// agent, which knows nothing of the suspicion.
+bool flow_owner::impl::skipToNext(routed_packet &Routed,
+                                  bool &SkippedSilent) const {
+  const auto Left = Routed.Owners.begin() + Routed.Position + 1;
+  const auto End = Routed.Owners.begin() + Routed.Count;
+  if (Left < End)
+    std::stable_partition(Left, End, [this](const endpoint &Agent) {
+      return !Watch.isSuspect(Agent);
+    });
+  while (Routed.Position + 1 < Routed.Count) {
+    const endpoint &Agent = Routed.Owners[Routed.Position + 1];
+    const target *Target = find(Agent);
+    const bool Usable = Agent != Settings.Self &&
+                        !(Target && Target->State == target_state::Down);
+    if (Usable && Watch.isSuspect(Agent)) {
+      SkippedSilent = true;
+      return false;
+    }
+    ++Routed.Position;
+    if (Usable)
+      return true;
+  }
+  return false;
+}
+
+/// Adds the owners that a newer view knows. The packet then counts as routed by
+/// that view, so agents that have it too do not extend it again.
+bool flow_owner::impl::extend(routed_packet &Routed,
+                              const flow_key &Flow) const {
+  if (View->Version <= Routed.Version)
+    return false;
+  bool Added = false;
+  for (const std::uint16_t Position : Router->owners(Flow)) {
+    const target &Target = View->Targets[Position];
+    if (Target.Id != Settings.Host)
+      Added |= append(Routed, Target.Agent);
+  }
+  Routed.Version = View->Version;
+  unmark(Routed, routed_flag::Stale);
+  if (Added)
+    mark(Routed, routed_flag::Extended);
+  return Added;
+}
+
+packet_decision flow_owner::impl::passOn(routed_packet Routed,
+                                         const tcp_packet &Packet,
+                                         instant Now) {
+  bool SkippedSilent = false;
+  packet_reason Reason = packet_reason::NotOwned;
+  bool Found = skipToNext(Routed, SkippedSilent);
+  if (!Found && extend(Routed, Packet.Flow)) {
+    Reason = packet_reason::Extended;
+    Found = skipToNext(Routed, SkippedSilent);
+  }
+  if (!Found)
+    return endOfList(Routed, Packet, SkippedSilent, Now);
+  Watch.passedOn(Routed.Owners[Routed.Position], Now);
+  return {packet_action::PassOn, Reason, Routed, false};
+}
+
+packet_decision flow_owner::impl::endOfList(const routed_packet &Routed,
+                                            const tcp_packet &Packet,
+                                            bool SkippedSilent,
+                                            instant Now) const {
+  const auto Drop = [](packet_reason Reason) {
+    return packet_decision{packet_action::Drop, Reason, {}, false};
+  };
+  const auto Reset = [](packet_reason Reason) {
+    return packet_decision{packet_action::Reset, Reason, {}, false};
+  };
+  if (Packet.Rst)
+    return Drop(packet_reason::ResetUnowned);
+  if (!isConfirmed(Now) || Routed.has(routed_flag::Stale))
+    return Drop(packet_reason::Unconfirmed);
+  if (Watch.isLinkSuspect())
+    return Drop(packet_reason::LinkSuspect);
+  if (SkippedSilent)
+    return Reset(packet_reason::OwnerSilent);
+  return Reset(Packet.opensFlow() ? packet_reason::Refused
+                                  : packet_reason::NoOwner);
+}
+
+} // namespace marjoramrail
