--- a/daemons/agent/agent_process.h
+++ b/daemons/agent/agent_process.h
@@ -99,6 +99,7 @@
   bool Draining = false;
   std::int64_t DrainingSinceMs = 0;
   bool Stopping = false;
+  bool Finished = false;
 };
 
 } // namespace marjoramrail
