--- a/src/work/key_keeper.cpp
+++ b/src/work/key_keeper.cpp
@@ -189,6 +189,10 @@
   const auto Found = Records.find(Final.Key);
   if (Found == Records.end()) {
     // A notice can overtake the claim that it ends; kept, it voids the claim.
+    // A full keeper refuses that claim, or holds it for a lifetime at worst.
+    const bool Full = Records.size() >= Settings.MaxRecords;
+    if (Full && Final.State == key_state::Released)
+      return;
     Records[Final.Key] = {Final, Now};
     return;
   }
