--- /dev/null
+++ b/daemons/agent/agent_process.cpp
@@ -0,0 +1,148 @@
+#include "agent_process.h"
+#include "h2_side.h"
+#include "tcp_splice.h"
+
+#include <chrono>
+#include <glog/logging.h>
+#include <random>
+
+namespace marjoramrail {
+
+using std::chrono::duration_cast;
+using std::chrono::system_clock;
+
+/// Keepalive probes before a flow counts as silent.
+static constexpr unsigned SilentProbes = 3;
+
+static std::int64_t wallClockMs() {
+  return duration_cast<std::chrono::milliseconds>(
+             system_clock::now().time_since_epoch())
+      .count();
+}
+
+static std::uint32_t seedOf(const agent_settings &Settings) {
+  if (Settings.Seed != 0)
+    return Settings.Seed;
+  return std::random_device()();
+}
+
+static constexpr std::int64_t MsPerSecond = 1000;
+
+agent_process::agent_process(event_loop &Loop, const agent_settings &Settings)
+    : Loop(Loop), Settings(Settings), Seed(seedOf(Settings)),
+      Incarnation(static_cast<std::uint32_t>(wallClockMs() / MsPerSecond)),
+      Line(Settings.Name, wallClockMs, [](const std::string &) {}),
+      Page(Loop, Metrics, pages()),
+      Socket(Loop, [this](auto Batch) { takeBatch(Batch); }),
+      Stack(Loop.timers(), {.Seed = Seed},
+            [this](auto Packet) { sendAnswer(Packet); }),
+      Announcer(Loop.timers(), announcerSettings(), announcerHooks()),
+      RelayListener(Loop, [this](std::unique_ptr<tcp_stream> Stream) {
+        acceptPeer(std::move(Stream));
+      }) {
+  if (Settings.Platform == endpoint())
+    return;
+  Platform.emplace(
+      Loop, platform_client_settings{{Settings.Platform}, Settings.Name});
+  DrainReporter.emplace(Loop.timers(), Platform->api(), Settings.Name,
+                        [this] { return describeDrain(); });
+}
+
+agent_process::~agent_process() {
+  PeerConnections.clear();
+  Flows.clear();
+}
+
+result<void> agent_process::open() {
+  if (auto Done = Socket.open(Settings.RoutedListen); !Done)
+    return Done.error();
+  if (auto Done = Page.open(Settings.StatusListen); !Done)
+    return Done.error();
+  if (auto Done = RelayListener.open(Settings.RelayListen); !Done)
+    return Done.error();
+  registerMetrics();
+  Loop.timers().every(flow_owner::TickPeriod, [this] { tick(); });
+  record(event_kind::ProcessStarted, "", "agent");
+  return {};
+}
+
+void agent_process::accept(std::unique_ptr<stack_flow> Flow) {
+  const flow_key Key = Flow->key();
+  Flow->keepAlive(Settings.SilentFlow / 2,
+                  Settings.SilentFlow / 2 / SilentProbes, SilentProbes);
+  record(event_kind::FlowAccepted, toText(Key), "");
+  auto OnOver = [this, Key](side_end End) { flowOver(Key, End); };
+  if (Settings.Protocol == service_protocol::Tcp)
+    Flows[Key] = std::make_unique<tcp_splice>(
+        Loop, std::move(Flow), Settings.Target, std::move(OnOver));
+  else
+    Flows[Key] =
+        std::make_unique<h2_side>(std::move(Flow), *Proxy, std::move(OnOver));
+}
+
+void agent_process::flowOver(const flow_key &Flow, side_end End) {
+  record(event_kind::FlowClosed, toText(Flow), "");
+  if (End == side_end::Closed)
+    Owner->flowClosing(Flow, Loop.timers().now());
+  else
+    Owner->flowGone(Flow);
+  flow_side *Side = Flows.at(Flow).get();
+  Loop.defer([this, Flow, Side] {
+    // The caller may have used its port again meanwhile.
+    const auto Found = Flows.find(Flow);
+    if (Found != Flows.end() && Found->second.get() == Side)
+      Flows.erase(Found);
+    if (Stopping)
+      finishIfIdle();
+  });
+}
+
+/// New flows go elsewhere, callers are asked to leave, what runs is finished.
+void agent_process::drain(const std::string &Why) {
+  if (std::exchange(Draining, true))
+    return;
+  LOG(INFO) << "agent: drains " << Flows.size() << " flows, by " << Why;
+  record(event_kind::TargetDraining, "", Why);
+  DrainingSinceMs = wallClockMs();
+  if (Owner) {
+    Owner->drain();
+    Proxy->drain();
+  }
+  Announcer.announceNow();
+  for (auto &[Flow, Side] : Flows)
+    Side->drain();
+}
+
+std::optional<drain_status> agent_process::describeDrain() const {
+  if (!Draining)
+    return std::nullopt;
+  drain_status Status;
+  Status.Host = Settings.Name;
+  Status.Flows = static_cast<std::uint32_t>(Flows.size());
+  Status.Requests = static_cast<std::uint32_t>(Proxy ? Proxy->inProgress() : 0);
+  Status.SafeToStop = Status.Flows == 0 && Status.Requests == 0;
+  Status.SinceMs = DrainingSinceMs;
+  return Status;
+}
+
+void agent_process::terminate() {
+  record(event_kind::ProcessStopping, "", "SIGTERM");
+  Stopping = true;
+  drain("SIGTERM");
+  Loop.timers().after(Settings.DrainBound, [this] {
+    LOG(WARNING) << "agent: stops with " << Flows.size() << " flows open";
+    Loop.stop();
+  });
+  finishIfIdle();
+}
+
+void agent_process::finishIfIdle() {
+  if (!Flows.empty() || (Proxy && Proxy->inProgress() > 0))
+    return;
+  record(event_kind::DrainDone, "", "no flows left");
+  LOG(INFO) << "agent: drained";
+  // The last packets to callers and the word to the fleet leave first.
+  Loop.timers().after(flow_owner::TickPeriod, [this] { Loop.stop(); });
+}
+
+} // namespace marjoramrail
--- /dev/null
+++ b/daemons/balancer/balancer_process.cpp
@@ -0,0 +1,80 @@
+#include "balancer_process.h"
+#include "wall_clock.h"
+
+#include <glog/logging.h>
+
+namespace marjoramrail::daemons {
+
+/// How often the core learns when the fleet was last heard; a small part of
+/// the least bound that settings allow.
+static constexpr duration HearingPeriod = std::chrono::milliseconds(200);
+
+balancer_process::balancer_process(event_loop &Loop,
+                                   const program_settings &Settings)
+    : Loop(Loop), Settings(Settings),
+      Events(Settings.Name, wallClockMs, [](const std::string &) {}),
+      Port(Loop, Settings.Core),
+      Fleet(Loop, Settings,
+            [this](const membership &Members) { takeView(Members); }),
+      Status(Loop, Metrics, pages()) {
+  Port.show(Metrics);
+  Fleet.show(Metrics);
+}
+
+status_page::hooks balancer_process::pages() {
+  status_page::hooks Hooks;
+  Hooks.Ready = [this] { return !Stopping && Fleet.node().ready(); };
+  Hooks.Pages["/status"] = [this] {
+    return Port.core().statusJson(Loop.timers().now());
+  };
+  Hooks.Pages["/fleet"] = [this] { return Fleet.node().statusJson(); };
+  Hooks.Pages["/timeline"] = [this] { return Events.recent(); };
+  return Hooks;
+}
+
+result<void> balancer_process::open() {
+  if (auto Opened = Port.open(Settings.FabricListen); !Opened)
+    return Opened.error();
+  if (auto Opened = Fleet.open(); !Opened)
+    return Opened.error();
+  if (auto Opened = Status.open(Settings.StatusListen); !Opened)
+    return Opened.error();
+  Loop.timers().every(HearingPeriod, [this] { passOnHearing(); });
+  record(event_kind::ProcessStarted, "", "settings are in force");
+  LOG(INFO) << "balancer: " << Settings.Name << " takes packets on "
+            << toText(Settings.FabricListen);
+  return {};
+}
+
+void balancer_process::shutDown() {
+  Stopping = true;
+  Fleet.node().stop();
+  record(event_kind::ProcessStopping, "", "asked to stop");
+  LOG(INFO) << "balancer: stops after the grace period";
+  Loop.timers().after(Settings.Grace, [this] { Loop.stop(); });
+}
+
+void balancer_process::takeView(const membership &Members) {
+  const service_view &View = Members.View;
+  if (Port.core().setView(View) != view_outcome::Taken)
+    return;
+  const std::string Version = std::to_string(View.Version);
+  LOG(INFO) << "balancer: took view " << Version << " of " << View.Name;
+  record(event_kind::ViewTaken, View.Name, "view " + Version);
+}
+
+void balancer_process::passOnHearing() {
+  if (const std::optional<instant> Heard = Fleet.node().lastHeard())
+    Port.core().heardOfFleet(*Heard);
+}
+
+void balancer_process::record(event_kind What, const std::string &Service,
+                              std::string Why) {
+  timeline_event Event;
+  Event.What = What;
+  Event.Service = Service;
+  Event.Why = std::move(Why);
+  Events.record(std::move(Event));
+}
+
+} // namespace marjoramrail::daemons
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -48,6 +48,10 @@
   void run();
   void stop();
 
+  /// Moves the timers' clock to the present, see timer_service::observe().
+  /// Every event of a socket starts with it, since the loop may have slept.
+  void wake();
+
   /// Runs \p Task when the current callback has returned, for owners that must
   /// not destroy an object from within its own hook.
   void defer(std::function<void()> Task);
@@ -113,6 +117,12 @@
   static std::unique_ptr<tcp_stream> connect(event_loop &Loop,
                                              const endpoint &Peer, hooks Hooks);
 
+  /// Connects from the address of \p Local, by which the peer knows us.
+  static std::unique_ptr<tcp_stream> connectFrom(event_loop &Loop,
+                                                 const endpoint &Local,
+                                                 const endpoint &Peer,
+                                                 hooks Hooks);
+
   void setHooks(hooks Hooks);
   endpoint peer() const;
   void write(std::string_view Bytes);
@@ -121,6 +131,8 @@
   void pauseReading(bool Pause);
   /// Closes when everything written has gone out.
   void closeAfterWrites();
+  /// Ends our direction when everything written has gone out; goes on reading.
+  void finishWriting();
 
 private:
   friend class tcp_listener;
@@ -193,6 +205,16 @@
   std::unique_ptr<impl> Impl;
 };
 
+/// Deeper JSON is refused: the JSON library copies and prints values by
+/// recursion, and one object with a megabyte of brackets would exhaust the
+/// stack of every process that reads it.
+inline constexpr int MaxJsonDepth = 32;
+
+/// Parses JSON with comments into \p Into. The failure carries \p Step, \p Peer
+/// and the line of a syntax error.
+result<void> parseJson(std::string_view Text, const std::string &Peer,
+                       step Step, nlohmann::json &Into);
+
 /// Reads settings, JSON with comments, and refuses what it does not know: a
 /// misspelt key would otherwise leave a default in force on a VM that no one
 /// logs in to. Every error names file, field, reason and the range allowed.
@@ -206,8 +228,11 @@
 class settings_reader {
 public:
   static result<settings_reader> fromFile(const std::string &Path);
+  /// \p Step is what the errors carry; objects of the resource API are read
+  /// with step::ValidateObject.
   static result<settings_reader> fromText(std::string_view Text,
-                                          std::string File);
+                                          std::string File,
+                                          step Step = step::ParseSettings);
   settings_reader(settings_reader &&) noexcept;
   ~settings_reader();
 
@@ -226,6 +251,9 @@
   /// The readers of a list of objects.
   std::vector<settings_reader> objects(const std::string &Field, bool Required);
 
+  /// Keeps a fault that only the caller can find, for finish() to tell.
+  void refuse(const std::string &Field, const std::string &Reason);
+
   /// Fails with every fault found, unknown fields among them.
   result<void> finish();
 
--- a/src/runtime/tcp_stream.cpp
+++ b/src/runtime/tcp_stream.cpp
@@ -6,17 +6,20 @@
 #include <event2/listener.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace marjoramrail {
 
 using namespace internal;
 
 struct tcp_stream::impl {
+  event_loop *Loop = nullptr;
   endpoint Peer;
   hooks Hooks;
   bufferevent *Events = nullptr;
   bool Connected = false;
   bool Closing = false;
+  bool Finishing = false;
 
   ~impl() {
     if (Events)
@@ -42,6 +45,7 @@
 }
 
 void tcp_stream::impl::read() {
+  Loop->wake();
   evbuffer *Input = bufferevent_get_input(Events);
   const std::size_t Size = evbuffer_get_length(Input);
   const auto *Bytes =
@@ -53,13 +57,17 @@
 }
 
 void tcp_stream::impl::drained() {
+  Loop->wake();
   if (Closing)
     return event(BEV_EVENT_EOF);
+  if (std::exchange(Finishing, false))
+    shutdown(bufferevent_getfd(Events), SHUT_WR);
   if (Hooks.OnDrained)
     Hooks.OnDrained();
 }
 
 void tcp_stream::impl::event(short What) {
+  Loop->wake();
   if ((What & BEV_EVENT_CONNECTED) != 0) {
     Connected = true;
     if (Hooks.OnConnected)
@@ -90,13 +98,37 @@
              sizeof(On));
 }
 
+/// A socket bound to the address of \p Local with any port; -1, by which
+/// libevent makes an unbound one, if there is none or it cannot be had.
+static evutil_socket_t boundSocket(const endpoint &Local) {
+  if (Local.Address == 0)
+    return -1;
+  const int Socket =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const sockaddr_in Address = toSockaddr({Local.Address, 0});
+  if (Socket < 0 || bind(Socket, reinterpret_cast<const sockaddr *>(&Address),
+                         sizeof(Address)) == 0)
+    return Socket;
+  close(Socket);
+  return -1;
+}
+
 std::unique_ptr<tcp_stream>
 tcp_stream::connect(event_loop &Loop, const endpoint &Peer, hooks Hooks) {
+  return connectFrom(Loop, endpoint(), Peer, std::move(Hooks));
+}
+
+std::unique_ptr<tcp_stream> tcp_stream::connectFrom(event_loop &Loop,
+                                                    const endpoint &Local,
+                                                    const endpoint &Peer,
+                                                    hooks Hooks) {
   auto State = std::make_unique<impl>();
+  State->Loop = &Loop;
   State->Peer = Peer;
   State->Hooks = std::move(Hooks);
-  State->Events = bufferevent_socket_new(
-      Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  State->Events =
+      bufferevent_socket_new(Loop.base(), boundSocket(Local),
+                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   State->listen();
   sockaddr_in Address = toSockaddr(Peer);
   bufferevent_socket_connect(
@@ -130,6 +162,12 @@
     bufferevent_trigger(Impl->Events, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
 }
 
+void tcp_stream::finishWriting() {
+  Impl->Finishing = true;
+  if (queued() == 0)
+    bufferevent_trigger(Impl->Events, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
+}
+
 struct tcp_listener::impl {
   event_loop &Loop;
   accept_hook OnAccept;
@@ -149,7 +187,9 @@
 void tcp_listener::impl::accept(evconnlistener *, evutil_socket_t Socket,
                                 sockaddr *Address, int, void *User) {
   auto &Self = *static_cast<impl *>(User);
+  Self.Loop.wake();
   auto State = std::make_unique<tcp_stream::impl>();
+  State->Loop = &Self.Loop;
   State->Peer = toEndpoint(*reinterpret_cast<sockaddr_in *>(Address));
   State->Connected = true;
   State->Events =
--- a/test/runtime/sockets_test.cpp
+++ b/test/runtime/sockets_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace marjoramrail;
 using std::chrono::seconds;
 
@@ -72,3 +74,56 @@
   CHECK(Received == "request");
   CHECK(ServerClosed);
 }
+
+TEST_CASE("tcp_stream connects from the address it is told to") {
+  // An agent takes relayed requests only from the addresses of its peers. The
+  // kernel would connect from another address of the VM, the relay would be
+  // turned away and the caller told that the outcome is unknown.
+  event_loop Loop;
+  endpoint Seen;
+  std::unique_ptr<tcp_stream> Accepted;
+  tcp_listener Listener(Loop, [&](std::unique_ptr<tcp_stream> Stream) {
+    Accepted = std::move(Stream);
+    Seen = Accepted->peer();
+    Loop.stop();
+  });
+  REQUIRE(Listener.open({0x7f010203, 0}));
+  Loop.timers().after(seconds(10), [&] { Loop.stop(); });
+
+  const auto Client =
+      tcp_stream::connectFrom(Loop, {0x7f040506, 0}, Listener.local(), {});
+  Loop.run();
+
+  CHECK(Seen.Address == 0x7f040506);
+}
+
+TEST_CASE("a hook sees the time at which its datagram came") {
+  // A loop without timers sleeps until a packet comes. With the clock still at
+  // the time when it fell asleep, a deadline counted in the hook would pass too
+  // early and callers would be refused for nothing.
+  event_loop Loop;
+  instant Seen;
+  udp_socket Receiver(Loop, [&](std::span<const datagram>) {
+    Seen = Loop.timers().now();
+    Loop.stop();
+  });
+  REQUIRE(Receiver.open(AnyPort));
+  const endpoint To = Receiver.local();
+  instant Sent;
+
+  std::thread Elsewhere([&] {
+    event_loop Other;
+    udp_socket Sender(Other, [](std::span<const datagram>) {});
+    CHECK(Sender.open(AnyPort));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    Other.wake();
+    Sent = Other.timers().now();
+    const std::uint8_t Byte = 1;
+    Sender.send(To, {&Byte, 1});
+    Sender.flush();
+  });
+  Loop.run();
+  Elsewhere.join();
+
+  CHECK(Seen >= Sent);
+}
