--- a/src/fleet/duty_holder.cpp
+++ b/src/fleet/duty_holder.cpp
@@ -158,8 +158,26 @@
     return !Duty.second.Busy && !Duty.second.StatusBusy &&
            !Hooks.Mine(Duty.first);
   });
-  for (const auto &[Name, Duty] : Duties)
+  for (auto &[Name, Duty] : Duties) {
+    forgetHosts(Duty);
     Due.insert(Name);
+  }
+}
+
+/// Hosts that the membership no longer has: with 11,000 replaced a day their
+/// evidence would fill the memory in weeks.
+void duty_holder::forgetHosts(service_duty &Duty) {
+  std::set<std::string> Known;
+  if (Duty.Stored)
+    for (const target_info &Info : Duty.Stored->Info)
+      Known.insert(Info.Host);
+  std::erase_if(Duty.Evidence, [&](const auto &Entry) {
+    return !Known.contains(Entry.first) &&
+           Timers.now() - Entry.second.HeardAt >= KeepDown;
+  });
+  std::erase_if(Duty.DownSince, [&](const auto &Entry) {
+    return !Known.contains(Entry.first);
+  });
 }
 
 void duty_holder::take(const host_report &Report) {
--- a/src/fleet/duty_holder.h
+++ b/src/fleet/duty_holder.h
@@ -99,6 +99,7 @@
     std::uint64_t EverywhereVersion = 0;
   };
 
+  void forgetHosts(service_duty &Duty);
   void takeSpec(const platform_object &Object);
   result<service_spec> readSpec(const platform_object &Object);
   std::vector<service_spec> sharers(const service_spec &Spec) const;
--- a/src/fleet/platform_feed.cpp
+++ b/src/fleet/platform_feed.cpp
@@ -149,7 +149,10 @@
   }
   Known = Object.Version;
   OnObject(Object);
-  // A tombstone is kept: an older state would bring the object back.
+  // Nothing older than Highest is believed, so the deleted need no entry; each
+  // replaced VM leaves a deleted drain, thousands a day.
+  if (Object.Deleted)
+    Versions.erase(Object.Key);
 }
 
 void platform_feed::require(std::uint64_t Version) {
--- a/test/fleet/duty_test.cpp
+++ b/test/fleet/duty_test.cpp
@@ -115,6 +115,19 @@
   CHECK(Site.Balancers[0]->Node->find("ledger")->View.Generations.size() == 1);
 }
 
+TEST_CASE("a host that is gone for good is forgotten after ten minutes") {
+  site Site;
+  REQUIRE(Site.settle());
+  Site.agent("ledger-3").Dead = true;
+  Site.run(30s);
+  CHECK(Site.seenByAll("ledger-3", target_state::Down));
+
+  Site.run(700s);
+
+  CHECK(Site.Balancers[0]->Node->find("ledger")->View.Targets.size() == 6);
+  CHECK(Site.agreed("ledger", 6));
+}
+
 TEST_CASE("a duty goes on when its holder dies") {
   site Site;
   REQUIRE(Site.settle());
