--- a/test/fleet/duty_test.cpp
+++ b/test/fleet/duty_test.cpp
@@ -212,6 +212,24 @@
       [&] { return Site.seenByAll("ledger-3", target_state::Down); }, 40s));
 }
 
+TEST_CASE("the platform is slow for minutes: duties stay, changes go through") {
+  // Each answer takes a second and a half. Holders that gave up their leases
+  // for it would hand duties round and write nothing.
+  site Site;
+  REQUIRE(Site.settle());
+  Site.run(5s);
+  const std::string Holder = Site.holderOf("ledger")->Name;
+  Site.Platform.Delay = 1500ms;
+  Site.run(120s);
+  REQUIRE(Site.holderOf("ledger") != nullptr);
+  CHECK(Site.holderOf("ledger")->Name == Holder);
+
+  Site.Platform.put("drain", "ledger-3", toJson(drain_spec{"ledger-3", "x"}));
+  CHECK(Site.runUntil(
+      [&] { return Site.seenByAll("ledger-3", target_state::Draining); }, 10s));
+  CHECK(Site.versionsOnlyGrew());
+}
+
 TEST_CASE("an older state of the platform brings nothing back") {
   // After an outage the platform answers from a replica that is behind. A
   // target drained since would get work again.
