Rank for duties only who answers

Cause: a node that doubts itself buries nobody, so after the loss of two of three balancers the dead kept their places in the ranking and a third of the duties had no holder: an operator's drain never came into force ('two of three balancers die' failed without the change).

--- a/src/fleet/node_impl.cpp
+++ b/src/fleet/node_impl.cpp
@@ -131,17 +131,19 @@
 }
 
 void fleet_node::impl::chooseDuties() {
-  if (CandidatesFor == Peers.version() || Timers.now() - StartedAt < SettleIn ||
+  if (CandidatesFor == Peers.answeringVersion() ||
+      Timers.now() - StartedAt < SettleIn ||
       Timers.now() - ChosenAt < ChoosePause)
     return;
   ChosenAt = Timers.now();
-  CandidatesFor = Peers.version();
+  CandidatesFor = Peers.answeringVersion();
+  const std::vector<balancer_info> Able = Peers.answering();
   for (std::uint32_t Shard = 0; Shard < Leases.size(); ++Shard) {
     const auto Picked =
-        pick("shard-" + std::to_string(Shard), Peers.living(), Candidates);
+        pick("shard-" + std::to_string(Shard), Able, Candidates);
     const bool Mine =
         std::any_of(Picked.begin(), Picked.end(), [&](std::size_t At) {
-          return Peers.living()[At].Name == Settings.Name;
+          return Able[At].Name == Settings.Name;
         });
     Leases[Shard]->setWanted(Mine);
   }
--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -32,6 +32,26 @@
   setLiving(Self.Name, &Self);
 }
 
+bool peer_table::isSilent(const entry &Entry) {
+  return Entry.Missed >= MissesBeforeSuspect;
+}
+
+void peer_table::setMissed(entry &Entry, int Missed) {
+  const bool Before = isSilent(Entry);
+  Entry.Missed = Missed;
+  Silences += isSilent(Entry) != Before ? 1 : 0;
+}
+
+std::vector<balancer_info> peer_table::answering() const {
+  std::vector<balancer_info> Answering;
+  for (const balancer_info &Peer : Living) {
+    const auto Found = Peers.find(Peer.Name);
+    if (Found == Peers.end() || !isSilent(Found->second))
+      Answering.push_back(Peer);
+  }
+  return Answering;
+}
+
 void peer_table::spread(const std::string &Name) {
   Hot[Name] = timesToSpread(Peers.size());
 }
@@ -66,7 +86,7 @@
   Entry.News = News;
   Entry.Since = Now;
   if (News.State == peer_state::Alive)
-    Entry.Missed = 0;
+    setMissed(Entry, 0);
   // The silence of the dead is explained and says nothing about this node.
   if (News.State == peer_state::Dead)
     std::erase_if(Answers, [&](const answer &Answer) {
@@ -117,7 +137,7 @@
     if (Entry.AskedAt)
       noteAnswer(Peer.Name, true);
     Entry.AskedAt.reset();
-    Entry.Missed = 0;
+    setMissed(Entry, 0);
     // Heard with our own ears: a suspicion of this incarnation that we hold
     // is void here, while the peer still has to object for the others.
     if (Entry.News.State == peer_state::Suspect &&
@@ -177,8 +197,9 @@
   noteAnswer(Entry.News.Info.Name, false);
   // Asked again next, not after a whole round through the fleet.
   Round.push_back(Entry.News.Info.Name);
-  if (Entry.News.State != peer_state::Alive ||
-      ++Entry.Missed < MissesBeforeSuspect || !trustsItself())
+  setMissed(Entry, Entry.Missed + 1);
+  if (Entry.News.State != peer_state::Alive || !isSilent(Entry) ||
+      !trustsItself())
     return false;
   return set(Entry, {Entry.News.Info, peer_state::Suspect}, Now);
 }
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -45,6 +45,12 @@
 
   /// Alive or suspect, this node among them, in order of name.
   const std::vector<balancer_info> &living() const { return Living; }
+  /// living() without those that did not answer, this node among them. Who may
+  /// hold duties is ranked among these: a node that doubts itself buries
+  /// nobody, and the dead would keep their places for ever.
+  std::vector<balancer_info> answering() const;
+  /// Grows with each change of answering().
+  std::uint64_t answeringVersion() const { return Version + Silences; }
   /// Grows with each change of living().
   std::uint64_t version() const { return Version; }
   std::uint64_t digest() const { return Digest; }
@@ -70,6 +76,8 @@
   };
 
   bool set(entry &Entry, const peer_news &News, instant Now);
+  static bool isSilent(const entry &Entry);
+  void setMissed(entry &Entry, int Missed);
   void spread(const std::string &Name);
   /// Puts \p Info into Living, or takes the name out if it is null.
   void setLiving(const std::string &Name, const balancer_info *Info);
@@ -85,6 +93,8 @@
   std::map<std::string, int> Hot;
   std::string FillCursor;
   std::uint64_t Version = 0;
+  /// Changes of who is silent.
+  std::uint64_t Silences = 0;
   std::uint64_t Digest = 0;
   struct answer {
     std::string Name;
--- a/test/fleet/duty_test.cpp
+++ b/test/fleet/duty_test.cpp
@@ -144,6 +144,30 @@
   CHECK(Site.versionsOnlyGrew());
 }
 
+TEST_CASE("two of three balancers die: the third takes all duties") {
+  // Two zones fail together. The survivor cannot tell this from a cut of its
+  // own link, so it declares nobody dead; but the leases are free in the
+  // platform, and operators' changes must still come into force.
+  for (int Which = 0; Which < 3; ++Which) {
+    CAPTURE(Which);
+    site Site;
+    REQUIRE(Site.settle());
+    Site.run(5s);
+    for (int I = 0; I < 3; ++I)
+      Site.Balancers[I]->Dead = I != Which;
+    for (const char *Host : {"ledger-3", "archive-2"})
+      Site.Platform.put("drain", Host, toJson(drain_spec{Host, "x"}));
+
+    CHECK(Site.runUntil(
+        [&] {
+          return Site.seenByAll("ledger-3", target_state::Draining) &&
+                 Site.seenByAll("archive-2", target_state::Draining);
+        },
+        40s));
+    CHECK(Site.declaredDown() == 0);
+  }
+}
+
 TEST_CASE("a holder that slept through its lease cannot write any more") {
   // The holder is frozen with a write about to leave. Another takes the duty
   // over and changes the membership; then the first wakes up and acts in the
