--- a/test/fleet/duty_test.cpp
+++ b/test/fleet/duty_test.cpp
@@ -115,6 +115,19 @@
   CHECK(Site.Balancers[0]->Node->find("ledger")->View.Generations.size() == 1);
 }
 
+TEST_CASE("a host that is gone for good is forgotten after ten minutes") {
+  site Site;
+  REQUIRE(Site.settle());
+  Site.agent("ledger-3").Dead = true;
+  Site.run(30s);
+  CHECK(Site.seenByAll("ledger-3", target_state::Down));
+
+  Site.run(700s);
+
+  CHECK(Site.Balancers[0]->Node->find("ledger")->View.Targets.size() == 6);
+  CHECK(Site.agreed("ledger", 6));
+}
+
 TEST_CASE("a duty goes on when its holder dies") {
   site Site;
   REQUIRE(Site.settle());
@@ -131,6 +144,30 @@
   CHECK(Site.versionsOnlyGrew());
 }
 
+TEST_CASE("two of three balancers die: the third takes all duties") {
+  // Two zones fail together. The survivor cannot tell this from a cut of its
+  // own link, so it declares nobody dead; but the leases are free in the
+  // platform, and operators' changes must still come into force.
+  for (int Which = 0; Which < 3; ++Which) {
+    CAPTURE(Which);
+    site Site;
+    REQUIRE(Site.settle());
+    Site.run(5s);
+    for (int I = 0; I < 3; ++I)
+      Site.Balancers[I]->Dead = I != Which;
+    for (const char *Host : {"ledger-3", "archive-2"})
+      Site.Platform.put("drain", Host, toJson(drain_spec{Host, "x"}));
+
+    CHECK(Site.runUntil(
+        [&] {
+          return Site.seenByAll("ledger-3", target_state::Draining) &&
+                 Site.seenByAll("archive-2", target_state::Draining);
+        },
+        40s));
+    CHECK(Site.declaredDown() == 0);
+  }
+}
+
 TEST_CASE("a holder that slept through its lease cannot write any more") {
   // The holder is frozen with a write about to leave. Another takes the duty
   // over and changes the membership; then the first wakes up and acts in the
@@ -199,6 +236,24 @@
       [&] { return Site.seenByAll("ledger-3", target_state::Down); }, 40s));
 }
 
+TEST_CASE("the platform is slow for minutes: duties stay, changes go through") {
+  // Each answer takes a second and a half. Holders that gave up their leases
+  // for it would hand duties round and write nothing.
+  site Site;
+  REQUIRE(Site.settle());
+  Site.run(5s);
+  const std::string Holder = Site.holderOf("ledger")->Name;
+  Site.Platform.Delay = 1500ms;
+  Site.run(120s);
+  REQUIRE(Site.holderOf("ledger") != nullptr);
+  CHECK(Site.holderOf("ledger")->Name == Holder);
+
+  Site.Platform.put("drain", "ledger-3", toJson(drain_spec{"ledger-3", "x"}));
+  CHECK(Site.runUntil(
+      [&] { return Site.seenByAll("ledger-3", target_state::Draining); }, 10s));
+  CHECK(Site.versionsOnlyGrew());
+}
+
 TEST_CASE("an older state of the platform brings nothing back") {
   // After an outage the platform answers from a replica that is behind. A
   // target drained since would get work again.
