Prefer the first choice's zone when handing on; cold-start ramp; health view

Change: choices() puts targets in the first choice's zone behind it. Pure, not joined to the agent yet: coldStartPercent (a ramp by weights would make a generation at each step) and health_view (claims checked against outcomes; more than half ill at once: all are used). Ruled out: a balancer's own zone first (balancers would disagree on the order, so established packets would make more hops).

--- a/include/marjoramrail/routing.h
+++ b/include/marjoramrail/routing.h
@@ -27,6 +27,8 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -147,9 +149,13 @@
   std::uint64_t version() const { return Version; }
 
   /// Where a new flow goes: the newest generation's choices in order, without
-  /// targets that are draining or down. Always among owners(), so the choices
-  /// are picked by weight first and filtered by state afterwards: a balancer
-  /// that has not heard of a drain would otherwise look elsewhere.
+  /// targets that are draining or down. Behind the first come those in its
+  /// zone: an agent over its share hands a SYN to the next, and links between
+  /// zones cost more and drop packets. Load still decides, for each of them
+  /// hands on what is too much, in the end to another zone. Always among
+  /// owners(), so the choices are picked by weight first and filtered by state
+  /// afterwards: a balancer that has not heard of a drain would otherwise look
+  /// elsewhere.
   owner_list choices(const flow_key &Flow) const;
 
   /// Who may own an existing flow: the choices of every generation, newest
@@ -169,6 +175,8 @@
   std::size_t bytes() const;
 
 private:
+  void preferZoneOfFirst(owner_list &Choices) const;
+
   /// owners() for rows of \p Generations weights, a number known to the
   /// compiler so that it can work on several at a time.
   template <std::size_t Generations>
@@ -185,6 +193,58 @@
   std::vector<std::uint16_t> Weights;
 };
 
+/// The share of new flows, in percent of its full one, that a target should
+/// take \p Age after its start: ColdStartFloor at first, then evenly up to 100
+/// at \p ColdStart. For an agent's own limit rather than for weights: each
+/// change of a weight would be another generation.
+std::uint32_t coldStartPercent(duration Age, duration ColdStart);
+
+/// A target's caches fill by work alone, so it is never without any.
+inline constexpr std::uint32_t ColdStartFloor = 10;
+
+/// Which targets to believe healthy. Targets' health endpoints lag or mislead,
+/// so what they claim is checked against what became of requests.
+///
+/// The load patterns it answers: a target that fails every request and calls
+/// itself healthy draws work all the faster for failing fast; a probe that
+/// hangs while work is done well would empty a good target; and one fault of
+/// the probes' own path makes all look bad at once, when turning all away ends
+/// the service for certain.
+class health_view {
+public:
+  /// A claim says nothing once it is older: three missed readings of a usual
+  /// endpoint, which is read every few seconds.
+  static constexpr duration ClaimLife = std::chrono::seconds(10);
+  /// Outcomes count for as long as the claim that they check.
+  static constexpr duration OutcomeLife = std::chrono::seconds(10);
+  /// Failures in a row that refute a claim: one caller's bad requests make two
+  /// or three, an ill target makes five within a fraction of a second.
+  static constexpr std::uint32_t FailuresToRefute = 5;
+
+  void claim(host_id Host, bool Healthy, instant Now);
+  void outcome(host_id Host, bool Succeeded, instant Now);
+  void forget(host_id Host) { Hosts.erase(Host); }
+
+  /// What is believed of one target alone.
+  bool seemsHealthy(host_id Host, instant Now) const;
+
+  /// The targets among \p Candidates to use: those that seem healthy, or all
+  /// when more than half do not: then the view is wrong, or nothing is lost.
+  std::vector<host_id> usable(const std::vector<host_id> &Candidates,
+                              instant Now) const;
+
+private:
+  struct evidence {
+    bool Claimed = true;
+    std::optional<instant> ClaimedAt;
+    std::uint32_t Failures = 0;
+    std::optional<instant> FailedAt;
+    std::optional<instant> SucceededAt;
+  };
+
+  std::map<host_id, evidence> Hosts;
+};
+
 } // namespace marjoramrail
 
 #endif // MARJORAMRAIL_ROUTING_H
--- a/src/routing/service_router.cpp
+++ b/src/routing/service_router.cpp
@@ -83,9 +83,23 @@
     if (State == target_state::Cold || State == target_state::Ready)
       Choices.add(positionOf(Key));
   }
+  preferZoneOfFirst(Choices);
   return Choices;
 }
 
+void service_router::preferZoneOfFirst(owner_list &Choices) const {
+  if (Choices.empty())
+    return;
+  const zone_id Zone = Targets[Choices[0]].Zone;
+  std::size_t Place = 1;
+  for (std::size_t Left = Choices.size() - 1; Left > 0; --Left) {
+    if (Targets[Choices[Place]].Zone == Zone)
+      ++Place;
+    else
+      Choices.moveToBack(Place);
+  }
+}
+
 /// Owners that are up, without repeats: each generation's first choices before
 /// anyone's second.
 template <std::size_t Generations>
--- a/test/path/path_world.cpp
+++ b/test/path/path_world.cpp
@@ -370,6 +370,10 @@
   Input.Term = 1;
   Input.Now = Now;
   Input.LastGeneration = LastGeneration;
+  Input.Zones = {{"oostende", zone_id(1)},
+                 {"brugge", zone_id(2)},
+                 {"zeebrugge", zone_id(3)}};
+  std::ptrdiff_t Place = 0;
   for (host &Host : Hosts) {
     if (!Host.Alive && Host.Known && Now >= Host.NextView)
       Host.Known = false;
@@ -377,6 +381,7 @@
     Evidence.Heard.Host = Host.Name;
     Evidence.Heard.Service = Spec.Name;
     Evidence.Heard.Agent = Host.Agent;
+    Evidence.Heard.Zone = std::next(Input.Zones.begin(), Place++ % 3)->first;
     Evidence.Heard.Incarnation = Host.Incarnation;
     Evidence.Heard.Report.Draining = Host.Draining;
     Evidence.HeardAt = Now;
--- a/test/routing/service_router_test.cpp
+++ b/test/routing/service_router_test.cpp
@@ -103,6 +103,24 @@
   }
 }
 
+TEST_CASE("behind the first choice come those in its zone") {
+  // An agent over its share hands a SYN to the next choice. In another zone
+  // each of the flow's packets would cross a link that costs more and drops.
+  const service_router Router(sampleView(9));
+  for (std::uint32_t I = 0; I < 1000; ++I) {
+    const owner_list Choices = Router.choices(sampleFlow(I));
+    REQUIRE(Choices.size() == ChoicesPerGeneration);
+    CHECK(Choices[0] == Router.owners(sampleFlow(I))[0]);
+    bool LeftZone = false;
+    for (const std::uint16_t Choice : Choices) {
+      const bool Same =
+          Router.targetAt(Choice).Zone == Router.targetAt(Choices[0]).Zone;
+      CHECK_FALSE((Same && LeftZone));
+      LeftZone = LeftZone || !Same;
+    }
+  }
+}
+
 TEST_CASE("owners keep a target that drains and leave out one that is down") {
   service_view View = sampleView(3);
   View.Targets[0].State = target_state::Draining;
