Let operators take a drain back

Ruled out: a restart by the operator; nobody logs in to a VM. Change: an agent announces only its own wish (SIGTERM) and resumes when its view says so: flow_owner, request_proxy and admission have resume(). Conclusion: a drain can be taken back; callers already asked to leave still do.

--- a/daemons/agent/agent_process.cpp
+++ b/daemons/agent/agent_process.cpp
@@ -113,6 +113,16 @@
     Side->drain();
 }
 
+/// The operators took their drain back.
+void agent_process::resume() {
+  if (Stopping || !std::exchange(Draining, false))
+    return;
+  LOG(INFO) << "agent: takes new work again";
+  record(event_kind::DrainUndone, "", "the fleet's view");
+  Owner->resume();
+  Proxy->resume();
+}
+
 std::optional<drain_status> agent_process::describeDrain() const {
   if (!Draining)
     return std::nullopt;
--- a/daemons/agent/agent_process.h
+++ b/daemons/agent/agent_process.h
@@ -54,6 +54,7 @@
   void acceptPeer(std::unique_ptr<tcp_stream> Stream);
   std::optional<endpoint> relayOf(host_id Peer) const;
   void drain(const std::string &Why);
+  void resume();
   void accept(std::unique_ptr<stack_flow> Flow);
   void flowOver(const flow_key &Flow, side_end End);
   void declaredDown(std::uint32_t Incarnation);
--- a/daemons/agent/agent_view.cpp
+++ b/daemons/agent/agent_view.cpp
@@ -32,7 +32,9 @@
 
 agent_report agent_process::describe() const {
   agent_report Report;
-  Report.Draining = Draining;
+  // Its own wish alone: were the operators' drain announced as the host's, they
+  // could never take it back.
+  Report.Draining = Stopping;
   if (!Owner)
     return Report;
   Report.Busy = static_cast<std::uint32_t>(Proxy->inProgress());
@@ -162,6 +164,8 @@
   Proxy->takeKeyView(keyViewOf(View));
   if (Position && View.Targets[*Position].State == target_state::Draining)
     drain("the fleet's view");
+  else if (Position)
+    resume();
   if (Address == View.Address)
     return;
   Address = View.Address;
--- a/include/marjoramrail/agent.h
+++ b/include/marjoramrail/agent.h
@@ -234,6 +234,8 @@
 
   /// From now on accepts no new flows.
   void drain();
+  /// Takes drain() back.
+  void resume();
 
   /// Forgets every flow: the fleet held this agent for dead and has answered
   /// for it, so it goes on as another incarnation.
--- a/include/marjoramrail/proxy.h
+++ b/include/marjoramrail/proxy.h
@@ -164,6 +164,9 @@
   /// Takes no new work: callers are asked to leave, queued requests go to peers
   /// or are refused, running ones finish.
   void drain();
+  /// Takes drain() back: new flows and requests are welcome again. Callers that
+  /// were asked to leave still do.
+  void resume();
 
   /// Who keeps which key. Until the first one, keyed requests are refused.
   void takeKeyView(const key_view &View);
--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -58,10 +58,11 @@
   RequestRelayed,
   RequestUnknown,
   DrainDone,
+  DrainUndone,
   FaultInjected,
 };
 
-inline constexpr name_table<event_kind, 23> EventKindNames = {{
+inline constexpr name_table<event_kind, 24> EventKindNames = {{
     {event_kind::ProcessStarted, "process-started"},
     {event_kind::ProcessStopping, "process-stopping"},
     {event_kind::ViewTaken, "view-taken"},
@@ -84,6 +85,7 @@
     {event_kind::RequestRelayed, "request-relayed"},
     {event_kind::RequestUnknown, "request-unknown"},
     {event_kind::DrainDone, "drain-done"},
+    {event_kind::DrainUndone, "drain-undone"},
     {event_kind::FaultInjected, "fault-injected"},
 }};
 
--- a/include/marjoramrail/work.h
+++ b/include/marjoramrail/work.h
@@ -284,6 +284,8 @@
 
   /// From now on nothing new is run: all goes to peers or is refused.
   void drain(instant Now);
+  /// Takes drain() back.
+  void resume();
   /// For peers; Host is left to the agent.
   load_report load(instant Now);
 
--- a/src/agent/flow_owner.cpp
+++ b/src/agent/flow_owner.cpp
@@ -124,6 +124,8 @@
 
 void flow_owner::drain() { Impl->IsDraining = true; }
 
+void flow_owner::resume() { Impl->IsDraining = false; }
+
 void flow_owner::restart(std::uint32_t Incarnation) {
   Impl->Settings.Incarnation = Incarnation;
   Impl->Table.clear();
--- a/src/proxy/request_proxy.cpp
+++ b/src/proxy/request_proxy.cpp
@@ -78,6 +78,8 @@
     if (!Flow->origin().IsPeer)
       Flow->startShutdown();
   Self.Timers.after(ShutdownPause, [&Self] {
+    if (!Self.Draining)
+      return;
     std::vector<caller_flow *> All;
     for (const auto &[Number, Flow] : Self.Flows)
       if (!Flow->origin().IsPeer)
@@ -88,6 +90,12 @@
   Self.decideQueued();
 }
 
+void request_proxy::resume() {
+  Impl->Draining = false;
+  Impl->Work.resume();
+  Impl->decideQueued();
+}
+
 void request_proxy::takeKeyView(const key_view &View) {
   Impl->KeysKnown = true;
   Impl->Keys.takeView(View);
--- a/src/work/admission.cpp
+++ b/src/work/admission.cpp
@@ -411,6 +411,8 @@
   Impl->relayWaiting(relay_reason::Draining, Now);
 }
 
+void admission::resume() { Impl->Draining = false; }
+
 load_report admission::load(instant Now) { return Impl->load(Now); }
 std::size_t admission::running() const { return Impl->inSlots(); }
 std::size_t admission::waiting() const { return Impl->Queue.size(); }
--- a/test/agent/flow_owner_test.cpp
+++ b/test/agent/flow_owner_test.cpp
@@ -178,6 +178,20 @@
   }
 }
 
+TEST_CASE("an agent whose drain was taken back accepts new flows") {
+  // A drained host that stayed closed after its operator took the drain back
+  // would leave its share of the callers to the others for good.
+  const service_view View = viewOf(1);
+  agent_group Group(View);
+  Group.Agents.at(1)->drain();
+  const tcp_packet Syn = synOf(flowFrom(4000));
+
+  Group.Agents.at(1)->resume();
+  const journey Journey = Group.follow(routedBy(View, Syn), Syn);
+
+  CHECK(Journey.Action == packet_action::Deliver);
+}
+
 TEST_CASE("new flows are refused when every target drains") {
   const service_view View = viewOf(2);
   agent_group Group(View);
--- a/test/proxy/request_proxy_test.cpp
+++ b/test/proxy/request_proxy_test.cpp
@@ -224,6 +224,25 @@
   CHECK(Caller.Over == flow_over::Finished);
 }
 
+TEST_CASE("an agent whose drain was taken back serves new flows") {
+  // The host is drained by mistake. Callers that open a flow after the operator
+  // took it back must not be asked to leave again.
+  proxy_bench Bench;
+  Bench.Proxy->drain();
+  Bench.Proxy->resume();
+  Bench.pass(seconds(2));
+
+  near_caller &Caller = Bench.open();
+  const h2_stream Asked = Caller.ask("/work");
+  Bench.pass(milliseconds(10));
+  REQUIRE(Bench.target().Requests.size() == 1);
+  Bench.target().answer(0, "200", "done");
+  Bench.exchange();
+
+  CHECK(Caller.Answers[Asked].Body == "done");
+  CHECK(!Caller.GoAway);
+}
+
 TEST_CASE("a drained agent relays what it has not begun to a peer") {
   proxy_bench Bench;
   load_report Idle;
--- a/test/work/admission_test.cpp
+++ b/test/work/admission_test.cpp
@@ -159,6 +159,18 @@
   CHECK(Accepted[0].Verdict == verdict::Run);
 }
 
+TEST_CASE("admission runs new work after a drain was taken back") {
+  // An operator drains the wrong host and takes it back; a host that went on
+  // refusing would be out of service until someone restarted its agent.
+  admission Work(warm(1), nullptr, 1);
+  Work.drain(Start);
+
+  Work.resume();
+  const decision Got = Work.offer(requestOf(1), Start);
+
+  CHECK(Got.Verdict != verdict::Refuse);
+}
+
 TEST_CASE("admission runs or refuses what a peer relayed") {
   admission Work(
       warm(1),
