Leave room for the longest list of owners in a packet

Cause: the list of owners had grown to 32 while the agents' TCP still let callers send packets that leave room for 16; the routed datagram could reach 1,596 bytes and be cut into fragments on a real link. Loopback does not show it.

--- a/include/marjoramrail/stack.h
+++ b/include/marjoramrail/stack.h
@@ -124,8 +124,9 @@
   /// half-open flow is told from another agent's by its number.
   std::uint32_t Seed = 1;
   /// The largest IPv4 packet, in bytes: 1,500 less the outer IPv4 and UDP
-  /// headers and a routed packet's, which travel with it.
-  std::uint16_t Mtu = 1352;
+  /// headers and a routed packet's with the longest list of owners, which
+  /// travel with it (28 + 24 + 32 * 6).
+  std::uint16_t Mtu = 1256;
   /// Closed flows kept for late packets of the peer; the oldest go first. lwIP
   /// keeps each for two minutes, which at 5,000 flows a second would be
   /// 600,000 that every packet's search walks through.
