--- a/daemons/agent/agent_status.cpp
+++ b/daemons/agent/agent_status.cpp
@@ -39,6 +39,8 @@
                   [this, Counter = Counter] {
                     return Proxy ? double(Proxy->counts().*Counter) : 0;
                   });
+  Metrics.gauge("agent_key_records",
+                [this] { return Proxy ? double(Proxy->keyRecords()) : 0; });
   Metrics.gauge("agent_keys_settled",
                 [this] { return Proxy && Proxy->keysSettled() ? 1.0 : 0.0; });
 }
--- a/include/marjoramrail/proxy.h
+++ b/include/marjoramrail/proxy.h
@@ -174,6 +174,8 @@
   void lapsed(std::uint32_t Incarnation);
   /// False while an old generation is needed for key records.
   bool keysSettled() const;
+  /// Key records that this agent holds, of key_settings::MaxRecords.
+  std::size_t keyRecords() const;
 
   /// For peers.
   load_report load();
--- a/src/proxy/key_desk.h
+++ b/src/proxy/key_desk.h
@@ -37,6 +37,7 @@
   void receive(const key_message &Message);
   void lapsed(std::uint32_t Incarnation);
   bool settled() const;
+  std::size_t records() const { return Keeper.records(); }
 
   /// The result comes by OnResult, never from within this call.
   void claim(const std::string &Key, request_id Id);
--- a/src/proxy/request_proxy.cpp
+++ b/src/proxy/request_proxy.cpp
@@ -109,6 +109,8 @@
   return Impl->KeysKnown && Impl->Keys.settled();
 }
 
+std::size_t request_proxy::keyRecords() const { return Impl->Keys.records(); }
+
 load_report request_proxy::load() {
   load_report Report = Impl->Work.load(Impl->Timers.now());
   Report.Host = Impl->Settings.Host;
