Work out the agent's control traffic from running agents

Cause: CAPACITY.md counted an agent's announcements but not its ring and its reports to peers, which are most of it.

--- a/daemons/agent/agent_process.h
+++ b/daemons/agent/agent_process.h
@@ -38,6 +38,7 @@
   void act(const packet_decision &Decision, const tcp_packet &Packet,
            const routed_packet &Came);
   void sendNotice(const routed_packet &Routed, const flow_key &Flow);
+  void sendControl(const endpoint &To, bytes_view Bytes);
   void sendReset(const tcp_packet &Packet);
   void sendAnswer(bytes_view Packet);
 
--- a/daemons/agent/agent_view.cpp
+++ b/daemons/agent/agent_view.cpp
@@ -22,7 +22,7 @@
 announcer_hooks agent_process::announcerHooks() {
   announcer_hooks Hooks;
   Hooks.Send = [this](const endpoint &To, fleet_bytes Bytes) {
-    Socket.send(To, Bytes);
+    sendControl(To, Bytes);
   };
   Hooks.Describe = [this] { return describe(); };
   Hooks.OnView = [this](const membership &Members) { takeView(Members); };
@@ -30,6 +30,13 @@
   return Hooks;
 }
 
+/// Counted apart from callers' packets, since control has a budget of its own.
+void agent_process::sendControl(const endpoint &To, bytes_view Bytes) {
+  Metrics.counter("agent_control_bytes_sent") += Bytes.size();
+  ++Metrics.counter("agent_control_datagrams_sent");
+  Socket.send(To, Bytes);
+}
+
 agent_report agent_process::describe() const {
   agent_report Report;
   // Its own wish alone: were the operators' drain announced as the host's, they
@@ -189,7 +196,7 @@
   Owned.MaxSharePercent = Settings.MaxSharePercent;
   flow_owner_hooks Hooks;
   Hooks.Send = [this](const endpoint &To, const peer_message &Message) {
-    Socket.send(To, encodePeerMessage(Message));
+    sendControl(To, encodePeerMessage(Message));
   };
   Hooks.Load = [this] {
     const load_report Own = Proxy->load();
