Let a site say how many keys its agents keep on record

Cause: 20,000 records a host are enough for 16 keyed requests a second and host; a busier site would be refused keyed requests after ten minutes, and nothing could be set. Conclusion: bounded as before, by a bound that the site knows.

--- a/daemons/agent/agent_settings.cpp
+++ b/daemons/agent/agent_settings.cpp
@@ -29,6 +29,8 @@
       std::chrono::seconds(Reader.number("drain_seconds", 30, 0, 86400));
   Settings.ColdStartSeconds =
       asCount(Reader.number("cold_start_seconds", 10, 0, 3600));
+  Settings.KeyRecords =
+      asCount(Reader.number("key_records", 20000, 100, 1000000));
   Settings.Seed = asCount(Reader.number("seed", 0, 0, 0xffffffff));
   if (auto Done = Reader.finish(); !Done)
     return Done.error();
--- a/daemons/agent/agent_settings.h
+++ b/daemons/agent/agent_settings.h
@@ -33,6 +33,8 @@
   /// How long a graceful shutdown may take.
   duration DrainBound = std::chrono::seconds(30);
   std::uint32_t ColdStartSeconds = 10;
+  /// See key_settings::MaxRecords.
+  std::uint32_t KeyRecords = 20000;
   /// 0: the clock and the process's number give it.
   std::uint32_t Seed = 0;
 };
--- a/daemons/agent/agent_view.cpp
+++ b/daemons/agent/agent_view.cpp
@@ -237,6 +237,7 @@
   Proxied.Seed = Seed;
   Proxied.SilentFlow = Settings.SilentFlow;
   Proxied.Incarnation = Incarnation;
+  Proxied.Keys.MaxRecords = Settings.KeyRecords;
   Proxied.Past = NeverRan ? keeper_past::NeverRan : keeper_past::MayHaveRun;
   if (isFirstEver(View))
     Proxied.Past = keeper_past::FirstOfService;
