Write the fault rates of the key histories once

Cause: two tests of the key histories repeated the same six rates. Change: troubled() gives the history; seeds, rates and checks are the same. Conclusion: no test changed in strength.

--- a/test/work/key_history_test.cpp
+++ b/test/work/key_history_test.cpp
@@ -11,6 +11,19 @@
   return Got.Verdicts[Verdict];
 }
 
+/// Every fault at once, at the rates at which most broken rules show.
+history troubled(std::uint64_t Seed) {
+  history History;
+  History.Seed = Seed;
+  History.Faults = {.Loss = 0.05,
+                    .Duplicate = 0.05,
+                    .Late = 0.02,
+                    .Crashes = 0.15,
+                    .Pauses = 0.15,
+                    .Generations = 0.1};
+  return History;
+}
+
 void checkSafe(const history &History) {
   const judgement Got = play(History);
   INFO("seed ", History.Seed);
@@ -94,16 +107,7 @@
   // A runner dies after its claim, its keepers restart with nothing, one that
   // was paused still acts on what it knew, and views arrive unevenly.
   for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
-    history History;
-    History.Seed = Seed;
-    History.Faults = {.Loss = 0.05,
-                      .Duplicate = 0.05,
-                      .Late = 0.02,
-                      .Crashes = 0.15,
-                      .Pauses = 0.15,
-                      .Generations = 0.1};
-
-    checkSafe(History);
+    checkSafe(troubled(Seed));
   }
 }
 
@@ -111,16 +115,7 @@
   // A restarted keeper granted a key, unsure, while it fetched a record of the
   // same key: the grant, given back later, took the record with it.
   for (const std::uint64_t Seed : {1058, 1160}) {
-    history History;
-    History.Seed = Seed;
-    History.Faults = {.Loss = 0.05,
-                      .Duplicate = 0.05,
-                      .Late = 0.02,
-                      .Crashes = 0.15,
-                      .Pauses = 0.15,
-                      .Generations = 0.1};
-
-    checkSafe(History);
+    checkSafe(troubled(Seed));
   }
 }
 
