--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -17,7 +17,7 @@
     target_link_libraries(${FULL} INTERFACE ${LIB_DEPENDS})
   endif()
   add_library(marjoramrail::${NAME} ALIAS ${FULL})
-  if(TESTS)
+  if(TESTS AND NOT MARJORAMRAIL_ONLY_FORWARDER)
     add_executable(${NAME}_test ${TESTS} ${CMAKE_SOURCE_DIR}/test/main.cpp)
     target_include_directories(${NAME}_test PRIVATE ${CMAKE_SOURCE_DIR}/src
                                ${CMAKE_SOURCE_DIR}/test)
--- /dev/null
+++ b/daemons/forwarder/event_log.h
@@ -0,0 +1,47 @@
+//===- event_log.h - The decisions of one process, as lines -----*- C++ -*-===//
+///
+/// \file
+/// Joins the time line, its budget and standard output: what a process decided
+/// and believed, one JSON object a line, bounded and never waiting.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_DAEMONS_FORWARDER_EVENT_LOG_H
+#define MARJORAMRAIL_DAEMONS_FORWARDER_EVENT_LOG_H
+
+#include "marjoramrail/forward.h"
+#include "marjoramrail/runtime.h"
+#include "marjoramrail/timeline.h"
+
+namespace marjoramrail::daemons {
+
+class event_log {
+public:
+  event_log(event_loop &Loop, const std::string &Process);
+
+  void record(timeline_event Event);
+  void record(event_kind What, std::string Why, std::string Host = "");
+  /// A decision about a flow of \p Service.
+  void record(const flow_event &Event, const std::string &Service);
+
+  std::string recent() const { return Events.recent(); }
+  void flush() { Lines.flush(); }
+
+  std::uint64_t lines() const { return Recorded; }
+  std::uint64_t leftOut() const { return LeftOut + Lines.leftOut(); }
+
+private:
+  /// Lines kept for the page /timeline.
+  static constexpr std::size_t KeptLines = 256;
+
+  event_loop &Loop;
+  line_writer Lines;
+  timeline Events;
+  event_budget Budget;
+  std::uint64_t Recorded = 0;
+  std::uint64_t LeftOut = 0;
+};
+
+} // namespace marjoramrail::daemons
+
+#endif // MARJORAMRAIL_DAEMONS_FORWARDER_EVENT_LOG_H
--- /dev/null
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -0,0 +1,342 @@
+#include "forward_agent_process.h"
+
+#include <cerrno>
+#include <cstring>
+
+namespace marjoramrail::daemons {
+
+namespace {
+
+/// As for balancers: a store that answers in milliseconds, 100 times slower on
+/// a bad day.
+constexpr duration StoreTimeout = std::chrono::milliseconds(1500);
+/// A target that does not answer is looked at this often.
+constexpr duration LookPeriod = std::chrono::milliseconds(500);
+/// On the same VM a connection comes about, or is refused, within this time.
+constexpr duration LookTime = std::chrono::milliseconds(300);
+/// For the last reports to leave before the process ends.
+constexpr duration FarewellTime = std::chrono::milliseconds(20);
+
+platform_client_settings storeSettings(const agent_program_settings &Settings,
+                                       const site_adapter &Adapter) {
+  platform_client_settings Client;
+  Client.Servers = {Settings.Store};
+  Client.Writer = Settings.Name;
+  Client.Timeout = StoreTimeout;
+  Client.Dialect = Adapter.Dialect;
+  return Client;
+}
+
+std::string entryName(const agent_program_settings &Settings) {
+  return "target." + Settings.Name;
+}
+
+} // namespace
+
+forward_agent_process::forward_agent_process(
+    event_loop &Loop, const agent_program_settings &Settings,
+    const site_adapter &Adapter)
+    : Loop(Loop), Settings(Settings), Adapter(Adapter),
+      Log(Loop, Settings.Name),
+      Routed(Loop, [this](auto Batch) { onRouted(Batch); }),
+      TargetPackets(Loop, [this](auto Batch) { onTargetPackets(Batch); }),
+      Store(Loop, storeSettings(Settings, Adapter)),
+      Core({.Service = serviceNumber(Settings.Service),
+            .Self = Settings.RoutedListen},
+           Adapter.Codec, coreHooks()),
+      Reports(Settings.Service),
+      Registrar(Loop.timers(), Store.api(), directory_settings().SiteKind,
+                registrarHooks()),
+      CallsPage(Loop, Metrics, callsPage()),
+      ReadyPage(Loop, Metrics, readyPage()), MetricsPage(Loop, Metrics, {}),
+      Malformed(Metrics.counter("marjoramrail_target_reports_malformed_total")),
+      Late(Metrics.counter("marjoramrail_target_reports_late_total")) {
+  Core.setIdleFlow(Settings.FlowLife);
+  showMetrics();
+}
+
+//===----------------------------------------------------------------------===//
+// Hooks
+//===----------------------------------------------------------------------===//
+
+forward_agent_hooks forward_agent_process::coreHooks() {
+  forward_agent_hooks Hooks;
+  Hooks.SendToTarget = [this](bytes_view Bytes) {
+    TargetPackets.send(Settings.Target, Bytes);
+  };
+  Hooks.SendToPeer = [this](const endpoint &To, bytes_view Bytes) {
+    Routed.send(To, Bytes);
+  };
+  // Callers take answers at the port at which routed packets come in here.
+  Hooks.SendToCaller = [this](const endpoint &Caller, bytes_view Bytes) {
+    Routed.send({Caller.Address, Settings.RoutedListen.Port}, Bytes);
+  };
+  Hooks.OfferedInVain = [this] {
+    Admission.onOffered(Loop.timers().now());
+    review("a balancer knows this target");
+  };
+  Hooks.TargetSilent = [this] { lookAtTarget(); };
+  Hooks.OnRequest = [this](const flow_key &Flow, bytes_view Packet) {
+    seeRequest(Flow, Packet);
+  };
+  Hooks.OnEvent = [this](const flow_event &Event) {
+    Log.record(Event, Settings.Service);
+  };
+  return Hooks;
+}
+
+void forward_agent_process::seeRequest(const flow_key &Flow,
+                                       bytes_view Packet) {
+  timeline_event Event;
+  Event.What = event_kind::RequestSeen;
+  Event.Request = Adapter.RequestIdOf(Packet);
+  Event.Flow = toText(Flow);
+  Event.Load = Core.report(Loop.timers().now()).Active;
+  Log.record(std::move(Event));
+}
+
+target_registrar::hooks forward_agent_process::registrarHooks() {
+  target_registrar::hooks Hooks;
+  Hooks.OnFound = [this](const target_entry &Entry) {
+    if (Entry.Service != Settings.Service ||
+        Entry.Agent != Settings.RoutedListen)
+      return;
+    const instant Now = Loop.timers().now();
+    Admission.onStored(/*Existed=*/true, Now);
+    Reports.recall(Entry.Draining, Entry.Slots, Now);
+    Core.setTarget(Entry.Slots, duration::zero(), Now);
+    review("the store holds this target");
+  };
+  Hooks.OnStored = [this](bool Existed) {
+    Admission.onStored(Existed, Loop.timers().now());
+    review("the store holds this target");
+  };
+  Hooks.OnTrouble = [this](const std::string &Reason) {
+    Log.record(event_kind::StoreLost, Reason);
+  };
+  return Hooks;
+}
+
+status_page::hooks forward_agent_process::callsPage() {
+  status_page::hooks Hooks;
+  Hooks.Serve = [this](const page_request &Request) {
+    return onTargetCall(Request);
+  };
+  return Hooks;
+}
+
+status_page::hooks forward_agent_process::readyPage() {
+  status_page::hooks Hooks;
+  Hooks.Serve =
+      [this](const page_request &Request) -> std::optional<page_answer> {
+    if (!Adapter.AsksWhetherReady(Request))
+      return std::nullopt;
+    return page_answer{static_cast<std::uint16_t>(Stopping ? 503 : 200), ""};
+  };
+  Hooks.Pages["/timeline"] = [this] { return Log.recent(); };
+  Hooks.Pages["/status"] = [this] {
+    return Core.statusJson(Loop.timers().now());
+  };
+  return Hooks;
+}
+
+void forward_agent_process::showMetrics() {
+  for (const auto &[Outcome, Name] : AgentOutcomeNames)
+    Metrics.gauge(
+        "marjoramrail_packets_" + std::string(Name), [this, Outcome = Outcome] {
+          return static_cast<double>(
+              Core.counters().Outcomes[static_cast<std::size_t>(Outcome)]);
+        });
+  Metrics.gauge("marjoramrail_requests_seen", [this] {
+    return static_cast<double>(Core.counters().Requests);
+  });
+  Metrics.gauge("marjoramrail_packets_declined", [this] {
+    return static_cast<double>(Core.counters().Declined);
+  });
+  Metrics.gauge("marjoramrail_target_timeouts", [this] {
+    return static_cast<double>(Core.counters().TimedOut);
+  });
+  Metrics.gauge("marjoramrail_target_flows", [this] {
+    return static_cast<double>(Core.report(Loop.timers().now()).Flows);
+  });
+  Metrics.gauge("marjoramrail_target_active", [this] {
+    return static_cast<double>(Core.report(Loop.timers().now()).Active);
+  });
+  Metrics.gauge("marjoramrail_admitting",
+                [this] { return Core.admitting() ? 1.0 : 0.0; });
+  Metrics.gauge("marjoramrail_store_calls",
+                [this] { return static_cast<double>(Store.calls()); });
+  Metrics.gauge("marjoramrail_log_lines",
+                [this] { return static_cast<double>(Log.lines()); });
+  Metrics.gauge("marjoramrail_log_lines_left_out",
+                [this] { return static_cast<double>(Log.leftOut()); });
+}
+
+//===----------------------------------------------------------------------===//
+// Running
+//===----------------------------------------------------------------------===//
+
+result<void> forward_agent_process::open() {
+  if (auto Opened = Routed.open(Settings.RoutedListen); !Opened)
+    return Opened.error();
+  if (auto Opened = TargetPackets.open(Settings.TargetPacketsListen); !Opened)
+    return Opened.error();
+  if (auto Opened = CallsPage.open(Settings.TargetCallsListen); !Opened)
+    return Opened.error();
+  if (auto Opened = ReadyPage.open(Settings.ReadyListen); !Opened)
+    return Opened.error();
+  if (auto Opened = MetricsPage.open(Settings.MetricsListen); !Opened)
+    return Opened.error();
+  Loop.timers().every(forward_agent::TickPeriod, [this] {
+    Core.tick(Loop.timers().now());
+    Routed.flush();
+  });
+  Log.record(event_kind::ProcessStarted, "settings are in force");
+  Registrar.look(entryName(Settings));
+  return {};
+}
+
+void forward_agent_process::shutDown() {
+  Stopping = true;
+  Core.setAdmitting(false);
+  Core.reportNow(Loop.timers().now());
+  Routed.flush();
+  Log.record(event_kind::ProcessStopping, "asked to stop");
+  Loop.timers().after(FarewellTime, [this] { Loop.stop(); });
+}
+
+void forward_agent_process::onRouted(std::span<const datagram> Batch) {
+  const instant Now = Loop.timers().now();
+  for (const datagram &Datagram : Batch)
+    Core.onRouted(Datagram.From, Datagram.Bytes, Now);
+  TargetPackets.flush();
+  Routed.flush();
+  armExpiry(Core.expire(Now));
+}
+
+void forward_agent_process::onTargetPackets(std::span<const datagram> Batch) {
+  const instant Now = Loop.timers().now();
+  for (const datagram &Datagram : Batch)
+    if (Core.onTargetPacket(Datagram.Bytes, Now) == agent_outcome::Answered)
+      Core.setTargetGone(false, Now);
+  Routed.flush();
+}
+
+void forward_agent_process::armExpiry(std::optional<instant> Due) {
+  if (!Due || std::exchange(ExpiryArmed, true))
+    return;
+  Loop.timers().after(*Due - Loop.timers().now(), [this] {
+    ExpiryArmed = false;
+    armExpiry(Core.expire(Loop.timers().now()));
+    Routed.flush();
+  });
+}
+
+//===----------------------------------------------------------------------===//
+// The target
+//===----------------------------------------------------------------------===//
+
+std::optional<page_answer>
+forward_agent_process::onTargetCall(const page_request &Request) {
+  const auto Call = Adapter.DecodeTargetCall(Request);
+  if (!Call)
+    return std::nullopt;
+  switch (Call->Kind) {
+  case target_call_kind::Report:
+    return onReport(Call->Report);
+  case target_call_kind::Leave:
+    return onLeave(Call->Report.Id);
+  case target_call_kind::Malformed:
+    ++Malformed;
+    Log.record(event_kind::ReportRefused, Call->Reason);
+    return page_answer{400, "{}"};
+  }
+  return std::nullopt;
+}
+
+/// The answer is the promise that a leaving target gets no new flows; it is
+/// true when it is given, because this agent alone gives them.
+page_answer forward_agent_process::onReport(const target_report &Report) {
+  const instant Now = Loop.timers().now();
+  const bool WasDraining = Reports.last().Draining;
+  const report_verdict Verdict = Reports.take(Report, Now);
+  if (Verdict == report_verdict::WrongService) {
+    Log.record(event_kind::ReportRefused, "wrong service " + Report.Service,
+               Report.Id);
+    return {409, "{}"};
+  }
+  if (Verdict == report_verdict::Late) {
+    ++Late;
+    Log.record(event_kind::ReportRefused, "late", Report.Id);
+    return {200, "{}"};
+  }
+  if (Report.Draining != WasDraining || Report.Sequence <= 1)
+    Log.record(event_kind::ReportTaken, Report.Draining ? "draining" : "ready",
+               Report.Id);
+  Core.setTargetGone(false, Now);
+  Core.setTarget(Report.Slots, Report.WarmupLeft, Now);
+  review("the target reported");
+  announce();
+  return {200, "{}"};
+}
+
+page_answer forward_agent_process::onLeave(const std::string &Id) {
+  const report_verdict Verdict = Reports.leave(Id, Loop.timers().now());
+  Log.record(Verdict == report_verdict::Taken ? event_kind::ReportTaken
+                                              : event_kind::ReportRefused,
+             "leaves", Id);
+  if (Verdict == report_verdict::Taken) {
+    review("the target left");
+    Registrar.withdraw();
+  }
+  return {200, "{}"};
+}
+
+void forward_agent_process::announce() {
+  target_entry Entry;
+  Entry.Name = entryName(Settings);
+  Entry.Service = Settings.Service;
+  Entry.Agent = Settings.RoutedListen;
+  Entry.Zone = Settings.Zone;
+  Entry.Slots = Reports.last().Slots;
+  Entry.Draining = Reports.last().Draining;
+  Registrar.set(Entry);
+}
+
+void forward_agent_process::review(const char *Why) {
+  const instant Now = Loop.timers().now();
+  const bool Admits = Admission.admits(Reports, Now) && !Stopping;
+  if (Admits != Core.admitting()) {
+    Core.setAdmitting(Admits);
+    Log.record(event_kind::AdmissionChanged,
+               std::string(Admits ? "admits: " : "does not admit: ") + Why);
+    Core.reportNow(Now);
+    Routed.flush();
+  }
+  const auto Settled = Admission.settledAt();
+  if (!Admits && Settled && *Settled > Now)
+    Loop.timers().after(*Settled - Now, [this] { review("settled"); });
+}
+
+/// A target that does not answer is frozen, cut off or gone. Only the last
+/// means that its flows are lost; a refused connection is the proof, since on
+/// one VM nothing but a missing process refuses.
+void forward_agent_process::lookAtTarget() {
+  if (Look)
+    return;
+  tcp_stream::hooks Hooks;
+  Hooks.OnClosed = [this](const std::string &Reason) {
+    onTargetLooked(Reason);
+  };
+  Look = tcp_stream::connect(Loop, Settings.Target, std::move(Hooks));
+  Loop.timers().after(LookTime, [this] { Look.reset(); });
+}
+
+void forward_agent_process::onTargetLooked(const std::string &Reason) {
+  if (Reason != std::strerror(ECONNREFUSED))
+    return;
+  Log.record(event_kind::TargetGone, Reason, toText(Settings.Target));
+  Core.setTargetGone(true, Loop.timers().now());
+}
+
+} // namespace marjoramrail::daemons
--- /dev/null
+++ b/daemons/forwarder/forward_agent_process.h
@@ -0,0 +1,72 @@
+//===- forward_agent_process.h - An agent beside its target -----*- C++ -*-===//
+///
+/// \file
+/// Joins the forwarding core to the loop, beside a target that ends its flows
+/// itself: hears the target, announces it, decides when it gets new flows.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_DAEMONS_FORWARDER_FORWARD_AGENT_PROCESS_H
+#define MARJORAMRAIL_DAEMONS_FORWARDER_FORWARD_AGENT_PROCESS_H
+
+#include "event_log.h"
+#include "forwarder_settings.h"
+#include "site_adapter.h"
+#include "target_admission.h"
+
+namespace marjoramrail::daemons {
+
+class forward_agent_process {
+public:
+  forward_agent_process(event_loop &Loop,
+                        const agent_program_settings &Settings,
+                        const site_adapter &Adapter);
+
+  result<void> open();
+  /// Tells balancers to send no more and ends: the target's flows go on, and
+  /// the shorter the agent is away, the sooner they do.
+  void shutDown();
+
+private:
+  void onRouted(std::span<const datagram> Batch);
+  void onTargetPackets(std::span<const datagram> Batch);
+  std::optional<page_answer> onTargetCall(const page_request &Request);
+  page_answer onReport(const target_report &Report);
+  page_answer onLeave(const std::string &Id);
+  void announce();
+  void review(const char *Why);
+  void armExpiry(std::optional<instant> Due);
+  void lookAtTarget();
+  void onTargetLooked(const std::string &Reason);
+  status_page::hooks callsPage();
+  status_page::hooks readyPage();
+  forward_agent_hooks coreHooks();
+  target_registrar::hooks registrarHooks();
+  void showMetrics();
+  void seeRequest(const flow_key &Flow, bytes_view Packet);
+
+  event_loop &Loop;
+  agent_program_settings Settings;
+  site_adapter Adapter;
+  event_log Log;
+  metrics Metrics;
+  udp_socket Routed;
+  udp_socket TargetPackets;
+  platform_client Store;
+  forward_agent Core;
+  target_reports Reports;
+  target_admission Admission;
+  target_registrar Registrar;
+  status_page CallsPage;
+  status_page ReadyPage;
+  status_page MetricsPage;
+  std::unique_ptr<tcp_stream> Look;
+  bool ExpiryArmed = false;
+  bool Stopping = false;
+  std::uint64_t &Malformed;
+  std::uint64_t &Late;
+};
+
+} // namespace marjoramrail::daemons
+
+#endif // MARJORAMRAIL_DAEMONS_FORWARDER_FORWARD_AGENT_PROCESS_H
--- /dev/null
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -0,0 +1,251 @@
+#include "forward_balancer_process.h"
+
+namespace marjoramrail::daemons {
+
+namespace {
+
+/// The site takes a balancer out of rotation after two probes, half a second
+/// apart, that were not answered; until then it sends callers' packets.
+constexpr duration LeaveRotation = std::chrono::milliseconds(1600);
+/// No packet for so long: the rotation has moved on.
+constexpr duration QuietTime = std::chrono::milliseconds(400);
+constexpr duration QuietCheck = std::chrono::milliseconds(100);
+/// Kept back from the grace period for the process's own end.
+constexpr duration EndMargin = std::chrono::milliseconds(500);
+/// A store that answers in milliseconds and is 100 times slower on a bad day.
+constexpr duration StoreTimeout = std::chrono::milliseconds(1500);
+/// Peers are a few milliseconds away; a silent one must not hold up the next.
+constexpr duration PeerTimeout = std::chrono::seconds(1);
+
+const std::string ObjectsPath = "/v1/objects/";
+
+platform_client_settings
+storeSettings(const balancer_program_settings &Settings,
+              const site_adapter &Adapter) {
+  platform_client_settings Client;
+  Client.Servers = {Settings.Store};
+  Client.Writer = Settings.Name;
+  Client.Timeout = StoreTimeout;
+  Client.Dialect = Adapter.Dialect;
+  return Client;
+}
+
+directory_settings
+directorySettings(const balancer_program_settings &Settings) {
+  directory_settings Directory;
+  Directory.Name = Settings.Name;
+  Directory.Zone = Settings.Zone;
+  Directory.Self = Settings.PeersListen;
+  Directory.Seeds = Settings.Seeds;
+  Directory.FlowLife = Settings.FlowLife;
+  return Directory;
+}
+
+directory_platform storeApis(platform_client &Store) {
+  const directory_settings Kinds;
+  return {Store.apiFor(Kinds.RoutesKind), Store.apiFor(Kinds.SiteKind)};
+}
+
+} // namespace
+
+forward_balancer_process::forward_balancer_process(
+    event_loop &Loop, const balancer_program_settings &Settings,
+    const site_adapter &Adapter)
+    : Loop(Loop), Settings(Settings), Adapter(Adapter),
+      Log(Loop, Settings.Name),
+      Callers(Loop, [this](auto Batch) { onCallers(Batch); }),
+      Peers(Loop, [this](auto Batch) { onPeers(Batch); }),
+      Store(Loop, storeSettings(Settings, Adapter)),
+      Core({.Self = Settings.PeersListen, .Zone = Settings.Zone}, Adapter.Codec,
+           coreHooks()),
+      Directory(Loop.timers(), storeApis(Store), directorySettings(Settings),
+                directoryHooks()),
+      ReadyPage(Loop, Metrics, readyPage()),
+      PeerPage(Loop, Metrics, peerPage()), MetricsPage(Loop, Metrics, {}),
+      Packets(Metrics.counter("marjoramrail_caller_packets_total")) {
+  showMetrics();
+}
+
+//===----------------------------------------------------------------------===//
+// Hooks
+//===----------------------------------------------------------------------===//
+
+forward_balancer_hooks forward_balancer_process::coreHooks() {
+  forward_balancer_hooks Hooks;
+  Hooks.SendToAgent = [this](const endpoint &Agent, bytes_view Bytes) {
+    Peers.send(Agent, Bytes);
+  };
+  // Answers to callers go to the port at which their packets come in here.
+  Hooks.SendToCaller = [this](const endpoint &Caller, bytes_view Bytes) {
+    Callers.send({Caller.Address, Settings.CallersListen.Port}, Bytes);
+  };
+  Hooks.OnEvent = [this](const flow_event &Event) { Log.record(Event, ""); };
+  return Hooks;
+}
+
+directory_hooks forward_balancer_process::directoryHooks() {
+  directory_hooks Hooks;
+  Hooks.DecodeRoutes = Adapter.DecodeRoutes;
+  Hooks.OnChange = [this] { takeDirectory(); };
+  Hooks.Send = [this](const endpoint &To, std::span<const std::uint8_t> Bytes) {
+    Peers.send(To, Bytes);
+  };
+  Hooks.ListFromPeer = [this](const endpoint &Peer, const std::string &Kind,
+                              platform_callback Done) {
+    listFromPeer(Peer, Kind, std::move(Done));
+  };
+  Hooks.OnEvent = [this](event_kind What, const std::string &Why) {
+    Log.record(What, Why);
+  };
+  return Hooks;
+}
+
+/// Peers serve their copies in the product's own form of the object API, so one
+/// client reads both the store and them.
+void forward_balancer_process::listFromPeer(const endpoint &Peer,
+                                            const std::string &Kind,
+                                            platform_callback Done) {
+  platform_client_settings Client;
+  Client.Servers = {Peer};
+  Client.Writer = Settings.Name;
+  Client.Timeout = PeerTimeout;
+  PeerClient = std::make_unique<platform_client>(Loop, Client);
+  PeerClient->api().List(Kind, std::move(Done));
+}
+
+status_page::hooks forward_balancer_process::readyPage() {
+  status_page::hooks Hooks;
+  Hooks.Serve =
+      [this](const page_request &Request) -> std::optional<page_answer> {
+    if (!Adapter.AsksWhetherReady(Request))
+      return std::nullopt;
+    const bool Ready = Directory.ready() && !Stopping;
+    return page_answer{static_cast<std::uint16_t>(Ready ? 200 : 503), ""};
+  };
+  return Hooks;
+}
+
+status_page::hooks forward_balancer_process::peerPage() {
+  status_page::hooks Hooks;
+  Hooks.Serve =
+      [this](const page_request &Request) -> std::optional<page_answer> {
+    if (Request.Path.rfind(ObjectsPath, 0) != 0)
+      return std::nullopt;
+    const auto List =
+        Directory.serve(std::string(Request.Path.substr(ObjectsPath.size())));
+    if (!List)
+      return page_answer{503, ""};
+    return page_answer{200, *List};
+  };
+  Hooks.Pages["/timeline"] = [this] { return Log.recent(); };
+  Hooks.Pages["/status"] = [this] {
+    return Core.statusJson(Loop.timers().now());
+  };
+  return Hooks;
+}
+
+void forward_balancer_process::showMetrics() {
+  for (const auto &[Outcome, Name] : ForwardOutcomeNames)
+    Metrics.gauge(
+        "marjoramrail_packets_" + std::string(Name), [this, Outcome = Outcome] {
+          return static_cast<double>(
+              Core.counters().Outcomes[static_cast<std::size_t>(Outcome)]);
+        });
+  Metrics.gauge("marjoramrail_resets",
+                [this] { return static_cast<double>(Core.counters().Resets); });
+  Metrics.gauge("marjoramrail_agent_suspicions", [this] {
+    return static_cast<double>(Core.counters().Suspicions);
+  });
+  Metrics.gauge("marjoramrail_flows_remembered",
+                [this] { return static_cast<double>(Core.flows()); });
+  Metrics.gauge("marjoramrail_routes_version", [this] {
+    return static_cast<double>(Directory.routesVersion());
+  });
+  Metrics.gauge("marjoramrail_known_age_seconds", [this] {
+    const auto AsOf = Directory.knownAsOf();
+    return AsOf ? std::chrono::duration<double>(Loop.timers().now() - *AsOf)
+                      .count()
+                : -1.0;
+  });
+  Metrics.gauge("marjoramrail_live_peers",
+                [this] { return static_cast<double>(Directory.livePeers()); });
+  Metrics.gauge("marjoramrail_store_calls",
+                [this] { return static_cast<double>(Store.calls()); });
+  Metrics.gauge("marjoramrail_log_lines",
+                [this] { return static_cast<double>(Log.lines()); });
+  Metrics.gauge("marjoramrail_log_lines_left_out",
+                [this] { return static_cast<double>(Log.leftOut()); });
+}
+
+//===----------------------------------------------------------------------===//
+// Running
+//===----------------------------------------------------------------------===//
+
+result<void> forward_balancer_process::open() {
+  if (auto Opened = Callers.open(Settings.CallersListen); !Opened)
+    return Opened.error();
+  if (auto Opened = Peers.open(Settings.PeersListen); !Opened)
+    return Opened.error();
+  if (auto Opened = ReadyPage.open(Settings.ReadyListen); !Opened)
+    return Opened.error();
+  if (auto Opened = PeerPage.open(Settings.PeersListen); !Opened)
+    return Opened.error();
+  if (auto Opened = MetricsPage.open(Settings.MetricsListen); !Opened)
+    return Opened.error();
+  Loop.timers().every(forward_balancer::TickPeriod,
+                      [this] { Core.tick(Loop.timers().now()); });
+  Log.record(event_kind::ProcessStarted, "settings are in force");
+  Directory.start();
+  return {};
+}
+
+void forward_balancer_process::takeDirectory() {
+  Core.setRoutes(Directory.rules());
+  Core.setTargets(Directory.targets());
+}
+
+void forward_balancer_process::onCallers(std::span<const datagram> Batch) {
+  LastPacketAt = Loop.timers().now();
+  Packets += Batch.size();
+  Core.setKnownAsOf(Directory.knownAsOf());
+  for (const datagram &Datagram : Batch)
+    Core.onCallerPacket(Datagram.Bytes, LastPacketAt);
+  Peers.flush();
+  Callers.flush();
+}
+
+void forward_balancer_process::onPeers(std::span<const datagram> Batch) {
+  for (const datagram &Datagram : Batch) {
+    if (directory::isPeerGreeting(Datagram.Bytes))
+      Directory.input(Datagram.From, Datagram.Bytes);
+    else
+      Core.onAgentMessage(Datagram.From, Datagram.Bytes, Loop.timers().now());
+  }
+}
+
+void forward_balancer_process::reload(
+    const balancer_program_settings &Changed) {
+  Settings.Grace = Changed.Grace;
+  Log.record(event_kind::SettingsReloaded, "grace is taken over");
+}
+
+void forward_balancer_process::shutDown() {
+  Stopping = true;
+  StopAskedAt = Loop.timers().now();
+  Log.record(event_kind::ProcessStopping, "asked to stop");
+  Loop.timers().every(QuietCheck, [this] { endWhenQuiet(); });
+}
+
+void forward_balancer_process::endWhenQuiet() {
+  const instant Now = Loop.timers().now();
+  const bool HasLeft = Now - StopAskedAt >= LeaveRotation;
+  const bool IsQuiet = Now - LastPacketAt >= QuietTime;
+  const bool OutOfTime = Now - StopAskedAt >= Settings.Grace - EndMargin;
+  if ((!HasLeft || !IsQuiet) && !OutOfTime)
+    return;
+  Log.record(event_kind::ProcessStopping,
+             IsQuiet ? "no packets come any more" : "the grace period ends");
+  Loop.stop();
+}
+
+} // namespace marjoramrail::daemons
--- /dev/null
+++ b/daemons/forwarder/forward_balancer_process.h
@@ -0,0 +1,65 @@
+//===- forward_balancer_process.h - A balancer's sockets --------*- C++ -*-===//
+///
+/// \file
+/// Joins the forwarding core and the directory to the loop, on an entry VM.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_DAEMONS_FORWARDER_FORWARD_BALANCER_PROCESS_H
+#define MARJORAMRAIL_DAEMONS_FORWARDER_FORWARD_BALANCER_PROCESS_H
+
+#include "event_log.h"
+#include "forwarder_settings.h"
+#include "site_adapter.h"
+
+namespace marjoramrail::daemons {
+
+class forward_balancer_process {
+public:
+  forward_balancer_process(event_loop &Loop,
+                           const balancer_program_settings &Settings,
+                           const site_adapter &Adapter);
+
+  /// Opens the sockets and starts to learn routes and targets.
+  result<void> open();
+  /// Leaves the rotation, forwards until packets have stopped coming, ends.
+  void shutDown();
+  /// Says what a changed settings file changes while the process runs.
+  void reload(const balancer_program_settings &Settings);
+
+private:
+  void onCallers(std::span<const datagram> Batch);
+  void onPeers(std::span<const datagram> Batch);
+  void takeDirectory();
+  void listFromPeer(const endpoint &Peer, const std::string &Kind,
+                    platform_callback Done);
+  void endWhenQuiet();
+  status_page::hooks readyPage();
+  status_page::hooks peerPage();
+  directory_hooks directoryHooks();
+  forward_balancer_hooks coreHooks();
+  void showMetrics();
+
+  event_loop &Loop;
+  balancer_program_settings Settings;
+  site_adapter Adapter;
+  event_log Log;
+  metrics Metrics;
+  udp_socket Callers;
+  udp_socket Peers;
+  platform_client Store;
+  std::unique_ptr<platform_client> PeerClient;
+  forward_balancer Core;
+  directory Directory;
+  status_page ReadyPage;
+  status_page PeerPage;
+  status_page MetricsPage;
+  bool Stopping = false;
+  instant StopAskedAt;
+  instant LastPacketAt;
+  std::uint64_t &Packets;
+};
+
+} // namespace marjoramrail::daemons
+
+#endif // MARJORAMRAIL_DAEMONS_FORWARDER_FORWARD_BALANCER_PROCESS_H
--- /dev/null
+++ b/daemons/forwarder/forwarder_settings.cpp
@@ -0,0 +1,51 @@
+#include "forwarder_settings.h"
+#include "marjoramrail/runtime.h"
+
+namespace marjoramrail::daemons {
+
+static constexpr std::int64_t MostSeconds = 24 * 3600;
+
+static duration seconds(settings_reader &Reader, const std::string &Field,
+                        std::int64_t Default) {
+  return std::chrono::seconds(Reader.number(Field, Default, 1, MostSeconds));
+}
+
+result<balancer_program_settings>
+readBalancerSettings(const std::string &Path) {
+  BOOST_LEAF_AUTO(Reader, settings_reader::fromFile(Path));
+  balancer_program_settings Settings;
+  Settings.Name = Reader.text("name");
+  Settings.Zone = Reader.text("zone");
+  Settings.CallersListen = Reader.address("callers_listen");
+  Settings.ReadyListen = Reader.address("ready_listen");
+  Settings.PeersListen = Reader.address("peers_listen");
+  Settings.MetricsListen = Reader.address("metrics_listen");
+  Settings.Store = Reader.address("store");
+  Settings.Seeds = Reader.addresses("seeds", /*Required=*/false);
+  Settings.FlowLife = seconds(Reader, "flow_life_seconds", 60);
+  Settings.Grace = seconds(Reader, "grace_seconds", 6);
+  if (auto Finished = Reader.finish(); !Finished)
+    return Finished.error();
+  return Settings;
+}
+
+result<agent_program_settings> readAgentSettings(const std::string &Path) {
+  BOOST_LEAF_AUTO(Reader, settings_reader::fromFile(Path));
+  agent_program_settings Settings;
+  Settings.Name = Reader.text("name");
+  Settings.Zone = Reader.text("zone");
+  Settings.Service = Reader.text("service");
+  Settings.RoutedListen = Reader.address("routed_listen");
+  Settings.TargetPacketsListen = Reader.address("target_packets_listen");
+  Settings.TargetCallsListen = Reader.address("target_calls_listen");
+  Settings.ReadyListen = Reader.address("ready_listen");
+  Settings.MetricsListen = Reader.address("metrics_listen");
+  Settings.Target = Reader.address("target");
+  Settings.Store = Reader.address("store");
+  Settings.FlowLife = seconds(Reader, "flow_life_seconds", 60);
+  if (auto Finished = Reader.finish(); !Finished)
+    return Finished.error();
+  return Settings;
+}
+
+} // namespace marjoramrail::daemons
--- /dev/null
+++ b/daemons/forwarder/site_adapter.h
@@ -0,0 +1,43 @@
+//===- site_adapter.h - What a site's own formats bring ---------*- C++ -*-===//
+///
+/// \file
+/// The hooks through which the forwarding processes meet a site whose packets,
+/// objects and reports are spelled in its own way. An adapter only translates.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_DAEMONS_FORWARDER_SITE_ADAPTER_H
+#define MARJORAMRAIL_DAEMONS_FORWARDER_SITE_ADAPTER_H
+
+#include "marjoramrail/forward.h"
+#include "marjoramrail/platform.h"
+#include "marjoramrail/runtime.h"
+
+namespace marjoramrail::daemons {
+
+enum class target_call_kind { Report, Leave, Malformed };
+
+/// A call that a target made to its agent.
+struct target_call {
+  target_call_kind Kind = target_call_kind::Malformed;
+  target_report Report;
+  /// Why the call is malformed.
+  std::string Reason;
+};
+
+struct site_adapter {
+  segment_codec Codec;
+  platform_dialect Dialect;
+  std::function<result<route_table>(const platform_object &)> DecodeRoutes;
+  /// Nothing if the request is no call of a target.
+  std::function<std::optional<target_call>(const page_request &)>
+      DecodeTargetCall;
+  /// Whether the request asks if this process may get traffic.
+  std::function<bool(const page_request &)> AsksWhetherReady;
+  /// The id of the request that a packet begins, or "".
+  std::function<std::string(bytes_view Packet)> RequestIdOf;
+};
+
+} // namespace marjoramrail::daemons
+
+#endif // MARJORAMRAIL_DAEMONS_FORWARDER_SITE_ADAPTER_H
--- a/include/marjoramrail/platform.h
+++ b/include/marjoramrail/platform.h
@@ -90,15 +90,18 @@
   Unavailable,
   /// A write may or may not have taken effect: read back.
   Unknown,
+  /// A watch asked for changes that the platform no longer holds: list again.
+  HistoryGone,
 };
 
-inline constexpr name_table<platform_outcome, 6> PlatformOutcomeNames = {{
+inline constexpr name_table<platform_outcome, 7> PlatformOutcomeNames = {{
     {platform_outcome::Ok, "ok"},
     {platform_outcome::NotFound, "not found"},
     {platform_outcome::Conflict, "conflict"},
     {platform_outcome::Invalid, "invalid"},
     {platform_outcome::Unavailable, "unavailable"},
     {platform_outcome::Unknown, "unknown"},
+    {platform_outcome::HistoryGone, "history gone"},
 }};
 
 struct platform_reply {
@@ -111,6 +114,9 @@
   std::uint64_t StoreVersion = 0;
   std::string Reason;
   duration RetryAfter = duration::zero();
+  /// Of a list that comes in parts: the name after which the next part begins,
+  /// or "". The client asks for it by itself.
+  std::string ContinueAfter;
 };
 
 using platform_callback = std::function<void(const platform_reply &)>;
@@ -134,6 +140,62 @@
       Watch;
 };
 
+enum class platform_verb { Read, List, Write, Remove, Watch };
+
+/// What one call asks for, without its way over the network.
+struct platform_call {
+  platform_verb Verb = platform_verb::Read;
+  /// Lists and watches have a kind alone; a watch may have none.
+  object_key Key;
+  std::string Body;
+  std::string Writer;
+  std::uint64_t WriterSequence = 0;
+  std::uint64_t Expected = 0;
+  /// Of a watch: from which version, and how long the server may wait.
+  std::uint64_t Since = 0;
+  duration Wait = duration::zero();
+  /// Of a list: the name to continue after, or "".
+  std::string After;
+
+  bool changes() const {
+    return Verb == platform_verb::Write || Verb == platform_verb::Remove;
+  }
+};
+
+enum class http_method { Get, Post, Put, Delete };
+
+/// One HTTP request of the client; Host is added by it.
+struct http_request {
+  http_method Method = http_method::Get;
+  /// With the query.
+  std::string Path;
+  std::vector<std::pair<std::string, std::string>> Fields;
+  std::string Body;
+};
+
+/// One HTTP answer.
+struct http_answer {
+  int Code = 0;
+  std::string Body;
+  /// The field retry-after, or "".
+  std::string RetryAfter;
+};
+
+/// The HTTP form of calls, for platforms that spell them in another way.
+/// Connections, time-outs and back-off stay the client's.
+struct platform_dialect {
+  std::function<http_request(const platform_call &)> Request;
+  std::function<platform_reply(const platform_call &, const http_answer &)>
+      Reply;
+};
+
+/// The form at the top of this page.
+platform_dialect objectDialect();
+
+/// Writes objects as a list of that form, for a process that serves copies of
+/// the platform's objects to its peers.
+std::string encodeObjectList(const platform_reply &Reply);
+
 struct platform_client_settings {
   std::vector<endpoint> Servers;
   /// The name under which this process writes.
@@ -145,6 +207,7 @@
   /// Calls that wait for a connection; more are answered Unavailable, or a
   /// platform that hangs would let them pile up without bound.
   std::size_t MaxWaiting = 1024;
+  platform_dialect Dialect = objectDialect();
 };
 
 /// platform_api over HTTP/1.1 (libevent).
@@ -162,6 +225,8 @@
   platform_client &operator=(const platform_client &) = delete;
 
   platform_api api();
+  /// The same, with watches for changes of \p Kind alone.
+  platform_api apiFor(const std::string &Kind);
 
   /// Calls made since the start, a waiting watch as one.
   std::uint64_t calls() const;
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -22,6 +22,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -31,7 +32,9 @@
 
 namespace marjoramrail {
 
-/// libevent's loop with a timer_service that follows the monotonic clock.
+/// libevent's loop with a timer_service that follows the monotonic clock, the
+/// time of a suspended machine included: what was known before a suspension is
+/// old after it.
 class event_loop {
 public:
   event_loop();
@@ -45,6 +48,9 @@
   /// Called once on SIGTERM or SIGINT; a second signal ends the loop at once.
   void onTerminate(std::function<void()> Callback);
 
+  /// Called on each SIGHUP.
+  void onReload(std::function<void()> Callback);
+
   void run();
   void stop();
 
@@ -159,6 +165,34 @@
   std::unique_ptr<impl> Impl;
 };
 
+/// Writes lines to a file descriptor without ever waiting for its reader. A
+/// reader that stops would otherwise stop the process with it; what does not
+/// fit into the buffer is left out and counted.
+class line_writer {
+public:
+  /// Some hundred lines: a reader that is late by a moment loses nothing.
+  static constexpr std::size_t BufferBytes = 128 * 1024;
+
+  line_writer(event_loop &Loop, int Descriptor);
+  ~line_writer();
+  line_writer(const line_writer &) = delete;
+  line_writer &operator=(const line_writer &) = delete;
+
+  /// Queues \p Line and a newline; written when the loop is idle next.
+  void write(std::string_view Line);
+  /// Writes what the descriptor takes now, before the process ends.
+  void flush();
+  std::uint64_t leftOut() const { return LeftOut; }
+
+private:
+  event_loop &Loop;
+  int Descriptor;
+  std::string Buffer;
+  bool FlushScheduled = false;
+  std::uint64_t LeftOut = 0;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
 /// Counters, gauges and distributions of one process, written in the usual
 /// text format. Distributions are Boost.Accumulators with quantiles.
 class metrics {
@@ -184,6 +218,19 @@
   std::unique_ptr<impl> Impl;
 };
 
+/// One request that a page_call hook may serve.
+struct page_request {
+  bool IsPost = false;
+  std::string_view Path;
+  std::string_view Body;
+};
+
+struct page_answer {
+  std::uint16_t Code = 200;
+  /// JSON, or empty.
+  std::string Body;
+};
+
 /// The HTTP page of a daemon: /metrics, /healthz and /readyz, over libevhtp.
 class status_page {
 public:
@@ -191,6 +238,9 @@
     std::function<bool()> Ready;
     /// Further GET pages, by path; return the body (JSON or text).
     std::map<std::string, std::function<std::string()>> Pages;
+    /// Serves what else may be called here, before all pages; nothing if the
+    /// request is none of its own.
+    std::function<std::optional<page_answer>(const page_request &)> Serve;
   };
 
   status_page(event_loop &Loop, const metrics &Metrics, hooks Hooks);
--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -24,9 +24,11 @@
 
 #include "marjoramrail/base.h"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -60,9 +62,35 @@
   DrainDone,
   DrainUndone,
   FaultInjected,
+  /// No target takes the new flow; its caller was told at once.
+  FlowRefused,
+  /// The first bytes of a request have reached the agent of its target.
+  RequestSeen,
+  /// An agent does not confirm what is sent to it, or does again.
+  AgentSuspected,
+  AgentRegained,
+  /// The target does not answer its agent; its process is gone; it is back.
+  TargetSilent,
+  TargetGone,
+  TargetRegained,
+  /// The target's own word on itself was taken, or was late or malformed.
+  ReportTaken,
+  ReportRefused,
+  /// New flows are given to the target from now on, or not any more.
+  AdmissionChanged,
+  StoreLost,
+  StoreRegained,
+  RoutesKnown,
+  RoutesInForce,
+  RoutesRefused,
+  ObjectRefused,
+  CopiedFromPeer,
+  SettingsReloaded,
+  /// Lines that the log's budget has left out since the last one of this kind.
+  LinesLeftOut,
 };
 
-inline constexpr name_table<event_kind, 24> EventKindNames = {{
+inline constexpr name_table<event_kind, 43> EventKindNames = {{
     {event_kind::ProcessStarted, "process-started"},
     {event_kind::ProcessStopping, "process-stopping"},
     {event_kind::ViewTaken, "view-taken"},
@@ -87,6 +115,25 @@
     {event_kind::DrainDone, "drain-done"},
     {event_kind::DrainUndone, "drain-undone"},
     {event_kind::FaultInjected, "fault-injected"},
+    {event_kind::FlowRefused, "flow-refused"},
+    {event_kind::RequestSeen, "request-seen"},
+    {event_kind::AgentSuspected, "agent-suspected"},
+    {event_kind::AgentRegained, "agent-regained"},
+    {event_kind::TargetSilent, "target-silent"},
+    {event_kind::TargetGone, "target-gone"},
+    {event_kind::TargetRegained, "target-regained"},
+    {event_kind::ReportTaken, "report-taken"},
+    {event_kind::ReportRefused, "report-refused"},
+    {event_kind::AdmissionChanged, "admission-changed"},
+    {event_kind::StoreLost, "store-lost"},
+    {event_kind::StoreRegained, "store-regained"},
+    {event_kind::RoutesKnown, "routes-known"},
+    {event_kind::RoutesInForce, "routes-in-force"},
+    {event_kind::RoutesRefused, "routes-refused"},
+    {event_kind::ObjectRefused, "object-refused"},
+    {event_kind::CopiedFromPeer, "copied-from-peer"},
+    {event_kind::SettingsReloaded, "settings-reloaded"},
+    {event_kind::LinesLeftOut, "lines-left-out"},
 }};
 
 /// One event; fields that do not apply stay empty.
@@ -97,6 +144,11 @@
   std::string Host;
   /// One short sentence.
   std::string Why;
+  /// The request's own id, where it can be read.
+  std::string Request;
+  /// What decided it: a load or a count, and the age of what was known.
+  std::optional<double> Load;
+  std::optional<std::int64_t> AgeMs;
   /// Filled in by record(): milliseconds since 1970, hybrid logical clock in
   /// microseconds since 1970 or later, process.
   std::int64_t WallMs = 0;
@@ -109,6 +161,36 @@
 std::string toJsonLine(const timeline_event &Event);
 result<timeline_event> parseJsonLine(std::string_view Line);
 
+/// Bounds how many events of each kind are recorded. A burst of refusals or a
+/// storm of SYNs would otherwise make the log the heaviest work of a process
+/// that has a twentieth of a core. Kinds that tell of failures and of changes
+/// have room of their own, so that a flood of successes cannot push them out.
+class event_budget {
+public:
+  /// Lines of one kind a second, and at once, for the events of healthy flows.
+  /// At about 20 us a line a flood costs 0.06% of a core.
+  static constexpr double CommonPerSecond = 30;
+  static constexpr double CommonAtOnce = 60;
+  /// The same for everything else.
+  static constexpr double RarePerSecond = 50;
+  static constexpr double RareAtOnce = 200;
+
+  /// Whether an event of \p Kind may be recorded now.
+  bool take(event_kind Kind, instant Now);
+  /// Events of \p Kind refused since this was last asked.
+  std::uint64_t leftOut(event_kind Kind);
+
+private:
+  struct bucket {
+    double Tokens = 0;
+    instant FilledAt;
+    bool Used = false;
+    std::uint64_t LeftOut = 0;
+  };
+
+  std::array<bucket, EventKindNames.size()> Buckets{};
+};
+
 /// The recorder of one process. Keeps the last events for the status page.
 class timeline {
 public:
@@ -117,7 +199,8 @@
 
   static constexpr std::size_t Kept = 4096;
 
-  timeline(std::string Process, wall_clock WallMs, sink Sink);
+  timeline(std::string Process, wall_clock WallMs, sink Sink,
+           std::size_t Kept = timeline::Kept);
 
   void record(timeline_event Event);
   std::uint64_t clock() const { return Clock; }
@@ -133,6 +216,7 @@
   std::string Process;
   wall_clock WallMs;
   sink Sink;
+  std::size_t Limit;
   std::uint64_t Clock = 0;
   std::deque<std::string> Lines;
 };
--- a/include/marjoramrail/wire.h
+++ b/include/marjoramrail/wire.h
@@ -98,8 +98,9 @@
 /// Reads a packet on its way back (Flow.Caller is its destination).
 packet_fault parseAnswer(bytes_view Bytes, tcp_packet &Packet);
 
-/// As many as owner_list holds: the choices of all generations of a view.
-inline constexpr std::size_t MaxRoutedOwners = 32;
+/// Twice what owner_list holds: where targets end their flows themselves, a
+/// packet names every target that may hold its flow.
+inline constexpr std::size_t MaxRoutedOwners = 64;
 inline constexpr std::size_t MaxPacketBytes = 1500;
 inline constexpr std::size_t RoutedFixedBytes = 24;
 inline constexpr std::size_t MaxRoutedBytes =
@@ -115,6 +116,9 @@
   Extended = 4,
   /// All other choices have declined this SYN; whoever can must take it.
   LastResort = 8,
+  /// The list names everyone who can hold the flow: what all decline belongs to
+  /// no one.
+  Whole = 16,
 };
 
 /// A caller's packet with its possible owners. Views into the decoded buffer.
--- /dev/null
+++ b/src/directory/object_feed.cpp
@@ -0,0 +1,166 @@
+#include "directory/object_feed.h"
+
+#include <algorithm>
+#include <set>
+
+namespace marjoramrail::internal {
+
+/// After the first failure; doubled up to LastRetry. Short, because a balancer
+/// without the store's news is useless after a restart, and because few calls
+/// a second come from one balancer.
+static constexpr duration FirstRetry = std::chrono::milliseconds(100);
+static constexpr duration LastRetry = std::chrono::milliseconds(800);
+
+object_feed::object_feed(timer_service &Timers, platform_api Store,
+                         std::string Kind, hooks Hooks)
+    : Timers(Timers), Store(std::move(Store)), Kind(std::move(Kind)),
+      Hooks(std::move(Hooks)) {}
+
+object_feed::~object_feed() { *Alive = false; }
+
+platform_callback object_feed::guarded(platform_callback Task) {
+  return [Alive = Alive, Task = std::move(Task)](const platform_reply &Reply) {
+    if (*Alive)
+      Task(Reply);
+  };
+}
+
+void object_feed::start() { list(); }
+
+void object_feed::list() {
+  Store.List(Kind,
+             guarded([this, Asked = Timers.now()](const platform_reply &Reply) {
+               listed(Reply, Asked);
+             }));
+}
+
+void object_feed::listed(const platform_reply &Reply, instant Asked) {
+  if (Reply.Outcome != platform_outcome::Ok)
+    return retry(Reply, &object_feed::list);
+  contact(true, "");
+  if (Reply.StoreVersion >= Version) {
+    takeWhole(Reply);
+    advance(Reply.StoreVersion, Asked);
+  }
+  Hooks.OnBatch();
+  watch();
+}
+
+void object_feed::watch() {
+  const duration Wait = Hooks.Wait();
+  Store.Watch(
+      Version, Wait,
+      guarded([this, Asked = Timers.now(), Wait](const platform_reply &Reply) {
+        watched(Reply, Asked, Wait);
+      }));
+}
+
+void object_feed::watched(const platform_reply &Reply, instant Asked,
+                          duration Wait) {
+  if (Reply.Outcome == platform_outcome::HistoryGone) {
+    contact(true, "the history is gone");
+    return list();
+  }
+  if (Reply.Outcome != platform_outcome::Ok)
+    return retry(Reply, &object_feed::watch);
+  contact(true, "");
+  bool Changed = false;
+  for (const platform_object &Object : Reply.Objects)
+    Changed |= offer(Object);
+  // A watch that ran its full wait without news was true at its end; one that
+  // ended early is only known to have been true when it was asked.
+  const bool WaitedOut = Reply.Objects.empty() && Timers.now() - Asked >= Wait;
+  advance(std::max(Reply.StoreVersion, Version),
+          WaitedOut ? Asked + Wait : Asked);
+  if (Changed)
+    Hooks.OnBatch();
+  watch();
+}
+
+void object_feed::takeWhole(const platform_reply &Reply) {
+  std::set<std::string> Names;
+  for (const platform_object &Object : Reply.Objects) {
+    Names.insert(Object.Key.Name);
+    offer(Object);
+  }
+  std::vector<platform_object> Missing;
+  for (const auto &[Name, Object] : Objects)
+    if (!Names.contains(Name) && Object.Version <= Reply.StoreVersion)
+      Missing.push_back(Object);
+  for (platform_object &Object : Missing) {
+    Object.Deleted = true;
+    Object.Version = Reply.StoreVersion;
+    offer(Object);
+  }
+  Known = true;
+}
+
+/// An object's version never goes back: a late answer must not undo a change.
+bool object_feed::offer(const platform_object &Object) {
+  const std::string &Name = Object.Key.Name;
+  const auto Held = Objects.find(Name);
+  if (Held != Objects.end() && Held->second.Version >= Object.Version)
+    return false;
+  const auto Left = Gone.find(Name);
+  if (Left != Gone.end() && Left->second >= Object.Version)
+    return false;
+  if (Object.Deleted) {
+    Objects.erase(Name);
+    Gone[Name] = Object.Version;
+  } else {
+    Gone.erase(Name);
+    Objects[Name] = Object;
+  }
+  LastChange = std::max(LastChange, Object.Version);
+  Hooks.OnObject(Object);
+  return true;
+}
+
+void object_feed::advance(std::uint64_t NewVersion, instant Moment) {
+  if (NewVersion > Version)
+    Version = NewVersion;
+  AsOf = AsOf ? std::max(*AsOf, Moment) : Moment;
+  // What left before the version in force cannot come back by a watch from it.
+  std::erase_if(Gone, [&](const auto &Item) {
+    return Item.second + (std::uint64_t(1) << 16) < Version;
+  });
+}
+
+void object_feed::confirm(std::uint64_t PeerChange, instant Moment) {
+  if (!Known || PeerChange > std::max(Version, LastChange))
+    return;
+  AsOf = AsOf ? std::max(*AsOf, Moment) : Moment;
+}
+
+void object_feed::takeCopy(const platform_reply &List) {
+  if (List.StoreVersion <= Version && Known)
+    return;
+  takeWhole(List);
+  Version = std::max(Version, List.StoreVersion);
+  Hooks.OnBatch();
+}
+
+void object_feed::wrote(const platform_object &Object) {
+  if (offer(Object))
+    Hooks.OnBatch();
+}
+
+void object_feed::contact(bool Answers, const std::string &Reason) {
+  if (Answers)
+    Failures = 0;
+  if (std::exchange(Answering, Answers) != Answers)
+    Hooks.OnContact(Answers, Reason);
+}
+
+void object_feed::retry(const platform_reply &Reply,
+                        void (object_feed::*Step)()) {
+  contact(false, Reply.Reason);
+  const duration Wait =
+      std::min(FirstRetry * (1 << std::min(Failures++, 3)), LastRetry);
+  Timers.after(Wait, [this, Alive = Alive, Step] {
+    if (*Alive)
+      (this->*Step)();
+  });
+}
+
+} // namespace marjoramrail::internal
--- /dev/null
+++ b/src/directory/target_registrar.cpp
@@ -0,0 +1,172 @@
+#include "marjoramrail/directory.h"
+
+namespace marjoramrail {
+
+static constexpr duration FirstRetry = std::chrono::milliseconds(200);
+/// Hosts announce themselves again within about two seconds of an outage's end.
+static constexpr duration LastRetry = std::chrono::milliseconds(1600);
+
+struct target_registrar::impl {
+  impl(timer_service &Timers, platform_api Store, std::string Kind, hooks Hooks)
+      : Timers(Timers), Store(std::move(Store)), Kind(std::move(Kind)),
+        Hooks(std::move(Hooks)) {}
+
+  void work();
+  void read();
+  void write();
+  void onRead(const platform_reply &Reply);
+  void onWritten(const platform_reply &Reply);
+  void retry(const std::string &Reason);
+  platform_callback then(void (impl::*Step)(const platform_reply &));
+  bool settled() const;
+  void tellStored();
+
+  timer_service &Timers;
+  platform_api Store;
+  std::string Kind;
+  hooks Hooks;
+  std::string Name;
+  /// What the store shall hold; nothing for no entry.
+  std::optional<target_entry> Wanted;
+  /// What the store holds, as far as known.
+  std::optional<target_entry> Held;
+  std::uint64_t Version = 0;
+  bool Fresh = false;
+  /// The store shall hold Wanted; until then it is only read.
+  bool Keeping = false;
+  bool Busy = false;
+  bool WroteBefore = false;
+  int Failures = 0;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+platform_callback
+target_registrar::impl::then(void (impl::*Step)(const platform_reply &)) {
+  return [this, Step, Alive = Alive](const platform_reply &Reply) {
+    if (!*Alive)
+      return;
+    Busy = false;
+    (this->*Step)(Reply);
+  };
+}
+
+bool target_registrar::impl::settled() const { return Fresh && Held == Wanted; }
+
+void target_registrar::impl::work() {
+  if (Busy)
+    return;
+  if (!Fresh)
+    return read();
+  if (Keeping && Held != Wanted)
+    write();
+}
+
+void target_registrar::impl::read() {
+  Busy = true;
+  Store.Read({Kind, Name}, then(&impl::onRead));
+}
+
+void target_registrar::impl::onRead(const platform_reply &Reply) {
+  if (Reply.Outcome != platform_outcome::Ok &&
+      Reply.Outcome != platform_outcome::NotFound)
+    return retry(Reply.Reason);
+  Failures = 0;
+  Fresh = true;
+  Held.reset();
+  Version = Reply.Object.Version;
+  if (Reply.Outcome == platform_outcome::NotFound)
+    Version = 0;
+  else if (auto Entry = decodeTarget(Name, Reply.Object.Body))
+    Held = *Entry;
+  if (Held && !WroteBefore && Hooks.OnFound)
+    Hooks.OnFound(*Held);
+  tellStored();
+  work();
+}
+
+/// The entry counts as known to the fleet when service and address stand there;
+/// whether it drains is told on faster ways.
+void target_registrar::impl::tellStored() {
+  if (Held && Wanted && Held->Service == Wanted->Service &&
+      Held->Agent == Wanted->Agent)
+    Hooks.OnStored(!WroteBefore);
+}
+
+void target_registrar::impl::write() {
+  Busy = true;
+  if (!Wanted) {
+    Store.Remove({Kind, Name}, Version, then(&impl::onWritten));
+    return;
+  }
+  platform_write Write;
+  Write.Object.Key = {Kind, Name};
+  Write.Object.Body = encodeTarget(*Wanted);
+  Write.Expected = Version;
+  WroteBefore = true;
+  Store.Write(Write, then(&impl::onWritten));
+}
+
+/// After anything but a plain success the store is read again: the write may
+/// have taken effect, or someone else's.
+void target_registrar::impl::onWritten(const platform_reply &Reply) {
+  if (Reply.Outcome == platform_outcome::Conflict ||
+      Reply.Outcome == platform_outcome::NotFound) {
+    Fresh = false;
+    return work();
+  }
+  if (Reply.Outcome != platform_outcome::Ok) {
+    Fresh = false;
+    return retry(Reply.Reason);
+  }
+  Failures = 0;
+  Version = Reply.Object.Version;
+  // Read back from the answer: the entry wanted may have changed meanwhile.
+  Held.reset();
+  if (auto Entry = decodeTarget(Name, Reply.Object.Body))
+    Held = *Entry;
+  tellStored();
+  work();
+}
+
+void target_registrar::impl::retry(const std::string &Reason) {
+  Hooks.OnTrouble(Reason);
+  const duration Wait =
+      std::min(FirstRetry * (1 << std::min(Failures++, 3)), LastRetry);
+  Busy = true;
+  Timers.after(Wait, [this, Alive = Alive] {
+    if (!*Alive)
+      return;
+    Busy = false;
+    work();
+  });
+}
+
+target_registrar::target_registrar(timer_service &Timers, platform_api Store,
+                                   std::string Kind, hooks Hooks)
+    : Impl(std::make_unique<impl>(Timers, std::move(Store), std::move(Kind),
+                                  std::move(Hooks))) {}
+
+target_registrar::~target_registrar() { *Impl->Alive = false; }
+
+void target_registrar::look(const std::string &Name) {
+  Impl->Name = Name;
+  Impl->work();
+}
+
+void target_registrar::set(const target_entry &Entry) {
+  Impl->Name = Entry.Name;
+  Impl->Wanted = Entry;
+  Impl->Keeping = true;
+  Impl->work();
+  Impl->tellStored();
+}
+
+void target_registrar::withdraw() {
+  Impl->Wanted.reset();
+  Impl->Keeping = true;
+  Impl->work();
+}
+
+bool target_registrar::settled() const { return Impl->settled(); }
+
+} // namespace marjoramrail
--- /dev/null
+++ b/src/forward/agent_roster.cpp
@@ -0,0 +1,92 @@
+#include "forward/agent_roster.h"
+
+namespace marjoramrail::internal {
+
+void agent_roster::set(const std::vector<target_entry> &Targets) {
+  std::vector<agent_state> Former = std::exchange(Agents, {});
+  ByService.clear();
+  const auto Places = std::exchange(ByEndpoint, {});
+  for (const target_entry &Target : Targets) {
+    agent_state State;
+    const auto Known = Places.find(Target.Agent);
+    if (Known != Places.end())
+      State = Former[Known->second];
+    State.Agent = Target.Agent;
+    State.Service = serviceNumber(Target.Service);
+    State.OwnZone = Target.Zone == Zone;
+    State.Draining = Target.Draining;
+    if (!State.ReportedAt) {
+      State.Report.Slots = static_cast<std::uint16_t>(
+          std::min<std::uint32_t>(Target.Slots, UINT16_MAX));
+      State.Report.Admitting = true;
+    }
+    // Two entries of one address: a VM was replaced and its address used again.
+    // Either may be the one that lives; its service is checked by the agent.
+    ByEndpoint.try_emplace(Target.Agent, Agents.size());
+    ByService[State.Service].push_back(Agents.size());
+    Agents.push_back(State);
+  }
+}
+
+agent_state *agent_roster::find(const endpoint &Agent) {
+  const auto Found = ByEndpoint.find(Agent);
+  return Found == ByEndpoint.end() ? nullptr : &Agents[Found->second];
+}
+
+const std::vector<std::size_t> &
+agent_roster::ofService(service_id Service) const {
+  static const std::vector<std::size_t> None;
+  const auto Found = ByService.find(Service);
+  return Found == ByService.end() ? None : Found->second;
+}
+
+void agent_roster::noteSent(const endpoint &Agent, instant Now) {
+  if (agent_state *State = find(Agent))
+    if (!State->SentSince)
+      State->SentSince = Now;
+}
+
+void agent_roster::noteReport(const load_report &Report, instant Now) {
+  for (agent_state &State : Agents) {
+    if (State.Agent != Report.Agent)
+      continue;
+    State.Report = Report;
+    State.ReportedAt = Now;
+    State.SentSince.reset();
+    State.AskedAt.reset();
+    State.Placed = 0;
+    State.Suspect = false;
+  }
+}
+
+bool agent_roster::review(
+    instant Now, std::vector<endpoint> &Ask,
+    const std::function<void(const agent_state &)> &OnSuspicion) {
+  bool Changed = false;
+  for (agent_state &State : Agents) {
+    if (State.Suspect || !State.SentSince ||
+        Now - *State.SentSince < SuspectAfter)
+      continue;
+    State.Suspect = true;
+    Changed = true;
+    OnSuspicion(State);
+  }
+  for (std::size_t I = 0; I < Agents.size(); ++I) {
+    agent_state &State = Agents[(NextAsked + I) % Agents.size()];
+    const bool IsQuiet =
+        !State.ReportedAt || Now - *State.ReportedAt > AskAfter;
+    const bool IsDue = !State.AskedAt || Now - *State.AskedAt > AskAfter;
+    const bool Wanted = State.Suspect || (State.OwnZone && IsQuiet && IsDue);
+    if (!Wanted)
+      continue;
+    State.AskedAt = Now;
+    Ask.push_back(State.Agent);
+    if (Ask.size() == QuestionsPerRound) {
+      NextAsked = (NextAsked + I + 1) % Agents.size();
+      break;
+    }
+  }
+  return Changed;
+}
+
+} // namespace marjoramrail::internal
--- /dev/null
+++ b/src/forward/agent_roster.h
@@ -0,0 +1,83 @@
+//===- agent_roster.h - The agents that a balancer sends to -----*- C++ -*-===//
+///
+/// \file
+/// What a balancer knows of each agent: its entry in the store, its last
+/// report, and whether it still confirms what is sent to it.
+///
+/// A VM that dies or is cut off says nothing; packets sent there vanish, and a
+/// list that is walked through it ends there. Agents therefore report as long
+/// as packets come. One that got packets and has not reported for SuspectAfter
+/// goes to the end of every list and gets no new flows until it reports again.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_FORWARD_AGENT_ROSTER_H
+#define MARJORAMRAIL_FORWARD_AGENT_ROSTER_H
+
+#include "marjoramrail/forward.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace marjoramrail::internal {
+
+struct endpoint_hash {
+  std::size_t operator()(const endpoint &Endpoint) const {
+    const std::uint64_t Key =
+        std::uint64_t{Endpoint.Address} << 16 | Endpoint.Port;
+    return static_cast<std::size_t>(Key * 0x9E3779B97F4A7C15ULL >> 7);
+  }
+};
+
+struct agent_state {
+  endpoint Agent;
+  service_id Service{};
+  bool OwnZone = false;
+  bool Draining = false;
+  /// In the store's list; others are only remembered for their flows.
+  bool Listed = true;
+  load_report Report;
+  std::optional<instant> ReportedAt;
+  /// The first packet sent since the last report.
+  std::optional<instant> SentSince;
+  std::optional<instant> AskedAt;
+  std::uint32_t Placed = 0;
+  bool Suspect = false;
+};
+
+class agent_roster {
+public:
+  /// Two reports and a late timer.
+  static constexpr duration SuspectAfter = std::chrono::milliseconds(500);
+  /// Agents of the own zone are asked when they have not reported for so long:
+  /// idle ones report nothing by themselves.
+  static constexpr duration AskAfter = std::chrono::seconds(1);
+  /// Questions in one round: bounds the control traffic of a zone of thousands.
+  static constexpr std::size_t QuestionsPerRound = 16;
+
+  explicit agent_roster(std::string Zone) : Zone(std::move(Zone)) {}
+
+  void set(const std::vector<target_entry> &Targets);
+  agent_state *find(const endpoint &Agent);
+  const std::vector<std::size_t> &ofService(service_id Service) const;
+  agent_state &at(std::size_t Index) { return Agents[Index]; }
+  const agent_state &at(std::size_t Index) const { return Agents[Index]; }
+  std::size_t size() const { return Agents.size(); }
+
+  void noteSent(const endpoint &Agent, instant Now);
+  void noteReport(const load_report &Report, instant Now);
+  /// Finds the suspects and whom to ask; true if a suspicion changed.
+  bool review(instant Now, std::vector<endpoint> &Ask,
+              const std::function<void(const agent_state &)> &OnSuspicion);
+
+private:
+  std::string Zone;
+  std::vector<agent_state> Agents;
+  std::unordered_map<endpoint, std::size_t, endpoint_hash> ByEndpoint;
+  std::map<service_id, std::vector<std::size_t>> ByService;
+  std::size_t NextAsked = 0;
+};
+
+} // namespace marjoramrail::internal
+
+#endif // MARJORAMRAIL_FORWARD_AGENT_ROSTER_H
--- /dev/null
+++ b/src/forward/forward_balancer.cpp
@@ -0,0 +1,419 @@
+#include "forward/agent_roster.h"
+#include "forward/flow_memory.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marjoramrail {
+
+using namespace internal;
+
+namespace {
+
+/// A list is only called whole if what it rests on is known to be younger. New
+/// services and targets wait SettleTime before they get flows; the difference
+/// covers a packet's way and a late timer.
+constexpr duration SureFor = SettleTime - std::chrono::milliseconds(100);
+
+/// How often old flows are forgotten, in ticks: every ten seconds.
+constexpr int TicksPerSweep = 50;
+
+struct weighted_service {
+  service_id Service{};
+  std::uint32_t Weight = 0;
+};
+
+struct route_state {
+  std::vector<weighted_service> Shares;
+  std::uint64_t TotalWeight = 0;
+  std::vector<service_id> Holders;
+};
+
+} // namespace
+
+struct forward_balancer::impl {
+  impl(const forward_balancer_settings &Settings, segment_codec Codec,
+       forward_balancer_hooks Hooks)
+      : Settings(Settings), Codec(std::move(Codec)), Hooks(std::move(Hooks)),
+        Roster(Settings.Zone), Memory(Settings.MaxFlows) {}
+
+  forward_outcome route(const segment &Segment, bytes_view Bytes, instant Now);
+  forward_outcome open(const route_state &Route, const segment &Segment,
+                       bytes_view Bytes, instant Now);
+  forward_outcome follow(const route_state &Route, const segment &Segment,
+                         bytes_view Bytes, instant Now);
+  std::optional<std::size_t> place(const route_state &Route,
+                                   const segment &Segment,
+                                   std::optional<endpoint> Avoid);
+  std::optional<std::size_t> placeAt(service_id Service, const flow_key &Flow,
+                                     std::optional<endpoint> Avoid);
+  std::vector<service_id> servicesInTurn(const route_state &Route,
+                                         const flow_key &Flow) const;
+  placing_view viewOf(const agent_state &Agent,
+                      std::optional<endpoint> Avoid) const;
+  std::vector<std::size_t> orderOf(const std::vector<std::size_t> &Agents,
+                                   const flow_key &Flow) const;
+  void addHolders(const route_state &Route, const flow_key &Flow, bool Sorted,
+                  std::vector<endpoint> &List) const;
+  void send(const std::vector<endpoint> &List, service_id Service, bool Whole,
+            bytes_view Bytes, instant Now);
+  forward_outcome refuse(const segment &Segment, forward_outcome Outcome,
+                         std::string_view Why, instant Now);
+  bool isSure(instant Now) const;
+  void tell(event_kind What, std::string_view Why, const flow_key &Flow,
+            const endpoint &Agent, instant Now, double Load = 0);
+
+  forward_balancer_settings Settings;
+  segment_codec Codec;
+  forward_balancer_hooks Hooks;
+  agent_roster Roster;
+  flow_memory Memory;
+  placement Placement;
+  std::map<endpoint, route_state> Routes;
+  std::optional<instant> KnownAsOf;
+  forward_balancer_counters Counters;
+  int Ticks = 0;
+};
+
+//===----------------------------------------------------------------------===//
+// New flows
+//===----------------------------------------------------------------------===//
+
+placing_view
+forward_balancer::impl::viewOf(const agent_state &Agent,
+                               std::optional<endpoint> Avoid) const {
+  placing_view View;
+  View.OwnZone = Agent.OwnZone;
+  View.Admitting = Agent.Report.Admitting && !Agent.Draining;
+  View.Suspect =
+      Agent.Suspect || !Agent.Report.Answering || Avoid == Agent.Agent;
+  View.Slots = Agent.Report.Slots;
+  View.Flows = Agent.Report.Flows;
+  View.Placed = Agent.Placed;
+  View.Active = Agent.Report.Active;
+  View.Busy = Agent.Report.Busy;
+  View.Latency = Agent.Report.Latency;
+  View.Warmup = Agent.Report.Warmup;
+  return View;
+}
+
+/// Rendezvous order: alike on every balancer, so that one that has not heard of
+/// a flow looks for it first where it was most likely placed.
+std::vector<std::size_t>
+forward_balancer::impl::orderOf(const std::vector<std::size_t> &Agents,
+                                const flow_key &Flow) const {
+  std::vector<std::pair<std::uint64_t, std::size_t>> Scores;
+  Scores.reserve(Agents.size());
+  for (std::size_t I = 0; I < Agents.size(); ++I) {
+    const endpoint &Agent = Roster.at(Agents[I]).Agent;
+    Scores.emplace_back(hashOf(Flow, endpoint_hash()(Agent)), I);
+  }
+  std::sort(Scores.begin(), Scores.end());
+  std::vector<std::size_t> Order;
+  Order.reserve(Scores.size());
+  for (const auto &[Score, Position] : Scores)
+    Order.push_back(Position);
+  return Order;
+}
+
+std::optional<std::size_t>
+forward_balancer::impl::placeAt(service_id Service, const flow_key &Flow,
+                                std::optional<endpoint> Avoid) {
+  const std::vector<std::size_t> &Agents = Roster.ofService(Service);
+  std::vector<placing_view> Views;
+  Views.reserve(Agents.size());
+  for (const std::size_t Index : Agents)
+    Views.push_back(viewOf(Roster.at(Index), Avoid));
+  const auto Chosen = Placement.choose(Views, orderOf(Agents, Flow));
+  if (!Chosen)
+    return std::nullopt;
+  return Agents[*Chosen];
+}
+
+/// The service that the weights give the flow, then the others: a service
+/// without targets must not cost callers their flow while another one may take
+/// it.
+std::vector<service_id>
+forward_balancer::impl::servicesInTurn(const route_state &Route,
+                                       const flow_key &Flow) const {
+  std::vector<service_id> Turn;
+  if (Route.TotalWeight > 0) {
+    std::uint64_t Point = hashOf(Flow, 1) % Route.TotalWeight;
+    for (const weighted_service &Share : Route.Shares) {
+      if (Point < Share.Weight) {
+        Turn.push_back(Share.Service);
+        break;
+      }
+      Point -= Share.Weight;
+    }
+  }
+  for (const weighted_service &Share : Route.Shares)
+    if (Share.Weight > 0 &&
+        std::find(Turn.begin(), Turn.end(), Share.Service) == Turn.end())
+      Turn.push_back(Share.Service);
+  return Turn;
+}
+
+std::optional<std::size_t>
+forward_balancer::impl::place(const route_state &Route, const segment &Segment,
+                              std::optional<endpoint> Avoid) {
+  for (const service_id Service : servicesInTurn(Route, Segment.Head.Flow))
+    if (const auto Chosen = placeAt(Service, Segment.Head.Flow, Avoid))
+      return Chosen;
+  return std::nullopt;
+}
+
+forward_outcome forward_balancer::impl::open(const route_state &Route,
+                                             const segment &Segment,
+                                             bytes_view Bytes, instant Now) {
+  const flow_key &Flow = Segment.Head.Flow;
+  // A caller sends its SYN again when nobody answered: then whoever got the
+  // first one is the last to get this one.
+  const auto Before = Memory.find(Flow, Now);
+  const auto Chosen = place(Route, Segment, Before);
+  if (!Chosen) {
+    if (Route.Shares.empty() || !isSure(Now))
+      return forward_outcome::Unsure;
+    return refuse(Segment, forward_outcome::NoTarget, "no target admits", Now);
+  }
+  agent_state &Agent = Roster.at(*Chosen);
+  ++Agent.Placed;
+  Memory.note(Flow, Agent.Agent, Now);
+  std::vector<endpoint> List{Agent.Agent};
+  for (const std::size_t Index : Roster.ofService(Agent.Service)) {
+    const agent_state &Other = Roster.at(Index);
+    if (Other.Agent != Agent.Agent && Other.Report.Admitting &&
+        !Other.Draining && !Other.Suspect && Other.OwnZone == Agent.OwnZone)
+      List.push_back(Other.Agent);
+  }
+  for (const std::size_t Index : Roster.ofService(Agent.Service)) {
+    const agent_state &Other = Roster.at(Index);
+    if (Other.Report.Admitting && !Other.Draining && !Other.Suspect &&
+        Other.OwnZone != Agent.OwnZone)
+      List.push_back(Other.Agent);
+  }
+  tell(event_kind::FlowRouted, Before ? "again" : "new", Flow, Agent.Agent, Now,
+       static_cast<double>(Agent.Report.Flows + Agent.Placed));
+  send(List, Agent.Service, /*Whole=*/false, Bytes, Now);
+  return forward_outcome::Placed;
+}
+
+//===----------------------------------------------------------------------===//
+// Packets of flows
+//===----------------------------------------------------------------------===//
+
+/// Everyone who may hold a flow of \p Route: own zone before others, and those
+/// that do not answer at the end, where a walk that they swallow has already
+/// asked everyone else.
+void forward_balancer::impl::addHolders(const route_state &Route,
+                                        const flow_key &Flow, bool Sorted,
+                                        std::vector<endpoint> &List) const {
+  std::vector<std::size_t> Agents;
+  for (const service_id Service : Route.Holders) {
+    const auto &Members = Roster.ofService(Service);
+    Agents.insert(Agents.end(), Members.begin(), Members.end());
+  }
+  std::vector<std::size_t> Order(Agents.size());
+  if (Sorted)
+    Order = orderOf(Agents, Flow);
+  else
+    for (std::size_t I = 0; I < Order.size(); ++I)
+      Order[I] = I;
+  for (const auto &[Suspect, OwnZone] :
+       {std::pair(false, true), {false, false}, {true, true}, {true, false}})
+    for (const std::size_t Position : Order) {
+      const agent_state &Agent = Roster.at(Agents[Position]);
+      if (Agent.Suspect == Suspect && Agent.OwnZone == OwnZone &&
+          (List.empty() || List.front() != Agent.Agent))
+        List.push_back(Agent.Agent);
+    }
+}
+
+forward_outcome forward_balancer::impl::follow(const route_state &Route,
+                                               const segment &Segment,
+                                               bytes_view Bytes, instant Now) {
+  const flow_key &Flow = Segment.Head.Flow;
+  std::vector<endpoint> List;
+  auto Remembered = Memory.find(Flow, Now);
+  // An agent that has left the store's list took its flows along; one that has
+  // not got there yet may still name itself to a balancer that is behind.
+  if (Remembered && !Roster.find(*Remembered) && isSure(Now)) {
+    Memory.forget(Flow);
+    Remembered.reset();
+  }
+  if (Remembered)
+    List.push_back(*Remembered);
+  addHolders(Route, Flow, !Remembered, List);
+  if (List.empty())
+    return forward_outcome::Unsure;
+  const bool Whole = List.size() <= MaxRoutedOwners && isSure(Now);
+  send(List, Route.Holders.empty() ? service_id{} : Route.Holders.front(),
+       Whole, Bytes, Now);
+  return Remembered ? forward_outcome::SentByMemory : forward_outcome::Sent;
+}
+
+void forward_balancer::impl::send(const std::vector<endpoint> &List,
+                                  service_id Service, bool Whole,
+                                  bytes_view Bytes, instant Now) {
+  routed_packet Routed;
+  Routed.Service = Service;
+  Routed.Balancer = Settings.Self;
+  Routed.Count =
+      static_cast<std::uint8_t>(std::min(List.size(), MaxRoutedOwners));
+  std::copy_n(List.begin(), Routed.Count, Routed.Owners.begin());
+  if (Whole)
+    Routed.Flags |= static_cast<std::uint8_t>(routed_flag::Whole);
+  Routed.Packet = Bytes;
+  std::array<std::uint8_t, MaxRoutedBytes> Buffer;
+  const std::size_t Size = encodeRouted(Routed, Buffer);
+  if (Size == 0)
+    return;
+  Hooks.SendToAgent(List.front(), {Buffer.data(), Size});
+  Roster.noteSent(List.front(), Now);
+}
+
+//===----------------------------------------------------------------------===//
+// What cannot be sent on
+//===----------------------------------------------------------------------===//
+
+bool forward_balancer::impl::isSure(instant Now) const {
+  return KnownAsOf && Now - *KnownAsOf <= SureFor;
+}
+
+void forward_balancer::impl::tell(event_kind What, std::string_view Why,
+                                  const flow_key &Flow, const endpoint &Agent,
+                                  instant Now, double Load) {
+  if (!Hooks.OnEvent)
+    return;
+  flow_event Event{What, Why, Flow, Agent, Load, duration::zero()};
+  if (KnownAsOf)
+    Event.Age = Now - *KnownAsOf;
+  Hooks.OnEvent(Event);
+}
+
+forward_outcome forward_balancer::impl::refuse(const segment &Segment,
+                                               forward_outcome Outcome,
+                                               std::string_view Why,
+                                               instant Now) {
+  if (Segment.Head.Rst)
+    return Outcome;
+  std::array<std::uint8_t, MaxPacketBytes> Buffer;
+  const std::size_t Size = Codec.WriteReset(Segment.Head, Buffer);
+  if (Size == 0)
+    return Outcome;
+  ++Counters.Resets;
+  tell(event_kind::FlowRefused, Why, Segment.Head.Flow, {}, Now);
+  Hooks.SendToCaller(Segment.Head.Flow.Caller, {Buffer.data(), Size});
+  return Outcome;
+}
+
+forward_outcome forward_balancer::impl::route(const segment &Segment,
+                                              bytes_view Bytes, instant Now) {
+  const auto Found = Routes.find(Segment.Head.Flow.Service);
+  if (Found == Routes.end()) {
+    if (!isSure(Now))
+      return forward_outcome::Unsure;
+    return refuse(Segment, forward_outcome::NoRoute, "no route", Now);
+  }
+  if (Segment.Head.opensFlow())
+    return open(Found->second, Segment, Bytes, Now);
+  return follow(Found->second, Segment, Bytes, Now);
+}
+
+//===----------------------------------------------------------------------===//
+// forward_balancer
+//===----------------------------------------------------------------------===//
+
+forward_balancer::forward_balancer(const forward_balancer_settings &Settings,
+                                   segment_codec Codec,
+                                   forward_balancer_hooks Hooks)
+    : Impl(std::make_unique<impl>(Settings, std::move(Codec),
+                                  std::move(Hooks))) {}
+
+forward_balancer::~forward_balancer() = default;
+
+void forward_balancer::setRoutes(const std::vector<route_rule> &Rules) {
+  Impl->Routes.clear();
+  for (const route_rule &Rule : Rules) {
+    route_state &State = Impl->Routes[Rule.Address];
+    for (const service_share &Share : Rule.Shares) {
+      State.Shares.push_back({serviceNumber(Share.Service), Share.Weight});
+      State.TotalWeight += Share.Weight;
+    }
+    for (const std::string &Service : Rule.Holders)
+      State.Holders.push_back(serviceNumber(Service));
+  }
+}
+
+void forward_balancer::setTargets(const std::vector<target_entry> &Targets) {
+  Impl->Roster.set(Targets);
+}
+
+void forward_balancer::setKnownAsOf(std::optional<instant> Moment) {
+  Impl->KnownAsOf = Moment;
+}
+
+forward_outcome forward_balancer::onCallerPacket(bytes_view Bytes,
+                                                 instant Now) {
+  segment Segment;
+  forward_outcome Outcome = forward_outcome::Malformed;
+  if (Impl->Codec.Parse(Bytes, Segment))
+    Outcome = Impl->route(Segment, Bytes, Now);
+  ++Impl->Counters.Outcomes[static_cast<std::size_t>(Outcome)];
+  return Outcome;
+}
+
+void forward_balancer::onAgentMessage(const endpoint &, bytes_view Bytes,
+                                      instant Now) {
+  load_report Report;
+  if (decodeLoadReport(Bytes, Report)) {
+    ++Impl->Counters.Reports;
+    Impl->Roster.noteReport(Report, Now);
+    return;
+  }
+  owner_notice Notice;
+  if (decodeOwnerNotice(Bytes, Notice) != packet_fault::None)
+    return;
+  ++Impl->Counters.Notices;
+  Impl->Memory.note(Notice.Flow, Notice.Owner, Now);
+}
+
+void forward_balancer::tick(instant Now) {
+  std::vector<endpoint> Ask;
+  Impl->Roster.review(Now, Ask, [&](const agent_state &Agent) {
+    ++Impl->Counters.Suspicions;
+    Impl->tell(event_kind::AgentSuspected, "no report since a packet was sent",
+               {}, Agent.Agent, Now);
+  });
+  std::array<std::uint8_t, LoadQuestionBytes> Question;
+  encodeLoadQuestion(Question);
+  for (const endpoint &Agent : Ask) {
+    ++Impl->Counters.Questions;
+    Impl->Hooks.SendToAgent(Agent, Question);
+  }
+  if (++Impl->Ticks % TicksPerSweep == 0)
+    Impl->Memory.forgetOld(Now);
+}
+
+const forward_balancer_counters &forward_balancer::counters() const {
+  return Impl->Counters;
+}
+
+std::size_t forward_balancer::flows() const { return Impl->Memory.size(); }
+
+std::string forward_balancer::statusJson(instant Now) const {
+  nlohmann::json Agents = nlohmann::json::array();
+  for (std::size_t I = 0; I < Impl->Roster.size(); ++I) {
+    const agent_state &Agent = Impl->Roster.at(I);
+    Agents.push_back({{"agent", toText(Agent.Agent)},
+                      {"admitting", Agent.Report.Admitting},
+                      {"suspect", Agent.Suspect},
+                      {"flows", Agent.Report.Flows},
+                      {"busy", Agent.Report.Busy}});
+  }
+  return nlohmann::json{{"sure", Impl->isSure(Now)},
+                        {"routes", Impl->Routes.size()},
+                        {"agents", Agents}}
+      .dump();
+}
+
+} // namespace marjoramrail
--- /dev/null
+++ b/src/forward/load_report.cpp
@@ -0,0 +1,85 @@
+#include "marjoramrail/forward.h"
+#include "wire/byte_order.h"
+
+namespace marjoramrail {
+
+using namespace internal;
+
+/// u16 magic | u8 format | u8 flags | u32 service | u32, u16 agent |
+/// u16 active | u16 slots | u32 flows | u16 busy | u32 latency us |
+/// u32 warm-up ms | padding
+static constexpr std::uint16_t ReportMagic = 0x4d4c;
+static constexpr std::uint16_t QuestionMagic = 0x4d51;
+static constexpr std::uint8_t Format = 1;
+static constexpr std::uint8_t AdmittingBit = 1;
+static constexpr std::uint8_t AnsweringBit = 2;
+
+static bool hasMagic(bytes_view Bytes, std::uint16_t Magic) {
+  byte_reader Reader(Bytes.data());
+  return Reader.take<std::uint16_t>() == Magic &&
+         Reader.take<std::uint8_t>() == Format;
+}
+
+static std::uint32_t cappedCount(duration Time) {
+  return static_cast<std::uint32_t>(
+      std::clamp<duration::rep>(Time.count(), 0, UINT32_MAX));
+}
+
+std::size_t encodeLoadReport(const load_report &Report,
+                             std::span<std::uint8_t> Buffer) {
+  if (Buffer.size() < LoadReportBytes)
+    return 0;
+  std::fill_n(Buffer.begin(), LoadReportBytes, std::uint8_t{0});
+  byte_writer Writer(Buffer.data());
+  Writer.put(ReportMagic);
+  Writer.put(Format);
+  Writer.put(static_cast<std::uint8_t>((Report.Admitting ? AdmittingBit : 0) |
+                                       (Report.Answering ? AnsweringBit : 0)));
+  Writer.put(static_cast<std::uint32_t>(Report.Service));
+  Writer.put(Report.Agent);
+  Writer.put(Report.Active);
+  Writer.put(Report.Slots);
+  Writer.put(Report.Flows);
+  Writer.put(Report.Busy);
+  Writer.put(cappedCount(Report.Latency));
+  Writer.put(cappedCount(Report.Warmup));
+  return LoadReportBytes;
+}
+
+bool isLoadReport(bytes_view Bytes) {
+  return Bytes.size() == LoadReportBytes && hasMagic(Bytes, ReportMagic);
+}
+
+bool decodeLoadReport(bytes_view Bytes, load_report &Report) {
+  if (!isLoadReport(Bytes))
+    return false;
+  byte_reader Reader(Bytes.data() + sizeof(ReportMagic) + sizeof(Format));
+  const auto Flags = Reader.take<std::uint8_t>();
+  Report.Admitting = (Flags & AdmittingBit) != 0;
+  Report.Answering = (Flags & AnsweringBit) != 0;
+  Report.Service = service_id(Reader.take<std::uint32_t>());
+  Report.Agent = Reader.takeEndpoint();
+  Report.Active = Reader.take<std::uint16_t>();
+  Report.Slots = std::max<std::uint16_t>(Reader.take<std::uint16_t>(), 1);
+  Report.Flows = Reader.take<std::uint32_t>();
+  Report.Busy = Reader.take<std::uint16_t>();
+  Report.Latency = duration(Reader.take<std::uint32_t>());
+  Report.Warmup = duration(Reader.take<std::uint32_t>());
+  return true;
+}
+
+std::size_t encodeLoadQuestion(std::span<std::uint8_t> Buffer) {
+  if (Buffer.size() < LoadQuestionBytes)
+    return 0;
+  byte_writer Writer(Buffer.data());
+  Writer.put(QuestionMagic);
+  Writer.put(Format);
+  Writer.put(std::uint8_t{0});
+  return LoadQuestionBytes;
+}
+
+bool isLoadQuestion(bytes_view Bytes) {
+  return Bytes.size() == LoadQuestionBytes && hasMagic(Bytes, QuestionMagic);
+}
+
+} // namespace marjoramrail
--- /dev/null
+++ b/src/forward/offered_packets.cpp
@@ -0,0 +1,77 @@
+#include "forward/offered_packets.h"
+
+namespace marjoramrail::internal {
+
+std::uint32_t offered_packets::add(const routed_packet &Routed,
+                                   const tcp_packet &Head, bool Waits,
+                                   instant Now) {
+  // 0 is what targets and callers write.
+  if (++LastTag == 0)
+    ++LastTag;
+  const std::size_t Place = LastTag % Capacity;
+  if (Ring.size() <= Place)
+    Ring.resize(std::min(Capacity, Place + 1));
+  offered_packet &Packet = Ring[Place];
+  Packet.Tag = LastTag;
+  Packet.Routed = Routed;
+  Packet.Head = Head;
+  Packet.At = Now;
+  Packet.Waits = Waits;
+  Packet.Bytes.clear();
+  if (Waits) {
+    Packet.Bytes.assign(Routed.Packet.begin(), Routed.Packet.end());
+    Waiting.push_back(LastTag);
+  }
+  Packet.Routed.Packet = {};
+  return LastTag;
+}
+
+offered_packet *offered_packets::declined(std::uint32_t Tag,
+                                          const flow_key &Flow) {
+  const std::size_t Place = Tag % Capacity;
+  if (Tag == 0 || Place >= Ring.size())
+    return nullptr;
+  offered_packet &Packet = Ring[Place];
+  if (Packet.Tag != Tag || Packet.Head.Flow != Flow)
+    return nullptr;
+  Packet.Waits = false;
+  return &Packet;
+}
+
+void offered_packets::settle(const flow_key &Flow) {
+  for (const std::uint32_t Tag : Waiting) {
+    offered_packet &Packet = Ring[Tag % Capacity];
+    if (Packet.Tag == Tag && Packet.Head.Flow == Flow)
+      Packet.Waits = false;
+  }
+}
+
+void offered_packets::dropSettled() {
+  while (!Waiting.empty()) {
+    const offered_packet &First = Ring[Waiting.front() % Capacity];
+    if (First.Tag == Waiting.front() && First.Waits)
+      return;
+    Waiting.pop_front();
+  }
+}
+
+offered_packet *offered_packets::takeLate(instant Now) {
+  dropSettled();
+  if (Waiting.empty())
+    return nullptr;
+  offered_packet &First = Ring[Waiting.front() % Capacity];
+  if (Now - First.At < AnswerTime)
+    return nullptr;
+  Waiting.pop_front();
+  First.Waits = false;
+  return &First;
+}
+
+std::optional<instant> offered_packets::nextLate() {
+  dropSettled();
+  if (Waiting.empty())
+    return std::nullopt;
+  return Ring[Waiting.front() % Capacity].At + AnswerTime;
+}
+
+} // namespace marjoramrail::internal
--- /dev/null
+++ b/src/forward/target_load.cpp
@@ -0,0 +1,150 @@
+#include "forward/target_load.h"
+
+namespace marjoramrail::internal {
+
+/// Weight of the newest sample: at a sample each 200 ms the share follows a
+/// change within about a second.
+static constexpr double BusySmoothing = 0.3;
+/// Over some ten requests, so that one long answer does not empty a target.
+static constexpr double LatencySmoothing = 0.1;
+static constexpr duration SweepPeriod = std::chrono::seconds(5);
+
+target_load::caller_packet target_load::judge(const tcp_packet &Packet) const {
+  const auto Found = Flows.find(Packet.Flow);
+  if (Found == Flows.end())
+    return caller_packet::Unknown;
+  const watched_flow &Flow = Found->second;
+  if (!Flow.SequenceKnown)
+    return caller_packet::Unknown;
+  if (Flow.HalfOpen && Packet.Ack &&
+      Packet.Acknowledged != Flow.TargetSequence + 1)
+    return caller_packet::Elsewhere;
+  return caller_packet::Known;
+}
+
+void target_load::integrate(instant Now) {
+  const double Passed =
+      std::chrono::duration<double>(Now - IntegratedAt).count();
+  SlotTime += Passed * std::min(Active, Slots);
+  IntegratedAt = Now;
+}
+
+void target_load::setAsking(watched_flow &Flow, bool Asking, instant Now) {
+  if (Flow.Asking == Asking)
+    return;
+  integrate(Now);
+  Flow.Asking = Asking;
+  Active += Asking ? 1 : -1;
+}
+
+bool target_load::onCaller(const tcp_packet &Packet, instant Now) {
+  if (Packet.opensFlow())
+    return false;
+  const auto Found = Flows.find(Packet.Flow);
+  if (Found == Flows.end())
+    return false;
+  watched_flow &Flow = Found->second;
+  Flow.SeenAt = Now;
+  if (Flow.HalfOpen) {
+    Flow.HalfOpen = false;
+    ++Open;
+  }
+  if (Packet.Rst) {
+    erase(Found, Now);
+    return false;
+  }
+  Flow.CallerEnded |= Packet.Fin;
+  if (Packet.Payload == 0 || Flow.Asking)
+    return false;
+  setAsking(Flow, true, Now);
+  Flow.AskedAt = Now;
+  return true;
+}
+
+void target_load::onTarget(const tcp_packet &Packet, instant Now) {
+  if (Packet.Rst) {
+    forget(Packet.Flow, Now);
+    return;
+  }
+  watched_flow &Flow = Flows[Packet.Flow];
+  Flow.SeenAt = Now;
+  if (Packet.Syn) {
+    Flow.TargetSequence = Packet.Sequence;
+    Flow.SequenceKnown = true;
+    return;
+  }
+  if (Flow.HalfOpen) {
+    // A flow of before this agent's start.
+    Flow.HalfOpen = false;
+    ++Open;
+  }
+  Flow.SequenceKnown = true;
+  if (Packet.Payload > 0 && Flow.Asking) {
+    const double Took =
+        std::chrono::duration<double, std::micro>(Now - Flow.AskedAt).count();
+    LatencyUs += LatencyUs == 0 ? Took : LatencySmoothing * (Took - LatencyUs);
+    setAsking(Flow, false, Now);
+  }
+  Flow.TargetEnded |= Packet.Fin;
+}
+
+void target_load::erase(
+    std::unordered_map<flow_key, watched_flow, flow_key_hash>::iterator Place,
+    instant Now) {
+  setAsking(Place->second, false, Now);
+  if (!Place->second.HalfOpen)
+    --Open;
+  Flows.erase(Place);
+}
+
+void target_load::forget(const flow_key &Flow, instant Now) {
+  const auto Found = Flows.find(Flow);
+  if (Found != Flows.end())
+    erase(Found, Now);
+}
+
+void target_load::forgetAll(instant Now) {
+  integrate(Now);
+  Flows.clear();
+  Open = 0;
+  Active = 0;
+}
+
+watched_flow *target_load::find(const flow_key &Flow) {
+  const auto Found = Flows.find(Flow);
+  return Found == Flows.end() ? nullptr : &Found->second;
+}
+
+void target_load::tick(instant Now) {
+  integrate(Now);
+  const double Passed = std::chrono::duration<double>(Now - TickedAt).count();
+  if (Passed > 0)
+    Busy += BusySmoothing * (std::min(SlotTime / (Passed * Slots), 1.0) - Busy);
+  SlotTime = 0;
+  TickedAt = Now;
+  if (Now - SweptAt < SweepPeriod)
+    return;
+  SweptAt = Now;
+  for (auto Place = Flows.begin(); Place != Flows.end();) {
+    const auto Next = std::next(Place);
+    const watched_flow &Flow = Place->second;
+    const bool IsOver = Flow.CallerEnded && Flow.TargetEnded;
+    if (IsOver || Now - Flow.SeenAt > IdleFlow)
+      erase(Place, Now);
+    Place = Next;
+  }
+}
+
+std::uint16_t target_load::active() const {
+  return static_cast<std::uint16_t>(std::min(Active, 65535U));
+}
+
+std::uint16_t target_load::busy() const {
+  return static_cast<std::uint16_t>(Busy * 1000);
+}
+
+duration target_load::latency() const {
+  return duration(static_cast<duration::rep>(LatencyUs));
+}
+
+} // namespace marjoramrail::internal
--- /dev/null
+++ b/src/forward/target_load.h
@@ -0,0 +1,88 @@
+//===- target_load.h - How busy the target beside an agent is ---*- C++ -*-===//
+///
+/// \file
+/// Watches the flows that pass: which are open, which wait for an answer, how
+/// long answers take. The agent cannot slow the target down or queue for it;
+/// this tells balancers where the next flow is served soonest.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_FORWARD_TARGET_LOAD_H
+#define MARJORAMRAIL_FORWARD_TARGET_LOAD_H
+
+#include "marjoramrail/forward.h"
+
+#include <unordered_map>
+
+namespace marjoramrail::internal {
+
+struct watched_flow {
+  instant SeenAt;
+  /// The number with which the target's end began, once it has answered.
+  std::uint32_t TargetSequence = 0;
+  bool SequenceKnown = false;
+  /// The caller has not confirmed the target's end yet.
+  bool HalfOpen = true;
+  bool Asking = false;
+  bool CallerEnded = false;
+  bool TargetEnded = false;
+  instant AskedAt;
+  endpoint NoticedBalancer;
+  instant NoticedAt;
+};
+
+class target_load {
+public:
+  /// What a packet of the caller says about the flow.
+  enum class caller_packet {
+    /// Of a flow that the target has answered on.
+    Known,
+    Unknown,
+    /// It confirms another target's answer: two targets answered copies of one
+    /// SYN, and the caller took the other one.
+    Elsewhere,
+  };
+
+  void setSlots(std::uint32_t Count) { Slots = std::max(Count, 1U); }
+  void setIdleFlow(duration Time) { IdleFlow = Time; }
+
+  caller_packet judge(const tcp_packet &Packet) const;
+  /// The packet goes to the target. True if it begins a request.
+  bool onCaller(const tcp_packet &Packet, instant Now);
+  /// The target wrote a packet (Flow.Service is the target's end).
+  void onTarget(const tcp_packet &Packet, instant Now);
+  void forget(const flow_key &Flow, instant Now);
+  void forgetAll(instant Now);
+  watched_flow *find(const flow_key &Flow);
+
+  /// Samples the load; call it every forward_agent::TickPeriod.
+  void tick(instant Now);
+
+  std::uint32_t open() const { return Open; }
+  std::uint16_t active() const;
+  std::uint16_t busy() const;
+  duration latency() const;
+
+private:
+  void setAsking(watched_flow &Flow, bool Asking, instant Now);
+  void integrate(instant Now);
+  void erase(
+      std::unordered_map<flow_key, watched_flow, flow_key_hash>::iterator Place,
+      instant Now);
+
+  std::unordered_map<flow_key, watched_flow, flow_key_hash> Flows;
+  std::uint32_t Slots = 1;
+  duration IdleFlow = std::chrono::minutes(1);
+  std::uint32_t Open = 0;
+  std::uint32_t Active = 0;
+  double SlotTime = 0;
+  double Busy = 0;
+  double LatencyUs = 0;
+  instant IntegratedAt;
+  instant TickedAt;
+  instant SweptAt;
+};
+
+} // namespace marjoramrail::internal
+
+#endif // MARJORAMRAIL_FORWARD_TARGET_LOAD_H
--- a/src/platform/call.cpp
+++ b/src/platform/call.cpp
@@ -19,7 +19,7 @@
   HttpUnavailable = 503,
 };
 
-std::string pathOf(const call &Call) {
+std::string pathOf(const platform_call &Call) {
   const auto WaitMs =
       std::chrono::duration_cast<std::chrono::milliseconds>(Call.Wait);
   switch (Call.Verb) {
@@ -33,14 +33,16 @@
   }
 }
 
-std::string faultOf(const call &Call) {
+std::string faultOf(const platform_call &Call) {
   const std::string Rule = ": expected 1 to " + std::to_string(MaxKeyLength) +
                            " of letters, digits, \".\", \"_\", \":\" and \"-\"";
-  if (Call.Verb == call_verb::Watch)
+  if (Call.Verb == call_verb::Watch && Call.Key.Kind.empty())
     return "";
   if (!isKeyPart(Call.Key.Kind))
     return "kind" + Rule;
-  if (Call.Verb != call_verb::List && !isKeyPart(Call.Key.Name))
+  const bool HasName =
+      Call.Verb != call_verb::List && Call.Verb != call_verb::Watch;
+  if (HasName && !isKeyPart(Call.Key.Name))
     return "name" + Rule;
   if (Call.changes() && !isWriter(Call.Writer))
     return "writer: expected 1 to " + std::to_string(MaxKeyLength) +
@@ -60,12 +62,13 @@
   return std::chrono::seconds(Seconds);
 }
 
-static platform_reply unreadable(const call &Call) {
+static platform_reply unreadable(const platform_call &Call) {
   return replyToLoss(Call, call_loss::NoAnswer,
                      "the platform's answer cannot be read");
 }
 
-static platform_reply replyToOk(const call &Call, const http_answer &Answer) {
+static platform_reply replyToOk(const platform_call &Call,
+                                const http_answer &Answer) {
   platform_reply Reply;
   Reply.Outcome = platform_outcome::Ok;
   if (Call.Verb == call_verb::List || Call.Verb == call_verb::Watch)
@@ -77,7 +80,7 @@
   return Reply;
 }
 
-static platform_reply replyToConflict(const call &Call,
+static platform_reply replyToConflict(const platform_call &Call,
                                       const http_answer &Answer) {
   auto Object = decodeObject(Answer.Body);
   if (!Object)
@@ -92,7 +95,7 @@
   return Reply;
 }
 
-platform_reply replyTo(const call &Call, const http_answer &Answer) {
+platform_reply replyTo(const platform_call &Call, const http_answer &Answer) {
   platform_reply Reply;
   Reply.Reason = decodeReason(Answer.Body);
   switch (Answer.Code) {
@@ -119,7 +122,7 @@
   }
 }
 
-platform_reply replyToLoss(const call &Call, call_loss Loss,
+platform_reply replyToLoss(const platform_call &Call, call_loss Loss,
                            const std::string &Reason) {
   const bool MayHaveChanged = Call.changes() && Loss == call_loss::NoAnswer;
   platform_reply Reply;
@@ -130,4 +133,34 @@
   return Reply;
 }
 
+static http_method methodOf(const platform_call &Call) {
+  if (Call.Verb == call_verb::Write)
+    return http_method::Put;
+  if (Call.Verb == call_verb::Remove)
+    return http_method::Delete;
+  return http_method::Get;
+}
+
+static http_request requestOf(const platform_call &Call) {
+  http_request Request{methodOf(Call), pathOf(Call), {}, Call.Body};
+  if (Call.changes()) {
+    Request.Fields = {{"If-Match", std::to_string(Call.Expected)},
+                      {"Writer", Call.Writer},
+                      {"Writer-Sequence", std::to_string(Call.WriterSequence)}};
+  }
+  return Request;
+}
+
 } // namespace marjoramrail::internal
+
+namespace marjoramrail {
+
+platform_dialect objectDialect() {
+  return {internal::requestOf, internal::replyTo};
+}
+
+std::string encodeObjectList(const platform_reply &Reply) {
+  return internal::encodeObjects(Reply);
+}
+
+} // namespace marjoramrail
--- a/src/platform/call.h
+++ b/src/platform/call.h
@@ -15,7 +15,7 @@
 
 namespace marjoramrail::internal {
 
-enum class call_verb { Read, List, Write, Remove, Watch };
+using call_verb = platform_verb;
 
 /// How a call can end without an answer.
 enum class call_loss {
@@ -25,48 +25,30 @@
   NoAnswer,
 };
 
-struct call {
-  call_verb Verb = call_verb::Read;
-  object_key Key;
-  std::string Body;
-  std::string Writer;
-  std::uint64_t WriterSequence = 0;
-  std::uint64_t Expected = 0;
-  /// Of a watch: from which version, and how long the server may wait.
-  std::uint64_t Since = 0;
-  duration Wait = duration::zero();
+/// A call under way.
+struct call : platform_call {
   platform_callback Done;
 
   /// Servers that refused the connection, for reads.
   std::size_t Refusals = 0;
   timer_id Timer{};
-
-  bool changes() const {
-    return Verb == call_verb::Write || Verb == call_verb::Remove;
-  }
+  /// Earlier parts of a list that comes in several.
+  std::vector<platform_object> Parts;
 };
 
 /// The path and query of a call's request.
-std::string pathOf(const call &Call);
+std::string pathOf(const platform_call &Call);
 
 /// What keeps a call from being sent, or "". Kinds, names and writers become
 /// part of paths and header fields, where other characters would change the
 /// request's meaning.
-std::string faultOf(const call &Call);
-
-/// One HTTP answer.
-struct http_answer {
-  int Code = 0;
-  std::string Body;
-  /// The field retry-after, or "".
-  std::string RetryAfter;
-};
+std::string faultOf(const platform_call &Call);
 
-platform_reply replyTo(const call &Call, const http_answer &Answer);
+platform_reply replyTo(const platform_call &Call, const http_answer &Answer);
 
 /// The reply to a call that was not answered. A change that went out may have
 /// taken effect: taken for a failure, it would be written a second time.
-platform_reply replyToLoss(const call &Call, call_loss Loss,
+platform_reply replyToLoss(const platform_call &Call, call_loss Loss,
                            const std::string &Reason);
 
 } // namespace marjoramrail::internal
--- a/src/platform/http_lane.cpp
+++ b/src/platform/http_lane.cpp
@@ -26,15 +26,21 @@
 
 http_lane::~http_lane() { evhttp_connection_free(Connection); }
 
-static evhttp_cmd_type methodOf(const call &Call) {
-  if (Call.Verb == call_verb::Write)
+static evhttp_cmd_type commandOf(http_method Method) {
+  switch (Method) {
+  case http_method::Get:
+    return EVHTTP_REQ_GET;
+  case http_method::Post:
+    return EVHTTP_REQ_POST;
+  case http_method::Put:
     return EVHTTP_REQ_PUT;
-  if (Call.Verb == call_verb::Remove)
+  case http_method::Delete:
     return EVHTTP_REQ_DELETE;
+  }
   return EVHTTP_REQ_GET;
 }
 
-void http_lane::carry(const call &Call, done_hook Hook) {
+void http_lane::carry(const http_request &Sent, done_hook Hook) {
   Done = std::move(Hook);
   evhttp_request *Request = evhttp_request_new(
       [](evhttp_request *Request, void *User) {
@@ -43,17 +49,12 @@
       this);
   evkeyvalq *Fields = evhttp_request_get_output_headers(Request);
   evhttp_add_header(Fields, "Host", toText(Address).c_str());
-  if (Call.changes()) {
-    evhttp_add_header(Fields, "If-Match",
-                      std::to_string(Call.Expected).c_str());
-    evhttp_add_header(Fields, "Writer", Call.Writer.c_str());
-    evhttp_add_header(Fields, "Writer-Sequence",
-                      std::to_string(Call.WriterSequence).c_str());
-  }
-  evbuffer_add(evhttp_request_get_output_buffer(Request), Call.Body.data(),
-               Call.Body.size());
-  if (evhttp_make_request(Connection, Request, methodOf(Call),
-                          pathOf(Call).c_str()) != 0) {
+  for (const auto &[Name, Value] : Sent.Fields)
+    evhttp_add_header(Fields, Name.c_str(), Value.c_str());
+  evbuffer_add(evhttp_request_get_output_buffer(Request), Sent.Body.data(),
+               Sent.Body.size());
+  if (evhttp_make_request(Connection, Request, commandOf(Sent.Method),
+                          Sent.Path.c_str()) != 0) {
     if (Done)
       std::exchange(Done, nullptr)(std::nullopt, call_loss::NotSent);
   }
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
 #include <map>
 
 namespace marjoramrail {
@@ -46,6 +47,7 @@
   void carry(lane &Lane, const call_ptr &Call);
   void onDone(lane &Lane, std::optional<http_answer> Answer, call_loss Loss);
   void onTimeout(const call_ptr &Call);
+  void take(const call_ptr &Call, platform_reply Reply);
   void finish(const call_ptr &Call, platform_reply Reply);
   void deliver(const call_ptr &Call);
 
@@ -134,7 +136,8 @@
 void platform_client::impl::carry(lane &Lane, const call_ptr &Call) {
   Lane.Call = Call;
   Lane.Http->carry(
-      *Call, [this, &Lane](std::optional<http_answer> Answer, call_loss Loss) {
+      Settings.Dialect.Request(*Call),
+      [this, &Lane](std::optional<http_answer> Answer, call_loss Loss) {
         onDone(Lane, std::move(Answer), Loss);
       });
 }
@@ -146,7 +149,7 @@
   const std::size_t Server = Lane.Http->server();
   schedulePump();
   if (Answer)
-    return finish(Call, replyTo(*Call, *Answer));
+    return take(Call, Settings.Dialect.Reply(*Call, *Answer));
   Lane.Spent = true;
   const std::string Where = toText(Settings.Servers[Server]);
   if (Loss == call_loss::NoAnswer)
@@ -160,6 +163,27 @@
   finish(Call, replyToLoss(*Call, Loss, Where + " takes no connection"));
 }
 
+/// Asks for the next part of a list that comes in several, so that cores see
+/// one list. The parts may be of different moments; the version of the first is
+/// the one that a watch has to go on from.
+void platform_client::impl::take(const call_ptr &Call, platform_reply Reply) {
+  if (Reply.Outcome != platform_outcome::Ok || Call->Verb != call_verb::List)
+    return finish(Call, std::move(Reply));
+  if (Call->Parts.empty())
+    Call->Since = Reply.StoreVersion;
+  std::move(Reply.Objects.begin(), Reply.Objects.end(),
+            std::back_inserter(Call->Parts));
+  if (!Reply.ContinueAfter.empty() && Reply.ContinueAfter != Call->After) {
+    ++Calls;
+    Call->After = Reply.ContinueAfter;
+    Waiting.push_front(Call);
+    return;
+  }
+  Reply.Objects = std::move(Call->Parts);
+  Reply.StoreVersion = Call->Since;
+  finish(Call, std::move(Reply));
+}
+
 /// Runs from a timer, never within a connection's callback, so the connection
 /// can go at once: the server may still be at work on the call.
 void platform_client::impl::onTimeout(const call_ptr &Call) {
@@ -235,7 +259,9 @@
   };
 }
 
-platform_api platform_client::api() {
+platform_api platform_client::api() { return apiFor(""); }
+
+platform_api platform_client::apiFor(const std::string &Kind) {
   const auto Start = Impl->starter();
   platform_api Api;
   Api.Read = [Start](const object_key &Key, platform_callback Done) {
@@ -271,10 +297,11 @@
     Call.Done = std::move(Done);
     Start(std::move(Call));
   };
-  Api.Watch = [Start](std::uint64_t Since, duration Wait,
-                      platform_callback Done) {
+  Api.Watch = [Start, Kind](std::uint64_t Since, duration Wait,
+                            platform_callback Done) {
     call Call;
     Call.Verb = call_verb::Watch;
+    Call.Key.Kind = Kind;
     Call.Since = Since;
     Call.Wait = Wait;
     Call.Done = std::move(Done);
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <ctime>
 #include <event2/event.h>
 
 namespace marjoramrail {
@@ -22,14 +23,19 @@
   event_ptr Wakeup;
   std::vector<event_ptr> Signals;
   std::function<void()> Terminate;
+  std::function<void()> Reload;
   std::vector<std::function<void()>> Deferred;
   bool Terminated = false;
   bool Stopped = false;
 };
 
 static instant monotonicNow() {
-  return instant(std::chrono::duration_cast<duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+  // The steady clock stands still while a machine is suspended.
+  timespec Now{};
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return instant(std::chrono::seconds(Now.tv_sec) +
+                 std::chrono::duration_cast<duration>(
+                     std::chrono::nanoseconds(Now.tv_nsec)));
 }
 
 static timeval toTimeval(duration Delay) {
@@ -67,6 +73,17 @@
   }
 }
 
+void event_loop::onReload(std::function<void()> Callback) {
+  Impl->Reload = std::move(Callback);
+  Impl->Signals.emplace_back(evsignal_new(
+      Impl->Base.get(), SIGHUP,
+      [](int, short, void *User) {
+        static_cast<event_loop *>(User)->Impl->Reload();
+      },
+      this));
+  evsignal_add(Impl->Signals.back().get(), nullptr);
+}
+
 void event_loop::run() {
   while (!Impl->Stopped) {
     Timers.advance(monotonicNow());
--- /dev/null
+++ b/src/runtime/line_writer.cpp
@@ -0,0 +1,49 @@
+#include "marjoramrail/runtime.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace marjoramrail {
+
+/// Lines gather for this long, so that a busy process makes few system calls.
+static constexpr duration GatherTime = std::chrono::milliseconds(50);
+
+line_writer::line_writer(event_loop &Loop, int Descriptor)
+    : Loop(Loop), Descriptor(Descriptor) {
+  const int Flags = fcntl(Descriptor, F_GETFL);
+  if (Flags >= 0)
+    fcntl(Descriptor, F_SETFL, Flags | O_NONBLOCK);
+}
+
+line_writer::~line_writer() {
+  *Alive = false;
+  flush();
+}
+
+void line_writer::write(std::string_view Line) {
+  if (Buffer.size() + Line.size() + 1 > BufferBytes) {
+    ++LeftOut;
+    return;
+  }
+  Buffer += Line;
+  Buffer += '\n';
+  if (std::exchange(FlushScheduled, true))
+    return;
+  Loop.timers().after(GatherTime, [this, Alive = Alive] {
+    if (!*Alive)
+      return;
+    FlushScheduled = false;
+    flush();
+  });
+}
+
+/// A descriptor that takes nothing keeps the buffer for the next time.
+void line_writer::flush() {
+  if (Buffer.empty())
+    return;
+  const ssize_t Written = ::write(Descriptor, Buffer.data(), Buffer.size());
+  if (Written > 0)
+    Buffer.erase(0, static_cast<std::size_t>(Written));
+}
+
+} // namespace marjoramrail
--- a/src/runtime/status_page.cpp
+++ b/src/runtime/status_page.cpp
@@ -1,5 +1,6 @@
 #include "marjoramrail/runtime.h"
 
+#include <algorithm>
 #include <event2/buffer.h>
 #include <evhtp/evhtp.h>
 
@@ -15,6 +16,7 @@
       : Loop(Loop), Metrics(Metrics), Hooks(std::move(Hooks)) {}
 
   void answer(evhtp_request_t *Request) const;
+  bool serve(evhtp_request_t *Request, const std::string &Path) const;
 };
 
 static void reply(evhtp_request_t *Request, evhtp_res Code,
@@ -23,8 +25,38 @@
   evhtp_send_reply(Request, Code);
 }
 
+/// More than any request of a page's callers.
+static constexpr std::size_t MaxRequestBytes = 1024 * 1024;
+
+static std::string bodyOf(evhtp_request_t *Request) {
+  std::string Body(
+      std::min(evbuffer_get_length(Request->buffer_in), MaxRequestBytes), '\0');
+  evbuffer_copyout(Request->buffer_in, Body.data(), Body.size());
+  return Body;
+}
+
+bool status_page::impl::serve(evhtp_request_t *Request,
+                              const std::string &Path) const {
+  if (!Hooks.Serve)
+    return false;
+  const std::string Body = bodyOf(Request);
+  const bool IsPost = evhtp_request_get_method(Request) == htp_method_POST;
+  const auto Answer = Hooks.Serve({IsPost, Path, Body});
+  if (!Answer)
+    return false;
+  if (!Answer->Body.empty())
+    evhtp_headers_add_header(
+        Request->headers_out,
+        evhtp_header_new("Content-Type", "application/json", 0, 0));
+  reply(Request, Answer->Code, Answer->Body);
+  return true;
+}
+
 void status_page::impl::answer(evhtp_request_t *Request) const {
+  Loop.wake();
   const std::string Path = Request->uri->path->full;
+  if (serve(Request, Path))
+    return;
   if (Path == "/metrics")
     return reply(Request, EVHTP_RES_OK, Metrics.page());
   if (Path == "/healthz")
--- a/src/timeline/json_line.cpp
+++ b/src/timeline/json_line.cpp
@@ -22,6 +22,11 @@
   addText(Json, "flow", Event.Flow);
   addText(Json, "host", Event.Host);
   addText(Json, "why", Event.Why);
+  addText(Json, "request", Event.Request);
+  if (Event.Load)
+    Json["load"] = *Event.Load;
+  if (Event.AgeMs)
+    Json["age_ms"] = *Event.AgeMs;
   return Json.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
 }
 
@@ -68,12 +73,19 @@
                                     {"service", Event.Service},
                                     {"flow", Event.Flow},
                                     {"host", Event.Host},
-                                    {"why", Event.Why}}) {
+                                    {"why", Event.Why},
+                                    {"request", Event.Request}}) {
     const auto Text = textOf(Json, Name);
     if (!Text)
       return refuse(Line, std::string("field ") + Name + ": expected a text");
     Value = *Text;
   }
+  if (const auto Load = Json.find("load"); Load != Json.end())
+    if (Load->is_number())
+      Event.Load = Load->get<double>();
+  if (const auto Age = Json.find("age_ms"); Age != Json.end())
+    if (Age->is_number_integer())
+      Event.AgeMs = Age->get<std::int64_t>();
   return Event;
 }
 
--- a/src/timeline/timeline.cpp
+++ b/src/timeline/timeline.cpp
@@ -14,9 +14,10 @@
 
 static constexpr std::int64_t MaxAheadMs = 3600 * 1000;
 
-timeline::timeline(std::string Process, wall_clock WallMs, sink Sink)
+timeline::timeline(std::string Process, wall_clock WallMs, sink Sink,
+                   std::size_t Kept)
     : Process(std::move(Process)), WallMs(std::move(WallMs)),
-      Sink(std::move(Sink)) {}
+      Sink(std::move(Sink)), Limit(Kept) {}
 
 void timeline::record(timeline_event Event) {
   Event.WallMs = WallMs();
@@ -27,7 +28,7 @@
   if (Sink)
     Sink(Line);
   Lines.push_back(Line);
-  if (Lines.size() > Kept)
+  if (Lines.size() > Limit)
     Lines.pop_front();
 }
 
