Date knowledge right, hear the store through few, place by two choices

A balancer took its own write for proof that it knew all changes before it; its copy went to peers as whole, a target created in between was missing, and its flows found nobody. Peers also copied without end, since their newest changes were not comparable. A new target took every new flow of a zone at once. Ruled out: a target process taken for gone (no such event in the logs), a list cut short (fewer than 64 holders), the drain of the flow's host (it was ready). Change: only the version up to which all is known counts; own writes come back by the watch; changes ride in replies to greetings; three balancers watch our own objects, two a zone the configuration; flows choose between two targets; lists go zone by zone; an entry stays until its target's process is gone; flows of a process that is gone are reset before their callers ask.

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -16,6 +16,9 @@
 constexpr duration LookTime = std::chrono::milliseconds(300);
 /// For the last reports to leave before the process ends.
 constexpr duration FarewellTime = std::chrono::milliseconds(20);
+/// For the store to drop the entry before the process ends; half of the usual
+/// grace period.
+constexpr duration WithdrawTime = std::chrono::seconds(3);
 
 platform_client_settings storeSettings(const agent_program_settings &Settings,
                                        const site_adapter &Adapter) {
@@ -202,7 +205,18 @@
   Core.reportNow(Loop.timers().now());
   Routed.flush();
   Log.record(event_kind::ProcessStopping, "asked to stop");
-  Loop.timers().after(FarewellTime, [this] { Loop.stop(); });
+  if (!Reports.left()) {
+    Loop.timers().after(FarewellTime, [this] { Loop.stop(); });
+    return;
+  }
+  // The VM goes away together with its target: nothing else takes the entry
+  // out of the store.
+  Registrar.withdraw();
+  StopBy = Loop.timers().now() + WithdrawTime;
+  Loop.timers().every(FarewellTime, [this] {
+    if (Registrar.settled() || Loop.timers().now() >= StopBy)
+      Loop.stop();
+  });
 }
 
 void forward_agent_process::onRouted(std::span<const datagram> Batch) {
@@ -287,11 +301,23 @@
              "leaves", Id);
   if (Verdict == report_verdict::Taken) {
     review("the target left");
-    Registrar.withdraw();
+    withdrawWhenGone();
   }
   return {200, "{}"};
 }
 
+/// A target says that it leaves before its process has ended, and still holds
+/// flows. Without its entry a balancer would find that nobody can hold them and
+/// have them reset.
+void forward_agent_process::withdrawWhenGone() {
+  if (!Reports.left() || Stopping)
+    return;
+  if (Core.targetGone())
+    return Registrar.withdraw();
+  lookAtTarget();
+  Loop.timers().after(LookPeriod, [this] { withdrawWhenGone(); });
+}
+
 void forward_agent_process::announce() {
   target_entry Entry;
   Entry.Name = entryName(Settings);
--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -34,6 +34,7 @@
   page_answer onReport(const target_report &Report);
   page_answer onLeave(const std::string &Id);
   void announce();
+  void withdrawWhenGone();
   void review(const char *Why);
   void armExpiry(std::optional<instant> Due);
   void lookAtTarget();
@@ -63,6 +64,7 @@
   std::unique_ptr<tcp_stream> Look;
   bool ExpiryArmed = false;
   bool Stopping = false;
+  instant StopBy;
   std::uint64_t &Malformed;
   std::uint64_t &Late;
 };
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -122,6 +122,8 @@
 /// What a balancer knows of one target when it places a flow.
 struct placing_view {
   bool OwnZone = false;
+  /// It has reported since it came into the list.
+  bool Reported = true;
   bool Admitting = true;
   /// It does not answer, or does not confirm what is sent to it.
   bool Suspect = false;
@@ -145,9 +147,16 @@
   choose(const std::vector<placing_view> &Targets,
          const std::vector<std::size_t> &Order) const;
 
-  /// The load of a target relative to what it can do: open flows and requests
-  /// a slot, more for one that is slow or warming up.
-  static double loadOf(const placing_view &Target, duration TypicalLatency);
+  /// What is usual among the targets of a service.
+  struct typical {
+    duration Latency = duration::zero();
+    double FlowsPerSlot = 0;
+  };
+  static typical typicalOf(const std::vector<placing_view> &Targets);
+
+  /// The load of a target relative to what it can do: open flows a slot, and
+  /// requests beyond the slots; more for one that is slow or warming up.
+  static double loadOf(const placing_view &Target, const typical &Typical);
 };
 
 //===----------------------------------------------------------------------===//
@@ -316,6 +325,7 @@
   /// The target's process is gone, or there: while it is gone, it holds no
   /// flow and every packet counts as declined.
   void setTargetGone(bool Gone, instant Now);
+  bool targetGone() const;
   /// The target runs so many requests at once and is slow for that long.
   void setTarget(std::uint32_t Slots, duration Warmup, instant Now);
   void setIdleFlow(duration IdleFlow);
--- a/include/marjoramrail/platform.h
+++ b/include/marjoramrail/platform.h
@@ -195,6 +195,8 @@
 /// Writes objects as a list of that form, for a process that serves copies of
 /// the platform's objects to its peers.
 std::string encodeObjectList(const platform_reply &Reply);
+/// Fills in Objects and StoreVersion; false if \p Text is no such list.
+bool decodeObjectList(std::string_view Text, platform_reply &Reply);
 
 struct platform_client_settings {
   std::vector<endpoint> Servers;
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -15,18 +15,33 @@
 namespace {
 
 constexpr duration GreetingPeriod = std::chrono::milliseconds(300);
-/// All balancers together let a watch of a kind run out about this often, so
+/// All watchers of a kind together let a watch run out about this often, so
 /// that some peer is always able to date its knowledge by less than SettleTime,
 /// at a rate of calls that does not grow with the fleet.
-constexpr duration WatchSpacing = std::chrono::milliseconds(300);
+constexpr duration WatchSpacing = std::chrono::milliseconds(400);
 /// A balancer without peers dates its knowledge alone, within SettleTime.
 constexpr duration LeastWatch = std::chrono::milliseconds(900);
 /// Longer waits only delay the notice that a connection has gone silent.
 constexpr duration MostWatch = std::chrono::seconds(20);
+/// Balancers that watch our own objects, in the whole fleet: peers hear their
+/// changes in replies to greetings.
+constexpr std::size_t SiteWatchers = peer_ring::FirstInRank;
+/// Balancers of a zone that watch the configuration: it is too large for a
+/// datagram, and a copy within the zone crosses no link between zones.
+constexpr std::size_t RoutesWatchersInZone = 2;
+/// Zones that are counted on for that; a wrong guess makes watches longer or
+/// shorter, not fewer.
+constexpr std::size_t ZonesGuess = 3;
+/// A balancer whose knowledge is older watches by itself: the watchers may be
+/// cut off from the store, or it from them.
+constexpr duration TrustPeersFor = std::chrono::milliseconds(900);
 /// A balancer's own watch usually brings news within this time; after that it
 /// asks the peer that has them.
 constexpr duration PullDelay = std::chrono::milliseconds(120);
 constexpr duration RecordPeriod = std::chrono::milliseconds(200);
+/// After a write of the record, its outcome has come by the watch.
+constexpr duration RecordRecheck = std::chrono::milliseconds(600);
+constexpr duration RecordExpiryCheck = std::chrono::seconds(10);
 /// The next in rank writes the record when the ones before have not.
 constexpr duration RankDelay = std::chrono::milliseconds(200);
 /// Ranks that wait their turn; beyond, a store that many cannot reach would
@@ -49,8 +64,12 @@
   ~impl() { *Alive = false; }
 
   object_feed::hooks feedHooks(const std::string &Kind,
-                               void (impl::*OnObject)(const platform_object &));
-  duration nextWait();
+                               void (impl::*OnObject)(const platform_object &),
+                               std::optional<duration> (impl::*Wait)());
+  std::optional<duration> routesWait();
+  std::optional<duration> siteWait();
+  std::optional<duration> nextWait(const object_feed &Feed, bool IsWatcher,
+                                   std::size_t Watchers);
 
   void onRoutesObject(const platform_object &Object);
   void onSiteObject(const platform_object &Object);
@@ -91,12 +110,14 @@
   route_gate Gate;
   object_feed Routes;
   object_feed Site;
+  std::uint32_t ZoneNumber;
   std::map<std::string, target_entry> Targets;
   std::optional<route_table> Decoded;
   bool Pulling = false;
   bool RecordBusy = false;
   bool SelfBusy = false;
   std::optional<instant> RecordNeededSince;
+  std::optional<instant> RecheckRecordAt;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
@@ -107,22 +128,27 @@
       Random(std::hash<std::string>()(this->Settings.Name)),
       Peers(this->Settings.Self, Random()), Record(this->Settings.FlowLife),
       Routes(Timers, this->Platform.Routes, this->Settings.RoutesKind,
-             feedHooks(this->Settings.RoutesKind, &impl::onRoutesObject)),
+             feedHooks(this->Settings.RoutesKind, &impl::onRoutesObject,
+                       &impl::routesWait)),
       Site(Timers, this->Platform.Site, this->Settings.SiteKind,
-           feedHooks(this->Settings.SiteKind, &impl::onSiteObject)) {
+           feedHooks(this->Settings.SiteKind, &impl::onSiteObject,
+                     &impl::siteWait)),
+      ZoneNumber(
+          static_cast<std::uint32_t>(serviceNumber(this->Settings.Zone))) {
   for (const endpoint &Seed : this->Settings.Seeds)
     Peers.know(Seed);
 }
 
 object_feed::hooks
 directory::impl::feedHooks(const std::string &Kind,
-                           void (impl::*OnObject)(const platform_object &)) {
+                           void (impl::*OnObject)(const platform_object &),
+                           std::optional<duration> (impl::*Wait)()) {
   object_feed::hooks Feed;
   Feed.OnObject = [this, OnObject](const platform_object &Object) {
     (this->*OnObject)(Object);
   };
   Feed.OnBatch = [this] { changed(); };
-  Feed.Wait = [this] { return nextWait(); };
+  Feed.Wait = [this, Wait] { return (this->*Wait)(); };
   Feed.OnContact = [this, Kind](bool Answers, const std::string &Reason) {
     Hooks.OnEvent(Answers ? event_kind::StoreRegained : event_kind::StoreLost,
                   Kind + ": " + Reason);
@@ -130,15 +156,35 @@
   return Feed;
 }
 
+std::optional<duration> directory::impl::routesWait() {
+  const instant Now = Timers.now();
+  // Every zone has about as many balancers as this one.
+  const std::size_t Watchers =
+      std::min(Peers.live(Now) + 1, RoutesWatchersInZone * ZonesGuess);
+  return nextWait(Routes, Peers.rankIn(ZoneNumber, Now) < RoutesWatchersInZone,
+                  Watchers);
+}
+
+std::optional<duration> directory::impl::siteWait() {
+  const instant Now = Timers.now();
+  return nextWait(Site, Peers.rank(Now) < SiteWatchers,
+                  std::min(Peers.live(Now) + 1, SiteWatchers));
+}
+
 /// Spread by a quarter, or balancers that started together would all ask at
 /// the same moment.
-duration directory::impl::nextWait() {
-  const auto Balancers =
-      static_cast<std::int64_t>(Peers.live(Timers.now()) + 1);
+std::optional<duration> directory::impl::nextWait(const object_feed &Feed,
+                                                  bool IsWatcher,
+                                                  std::size_t Watchers) {
+  const bool IsFresh =
+      Feed.asOf() && Timers.now() - *Feed.asOf() <= TrustPeersFor;
+  if (!IsWatcher && IsFresh)
+    return std::nullopt;
+  if (!IsWatcher || Watchers <= 1)
+    return LeastWatch;
   const duration Wait =
-      std::clamp(WatchSpacing * Balancers, LeastWatch, MostWatch);
-  if (Balancers == 1)
-    return Wait;
+      std::clamp(WatchSpacing * static_cast<std::int64_t>(Watchers), LeastWatch,
+                 MostWatch);
   return Wait * std::uniform_int_distribution<int>(75, 100)(Random) / 100;
 }
 
@@ -231,6 +277,7 @@
   kind_knowledge Knowledge;
   if (!Feed.known())
     return Knowledge;
+  Knowledge.Version = Feed.version();
   Knowledge.LastChange = Feed.lastChange();
   if (const auto AsOf = Feed.asOf())
     Knowledge.AgeUs = (Timers.now() - *AsOf).count();
@@ -239,8 +286,8 @@
 
 peer_greeting directory::impl::greeting() const {
   peer_greeting Greeting;
-  Greeting.Name = Settings.Name;
   Greeting.Self = Settings.Self;
+  Greeting.Zone = ZoneNumber;
   Greeting.AskedUs = Timers.now().time_since_epoch().count();
   Greeting.Routes = knowledgeOf(Routes);
   Greeting.Site = knowledgeOf(Site);
@@ -258,17 +305,23 @@
   const auto Greeting = decodeGreeting(Bytes);
   if (!Greeting)
     return;
-  Peers.heard(Greeting->Self, Timers.now());
+  Peers.heard(Greeting->Self, Greeting->Zone, Timers.now());
   if (!Greeting->IsReply) {
     peer_greeting Reply = greeting();
     Reply.IsReply = true;
     Reply.AskedUs = Greeting->AskedUs;
+    Reply.ChangesSince = Greeting->Site.Version;
+    if (Site.lastChange() > Greeting->Site.Version)
+      Reply.Changes = Site.changesSince(Greeting->Site.Version);
     Hooks.Send(Greeting->Self, encodeGreeting(Reply));
     return;
   }
   const instant Asked{duration(Greeting->AskedUs)};
   if (Asked > Timers.now())
     return;
+  if (Greeting->Changes)
+    Site.takeChanges(*Greeting->Changes, Greeting->ChangesSince,
+                     Greeting->Site.Version);
   learnFrom(Greeting->Self, Routes, Settings.RoutesKind, Greeting->Routes,
             Asked);
   learnFrom(Greeting->Self, Site, Settings.SiteKind, Greeting->Site, Asked);
@@ -277,11 +330,11 @@
 void directory::impl::learnFrom(const endpoint &Peer, object_feed &Feed,
                                 const std::string &Kind,
                                 const kind_knowledge &Theirs, instant Asked) {
-  if (Theirs.LastChange == 0)
+  if (Theirs.Version == 0)
     return;
   if (Theirs.AgeUs >= 0)
     Feed.confirm(Theirs.LastChange, Asked - duration(Theirs.AgeUs));
-  const bool Behind = !Feed.known() || Theirs.LastChange > Feed.lastChange();
+  const bool Behind = !Feed.known() || Theirs.LastChange > Feed.version();
   if (!Behind || Pulling)
     return;
   Pulling = true;
@@ -293,7 +346,7 @@
 
 void directory::impl::pull(const endpoint &Peer, object_feed &Feed,
                            const std::string &Kind, std::uint64_t TheirChange) {
-  if (Feed.known() && TheirChange <= Feed.lastChange()) {
+  if (Feed.known() && TheirChange <= Feed.version()) {
     Pulling = false;
     return;
   }
@@ -331,20 +384,25 @@
   Write.Expected = Held == Site.objects().end() ? 0 : Held->second.Version;
   SelfBusy = true;
   Platform.Site.Write(Write, guarded([this](const platform_reply &Reply) {
-                        SelfBusy = false;
-                        if (Reply.Outcome == platform_outcome::Ok)
-                          Site.wrote(Reply.Object);
+                        SelfBusy = Reply.Outcome == platform_outcome::Ok;
                       }));
 }
 
 void directory::impl::keepRecord() {
   writeSelf();
   const route_table *Newest = Gate.newest();
+  if (RecheckRecordAt && Timers.now() >= *RecheckRecordAt) {
+    RecheckRecordAt.reset();
+    RecordNeededSince = RecordNeededSince.value_or(Timers.now());
+  }
   if (!RecordNeededSince || !Newest || !Site.known() || RecordBusy)
     return;
   const auto Body = Record.update(*Newest, Timers.now());
   if (!Body) {
     RecordNeededSince.reset();
+    // Former services leave the record in time.
+    if (!RecheckRecordAt)
+      RecheckRecordAt = Timers.now() + RecordExpiryCheck;
     return;
   }
   const auto Rank = std::min(Peers.rank(Timers.now()), MostRanks);
@@ -360,11 +418,12 @@
   Write.Object.Body = Body;
   Write.Expected = Held == Site.objects().end() ? 0 : Held->second.Version;
   RecordBusy = true;
-  Platform.Site.Write(Write, guarded([this](const platform_reply &Reply) {
+  Platform.Site.Write(Write, guarded([this](const platform_reply &) {
                         RecordBusy = false;
-                        if (Reply.Outcome == platform_outcome::Ok ||
-                            Reply.Outcome == platform_outcome::Conflict)
-                          Site.wrote(Reply.Object);
+                        // The watch brings the record; until then nobody needs
+                        // to write it again.
+                        RecordNeededSince.reset();
+                        RecheckRecordAt = Timers.now() + RecordRecheck;
                       }));
 }
 
@@ -406,7 +465,7 @@
   if (!Feed || !Feed->known())
     return std::nullopt;
   platform_reply List;
-  List.StoreVersion = std::max(Feed->version(), Feed->lastChange());
+  List.StoreVersion = Feed->version();
   for (const auto &[Name, Object] : Feed->objects())
     List.Objects.push_back(Object);
   return encodeObjectList(List);
--- a/src/directory/object_feed.cpp
+++ b/src/directory/object_feed.cpp
@@ -10,6 +10,10 @@
 /// a second come from one balancer.
 static constexpr duration FirstRetry = std::chrono::milliseconds(100);
 static constexpr duration LastRetry = std::chrono::milliseconds(800);
+/// How often a feed that lives on peers' news looks whether they still come.
+static constexpr duration IdlePeriod = std::chrono::milliseconds(300);
+/// Deletions remembered; older ones make peers copy the whole kind.
+static constexpr std::size_t MaxGone = 1000;
 
 object_feed::object_feed(timer_service &Timers, platform_api Store,
                          std::string Kind, hooks Hooks)
@@ -43,11 +47,19 @@
     advance(Reply.StoreVersion, Asked);
   }
   Hooks.OnBatch();
-  watch();
+  follow();
 }
 
-void object_feed::watch() {
-  const duration Wait = Hooks.Wait();
+void object_feed::follow() {
+  if (const auto Wait = Hooks.Wait())
+    return watch(*Wait);
+  Timers.after(IdlePeriod, [this, Alive = Alive] {
+    if (*Alive)
+      follow();
+  });
+}
+
+void object_feed::watch(duration Wait) {
   Store.Watch(
       Version, Wait,
       guarded([this, Asked = Timers.now(), Wait](const platform_reply &Reply) {
@@ -62,7 +74,7 @@
     return list();
   }
   if (Reply.Outcome != platform_outcome::Ok)
-    return retry(Reply, &object_feed::watch);
+    return retry(Reply, &object_feed::follow);
   contact(true, "");
   bool Changed = false;
   for (const platform_object &Object : Reply.Objects)
@@ -74,7 +86,7 @@
           WaitedOut ? Asked + Wait : Asked);
   if (Changed)
     Hooks.OnBatch();
-  watch();
+  follow();
 }
 
 void object_feed::takeWhole(const platform_reply &Reply) {
@@ -92,6 +104,8 @@
     Object.Version = Reply.StoreVersion;
     offer(Object);
   }
+  // What went before this list, and when, is not known.
+  GoneSince = std::max(GoneSince, Reply.StoreVersion);
   Known = true;
 }
 
@@ -107,6 +121,13 @@
   if (Object.Deleted) {
     Objects.erase(Name);
     Gone[Name] = Object.Version;
+    if (Gone.size() > MaxGone) {
+      const auto Oldest = std::min_element(
+          Gone.begin(), Gone.end(),
+          [](const auto &A, const auto &B) { return A.second < B.second; });
+      GoneSince = std::max(GoneSince, Oldest->second);
+      Gone.erase(Oldest);
+    }
   } else {
     Gone.erase(Name);
     Objects[Name] = Object;
@@ -120,14 +141,10 @@
   if (NewVersion > Version)
     Version = NewVersion;
   AsOf = AsOf ? std::max(*AsOf, Moment) : Moment;
-  // What left before the version in force cannot come back by a watch from it.
-  std::erase_if(Gone, [&](const auto &Item) {
-    return Item.second + (std::uint64_t(1) << 16) < Version;
-  });
 }
 
 void object_feed::confirm(std::uint64_t PeerChange, instant Moment) {
-  if (!Known || PeerChange > std::max(Version, LastChange))
+  if (!Known || PeerChange > Version)
     return;
   AsOf = AsOf ? std::max(*AsOf, Moment) : Moment;
 }
@@ -140,8 +157,35 @@
   Hooks.OnBatch();
 }
 
-void object_feed::wrote(const platform_object &Object) {
-  if (offer(Object))
+std::optional<std::vector<platform_object>>
+object_feed::changesSince(std::uint64_t Since) const {
+  if (!Known || Since < GoneSince)
+    return std::nullopt;
+  std::vector<platform_object> Changes;
+  for (const auto &[Name, Object] : Objects)
+    if (Object.Version > Since && Object.Version <= Version)
+      Changes.push_back(Object);
+  for (const auto &[Name, At] : Gone) {
+    if (At <= Since)
+      continue;
+    platform_object Object;
+    Object.Key = {Kind, Name};
+    Object.Version = At;
+    Object.Deleted = true;
+    Changes.push_back(Object);
+  }
+  return Changes;
+}
+
+void object_feed::takeChanges(const std::vector<platform_object> &Changes,
+                              std::uint64_t Since, std::uint64_t UpTo) {
+  if (!Known || Since > Version || UpTo <= Version)
+    return;
+  bool Changed = false;
+  for (const platform_object &Object : Changes)
+    Changed |= offer(Object);
+  Version = UpTo;
+  if (Changed)
     Hooks.OnBatch();
 }
 
--- a/src/directory/object_feed.h
+++ b/src/directory/object_feed.h
@@ -13,6 +13,7 @@
 
 #include "marjoramrail/platform.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -25,8 +26,8 @@
     std::function<void(const platform_object &)> OnObject;
     /// After a batch of objects.
     std::function<void()> OnBatch;
-    /// How long the next watch may wait.
-    std::function<duration()> Wait;
+    /// How long the next watch may wait; nothing while peers' news are enough.
+    std::function<std::optional<duration>()> Wait;
     /// The store stopped or began to answer.
     std::function<void(bool Answers, const std::string &Reason)> OnContact;
   };
@@ -41,7 +42,7 @@
 
   /// True once a whole list was seen, from the store or from a peer.
   bool known() const { return Known; }
-  /// The store's version that the objects reflect.
+  /// Every change up to this version of the store is known.
   std::uint64_t version() const { return Version; }
   /// Nothing accepted before this moment is missing.
   std::optional<instant> asOf() const { return AsOf; }
@@ -50,21 +51,27 @@
   }
 
   /// The version of the newest change of this kind; the store's own version
-  /// also grows with other kinds' changes.
-  std::uint64_t lastChange() const { return LastChange; }
+  /// also grows with other kinds' changes. Never above version().
+  std::uint64_t lastChange() const { return std::min(LastChange, Version); }
+
+  /// What changed after \p Since; nothing if that is not known any more.
+  std::optional<std::vector<platform_object>>
+  changesSince(std::uint64_t Since) const;
 
   /// A peer, whose newest change is \p PeerChange, missed nothing before
   /// \p Moment.
   void confirm(std::uint64_t PeerChange, instant Moment);
+  /// A peer's word on everything that changed between \p Since and \p UpTo.
+  void takeChanges(const std::vector<platform_object> &Changes,
+                   std::uint64_t Since, std::uint64_t UpTo);
   /// A peer's copy of the whole kind.
   void takeCopy(const platform_reply &List);
-  /// An object that a write of our own has made.
-  void wrote(const platform_object &Object);
 
 private:
   void list();
   void listed(const platform_reply &Reply, instant Asked);
-  void watch();
+  void follow();
+  void watch(duration Wait);
   void watched(const platform_reply &Reply, instant Asked, duration Wait);
   void takeWhole(const platform_reply &Reply);
   bool offer(const platform_object &Object);
@@ -78,8 +85,10 @@
   std::string Kind;
   hooks Hooks;
   std::map<std::string, platform_object> Objects;
-  /// Versions at which objects were seen to go, until the list is newer.
+  /// Versions at which objects went, for peers that ask for changes and
+  /// against late news; complete from GoneSince on.
   std::map<std::string, std::uint64_t> Gone;
+  std::uint64_t GoneSince = 0;
   bool Known = false;
   bool Answering = true;
   int Failures = 0;
--- a/src/directory/peer_greeting.h
+++ b/src/directory/peer_greeting.h
@@ -2,7 +2,9 @@
 ///
 /// \file
 /// A datagram of some 100 bytes in which a balancer says how much of the store
-/// it knows. It is a question as well as an answer: the reply carries the
+/// it knows, and in a reply, what has changed since the version that the asker
+/// knows: a changed object costs its bytes once a balancer, not a call to the
+/// store by each. It is a question as well as an answer: the reply carries the
 /// question's own time, so that what the peer knew is dated by the clock of
 /// the one who asked, whatever the network did to the datagrams meanwhile.
 ///
@@ -11,18 +13,18 @@
 #ifndef MARJORAMRAIL_DIRECTORY_PEER_GREETING_H
 #define MARJORAMRAIL_DIRECTORY_PEER_GREETING_H
 
-#include "marjoramrail/base.h"
+#include "marjoramrail/platform.h"
 
-#include <array>
 #include <optional>
 #include <span>
-#include <string>
 #include <vector>
 
 namespace marjoramrail::internal {
 
 /// How much of one kind a balancer knows.
 struct kind_knowledge {
+  /// Every change up to this version of the store is known.
+  std::uint64_t Version = 0;
   /// Version of the newest change known; 0 = nothing is known yet.
   std::uint64_t LastChange = 0;
   /// Microseconds since the moment before which nothing is missing; negative
@@ -31,15 +33,22 @@
 };
 
 struct peer_greeting {
-  std::string Name;
   endpoint Self;
+  /// A number for the balancer's zone, equal for all in it.
+  std::uint32_t Zone = 0;
   bool IsReply = false;
   /// The asker's clock when it asked, microseconds; unchanged in the reply.
   std::int64_t AskedUs = 0;
   kind_knowledge Routes;
   kind_knowledge Site;
+  /// In a reply: the asker's Site.Version, and all changes of that kind since.
+  std::uint64_t ChangesSince = 0;
+  std::optional<std::vector<platform_object>> Changes;
 };
 
+/// Changes that do not fit are left out; the asker then copies the kind.
+inline constexpr std::size_t MaxGreetingBytes = 1300;
+
 std::vector<std::uint8_t> encodeGreeting(const peer_greeting &Greeting);
 bool isGreeting(std::span<const std::uint8_t> Bytes);
 std::optional<peer_greeting>
--- a/src/directory/peer_ring.cpp
+++ b/src/directory/peer_ring.cpp
@@ -7,35 +7,42 @@
     Peers.try_emplace(Peer);
 }
 
-void peer_ring::heard(const endpoint &Peer, instant Now) {
+void peer_ring::heard(const endpoint &Peer, std::uint32_t Zone, instant Now) {
   if (Peer != Self)
-    Peers[Peer] = Now;
+    Peers[Peer] = {Now, Zone};
 }
 
-bool peer_ring::isLive(const std::optional<instant> &Heard, instant Now) const {
-  return Heard && Now - *Heard <= LiveFor;
+std::size_t peer_ring::live(instant Now) const {
+  return static_cast<std::size_t>(
+      std::count_if(Peers.begin(), Peers.end(),
+                    [&](const auto &Peer) { return Peer.second.isLive(Now); }));
 }
 
-std::size_t peer_ring::live(instant Now) const {
+std::size_t peer_ring::rank(instant Now) const {
   return static_cast<std::size_t>(
       std::count_if(Peers.begin(), Peers.end(), [&](const auto &Peer) {
-        return isLive(Peer.second, Now);
+        return Peer.first < Self && Peer.second.isLive(Now);
       }));
 }
 
-std::size_t peer_ring::rank(instant Now) const {
+std::size_t peer_ring::rankIn(std::uint32_t Zone, instant Now) const {
   return static_cast<std::size_t>(
       std::count_if(Peers.begin(), Peers.end(), [&](const auto &Peer) {
-        return Peer.first < Self && isLive(Peer.second, Now);
+        return Peer.first < Self && Peer.second.isLive(Now) &&
+               Peer.second.Zone == Zone;
       }));
 }
 
 std::vector<endpoint> peer_ring::round(instant Now) {
   std::vector<endpoint> Live;
   std::vector<endpoint> Silent;
-  for (const auto &[Peer, Heard] : Peers)
-    (isLive(Heard, Now) ? Live : Silent).push_back(Peer);
-  std::shuffle(Live.begin(), Live.end(), Random);
+  for (const auto &[Peer, State] : Peers)
+    (State.isLive(Now) ? Live : Silent).push_back(Peer);
+  // One of the first in rank, one of all, and one that is silent.
+  std::shuffle(Live.begin(), Live.begin() + std::min(Live.size(), FirstInRank),
+               Random);
+  if (Live.size() > 1)
+    std::shuffle(Live.begin() + 1, Live.end(), Random);
   std::shuffle(Silent.begin(), Silent.end(), Random);
   const std::size_t Others = Silent.empty() ? 0 : 1;
   std::vector<endpoint> Chosen(
--- a/src/directory/peer_ring.h
+++ b/src/directory/peer_ring.h
@@ -3,8 +3,9 @@
 /// \file
 /// Whom a balancer greets next. Greeting everyone would cost a fleet of
 /// thousands its control budget; a few at random reach all of them within some
-/// rounds. Those that answer come first, but one turn in each round goes to a
-/// peer that does not: it may have come back.
+/// rounds. The first in rank, who watch the store for the others, are greeted
+/// most; one turn in each round goes to a peer that does not answer: it may
+/// have come back.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -30,19 +31,31 @@
 
   /// \p Peer may be a balancer: from the settings or from the store.
   void know(const endpoint &Peer);
-  void heard(const endpoint &Peer, instant Now);
+  void heard(const endpoint &Peer, std::uint32_t Zone, instant Now);
   std::size_t live(instant Now) const;
+  /// How many are greeted by rank: those who watch for all.
+  static constexpr std::size_t FirstInRank = 3;
+
   /// The number of live peers whose address is below this balancer's: an order
   /// in which duties are taken without asking anyone.
   std::size_t rank(instant Now) const;
+  /// The same among the peers of \p Zone.
+  std::size_t rankIn(std::uint32_t Zone, instant Now) const;
   /// Whom to greet in this round.
   std::vector<endpoint> round(instant Now);
 
 private:
-  bool isLive(const std::optional<instant> &Heard, instant Now) const;
+  struct peer {
+    std::optional<instant> HeardAt;
+    std::uint32_t Zone = 0;
+
+    bool isLive(instant Now) const {
+      return HeardAt && Now - *HeardAt <= LiveFor;
+    }
+  };
 
   endpoint Self;
-  std::map<endpoint, std::optional<instant>> Peers;
+  std::map<endpoint, peer> Peers;
   std::mt19937_64 Random;
 };
 
--- a/src/forward/agent_roster.cpp
+++ b/src/forward/agent_roster.cpp
@@ -1,11 +1,22 @@
 #include "forward/agent_roster.h"
 
+#include <set>
+
 namespace marjoramrail::internal {
 
+static std::uint32_t orderOf(const std::set<std::string> &Zones,
+                             const std::string &Zone) {
+  return static_cast<std::uint32_t>(
+      std::distance(Zones.begin(), Zones.find(Zone)));
+}
+
 void agent_roster::set(const std::vector<target_entry> &Targets) {
   std::vector<agent_state> Former = std::exchange(Agents, {});
   ByService.clear();
   const auto Places = std::exchange(ByEndpoint, {});
+  std::set<std::string> Zones;
+  for (const target_entry &Target : Targets)
+    Zones.insert(Target.Zone);
   for (const target_entry &Target : Targets) {
     agent_state State;
     const auto Known = Places.find(Target.Agent);
@@ -13,7 +24,7 @@
       State = Former[Known->second];
     State.Agent = Target.Agent;
     State.Service = serviceNumber(Target.Service);
-    State.OwnZone = Target.Zone == Zone;
+    State.ZoneOrder = Target.Zone == Zone ? 0 : orderOf(Zones, Target.Zone) + 1;
     State.Draining = Target.Draining;
     if (!State.ReportedAt) {
       State.Report.Slots = static_cast<std::uint16_t>(
@@ -76,7 +87,8 @@
     const bool IsQuiet =
         !State.ReportedAt || Now - *State.ReportedAt > AskAfter;
     const bool IsDue = !State.AskedAt || Now - *State.AskedAt > AskAfter;
-    const bool Wanted = State.Suspect || (State.OwnZone && IsQuiet && IsDue);
+    const bool Wanted =
+        State.Suspect || (State.isOwnZone() && IsQuiet && IsDue);
     if (!Wanted)
       continue;
     State.AskedAt = Now;
--- a/src/forward/agent_roster.h
+++ b/src/forward/agent_roster.h
@@ -32,7 +32,9 @@
 struct agent_state {
   endpoint Agent;
   service_id Service{};
-  bool OwnZone = false;
+  /// The zone's place in the order of zones: 0 is the balancer's own. Lists go
+  /// zone by zone, so that a walk crosses each link between zones once.
+  std::uint32_t ZoneOrder = 0;
   bool Draining = false;
   /// In the store's list; others are only remembered for their flows.
   bool Listed = true;
@@ -43,6 +45,8 @@
   std::optional<instant> AskedAt;
   std::uint32_t Placed = 0;
   bool Suspect = false;
+
+  bool isOwnZone() const { return ZoneOrder == 0; }
 };
 
 class agent_roster {
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -39,6 +39,7 @@
   agent_outcome onAnswer(segment Segment, bytes_view Bytes, instant Now);
   void nameOwner(const routed_packet &Routed, const flow_key &Flow,
                  instant Now);
+  void resetAll(instant Now);
   void sendReport(const endpoint &Balancer, instant Now);
   load_report report(instant Now) const;
   void tell(event_kind What, std::string_view Why, const flow_key &Flow,
@@ -277,10 +278,29 @@
 
 void forward_agent::setTargetGone(bool Gone, instant Now) {
   if (Gone && !Impl->TargetGone)
-    Impl->Load.forgetAll(Now);
+    Impl->resetAll(Now);
   Impl->TargetGone = Gone;
 }
 
+bool forward_agent::targetGone() const { return Impl->TargetGone; }
+
+/// The flows of a process that is gone are lost. Their callers are told before
+/// they ask for anything on them: a request that may run only once, sent into a
+/// dead flow, cannot be repeated, because nobody can say that it has not run.
+void forward_agent::impl::resetAll(instant Now) {
+  Load.forgetAll(Now, [&](const flow_key &Key, const watched_flow &Flow) {
+    tcp_packet Last;
+    Last.Flow = Key;
+    Last.Acknowledged = Flow.CallerAcknowledged;
+    std::array<std::uint8_t, MaxPacketBytes> Buffer;
+    const std::size_t Size = Codec.WriteReset(Last, Buffer);
+    if (Size == 0)
+      return;
+    tell(event_kind::FlowReset, "target gone", Key, {});
+    Hooks.SendToCaller(Key.Caller, {Buffer.data(), Size});
+  });
+}
+
 void forward_agent::setTarget(std::uint32_t Slots, duration Warmup,
                               instant Now) {
   Impl->Slots = std::max(Slots, 1U);
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -52,6 +52,8 @@
                       std::optional<endpoint> Avoid) const;
   std::vector<std::size_t> orderOf(const std::vector<std::size_t> &Agents,
                                    const flow_key &Flow) const;
+  void addSubstitutes(const agent_state &Chosen,
+                      std::vector<endpoint> &List) const;
   void addHolders(const route_state &Route, const flow_key &Flow, bool Sorted,
                   std::vector<endpoint> &List) const;
   void send(const std::vector<endpoint> &List, service_id Service, bool Whole,
@@ -82,7 +84,8 @@
 forward_balancer::impl::viewOf(const agent_state &Agent,
                                std::optional<endpoint> Avoid) const {
   placing_view View;
-  View.OwnZone = Agent.OwnZone;
+  View.OwnZone = Agent.isOwnZone();
+  View.Reported = Agent.ReportedAt.has_value();
   View.Admitting = Agent.Report.Admitting && !Agent.Draining;
   View.Suspect =
       Agent.Suspect || !Agent.Report.Answering || Avoid == Agent.Agent;
@@ -179,24 +182,27 @@
   ++Agent.Placed;
   Memory.note(Flow, Agent.Agent, Now);
   std::vector<endpoint> List{Agent.Agent};
-  for (const std::size_t Index : Roster.ofService(Agent.Service)) {
-    const agent_state &Other = Roster.at(Index);
-    if (Other.Agent != Agent.Agent && Other.Report.Admitting &&
-        !Other.Draining && !Other.Suspect && Other.OwnZone == Agent.OwnZone)
-      List.push_back(Other.Agent);
-  }
-  for (const std::size_t Index : Roster.ofService(Agent.Service)) {
-    const agent_state &Other = Roster.at(Index);
-    if (Other.Report.Admitting && !Other.Draining && !Other.Suspect &&
-        Other.OwnZone != Agent.OwnZone)
-      List.push_back(Other.Agent);
-  }
+  addSubstitutes(Agent, List);
   tell(event_kind::FlowRouted, Before ? "again" : "new", Flow, Agent.Agent, Now,
        static_cast<double>(Agent.Report.Flows + Agent.Placed));
   send(List, Agent.Service, /*Whole=*/false, Bytes, Now);
   return forward_outcome::Placed;
 }
 
+/// Who else may take the flow if the chosen one does not: its own zone first.
+void forward_balancer::impl::addSubstitutes(const agent_state &Chosen,
+                                            std::vector<endpoint> &List) const {
+  const auto &Agents = Roster.ofService(Chosen.Service);
+  for (const bool SameZone : {true, false})
+    for (const std::size_t Index : Agents) {
+      const agent_state &Other = Roster.at(Index);
+      const bool IsUsable = Other.Report.Admitting && !Other.Draining &&
+                            !Other.Suspect && Other.Agent != Chosen.Agent;
+      if (IsUsable && (Other.ZoneOrder == Chosen.ZoneOrder) == SameZone)
+        List.push_back(Other.Agent);
+    }
+}
+
 //===----------------------------------------------------------------------===//
 // Packets of flows
 //===----------------------------------------------------------------------===//
@@ -218,14 +224,18 @@
   else
     for (std::size_t I = 0; I < Order.size(); ++I)
       Order[I] = I;
-  for (const auto &[Suspect, OwnZone] :
-       {std::pair(false, true), {false, false}, {true, true}, {true, false}})
-    for (const std::size_t Position : Order) {
-      const agent_state &Agent = Roster.at(Agents[Position]);
-      if (Agent.Suspect == Suspect && Agent.OwnZone == OwnZone &&
-          (List.empty() || List.front() != Agent.Agent))
-        List.push_back(Agent.Agent);
-    }
+  const auto Rank = [&](std::size_t Position) {
+    const agent_state &Agent = Roster.at(Agents[Position]);
+    return std::pair(Agent.Suspect, Agent.ZoneOrder);
+  };
+  std::stable_sort(
+      Order.begin(), Order.end(),
+      [&](std::size_t A, std::size_t B) { return Rank(A) < Rank(B); });
+  for (const std::size_t Position : Order) {
+    const endpoint &Agent = Roster.at(Agents[Position]).Agent;
+    if (List.empty() || List.front() != Agent)
+      List.push_back(Agent);
+  }
 }
 
 forward_outcome forward_balancer::impl::follow(const route_state &Route,
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -8,16 +8,16 @@
 // each; targets differ in slots, warm up, and turn slow; zones fill unevenly.
 //
 // Without a choice by load, the hash of the flow alone spreads a few hundred
-// flows so unevenly that some targets queue while others idle; without the
-// preference for the zone every second packet crosses to another one; without
-// its limit a burst in one zone is refused while the next one has free slots.
+// flows so unevenly that some targets queue while others idle. With a choice of
+// the least loaded by all balancers alike, a target that has just come takes
+// every new flow of the moment, and its queue overflows before its next report.
+// So a flow chooses between the first two of its own order: a new target gets
+// at most two flows in n. Without the preference for the zone every second
+// packet crosses to another one; without its limit a burst in one zone is
+// refused while the next one has free slots.
 
-/// A target counts as good as the best one within this: then the flow's own
-/// order decides, and balancers that have not heard of the flow look for it
-/// where it is. Wider spreads flows less evenly.
-static constexpr double GoodEnough = 1.08;
-/// And within one flow more a target, where there are few flows.
-static constexpr double OneFlow = 1.01;
+/// Choices compared for a flow.
+static constexpr std::size_t Choices = 2;
 
 /// Latency is relative to the service's typical one; a factor beyond says
 /// nothing more than "much slower".
@@ -26,55 +26,86 @@
 /// targets take about this much longer.
 static constexpr double WarmupSlowdown = 1.6;
 
+/// What a request in the queue, a slot, counts relative to the usual number of
+/// flows a slot: a queue of two a slot outweighs a whole target's usual flows,
+/// as it delays each of their requests.
+static constexpr double QueueWeight = 0.5;
+/// A service with few flows: a flow a slot is the least that counts as usual.
+static constexpr double LeastFlowsPerSlot = 1.0;
+
 /// Own zone is left when its least busy target has so much of its slots in use
 /// (thousandths): beyond, waiting for a slot costs more than the way to another
 /// zone,
-static constexpr std::uint16_t FullZone = 800;
+static constexpr std::uint16_t FullZone = 850;
 /// and another zone's target is less busy by this.
 static constexpr std::uint16_t WorthTheWay = 250;
 
-double placement::loadOf(const placing_view &Target, duration TypicalLatency) {
-  const double Flows = static_cast<double>(Target.Flows + Target.Placed + 1);
+static double slotsOf(const placing_view &Target) {
+  return std::max<std::uint32_t>(Target.Slots, 1);
+}
+
+double placement::loadOf(const placing_view &Target, const typical &Typical) {
   double Slowdown = 1;
-  if (Target.Latency > TypicalLatency && TypicalLatency > duration::zero())
+  if (Target.Latency > Typical.Latency && Typical.Latency > duration::zero())
     Slowdown = std::min(static_cast<double>(Target.Latency.count()) /
-                            static_cast<double>(TypicalLatency.count()),
+                            static_cast<double>(Typical.Latency.count()),
                         MostSlowdown);
   if (Target.Warmup > duration::zero())
     Slowdown = std::max(Slowdown, WarmupSlowdown);
-  const double Busy = 1.0 + static_cast<double>(Target.Busy) / 1000.0;
-  return Flows / std::max<std::uint32_t>(Target.Slots, 1) * Slowdown * Busy;
+  const double Flows = (Target.Flows + Target.Placed + 1) / slotsOf(Target);
+  const double Queued =
+      std::max(Target.Active + Target.Placed - slotsOf(Target), 0.0) /
+      slotsOf(Target);
+  const double Usual = std::max(Typical.FlowsPerSlot, LeastFlowsPerSlot);
+  return (Flows + Queued * QueueWeight * Usual) * Slowdown;
 }
 
-static duration typicalLatency(const std::vector<placing_view> &Targets) {
+placement::typical
+placement::typicalOf(const std::vector<placing_view> &Targets) {
+  typical Typical;
   std::vector<duration> Latencies;
-  for (const placing_view &Target : Targets)
+  double Flows = 0;
+  double Slots = 0;
+  for (const placing_view &Target : Targets) {
+    if (!Target.Reported)
+      continue;
+    Flows += Target.Flows;
+    Slots += slotsOf(Target);
     if (Target.Latency > duration::zero())
       Latencies.push_back(Target.Latency);
+  }
+  if (Slots > 0)
+    Typical.FlowsPerSlot = Flows / Slots;
   if (Latencies.empty())
-    return duration::zero();
+    return Typical;
   const auto Middle = Latencies.begin() + (Latencies.size() - 1) / 2;
   std::nth_element(Latencies.begin(), Middle, Latencies.end());
-  return *Middle;
+  Typical.Latency = *Middle;
+  return Typical;
 }
 
 namespace {
 
-/// The targets that a flow may be placed at, by how far away they are.
+/// The targets that a flow may be placed at, in its own order.
 struct candidate_set {
   std::vector<std::size_t> OwnZone;
   std::vector<std::size_t> OtherZones;
+
+  bool empty() const { return OwnZone.empty() && OtherZones.empty(); }
 };
 
 } // namespace
 
+/// \p Rank 0: those that have reported and answer; 1: those not heard yet,
+/// which may not admit; 2: suspects, where nothing else is left.
 static candidate_set candidates(const std::vector<placing_view> &Targets,
                                 const std::vector<std::size_t> &Order,
-                                bool Suspects) {
+                                int Rank) {
   candidate_set Set;
   for (const std::size_t Position : Order) {
     const placing_view &Target = Targets[Position];
-    if (!Target.Admitting || Target.Suspect != Suspects)
+    const int Own = Target.Suspect ? 2 : Target.Reported ? 0 : 1;
+    if (!Target.Admitting || Own != Rank)
       continue;
     (Target.OwnZone ? Set.OwnZone : Set.OtherZones).push_back(Position);
   }
@@ -89,36 +120,48 @@
   return Least;
 }
 
-static std::size_t leastLoaded(const std::vector<placing_view> &Targets,
-                               const std::vector<std::size_t> &Positions) {
-  const duration Typical = typicalLatency(Targets);
-  double Least = placement::loadOf(Targets[Positions.front()], Typical);
-  for (const std::size_t Position : Positions)
-    Least = std::min(Least, placement::loadOf(Targets[Position], Typical));
-  for (const std::size_t Position : Positions) {
-    const double Load = placement::loadOf(Targets[Position], Typical);
-    const double Slack =
-        OneFlow / std::max<std::uint32_t>(Targets[Position].Slots, 1);
-    if (Load <= std::max(Least * GoodEnough, Least + Slack))
-      return Position;
+static std::size_t lessLoaded(const std::vector<placing_view> &Targets,
+                              const std::vector<std::size_t> &Positions) {
+  const placement::typical Typical = placement::typicalOf(Targets);
+  std::size_t Best = Positions.front();
+  double Least = placement::loadOf(Targets[Best], Typical);
+  for (std::size_t I = 1; I < std::min(Positions.size(), Choices); ++I) {
+    const double Load = placement::loadOf(Targets[Positions[I]], Typical);
+    if (Load >= Least)
+      continue;
+    Best = Positions[I];
+    Least = Load;
   }
-  return Positions.front();
+  return Best;
 }
 
-std::optional<std::size_t>
-placement::choose(const std::vector<placing_view> &Targets,
-                  const std::vector<std::size_t> &Order) const {
-  candidate_set Set = candidates(Targets, Order, /*Suspects=*/false);
-  if (Set.OwnZone.empty() && Set.OtherZones.empty())
-    Set = candidates(Targets, Order, /*Suspects=*/true);
-  if (Set.OwnZone.empty() && Set.OtherZones.empty())
-    return std::nullopt;
+static std::size_t withinZones(const std::vector<placing_view> &Targets,
+                               const candidate_set &Set) {
   if (Set.OwnZone.empty())
-    return leastLoaded(Targets, Set.OtherZones);
+    return lessLoaded(Targets, Set.OtherZones);
   const std::uint16_t Own = leastBusy(Targets, Set.OwnZone);
   const bool IsFull = Own >= FullZone && !Set.OtherZones.empty() &&
                       leastBusy(Targets, Set.OtherZones) + WorthTheWay <= Own;
-  return leastLoaded(Targets, IsFull ? Set.OtherZones : Set.OwnZone);
+  return lessLoaded(Targets, IsFull ? Set.OtherZones : Set.OwnZone);
+}
+
+std::optional<std::size_t>
+placement::choose(const std::vector<placing_view> &Targets,
+                  const std::vector<std::size_t> &Order) const {
+  // A target of the own zone that was not heard yet goes before one of another
+  // zone that was: after a restart of the balancer none was.
+  candidate_set Heard = candidates(Targets, Order, 0);
+  const candidate_set New = candidates(Targets, Order, 1);
+  if (Heard.OwnZone.empty())
+    Heard.OwnZone = New.OwnZone;
+  if (Heard.OtherZones.empty())
+    Heard.OtherZones = New.OtherZones;
+  if (!Heard.empty())
+    return withinZones(Targets, Heard);
+  const candidate_set Suspects = candidates(Targets, Order, 2);
+  if (Suspects.empty())
+    return std::nullopt;
+  return withinZones(Targets, Suspects);
 }
 
 } // namespace marjoramrail
--- a/src/forward/target_load.cpp
+++ b/src/forward/target_load.cpp
@@ -45,6 +45,7 @@
     return false;
   watched_flow &Flow = Found->second;
   Flow.SeenAt = Now;
+  Flow.CallerAcknowledged = Packet.Acknowledged;
   if (Flow.HalfOpen) {
     Flow.HalfOpen = false;
     ++Open;
@@ -103,8 +104,13 @@
     erase(Found, Now);
 }
 
-void target_load::forgetAll(instant Now) {
+void target_load::forgetAll(
+    instant Now,
+    const std::function<void(const flow_key &, const watched_flow &)> &Each) {
   integrate(Now);
+  for (const auto &[Key, Flow] : Flows)
+    if (!Flow.HalfOpen && !Flow.TargetEnded)
+      Each(Key, Flow);
   Flows.clear();
   Open = 0;
   Active = 0;
--- a/src/forward/target_load.h
+++ b/src/forward/target_load.h
@@ -23,6 +23,8 @@
   bool SequenceKnown = false;
   /// The caller has not confirmed the target's end yet.
   bool HalfOpen = true;
+  /// What the caller acknowledged last: a reset has to be near it.
+  std::uint32_t CallerAcknowledged = 0;
   bool Asking = false;
   bool CallerEnded = false;
   bool TargetEnded = false;
@@ -52,7 +54,10 @@
   /// The target wrote a packet (Flow.Service is the target's end).
   void onTarget(const tcp_packet &Packet, instant Now);
   void forget(const flow_key &Flow, instant Now);
-  void forgetAll(instant Now);
+  /// Forgets every flow; \p Each is told of those that were open.
+  void forgetAll(
+      instant Now,
+      const std::function<void(const flow_key &, const watched_flow &)> &Each);
   watched_flow *find(const flow_key &Flow);
 
   /// Samples the load; call it every forward_agent::TickPeriod.
--- a/src/platform/call.cpp
+++ b/src/platform/call.cpp
@@ -163,4 +163,8 @@
   return internal::encodeObjects(Reply);
 }
 
+bool decodeObjectList(std::string_view Text, platform_reply &Reply) {
+  return internal::decodeObjects(Text, Reply);
+}
+
 } // namespace marjoramrail
