--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -18,9 +18,9 @@
 /// All watchers of a kind together let a watch run out about this often, so
 /// that some peer is always able to date its knowledge by less than SettleTime,
 /// at a rate of calls that does not grow with the fleet.
-constexpr duration WatchSpacing = std::chrono::milliseconds(400);
+constexpr duration WatchSpacing = std::chrono::milliseconds(300);
 /// A balancer without peers dates its knowledge alone, within SettleTime.
-constexpr duration LeastWatch = std::chrono::milliseconds(900);
+constexpr duration LoneWatch = std::chrono::milliseconds(900);
 /// Longer waits only delay the notice that a connection has gone silent.
 constexpr duration MostWatch = std::chrono::seconds(20);
 /// Balancers that watch our own objects, in the whole fleet: peers hear their
@@ -29,9 +29,6 @@
 /// Balancers of a zone that watch the configuration: it is too large for a
 /// datagram, and a copy within the zone crosses no link between zones.
 constexpr std::size_t RoutesWatchersInZone = 2;
-/// Zones that are counted on for that; a wrong guess makes watches longer or
-/// shorter, not fewer.
-constexpr std::size_t ZonesGuess = 3;
 /// A balancer whose knowledge is older watches by itself: the watchers may be
 /// cut off from the store, or it from them.
 constexpr duration TrustPeersFor = std::chrono::milliseconds(900);
@@ -158,11 +155,8 @@
 
 std::optional<duration> directory::impl::routesWait() {
   const instant Now = Timers.now();
-  // Every zone has about as many balancers as this one.
-  const std::size_t Watchers =
-      std::min(Peers.live(Now) + 1, RoutesWatchersInZone * ZonesGuess);
   return nextWait(Routes, Peers.rankIn(ZoneNumber, Now) < RoutesWatchersInZone,
-                  Watchers);
+                  Peers.firstOfZones(RoutesWatchersInZone, ZoneNumber, Now));
 }
 
 std::optional<duration> directory::impl::siteWait() {
@@ -181,10 +175,9 @@
   if (!IsWatcher && IsFresh)
     return std::nullopt;
   if (!IsWatcher || Watchers <= 1)
-    return LeastWatch;
+    return LoneWatch;
   const duration Wait =
-      std::clamp(WatchSpacing * static_cast<std::int64_t>(Watchers), LeastWatch,
-                 MostWatch);
+      std::min(WatchSpacing * static_cast<std::int64_t>(Watchers), MostWatch);
   return Wait * std::uniform_int_distribution<int>(75, 100)(Random) / 100;
 }
 
--- a/src/directory/peer_ring.cpp
+++ b/src/directory/peer_ring.cpp
@@ -33,6 +33,19 @@
       }));
 }
 
+std::size_t peer_ring::firstOfZones(std::size_t Count, std::uint32_t OwnZone,
+                                    instant Now) const {
+  std::map<std::uint32_t, std::size_t> Zones;
+  ++Zones[OwnZone];
+  for (const auto &[Peer, State] : Peers)
+    if (State.isLive(Now))
+      ++Zones[State.Zone];
+  std::size_t Sum = 0;
+  for (const auto &[Zone, Balancers] : Zones)
+    Sum += std::min(Balancers, Count);
+  return Sum;
+}
+
 std::vector<endpoint> peer_ring::round(instant Now) {
   std::vector<endpoint> Live;
   std::vector<endpoint> Silent;
--- a/src/directory/peer_ring.h
+++ b/src/directory/peer_ring.h
@@ -41,6 +41,10 @@
   std::size_t rank(instant Now) const;
   /// The same among the peers of \p Zone.
   std::size_t rankIn(std::uint32_t Zone, instant Now) const;
+  /// How many of this and the live balancers are among the first \p Count of
+  /// their zone.
+  std::size_t firstOfZones(std::size_t Count, std::uint32_t OwnZone,
+                           instant Now) const;
   /// Whom to greet in this round.
   std::vector<endpoint> round(instant Now);
 
--- /dev/null
+++ b/test/directory/directory_test.cpp
@@ -0,0 +1,272 @@
+#include "directory/site_store.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace marjoramrail;
+using namespace marjoramrail::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// {"version": 3, "services": ["ledger"]} is a table of one route.
+result<route_table> decodeTable(const platform_object &Object) {
+  const auto Json = nlohmann::json::parse(Object.Body, nullptr, false);
+  if (!Json.is_object())
+    return fail(step::ValidateObject, Object.Key.Name, "no object");
+  return tableOf(Json["version"],
+                 Json["services"].get<std::vector<std::string>>());
+}
+
+std::string tableBody(std::uint64_t Version,
+                      const std::vector<std::string> &Services) {
+  return nlohmann::json{{"version", Version}, {"services", Services}}.dump();
+}
+
+endpoint addressOf(unsigned Number) { return {0x0a000200 + Number, 7000}; }
+
+/// Some balancers' directories, one store, and datagrams that take 2 ms.
+class directory_world {
+public:
+  struct balancer {
+    std::unique_ptr<store_faults> Faults = std::make_unique<store_faults>();
+    std::unique_ptr<directory> Directory;
+    bool Cut = false;
+  };
+
+  timer_service Timers;
+  fake_platform Store{Timers};
+  std::map<unsigned, balancer> Balancers;
+
+  void start(unsigned Number, const std::vector<endpoint> &Seeds = {}) {
+    balancer &Self = Balancers[Number];
+    directory_settings Settings;
+    Settings.Name = "balancer-" + std::to_string(Number);
+    Settings.Zone = "brugge";
+    Settings.Self = addressOf(Number);
+    Settings.Seeds = Seeds;
+    directory_hooks Hooks;
+    Hooks.DecodeRoutes = decodeTable;
+    Hooks.OnChange = [] {};
+    Hooks.OnEvent = [](event_kind, const std::string &) {};
+    Hooks.Send = [this, Number](const endpoint &To,
+                                std::span<const std::uint8_t> Bytes) {
+      send(Number, To, {Bytes.begin(), Bytes.end()});
+    };
+    Hooks.ListFromPeer = [this](const endpoint &Peer, const std::string &Kind,
+                                const platform_callback &Done) {
+      list(Peer, Kind, Done);
+    };
+    Self.Directory = std::make_unique<directory>(
+        Timers,
+        directory_platform{siteStore(Store, *Self.Faults, Settings.RoutesKind),
+                           siteStore(Store, *Self.Faults, Settings.SiteKind)},
+        Settings, Hooks);
+    Self.Directory->start();
+  }
+
+  void stop(unsigned Number) { Balancers.erase(Number); }
+
+  directory &at(unsigned Number) { return *Balancers.at(Number).Directory; }
+
+  void pass(duration Time) { Timers.advance(Timers.now() + Time); }
+
+  void configure(std::uint64_t Version,
+                 const std::vector<std::string> &Services) {
+    Store.put("config", "main", tableBody(Version, Services));
+  }
+
+  void addTarget(const std::string &Name) {
+    const target_entry Target{Name,     "ledger", {0x0a000301, 700},
+                              "brugge", 4,        false};
+    Store.put("marjoramrail", "target." + Name, encodeTarget(Target));
+  }
+
+private:
+  unsigned numberOf(const endpoint &Address) {
+    return Address.Address - addressOf(0).Address;
+  }
+
+  void send(unsigned From, const endpoint &To,
+            std::vector<std::uint8_t> Bytes) {
+    Timers.after(2ms, [this, From, To, Bytes = std::move(Bytes)] {
+      const auto Peer = Balancers.find(numberOf(To));
+      const auto Sender = Balancers.find(From);
+      if (Peer == Balancers.end() || Peer->second.Cut ||
+          Sender == Balancers.end() || Sender->second.Cut)
+        return;
+      Peer->second.Directory->input(addressOf(From), Bytes);
+    });
+  }
+
+  void list(const endpoint &Peer, const std::string &Kind,
+            const platform_callback &Done) {
+    Timers.after(5ms, [this, Peer, Kind, Done] {
+      platform_reply Reply;
+      const auto Found = Balancers.find(numberOf(Peer));
+      if (Found != Balancers.end())
+        if (const auto Text = Found->second.Directory->serve(Kind))
+          if (decodeObjectList(*Text, Reply))
+            Reply.Outcome = platform_outcome::Ok;
+      Done(Reply);
+    });
+  }
+};
+
+std::vector<std::string> sharesAt(directory &Directory) {
+  std::vector<std::string> Names;
+  for (const route_rule &Rule : Directory.rules())
+    for (const service_share &Share : Rule.Shares)
+      Names.push_back(Share.Service);
+  return Names;
+}
+
+using names = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE_FIXTURE(directory_world, "a balancer learns routes and targets") {
+  configure(1, {"ledger"});
+  addTarget("one");
+  start(1);
+  CHECK_FALSE(at(1).ready());
+  pass(2s);
+
+  CHECK(at(1).ready());
+  CHECK(sharesAt(at(1)) == names{"ledger"});
+  CHECK(at(1).targets().size() == 1);
+}
+
+TEST_CASE_FIXTURE(directory_world,
+                  "a change reaches a balancer that the store refuses") {
+  // The store turns one balancer away and serves the others. Callers whose
+  // packets land there would be sent by the old configuration for as long as
+  // that lasts.
+  configure(1, {"ledger"});
+  for (const unsigned Number : {1U, 2U, 3U})
+    start(Number);
+  pass(3s);
+  Balancers.at(3).Faults->Link.Cut = true;
+  pass(1s);
+  configure(2, {"archive"});
+  pass(2500ms);
+
+  CHECK(at(3).routesVersion() == 2);
+  CHECK(sharesAt(at(3)) == names{"archive"});
+}
+
+TEST_CASE_FIXTURE(directory_world,
+                  "a balancer that starts without the store asks a peer") {
+  configure(1, {"ledger"});
+  addTarget("one");
+  start(1);
+  pass(3s);
+  Store.Down = true;
+  start(2, {addressOf(1)});
+  pass(2s);
+
+  CHECK(at(2).ready());
+  CHECK(at(2).targets().size() == 1);
+}
+
+TEST_CASE_FIXTURE(directory_world,
+                  "a balancer that knows nothing stays out of rotation") {
+  Store.Down = true;
+  start(1);
+  pass(5s);
+
+  CHECK_FALSE(at(1).ready());
+}
+
+TEST_CASE_FIXTURE(directory_world,
+                  "former services outlive every balancer of ours") {
+  // A route moves; later all balancers are replaced, one of them starts while
+  // the store is away and hears a peer. Old flows live on at the former service
+  // and must still be found there.
+  configure(1, {"ledger"});
+  start(1);
+  pass(3s);
+  configure(2, {"archive"});
+  pass(3s);
+  stop(1);
+  start(2);
+  pass(3s);
+  Store.Down = true;
+  start(3, {addressOf(2)});
+  pass(2s);
+
+  for (const unsigned Number : {2U, 3U}) {
+    REQUIRE(at(Number).rules().size() == 1);
+    const names Holders = at(Number).rules().front().Holders;
+    CHECK(Holders == names{"archive", "ledger"});
+  }
+}
+
+TEST_CASE_FIXTURE(directory_world,
+                  "an own write does not stand for what came before it") {
+  // While a balancer's watch hangs a target joins, and the balancer writes an
+  // object of its own. A copy of what it knows, taken for whole, would lack the
+  // target, and the target's flows would be reset as nobody's.
+  configure(1, {"ledger"});
+  start(1);
+  pass(1ms);
+  Balancers.at(1).Faults->WatchesHang = true;
+  pass(100ms);
+  addTarget("one");
+  pass(1s);
+  const auto Text = at(1).serve("marjoramrail");
+  REQUIRE(Text);
+  platform_reply Copy;
+  REQUIRE(decodeObjectList(*Text, Copy));
+
+  CHECK(Store.get("marjoramrail", "balancer.balancer-1").Version >
+        Store.get("marjoramrail", "target.one").Version);
+  CHECK(Copy.StoreVersion < Store.get("marjoramrail", "target.one").Version);
+}
+
+TEST_CASE_FIXTURE(directory_world, "many balancers stay sure with few calls") {
+  // At hundreds of balancers each watch of each would be a call; the store's
+  // rate is fixed. All must still be able to tell a lost flow within
+  // SettleTime.
+  configure(1, {"ledger"});
+  for (unsigned Number = 1; Number <= 20; ++Number)
+    start(Number, {addressOf(1)});
+  pass(10s);
+  const std::uint64_t Before = Store.Calls;
+  std::size_t Sure = 0;
+  std::size_t Looks = 0;
+  for (int Round = 0; Round < 100; ++Round) {
+    pass(100ms);
+    for (auto &[Number, Balancer] : Balancers) {
+      const auto AsOf = Balancer.Directory->knownAsOf();
+      Sure += AsOf && Timers.now() - *AsOf < SettleTime - 100ms;
+      ++Looks;
+    }
+  }
+
+  CHECK(static_cast<double>(Sure) / static_cast<double>(Looks) > 0.95);
+  CHECK(Store.Calls - Before < 10 * 12);
+}
+
+TEST_CASE_FIXTURE(directory_world, "a new target is soon known to all") {
+  configure(1, {"ledger"});
+  for (unsigned Number = 1; Number <= 20; ++Number)
+    start(Number, {addressOf(1)});
+  pass(10s);
+  addTarget("one");
+  pass(1s);
+
+  for (auto &[Number, Balancer] : Balancers)
+    CHECK(Balancer.Directory->targets().size() == 1);
+}
+
+TEST_CASE_FIXTURE(directory_world, "an invalid configuration changes nothing") {
+  configure(1, {"ledger"});
+  start(1);
+  pass(3s);
+  Store.put("config", "main", "not a table");
+  pass(3s);
+
+  CHECK(at(1).routesVersion() == 1);
+  CHECK(sharesAt(at(1)) == names{"ledger"});
+}
--- /dev/null
+++ b/test/directory/object_feed_test.cpp
@@ -0,0 +1,165 @@
+#include "directory/object_feed.h"
+#include "directory/site_store.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+using namespace marjoramrail::internal;
+using namespace marjoramrail::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct feed_fixture {
+  timer_service Timers;
+  fake_platform Store{Timers};
+  store_faults Faults;
+  std::vector<platform_object> News;
+  std::optional<duration> Wait = 1s;
+  object_feed Feed{
+      Timers,
+      siteStore(Store, Faults, "site"),
+      "site",
+      {[this](const platform_object &Object) { News.push_back(Object); }, [] {},
+       [this] { return Wait; }, [](bool, const std::string &) {}}};
+
+  void pass(duration Time) { Timers.advance(Timers.now() + Time); }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(feed_fixture, "a feed follows changes and deletions") {
+  Store.put("site", "a", "1");
+  Feed.start();
+  pass(100ms);
+  Store.put("site", "b", "2");
+  Store.erase("site", "a");
+  pass(200ms);
+
+  CHECK(Feed.objects().size() == 1);
+  CHECK(Feed.objects().contains("b"));
+  REQUIRE(News.size() == 3);
+  CHECK(News.back().Deleted);
+}
+
+TEST_CASE_FIXTURE(feed_fixture, "a lost history is listed anew") {
+  // The store forgets its history while an object is deleted. A feed that went
+  // on watching would keep the object for ever, and flows would be sent to a
+  // host that has gone.
+  Store.put("site", "a", "1");
+  Store.put("site", "b", "1");
+  Feed.start();
+  pass(100ms);
+  Faults.HistoryGone = true;
+  Store.erase("site", "a");
+  pass(300ms);
+
+  CHECK_FALSE(Feed.objects().contains("a"));
+  CHECK(Feed.objects().contains("b"));
+}
+
+TEST_CASE_FIXTURE(feed_fixture, "knowledge is dated by what the store said") {
+  Feed.start();
+  pass(10ms);
+  const auto Listed = Feed.asOf();
+  REQUIRE(Listed);
+  CHECK(Timers.now() - *Listed <= 10ms);
+
+  pass(1500ms);
+  const auto Watched = Feed.asOf();
+  CHECK(Timers.now() - *Watched <= 600ms);
+}
+
+TEST_CASE_FIXTURE(feed_fixture, "a silent watch dates nothing") {
+  // A connection goes silent; everything seems calm. Whoever took the calm for
+  // knowledge would call flows of new targets lost.
+  Feed.start();
+  pass(10ms);
+  Faults.WatchesHang = true;
+  pass(5s);
+
+  CHECK(Timers.now() - *Feed.asOf() >= 3s);
+}
+
+TEST_CASE_FIXTURE(feed_fixture, "a peer's word counts if nothing is missing") {
+  Store.put("site", "a", "1");
+  Feed.start();
+  pass(10ms);
+  Faults.WatchesHang = true;
+  pass(5s);
+  const instant Moment = Timers.now() - 100ms;
+
+  Feed.confirm(Feed.version() + 1, Moment);
+  CHECK(*Feed.asOf() < Moment);
+  Feed.confirm(Feed.version(), Moment);
+  CHECK(*Feed.asOf() == Moment);
+}
+
+TEST_CASE_FIXTURE(feed_fixture, "news of a peer never go back") {
+  // Two peers answer in the wrong order: the older answer must not bring back
+  // an object that has been deleted since.
+  Store.put("site", "a", "1");
+  Feed.start();
+  pass(100ms);
+  const std::uint64_t Before = Feed.version();
+  const platform_object Old = Feed.objects().at("a");
+  Store.erase("site", "a");
+  pass(200ms);
+  Feed.takeChanges({Old}, 0, Feed.version() + 1);
+
+  CHECK_FALSE(Feed.objects().contains("a"));
+  CHECK(Feed.version() > Before);
+}
+
+TEST_CASE_FIXTURE(feed_fixture, "changes since a version name deletions too") {
+  Store.put("site", "a", "1");
+  Store.put("site", "b", "1");
+  Feed.start();
+  pass(100ms);
+  const std::uint64_t Since = Feed.version();
+  Store.erase("site", "a");
+  Store.put("site", "c", "1");
+  pass(200ms);
+
+  const auto Changes = Feed.changesSince(Since);
+  REQUIRE(Changes);
+  REQUIRE(Changes->size() == 2);
+  CHECK((*Changes)[0].Key.Name == "c");
+  CHECK((*Changes)[1].Deleted);
+}
+
+TEST_CASE_FIXTURE(feed_fixture,
+                  "deletions of before the first list are not claimed") {
+  // What went before the list is unknown here. A peer that took "no changes"
+  // for an answer would keep a host that has gone.
+  Store.put("site", "a", "1");
+  Store.erase("site", "a");
+  Feed.start();
+  pass(100ms);
+
+  CHECK_FALSE(Feed.changesSince(1).has_value());
+  CHECK(Feed.changesSince(Feed.version()).has_value());
+}
+
+TEST_CASE_FIXTURE(feed_fixture, "a feed that hears peers does not watch") {
+  Wait.reset();
+  Feed.start();
+  pass(3s);
+
+  CHECK(Feed.known());
+  CHECK(Faults.Watches == 0);
+}
+
+TEST_CASE_FIXTURE(feed_fixture, "changes with a gap are not taken") {
+  Store.put("site", "a", "1");
+  Feed.start();
+  pass(100ms);
+  const std::uint64_t Version = Feed.version();
+  platform_object Later;
+  Later.Key = {"site", "z"};
+  Later.Version = Version + 9;
+  Feed.takeChanges({Later}, Version + 5, Version + 9);
+
+  CHECK(Feed.version() == Version);
+  CHECK_FALSE(Feed.objects().contains("z"));
+}
--- /dev/null
+++ b/test/directory/site_store.h
@@ -0,0 +1,76 @@
+//===- site_store.h - The store as directories see it -----------*- C++ -*-===//
+///
+/// \file
+/// fake_platform with watches by kind, one process's faults on top: watches
+/// that hang, a history that is gone.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_TEST_DIRECTORY_SITE_STORE_H
+#define MARJORAMRAIL_TEST_DIRECTORY_SITE_STORE_H
+
+#include "fleet/fake_platform.h"
+#include "marjoramrail/directory.h"
+
+namespace marjoramrail::testing {
+
+/// The faults of one process's calls.
+struct store_faults {
+  platform_link Link;
+  /// Watches never answer, as on a connection that has gone silent.
+  bool WatchesHang = false;
+  /// The next watch finds its history gone.
+  bool HistoryGone = false;
+  std::uint64_t Watches = 0;
+};
+
+inline platform_api siteStore(fake_platform &Store, store_faults &Faults,
+                              const std::string &Kind) {
+  platform_api Api = Store.api(&Faults.Link);
+  Api.Write = [Write = Api.Write](platform_write Call,
+                                  platform_callback Callback) {
+    Call.Object.Writer = "test";
+    Write(Call, std::move(Callback));
+  };
+  Api.Watch = [Watch = Api.Watch, &Faults,
+               Kind](std::uint64_t Since, duration Wait,
+                     const platform_callback &Callback) {
+    ++Faults.Watches;
+    if (Faults.WatchesHang)
+      return;
+    Watch(Since, Wait, [&Faults, Kind, Callback](platform_reply Reply) {
+      if (std::exchange(Faults.HistoryGone, false)) {
+        Reply = platform_reply();
+        Reply.Outcome = platform_outcome::HistoryGone;
+      }
+      std::erase_if(Reply.Objects, [&](const platform_object &Object) {
+        return Object.Key.Kind != Kind;
+      });
+      Callback(Reply);
+    });
+  };
+  return Api;
+}
+
+inline constexpr endpoint FirstAddress{0x0a000001, 443};
+
+inline service_share share(const std::string &Service,
+                           std::uint32_t Weight = 1) {
+  return {Service, Weight};
+}
+
+/// A table with one route at FirstAddress.
+inline route_table tableOf(std::uint64_t Version,
+                           const std::vector<std::string> &Services) {
+  route_table Table;
+  Table.Version = Version;
+  route Route{"first", FirstAddress, {}};
+  for (const std::string &Service : Services)
+    Route.Shares.push_back(share(Service));
+  Table.Routes.push_back(Route);
+  return Table;
+}
+
+} // namespace marjoramrail::testing
+
+#endif // MARJORAMRAIL_TEST_DIRECTORY_SITE_STORE_H
