Leave the own zone by the queue of the moment

Change: a flow leaves its zone when its targets have a request a slot waiting and another zone 0.75 fewer.

--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -1,6 +1,7 @@
 #include "marjoramrail/forward.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace marjoramrail {
 
@@ -33,17 +34,22 @@
 /// A service with few flows: a flow a slot is the least that counts as usual.
 static constexpr double LeastFlowsPerSlot = 1.0;
 
-/// Own zone is left when its least busy target has so much of its slots in use
-/// (thousandths): beyond, waiting for a slot costs more than the way to another
-/// zone,
-static constexpr std::uint16_t FullZone = 850;
-/// and another zone's target is less busy by this.
-static constexpr std::uint16_t WorthTheWay = 250;
+/// Own zone is left when requests queue there, a slot, for so many others: each
+/// makes a caller wait as long as a request takes, several times the way to
+/// another zone,
+constexpr double FullZone = 1.0;
+/// and another zone's queue is shorter by this.
+constexpr double WorthTheWay = 0.75;
 
 static double slotsOf(const placing_view &Target) {
   return std::max<std::uint32_t>(Target.Slots, 1);
 }
 
+/// Requests that wait for a slot, for each slot.
+static double queueOf(const placing_view &Target) {
+  return (Target.Active + Target.Placed - slotsOf(Target)) / slotsOf(Target);
+}
+
 double placement::loadOf(const placing_view &Target, const typical &Typical) {
   double Slowdown = 1;
   if (Target.Latency > Typical.Latency && Typical.Latency > duration::zero())
@@ -53,9 +59,7 @@
   if (Target.Warmup > duration::zero())
     Slowdown = std::max(Slowdown, WarmupSlowdown);
   const double Flows = (Target.Flows + Target.Placed + 1) / slotsOf(Target);
-  const double Queued =
-      std::max(Target.Active + Target.Placed - slotsOf(Target), 0.0) /
-      slotsOf(Target);
+  const double Queued = std::max(queueOf(Target), 0.0);
   const double Usual = std::max(Typical.FlowsPerSlot, LeastFlowsPerSlot);
   return (Flows + Queued * QueueWeight * Usual) * Slowdown;
 }
@@ -112,11 +116,11 @@
   return Set;
 }
 
-static std::uint16_t leastBusy(const std::vector<placing_view> &Targets,
-                               const std::vector<std::size_t> &Positions) {
-  std::uint16_t Least = UINT16_MAX;
+static double shortestQueue(const std::vector<placing_view> &Targets,
+                            const std::vector<std::size_t> &Positions) {
+  double Least = std::numeric_limits<double>::infinity();
   for (const std::size_t Position : Positions)
-    Least = std::min(Least, Targets[Position].Busy);
+    Least = std::min(Least, queueOf(Targets[Position]));
   return Least;
 }
 
@@ -139,9 +143,10 @@
                                const candidate_set &Set) {
   if (Set.OwnZone.empty())
     return lessLoaded(Targets, Set.OtherZones);
-  const std::uint16_t Own = leastBusy(Targets, Set.OwnZone);
-  const bool IsFull = Own >= FullZone && !Set.OtherZones.empty() &&
-                      leastBusy(Targets, Set.OtherZones) + WorthTheWay <= Own;
+  const double Own = shortestQueue(Targets, Set.OwnZone);
+  const bool IsFull =
+      Own >= FullZone &&
+      shortestQueue(Targets, Set.OtherZones) + WorthTheWay <= Own;
   return lessLoaded(Targets, IsFull ? Set.OtherZones : Set.OwnZone);
 }
 
