Write holder lists without allocations; measure the forwarding cores

Cause: a packet's list was built in vectors, and nothing measured it. Change: holder_list with fixed arrays and kept scratch space; bench/forward.

--- /dev/null
+++ b/bench/forward/main.cpp
@@ -0,0 +1,297 @@
+// Processor time and allocations a packet of the forwarding cores, and where
+// placing sends flows, on models of our own.
+
+#include "packet_head.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <new>
+#include <random>
+
+using namespace marjoramrail;
+
+static std::uint64_t Allocations = 0;
+
+void *operator new(std::size_t Size) {
+  ++Allocations;
+  if (void *Memory = std::malloc(Size))
+    return Memory;
+  throw std::bad_alloc();
+}
+
+void operator delete(void *Memory) noexcept { std::free(Memory); }
+void operator delete(void *Memory, std::size_t) noexcept { std::free(Memory); }
+
+static const endpoint RouteAddress{0xc6120001, 443};
+static constexpr std::size_t HeadBytes = 34;
+static constexpr unsigned Hosts = 56;
+static constexpr unsigned Flows = 2000;
+
+static double threadNs() {
+  timespec Spent{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Spent);
+  return static_cast<double>(Spent.tv_sec) * 1e9 +
+         static_cast<double>(Spent.tv_nsec);
+}
+
+/// A packet of flow \p Number with \p Data bytes; \p Flags as on the wire.
+static std::vector<std::uint8_t> packet(unsigned Number, std::uint8_t Flags,
+                                        std::uint16_t Data, bool FromCaller) {
+  std::vector<std::uint8_t> Bytes(HeadBytes + Data);
+  Bytes[0] = Flags;
+  const auto Put = [&](std::size_t At, std::uint32_t Value, int Size) {
+    for (int I = 0; I < Size; ++I)
+      Bytes[At + I] = static_cast<std::uint8_t>(Value >> (8 * I));
+  };
+  const std::uint32_t Caller = 0x64400000 + Number / 1000;
+  const std::uint32_t Port = 1024 + Number % 1000;
+  Put(4, FromCaller ? RouteAddress.Address : Caller, 4);
+  Put(8, FromCaller ? Caller : RouteAddress.Address, 4);
+  Put(12, FromCaller ? Port : RouteAddress.Port, 2);
+  Put(14, FromCaller ? RouteAddress.Port : Port, 2);
+  Put(24, Data, 2);
+  return Bytes;
+}
+
+static constexpr std::uint8_t Syn = 1;
+static constexpr std::uint8_t Ack = 32;
+
+/// Runs \p Step \p Count times; prints the least of five rounds.
+template <typename Callable>
+static void measure(const char *Name, unsigned Count, Callable Step) {
+  double Least = 1e18;
+  std::uint64_t Allocated = 0;
+  for (int Round = 0; Round < 5; ++Round) {
+    const std::uint64_t Before = Allocations;
+    const double Start = threadNs();
+    for (unsigned I = 0; I < Count; ++I)
+      Step(I);
+    Least = std::min(Least, (threadNs() - Start) / Count);
+    Allocated = Allocations - Before;
+  }
+  std::printf("bench: %s %.0f ns\n", Name, Least);
+  std::printf("bench: %s_allocations %.3f per_packet\n", Name,
+              static_cast<double>(Allocated) / Count);
+}
+
+static std::vector<target_entry> targets() {
+  std::vector<target_entry> All;
+  for (unsigned I = 0; I < Hosts; ++I)
+    All.push_back({"target." + std::to_string(I),
+                   "ledger",
+                   {0x0a000100 + I, 700},
+                   "zone-" + std::to_string(I % 3),
+                   4,
+                   false});
+  return All;
+}
+
+static void measureBalancer() {
+  forward_balancer Balancer({{0x0a000001, 7000}, "zone-0"},
+                            users_platform::packetCodec(),
+                            {[](const endpoint &, bytes_view) {},
+                             [](const endpoint &, bytes_view) {}, nullptr});
+  Balancer.setRoutes({{RouteAddress, {{"ledger", 1}}, {"ledger"}}});
+  Balancer.setTargets(targets());
+  const instant Now(std::chrono::seconds(1));
+  Balancer.setKnownAsOf(Now);
+  std::vector<std::vector<std::uint8_t>> Data;
+  std::vector<std::vector<std::uint8_t>> Syns;
+  for (unsigned I = 0; I < Flows; ++I) {
+    Data.push_back(packet(I, Ack, 200, true));
+    Syns.push_back(packet(I, Syn, 0, true));
+  }
+  measure("platform_balancer_unknown", 50000,
+          [&](unsigned I) { Balancer.onCallerPacket(Data[I % Flows], Now); });
+  measure("platform_balancer_new_flow", 50000,
+          [&](unsigned I) { Balancer.onCallerPacket(Syns[I % Flows], Now); });
+  measure("platform_balancer", 200000,
+          [&](unsigned I) { Balancer.onCallerPacket(Data[I % Flows], Now); });
+}
+
+static void measureAgent() {
+  forward_agent Agent({serviceNumber("ledger"), {0x0a000100, 700}},
+                      users_platform::packetCodec(),
+                      {[](bytes_view) {}, [](const endpoint &, bytes_view) {},
+                       [](const endpoint &, bytes_view) {}, nullptr, [] {},
+                       nullptr, nullptr});
+  Agent.setAdmitting(true);
+  const instant Now(std::chrono::seconds(1));
+  std::vector<std::vector<std::uint8_t>> In;
+  std::vector<std::vector<std::uint8_t>> Out;
+  for (unsigned I = 0; I < Flows; ++I) {
+    const auto Packet = packet(I, Ack, 200, true);
+    routed_packet Routed;
+    Routed.Service = serviceNumber("ledger");
+    Routed.Count = Hosts;
+    for (unsigned H = 0; H < Hosts; ++H)
+      Routed.Owners[H] = {0x0a000100 + H, 700};
+    Routed.Packet = Packet;
+    std::vector<std::uint8_t> Buffer(MaxRoutedBytes);
+    Buffer.resize(encodeRouted(Routed, Buffer));
+    In.push_back(Buffer);
+    Out.push_back(packet(I, Ack, 1000, false));
+    Agent.onTargetPacket(Out.back(), Now);
+  }
+  measure("platform_agent", 200000, [&](unsigned I) {
+    Agent.onRouted({0x0a000001, 7000}, In[I % Flows], Now);
+  });
+  measure("platform_agent_answer", 200000,
+          [&](unsigned I) { Agent.onTargetPacket(Out[I % Flows], Now); });
+}
+
+//===----------------------------------------------------------------------===//
+// Where flows go
+//===----------------------------------------------------------------------===//
+
+enum class policy { Rendezvous, LeastKnown, Ours };
+
+static constexpr name_table<policy, 3> PolicyNames = {{
+    {policy::Rendezvous, "naive"},
+    {policy::LeastKnown, "least_known"},
+    {policy::Ours, "ours"},
+}};
+
+/// Targets with a queue, two thirds of their slots in use; flows that ask once a
+/// second; reports five times a second, which is all that is known (the worst
+/// case: many balancers, none of which sees the others' flows). One target is
+/// replaced by an empty one half-way.
+class placing_model {
+public:
+  explicit placing_model(policy Policy) : Policy(Policy), Real(Targets) {
+    for (placing_view &Target : Real) {
+      Target.OwnZone = true;
+      Target.Slots = Slots;
+    }
+    Known = Real;
+  }
+
+  void run() {
+    for (int Step = 0; Step < Steps; ++Step) {
+      if (Step % StepsAReport == 0)
+        Known = Real;
+      if (Step == Steps / 2)
+        join();
+      for (int I = 0; I < NewFlowsAStep; ++I)
+        place();
+      serve(Step);
+    }
+  }
+
+  void print() {
+    std::sort(Waits.begin(), Waits.end());
+    double Most = 0;
+    double Sum = 0;
+    for (const placing_view &Target : Real) {
+      Most = std::max<double>(Most, Target.Flows);
+      Sum += Target.Flows;
+    }
+    const std::string Name(nameOf(PolicyNames, Policy));
+    std::printf("bench: placing_%s_p50 %.0f ms\n", Name.c_str(), waitAt(0.5));
+    std::printf("bench: placing_%s_p99 %.0f ms\n", Name.c_str(), waitAt(0.99));
+    std::printf("bench: placing_%s_refused %.0f requests\n", Name.c_str(),
+                static_cast<double>(Refused));
+    std::printf("bench: placing_%s_imbalance %.3f ratio\n", Name.c_str(),
+                Most / (Sum / static_cast<double>(Real.size())));
+  }
+
+private:
+  static constexpr std::size_t Targets = 15;
+  static constexpr int Steps = 4000;
+  static constexpr int StepMs = 10;
+  static constexpr int StepsAReport = 20;
+  static constexpr int NewFlowsAStep = 1;
+  static constexpr int FlowLifeSteps = 1000;
+  static constexpr int StepsARequest = 100;
+  static constexpr unsigned Slots = 4;
+  static constexpr int ServiceSteps = 4;
+  static constexpr int QueueLimit = 16;
+
+  struct flow {
+    std::size_t Target;
+    int Born;
+    int Phase;
+  };
+
+  void join() {
+    for (flow &Flow : Open)
+      if (Flow.Target == 0)
+        Flow.Born = -FlowLifeSteps;
+    Real[0].Flows = 0;
+    Known = Real;
+  }
+
+  void place() {
+    std::vector<std::size_t> Order(Targets);
+    for (std::size_t I = 0; I < Targets; ++I)
+      Order[I] = I;
+    std::shuffle(Order.begin(), Order.end(), Random);
+    std::size_t Chosen = Order[0];
+    if (Policy == policy::Ours)
+      Chosen = placement().choose(Known, Order).value_or(Chosen);
+    if (Policy == policy::LeastKnown)
+      for (const std::size_t I : Order)
+        if (Known[I].Flows < Known[Chosen].Flows)
+          Chosen = I;
+    Open.push_back({Chosen, Now, static_cast<int>(Random() % StepsARequest)});
+    ++Real[Chosen].Flows;
+  }
+
+  void serve(int Step) {
+    Now = Step;
+    std::erase_if(Open, [&](const flow &Flow) {
+      if (Step - Flow.Born < FlowLifeSteps)
+        return false;
+      if (Real[Flow.Target].Flows > 0)
+        --Real[Flow.Target].Flows;
+      return true;
+    });
+    for (const flow &Flow : Open)
+      if ((Step - Flow.Born) % StepsARequest == 0)
+        request(Flow.Target);
+    for (std::size_t I = 0; I < Targets; ++I) {
+      Work[I] = std::max(Work[I] - static_cast<int>(Slots), 0);
+      Real[I].Active = static_cast<std::uint16_t>((Work[I] + ServiceSteps - 1) /
+                                                  ServiceSteps);
+    }
+  }
+
+  void request(std::size_t Target) {
+    const int Queued = Work[Target] / ServiceSteps;
+    if (Queued >= static_cast<int>(Slots) + QueueLimit) {
+      ++Refused;
+      return;
+    }
+    Work[Target] += ServiceSteps;
+    Waits.push_back(StepMs * (ServiceSteps + Work[Target] / Slots));
+  }
+
+  double waitAt(double Share) const {
+    if (Waits.empty())
+      return 0;
+    return Waits[static_cast<std::size_t>(
+        Share * static_cast<double>(Waits.size() - 1))];
+  }
+
+  policy Policy;
+  std::vector<placing_view> Real;
+  std::vector<placing_view> Known;
+  std::vector<flow> Open;
+  std::array<int, Targets> Work{};
+  std::vector<double> Waits;
+  std::uint64_t Refused = 0;
+  int Now = 0;
+  std::minstd_rand Random{17};
+};
+
+int main() {
+  measureBalancer();
+  measureAgent();
+  for (const auto &[Policy, Name] : PolicyNames) {
+    placing_model Model(Policy);
+    Model.run();
+    Model.print();
+  }
+}
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -1,5 +1,5 @@
-#include "forward/agent_roster.h"
 #include "forward/flow_memory.h"
+#include "forward/holder_list.h"
 
 #include <nlohmann/json.hpp>
 
@@ -51,13 +51,8 @@
                                          const flow_key &Flow) const;
   placing_view viewOf(const agent_state &Agent, std::optional<endpoint> Avoid,
                       instant Now) const;
-  std::vector<std::size_t> orderOf(const std::vector<std::size_t> &Agents,
-                                   const flow_key &Flow) const;
-  void addSubstitutes(const agent_state &Chosen,
-                      std::vector<endpoint> &List) const;
-  void addHolders(const route_state &Route, const flow_key &Flow, bool Sorted,
-                  std::vector<endpoint> &List) const;
-  void send(const std::vector<endpoint> &List, service_id Service, bool Whole,
+  void addSubstitutes(const agent_state &Chosen, holder_list &List) const;
+  void send(const holder_list &List, service_id Service, bool Whole,
             bytes_view Bytes, instant Now);
   forward_outcome refuse(const segment &Segment, forward_outcome Outcome,
                          std::string_view Why, instant Now);
@@ -69,7 +64,11 @@
   segment_codec Codec;
   forward_balancer_hooks Hooks;
   agent_roster Roster;
+  holder_order Order{Roster};
   flow_memory Memory;
+  /// Scratch space of one packet's decision.
+  std::vector<placing_view> Views;
+  std::vector<std::size_t> Holders;
   placement Placement;
   std::map<endpoint, route_state> Routes;
   std::optional<instant> KnownAsOf;
@@ -102,34 +101,14 @@
   return View;
 }
 
-/// Rendezvous order: alike on every balancer, so that one that has not heard of
-/// a flow looks for it first where it was most likely placed.
-std::vector<std::size_t>
-forward_balancer::impl::orderOf(const std::vector<std::size_t> &Agents,
-                                const flow_key &Flow) const {
-  std::vector<std::pair<std::uint64_t, std::size_t>> Scores;
-  Scores.reserve(Agents.size());
-  for (std::size_t I = 0; I < Agents.size(); ++I) {
-    const endpoint &Agent = Roster.at(Agents[I]).Agent;
-    Scores.emplace_back(hashOf(Flow, endpoint_hash()(Agent)), I);
-  }
-  std::sort(Scores.begin(), Scores.end());
-  std::vector<std::size_t> Order;
-  Order.reserve(Scores.size());
-  for (const auto &[Score, Position] : Scores)
-    Order.push_back(Position);
-  return Order;
-}
-
 std::optional<std::size_t>
 forward_balancer::impl::placeAt(service_id Service, const flow_key &Flow,
                                 std::optional<endpoint> Avoid, instant Now) {
   const std::vector<std::size_t> &Agents = Roster.ofService(Service);
-  std::vector<placing_view> Views;
-  Views.reserve(Agents.size());
+  Views.clear();
   for (const std::size_t Index : Agents)
     Views.push_back(viewOf(Roster.at(Index), Avoid, Now));
-  const auto Chosen = Placement.choose(Views, orderOf(Agents, Flow));
+  const auto Chosen = Placement.choose(Views, Order.forFlow(Agents, Flow));
   if (!Chosen)
     return std::nullopt;
   return Agents[*Chosen];
@@ -184,7 +163,8 @@
   agent_state &Agent = Roster.at(*Chosen);
   ++Agent.Placed;
   Memory.note(Flow, Agent.Agent, Now);
-  std::vector<endpoint> List{Agent.Agent};
+  holder_list List;
+  List.add(Agent.Agent);
   addSubstitutes(Agent, List);
   tell(event_kind::FlowRouted, Before ? "again" : "new", Flow, Agent.Agent, Now,
        static_cast<double>(Agent.Report.Flows + Agent.Placed));
@@ -194,7 +174,7 @@
 
 /// Who else may take the flow if the chosen one does not: its own zone first.
 void forward_balancer::impl::addSubstitutes(const agent_state &Chosen,
-                                            std::vector<endpoint> &List) const {
+                                            holder_list &List) const {
   const auto &Agents = Roster.ofService(Chosen.Service);
   for (const bool SameZone : {true, false})
     for (const std::size_t Index : Agents) {
@@ -202,7 +182,7 @@
       const bool IsUsable = Other.Report.Admitting && !Other.Draining &&
                             !Other.Suspect && Other.Agent != Chosen.Agent;
       if (IsUsable && (Other.ZoneOrder == Chosen.ZoneOrder) == SameZone)
-        List.push_back(Other.Agent);
+        List.add(Other.Agent);
     }
 }
 
@@ -210,42 +190,10 @@
 // Packets of flows
 //===----------------------------------------------------------------------===//
 
-/// Everyone who may hold a flow of \p Route: own zone before others, and those
-/// that do not answer at the end, where a walk that they swallow has already
-/// asked everyone else.
-void forward_balancer::impl::addHolders(const route_state &Route,
-                                        const flow_key &Flow, bool Sorted,
-                                        std::vector<endpoint> &List) const {
-  std::vector<std::size_t> Agents;
-  for (const service_id Service : Route.Holders) {
-    const auto &Members = Roster.ofService(Service);
-    Agents.insert(Agents.end(), Members.begin(), Members.end());
-  }
-  std::vector<std::size_t> Order(Agents.size());
-  if (Sorted)
-    Order = orderOf(Agents, Flow);
-  else
-    for (std::size_t I = 0; I < Order.size(); ++I)
-      Order[I] = I;
-  const auto Rank = [&](std::size_t Position) {
-    const agent_state &Agent = Roster.at(Agents[Position]);
-    return std::pair(Agent.Suspect, Agent.ZoneOrder);
-  };
-  std::stable_sort(
-      Order.begin(), Order.end(),
-      [&](std::size_t A, std::size_t B) { return Rank(A) < Rank(B); });
-  for (const std::size_t Position : Order) {
-    const endpoint &Agent = Roster.at(Agents[Position]).Agent;
-    if (List.empty() || List.front() != Agent)
-      List.push_back(Agent);
-  }
-}
-
 forward_outcome forward_balancer::impl::follow(const route_state &Route,
                                                const segment &Segment,
                                                bytes_view Bytes, instant Now) {
   const flow_key &Flow = Segment.Head.Flow;
-  std::vector<endpoint> List;
   auto Remembered = Memory.find(Flow, Now);
   // An agent that has left the store's list took its flows along; one that has
   // not got there yet may still name itself to a balancer that is behind.
@@ -253,26 +201,28 @@
     Memory.forget(Flow);
     Remembered.reset();
   }
-  if (Remembered)
-    List.push_back(*Remembered);
-  addHolders(Route, Flow, !Remembered, List);
+  Holders.clear();
+  for (const service_id Service : Route.Holders) {
+    const auto &Members = Roster.ofService(Service);
+    Holders.insert(Holders.end(), Members.begin(), Members.end());
+  }
+  holder_list List;
+  Order.list(Holders, Flow, Remembered, List);
   if (List.empty())
     return forward_outcome::Unsure;
-  const bool Whole = List.size() <= MaxRoutedOwners && isSure(Now);
+  const bool Whole = List.complete() && isSure(Now);
   send(List, Route.Holders.empty() ? service_id{} : Route.Holders.front(),
        Whole, Bytes, Now);
   return Remembered ? forward_outcome::SentByMemory : forward_outcome::Sent;
 }
 
-void forward_balancer::impl::send(const std::vector<endpoint> &List,
-                                  service_id Service, bool Whole,
-                                  bytes_view Bytes, instant Now) {
+void forward_balancer::impl::send(const holder_list &List, service_id Service,
+                                  bool Whole, bytes_view Bytes, instant Now) {
   routed_packet Routed;
   Routed.Service = Service;
   Routed.Balancer = Settings.Self;
-  Routed.Count =
-      static_cast<std::uint8_t>(std::min(List.size(), MaxRoutedOwners));
-  std::copy_n(List.begin(), Routed.Count, Routed.Owners.begin());
+  Routed.Count = static_cast<std::uint8_t>(List.size());
+  std::copy(List.begin(), List.end(), Routed.Owners.begin());
   if (Whole)
     Routed.Flags |= static_cast<std::uint8_t>(routed_flag::Whole);
   Routed.Packet = Bytes;
--- /dev/null
+++ b/src/forward/holder_list.h
@@ -0,0 +1,76 @@
+//===- holder_list.h - Who may hold a flow, likeliest first -----*- C++ -*-===//
+///
+/// \file
+/// Writes the list of agents that a packet carries. Fixed arrays and scratch
+/// space that is kept: this runs for every packet.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_FORWARD_HOLDER_LIST_H
+#define MARJORAMRAIL_FORWARD_HOLDER_LIST_H
+
+#include "forward/agent_roster.h"
+
+#include <array>
+
+namespace marjoramrail::internal {
+
+/// The agents of a packet, as many as its head can name.
+class holder_list {
+public:
+  /// False if the list is full.
+  bool add(const endpoint &Agent) {
+    if (Count == Agents.size())
+      return false;
+    Agents[Count++] = Agent;
+    return true;
+  }
+
+  std::size_t size() const { return Count; }
+  bool empty() const { return Count == 0; }
+  const endpoint &front() const { return Agents.front(); }
+  const endpoint *begin() const { return Agents.data(); }
+  const endpoint *end() const { return Agents.data() + Count; }
+  /// Nobody was left out.
+  bool complete() const { return Complete; }
+  void markCut() { Complete = false; }
+
+private:
+  std::array<endpoint, MaxRoutedOwners> Agents;
+  std::size_t Count = 0;
+  bool Complete = true;
+};
+
+/// Orders the agents of a roster for one flow.
+class holder_order {
+public:
+  explicit holder_order(const agent_roster &Roster) : Roster(Roster) {}
+
+  /// Rendezvous order of \p Agents (positions in the roster) for \p Flow: alike
+  /// on every balancer, so that one that has not heard of a flow looks for it
+  /// first where it was most likely placed. Positions in \p Agents; valid until
+  /// the next call.
+  const std::vector<std::size_t> &
+  forFlow(const std::vector<std::size_t> &Agents, const flow_key &Flow);
+
+  /// Everyone in \p Agents, \p First (if any) in front: own zone before others,
+  /// zone by zone, and those that do not answer at the end, where a walk that
+  /// they swallow has already asked everyone else. Without \p First in the
+  /// flow's own order.
+  void list(const std::vector<std::size_t> &Agents, const flow_key &Flow,
+            const std::optional<endpoint> &First, holder_list &List);
+
+private:
+  struct scored {
+    std::uint64_t Score;
+    std::size_t Position;
+  };
+
+  const agent_roster &Roster;
+  std::vector<scored> Scores;
+  std::vector<std::size_t> Order;
+};
+
+} // namespace marjoramrail::internal
+
+#endif // MARJORAMRAIL_FORWARD_HOLDER_LIST_H
