--- a/daemons/forwarder/event_log.h
+++ b/daemons/forwarder/event_log.h
@@ -29,6 +29,10 @@
   void record(const flow_event &Event, const std::string &Service,
               const std::string &Request = "");
 
+  std::uint64_t clock() const { return Events.clock(); }
+  /// Puts what is recorded from now on behind what another process recorded.
+  void witness(std::uint64_t Clock) { Events.witness(Clock); }
+
   std::string recent() const { return Events.recent(); }
   void flush() { Lines.flush(); }
 
--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -88,6 +88,7 @@
                       Core.report(Loop.timers().now()).Latency);
   };
   Hooks.OnEvent = [this](const flow_event &Event) { recordFlow(Event); };
+  Hooks.Witness = [this](std::uint64_t Clock) { Log.witness(Clock); };
   return Hooks;
 }
 
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -80,6 +80,7 @@
     Callers.send({Caller.Address, Settings.CallersListen.Port}, Bytes);
   };
   Hooks.OnEvent = [this](const flow_event &Event) { Log.record(Event, ""); };
+  Hooks.Clock = [this] { return Log.clock(); };
   return Hooks;
 }
 
--- a/daemons/marjoramctl/command_line.cpp
+++ b/daemons/marjoramctl/command_line.cpp
@@ -20,6 +20,7 @@
 DEFINE_string(flow, "", "Only events of this flow, CALLER>SERVICE.");
 DEFINE_string(host, "", "Only events of or about this host.");
 DEFINE_string(explain, "", "Tell the life of this flow, CALLER>SERVICE.");
+DEFINE_string(request, "", "Tell the life of the flow of this request's id.");
 
 namespace marjoramrail::ctl {
 
@@ -111,6 +112,7 @@
   Options.Flow = FLAGS_flow;
   Options.Host = FLAGS_host;
   Options.Explain = FLAGS_explain;
+  Options.Request = FLAGS_request;
   Command.Retry = std::chrono::seconds(FLAGS_retry_seconds);
   Command.Timeout = std::chrono::milliseconds(FLAGS_timeout_ms);
   const char *Environment = std::getenv("MARJORAM_PLATFORM");
--- a/daemons/marjoramctl/flow_story.cpp
+++ b/daemons/marjoramctl/flow_story.cpp
@@ -2,6 +2,8 @@
 #include "printing.h"
 
 #include <algorithm>
+#include <set>
+#include <sstream>
 
 namespace marjoramrail::ctl {
 
@@ -21,11 +23,45 @@
   for (const std::string &Part : {Event.Service, Event.Host, Event.Flow})
     if (!Part.empty())
       Line.append(" ").append(Part);
+  if (!Event.Request.empty())
+    Line += " request " + Event.Request;
   if (!Event.Why.empty())
     Line += ": " + Event.Why;
-  return Line;
+  std::ostringstream Figures;
+  if (Event.Load)
+    Figures << " load " << *Event.Load;
+  if (Event.TookMs)
+    Figures << " took " << *Event.TookMs << " ms";
+  if (Event.AgeMs)
+    Figures << (Event.TookMs ? ", usually " : " known ") << *Event.AgeMs
+            << (Event.TookMs ? " ms" : " ms ago");
+  return Line + Figures.str();
 }
 
+/// Events of a process itself, or of the target beside it, that explain what
+/// became of its flows.
+static bool tellsOfProcess(event_kind What) {
+  switch (What) {
+  case event_kind::ProcessStarted:
+  case event_kind::ProcessStopping:
+  case event_kind::TargetSilent:
+  case event_kind::TargetGone:
+  case event_kind::TargetRegained:
+  case event_kind::AdmissionChanged:
+  case event_kind::ReportTaken:
+  case event_kind::StoreLost:
+  case event_kind::RoutesInForce:
+    return true;
+  default:
+    return false;
+  }
+}
+
+/// What happened to a flow's processes this long before its first event and
+/// after its last one belongs to its story: a restart is told seconds after the
+/// flow has fallen silent.
+static constexpr std::int64_t AroundMs = 4000;
+
 /// Events that change where flows of a service go.
 static bool changesRouting(event_kind What) {
   switch (What) {
@@ -89,6 +125,16 @@
   case event_kind::RequestUnknown:
     ++Unknown;
     break;
+  case event_kind::RequestSeen:
+    // Only the agent of the flow's own target sees its requests.
+    Owner = Event.Process;
+    break;
+  case event_kind::FlowRefused:
+    End = "refused by " + Event.Process + Why;
+    break;
+  case event_kind::RequestFailed:
+    End = "a request failed at its target" + Why;
+    break;
   case event_kind::FlowReset:
     End = "reset by " + Event.Process + Why;
     break;
@@ -137,13 +183,33 @@
       });
   if (Cause != Events.rend())
     Lines.push_back("  before  " + toText(*Cause));
-  for (auto It = First; It != End; ++It) {
+  std::set<std::string> Processes;
+  for (auto It = First; It != End; ++It)
+    if (IsOwn(*It))
+      Processes.insert(It->Process);
+  const std::int64_t From = First->WallMs - AroundMs;
+  const std::int64_t To = std::prev(End)->WallMs + AroundMs;
+  for (auto It = Events.begin(); It != Events.end(); ++It) {
+    const bool IsWithin = It >= First && It < End;
+    const bool IsAround = It->WallMs >= From && It->WallMs <= To;
     if (IsOwn(*It))
       Lines.push_back("  flow    " + toText(*It));
-    else if (Routes(*It))
+    else if (IsWithin && Routes(*It))
       Lines.push_back("  change  " + toText(*It));
+    else if (IsAround && Processes.contains(It->Process) &&
+             tellsOfProcess(It->What))
+      Lines.push_back("  process " + toText(*It));
   }
   return Lines;
 }
 
+std::optional<std::string>
+flowOfRequest(const std::vector<timeline_event> &Events,
+              const std::string &Request) {
+  for (const timeline_event &Event : Events)
+    if (Event.Request == Request && !Event.Flow.empty())
+      return Event.Flow;
+  return std::nullopt;
+}
+
 } // namespace marjoramrail::ctl
--- a/daemons/marjoramctl/flow_story.h
+++ b/daemons/marjoramctl/flow_story.h
@@ -26,11 +26,17 @@
 std::string toText(const timeline_event &Event);
 
 /// The lines that tell the life of \p Flow: its own events, and between them
-/// what changed its service meanwhile (views, generations, targets, leases).
+/// what changed its service meanwhile (views, generations, targets, leases) and
+/// what happened to the processes that handled it.
 /// Empty if no event names the flow. \p Events are merged.
 std::vector<std::string> explainFlow(const std::vector<timeline_event> &Events,
                                      const std::string &Flow);
 
+/// The flow that carried the request with the id \p Request.
+std::optional<std::string>
+flowOfRequest(const std::vector<timeline_event> &Events,
+              const std::string &Request);
+
 } // namespace marjoramrail::ctl
 
 #endif // MARJORAMRAIL_DAEMONS_MARJORAMCTL_FLOW_STORY_H
--- a/daemons/marjoramctl/timeline_verb.cpp
+++ b/daemons/marjoramctl/timeline_verb.cpp
@@ -98,6 +98,15 @@
 
 void timeline_run::print() {
   Events = merge(std::move(Events));
+  if (!Options.Request.empty()) {
+    const auto Flow = flowOfRequest(Events, Options.Request);
+    if (!Flow) {
+      tell(Context, {step::DecodeMessage, Options.Request,
+                     "no event names this request"});
+      return Done(Code == exit_code::Ok ? exit_code::Refused : Code);
+    }
+    Options.Explain = *Flow;
+  }
   if (!Options.Explain.empty()) {
     const auto Lines = explainFlow(Events, Options.Explain);
     for (const std::string &Line : Lines)
--- a/daemons/marjoramctl/verb.h
+++ b/daemons/marjoramctl/verb.h
@@ -45,6 +45,7 @@
   std::string Flow;
   std::string Host;
   std::string Explain;
+  std::string Request;
 };
 
 /// The body of a page of a process, or the failure to get it.
--- a/daemons/marjoramctl/verbs.cpp
+++ b/daemons/marjoramctl/verbs.cpp
@@ -77,8 +77,9 @@
        "processes at --from, puts causes before effects and prints those that\n"
        "pass --service, --flow and --host. --explain=FLOW tells one flow's "
        "life:\n"
-       "who routed it, when, why.\n",
-       {"from", "service", "flow", "host", "explain"},
+       "who routed it, when, why. --request=ID tells that of the flow which\n"
+       "carried the request with this id.\n",
+       {"from", "service", "flow", "host", "explain", "request"},
        runTimeline},
       {"validate",
        "check files of objects",
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -210,6 +210,9 @@
   /// A packet for a caller, by the route's own address.
   std::function<void(const endpoint &Caller, bytes_view)> SendToCaller;
   std::function<void(const flow_event &)> OnEvent;
+  /// The time line's clock, which a new flow's first packet carries; may be
+  /// empty.
+  std::function<std::uint64_t()> Clock;
 };
 
 struct forward_balancer_counters {
@@ -276,6 +279,8 @@
   std::function<void(const flow_key &, bytes_view Packet, duration Took)>
       OnAnswer;
   std::function<void(const flow_event &)> OnEvent;
+  /// The time line's clock of the balancer that placed a flow; may be empty.
+  std::function<void(std::uint64_t)> Witness;
 };
 
 /// What became of a packet at an agent.
--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -187,8 +187,10 @@
 
   /// Whether an event of \p Kind may be recorded now.
   bool take(event_kind Kind, instant Now);
-  /// Events of \p Kind refused since this was last asked.
-  std::uint64_t leftOut(event_kind Kind);
+  /// Events of \p Kind refused since this last gave a number above 0, which it
+  /// does once a second at most: a line for each gap would double the log just
+  /// when it is bounded.
+  std::uint64_t leftOut(event_kind Kind, instant Now);
 
 private:
   struct bucket {
@@ -196,6 +198,7 @@
     instant FilledAt;
     bool Used = false;
     std::uint64_t LeftOut = 0;
+    instant ToldAt;
   };
 
   std::array<bucket, EventKindNames.size()> Buckets{};
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -86,6 +86,8 @@
 agent_outcome forward_agent::impl::onNewFlow(const routed_packet &Routed,
                                              const segment &Segment,
                                              instant Now) {
+  if (Hooks.Witness && Routed.Version != 0)
+    Hooks.Witness(Routed.Version);
   // An address is used again by other services; the balancer's list may be of
   // before.
   if (Routed.Service != Settings.Service)
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -53,7 +53,7 @@
                       instant Now) const;
   void addSubstitutes(const agent_state &Chosen, holder_list &List) const;
   void send(const holder_list &List, service_id Service, bool Whole,
-            bytes_view Bytes, instant Now);
+            bytes_view Bytes, instant Now, std::uint64_t Clock = 0);
   forward_outcome refuse(const segment &Segment, forward_outcome Outcome,
                          std::string_view Why, instant Now);
   bool isSure(instant Now) const;
@@ -168,7 +168,8 @@
   addSubstitutes(Agent, List);
   tell(event_kind::FlowRouted, Before ? "again" : "new", Flow, Agent.Agent, Now,
        static_cast<double>(Agent.Report.Flows + Agent.Placed));
-  send(List, Agent.Service, /*Whole=*/false, Bytes, Now);
+  send(List, Agent.Service, /*Whole=*/false, Bytes, Now,
+       Hooks.Clock ? Hooks.Clock() : 0);
   return forward_outcome::Placed;
 }
 
@@ -217,8 +218,10 @@
 }
 
 void forward_balancer::impl::send(const holder_list &List, service_id Service,
-                                  bool Whole, bytes_view Bytes, instant Now) {
+                                  bool Whole, bytes_view Bytes, instant Now,
+                                  std::uint64_t Clock) {
   routed_packet Routed;
+  Routed.Version = Clock;
   Routed.Service = Service;
   Routed.Balancer = Settings.Self;
   Routed.Count = static_cast<std::uint8_t>(List.size());
--- a/src/timeline/event_budget.cpp
+++ b/src/timeline/event_budget.cpp
@@ -29,8 +29,13 @@
   return true;
 }
 
-std::uint64_t event_budget::leftOut(event_kind Kind) {
-  return std::exchange(Buckets[static_cast<std::size_t>(Kind)].LeftOut, 0);
+std::uint64_t event_budget::leftOut(event_kind Kind, instant Now) {
+  constexpr duration Spacing = std::chrono::seconds(1);
+  bucket &Bucket = Buckets[static_cast<std::size_t>(Kind)];
+  if (Bucket.LeftOut == 0 || Now - Bucket.ToldAt < Spacing)
+    return 0;
+  Bucket.ToldAt = Now;
+  return std::exchange(Bucket.LeftOut, 0);
 }
 
 } // namespace marjoramrail
--- a/test/daemons/marjoramctl/timeline_test.cpp
+++ b/test/daemons/marjoramctl/timeline_test.cpp
@@ -115,3 +115,38 @@
   CHECK(Text.find("routed by balancer 127.0.0.1:4000, view 7") !=
         std::string::npos);
 }
+
+TEST_CASE(
+    "timeline finds a request's flow and what its processes went through") {
+  // A caller complains with nothing but its request's id. The target's agent
+  // had just lost its target.
+  timeline_event Seen;
+  Seen.What = event_kind::RequestSeen;
+  Seen.Process = "agent-1";
+  Seen.Flow = Flow;
+  Seen.Request = "ab12";
+  Seen.WallMs = 5000;
+  timeline_event Gone;
+  Gone.What = event_kind::TargetGone;
+  Gone.Process = "agent-1";
+  Gone.WallMs = 5200;
+  timeline_event Elsewhere = Gone;
+  Elsewhere.Process = "agent-2";
+  timeline_event Reset;
+  Reset.What = event_kind::FlowReset;
+  Reset.Process = "agent-1";
+  Reset.Flow = Flow;
+  Reset.Request = "ab12";
+  Reset.Why = "target gone";
+  Reset.WallMs = 5200;
+  const std::vector<timeline_event> Events = {Seen, Gone, Elsewhere, Reset};
+
+  CHECK(flowOfRequest(Events, "ab12") == Flow);
+  CHECK_FALSE(flowOfRequest(Events, "cd34"));
+  const std::vector<std::string> Story = explainFlow(Events, Flow);
+  const std::string Text =
+      std::accumulate(Story.begin(), Story.end(), std::string());
+  CHECK(Text.find("end: reset by agent-1 (target gone)") != std::string::npos);
+  CHECK(Text.find("agent-1 target-gone") != std::string::npos);
+  CHECK(Text.find("agent-2") == std::string::npos);
+}
--- /dev/null
+++ b/test/runtime/line_writer_test.cpp
@@ -0,0 +1,45 @@
+#include "marjoramrail/runtime.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+using namespace marjoramrail;
+using namespace std::chrono_literals;
+
+TEST_CASE("a reader that stops neither stops the writer nor grows it") {
+  // Whoever reads the log hangs; the pipe fills. A process that waited for it
+  // would forward no packet any more.
+  int Pipe[2];
+  REQUIRE(pipe(Pipe) == 0);
+  event_loop Loop;
+  const auto Start = std::chrono::steady_clock::now();
+  {
+    line_writer Writer(Loop, Pipe[1]);
+    const std::string Line(200, 'x');
+    for (int I = 0; I < 100'000; ++I) {
+      Writer.write(Line);
+      if (I % 100 == 0)
+        Writer.flush();
+    }
+    CHECK(Writer.leftOut() > 90'000);
+  }
+  CHECK(std::chrono::steady_clock::now() - Start < 5s);
+  close(Pipe[0]);
+  close(Pipe[1]);
+}
+
+TEST_CASE("lines come out whole and in order") {
+  int Pipe[2];
+  REQUIRE(pipe(Pipe) == 0);
+  event_loop Loop;
+  {
+    line_writer Writer(Loop, Pipe[1]);
+    Writer.write("one");
+    Writer.write("two");
+  }
+  char Text[16] = {};
+  CHECK(read(Pipe[0], Text, sizeof(Text)) == 8);
+  CHECK(std::string(Text, 8) == "one\ntwo\n");
+  close(Pipe[0]);
+  close(Pipe[1]);
+}
