Take the entries of dead VMs out of the store; say at the end what is over

Change: an agent that is stopped looks whether its target lives; if not, it resets the flows and withdraws. The first balancer of a zone takes out agents silent for longer than flows live; an agent that is not listed hears it and announces itself again, with the wait of a new target.

--- a/bench/forward/main.cpp
+++ b/bench/forward/main.cpp
@@ -92,7 +92,7 @@
   forward_balancer Balancer(
       {{0x0a000001, 7000}, "zone-0"}, users_platform::packetCodec(),
       {[](const endpoint &, bytes_view) {}, [](const endpoint &, bytes_view) {},
-       nullptr, nullptr});
+       nullptr, nullptr, nullptr});
   Balancer.setRoutes({{RouteAddress, {{"ledger", 1}}, {"ledger"}}});
   Balancer.setTargets(targets());
   const instant Now(std::chrono::seconds(1));
@@ -116,7 +116,7 @@
                       users_platform::packetCodec(),
                       {[](bytes_view) {}, [](const endpoint &, bytes_view) {},
                        [](const endpoint &, bytes_view) {}, nullptr, [] {},
-                       nullptr, nullptr, nullptr, nullptr});
+                       nullptr, nullptr, nullptr, nullptr, nullptr});
   Agent.setAdmitting(true);
   const instant Now(std::chrono::seconds(1));
   std::vector<std::vector<std::uint8_t>> In;
--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -88,6 +88,7 @@
                       Core.report(Loop.timers().now()).Latency);
   };
   Hooks.OnEvent = [this](const flow_event &Event) { recordFlow(Event); };
+  Hooks.Unlisted = [this] { announceAgain(); };
   Hooks.Witness = [this](std::uint64_t Clock) { Log.witness(Clock); };
   return Hooks;
 }
@@ -111,6 +112,11 @@
     Core.setTarget(Entry.Slots, duration::zero(), Now);
     review("the store holds this target");
   };
+  // What follows is as for a new target: its flows wait until all know it.
+  Hooks.OnMissing = [this] {
+    Admission.onUnlisted();
+    review("not in the store");
+  };
   Hooks.OnStored = [this](bool Existed) {
     Admission.onStored(Existed, Loop.timers().now());
     review("the store holds this target");
@@ -206,18 +212,24 @@
   Core.reportNow(Loop.timers().now());
   Routed.flush();
   Log.record(event_kind::ProcessStopping, "asked to stop");
-  if (!Reports.left()) {
-    Loop.timers().after(FarewellTime, [this] { Loop.stop(); });
-    return;
-  }
-  // The VM goes away together with its target: nothing else takes the entry
-  // out of the store.
-  Registrar.withdraw();
+  // With a target that lives the agent will be back; the shorter it is away,
+  // the better. A VM that goes away ends its target first: then the flows are
+  // over, and nothing else takes the entry out of the store.
+  lookAtTarget();
   StopBy = Loop.timers().now() + WithdrawTime;
-  Loop.timers().every(FarewellTime, [this] {
-    if (Registrar.settled() || Loop.timers().now() >= StopBy)
-      Loop.stop();
-  });
+  Loop.timers().every(FarewellTime, [this] { endWhenDone(); });
+}
+
+void forward_agent_process::endWhenDone() {
+  const instant Now = Loop.timers().now();
+  const bool IsOver = Reports.left() || Core.targetGone();
+  if (IsOver && !Withdrawing) {
+    Withdrawing = true;
+    Registrar.withdraw();
+  }
+  const bool IsDone = IsOver ? Registrar.settled() : !Look;
+  if (IsDone || Now >= StopBy)
+    Loop.stop();
 }
 
 void forward_agent_process::onRouted(std::span<const datagram> Batch) {
@@ -319,6 +331,14 @@
   Loop.timers().after(LookPeriod, [this] { withdrawWhenGone(); });
 }
 
+/// The entry is gone although the target is there. Its next flows wait until
+/// all know it again.
+void forward_agent_process::announceAgain() {
+  if (Stopping || Reports.left() || !Registrar.settled())
+    return;
+  Registrar.recheck();
+}
+
 void forward_agent_process::announce() {
   target_entry Entry;
   Entry.Name = entryName(Settings);
@@ -352,18 +372,28 @@
   if (Look)
     return;
   tcp_stream::hooks Hooks;
+  Hooks.OnConnected = [this] { endLook(); };
   Hooks.OnClosed = [this](const std::string &Reason) {
     onTargetLooked(Reason);
+    endLook();
   };
   Look = tcp_stream::connect(Loop, Settings.Target, std::move(Hooks));
-  Loop.timers().after(LookTime, [this] { Look.reset(); });
+  LookTimer = Loop.timers().after(LookTime, [this] { Look.reset(); });
+}
+
+/// Not at once: the stream must not go from within its own hook.
+void forward_agent_process::endLook() {
+  Loop.timers().cancel(LookTimer);
+  LookTimer = Loop.timers().after(duration::zero(), [this] { Look.reset(); });
 }
 
 void forward_agent_process::onTargetLooked(const std::string &Reason) {
-  if (Reason != std::strerror(ECONNREFUSED))
+  if (Reason != std::strerror(ECONNREFUSED) || Core.targetGone())
     return;
   Log.record(event_kind::TargetGone, Reason, toText(Settings.Target));
   Core.setTargetGone(true, Loop.timers().now());
+  Core.reportNow(Loop.timers().now());
+  Routed.flush();
 }
 
 } // namespace marjoramrail::daemons
--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -35,10 +35,13 @@
   page_answer onReport(const target_report &Report);
   page_answer onLeave(const std::string &Id);
   void announce();
+  void announceAgain();
   void withdrawWhenGone();
   void review(const char *Why);
   void armExpiry(std::optional<instant> Due);
+  void endWhenDone();
   void lookAtTarget();
+  void endLook();
   void onTargetLooked(const std::string &Reason);
   status_page::hooks callsPage();
   status_page::hooks readyPage();
@@ -65,7 +68,9 @@
   status_page MetricsPage;
   std::unique_ptr<tcp_stream> Look;
   bool ExpiryArmed = false;
+  timer_id LookTimer{};
   bool Stopping = false;
+  bool Withdrawing = false;
   instant StopBy;
   std::uint64_t &Malformed;
   std::uint64_t &Late;
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -56,8 +56,10 @@
       Callers(Loop, [this](auto Batch) { onCallers(Batch); }),
       Peers(Loop, [this](auto Batch) { onPeers(Batch); }),
       Store(Loop, storeSettings(Settings, Adapter)),
-      Core({.Self = Settings.PeersListen, .Zone = Settings.Zone}, Adapter.Codec,
-           coreHooks()),
+      Core({.Self = Settings.PeersListen,
+            .Zone = Settings.Zone,
+            .FlowLife = Settings.FlowLife},
+           Adapter.Codec, coreHooks()),
       Directory(Loop.timers(), storeApis(Store), directorySettings(Settings),
                 directoryHooks()),
       ReadyPage(Loop, Metrics, readyPage()),
@@ -80,6 +82,9 @@
     Callers.send({Caller.Address, Settings.CallersListen.Port}, Bytes);
   };
   Hooks.OnEvent = [this](const flow_event &Event) { Log.record(Event, ""); };
+  Hooks.OnAgentLost = [this](const endpoint &Agent, duration) {
+    Directory.removeTarget(Agent);
+  };
   Hooks.Clock = [this] { return Log.clock(); };
   return Hooks;
 }
--- a/daemons/forwarder/target_admission.h
+++ b/daemons/forwarder/target_admission.h
@@ -27,6 +27,9 @@
       KnownSince = Existed ? Now - SettleTime : Now;
   }
 
+  /// The entry was taken out of the store: what follows is as for a new target.
+  void onUnlisted() { KnownSince.reset(); }
+
   /// A balancer offered a flow of this target's service: it knows the entry,
   /// so the store holds it although it cannot be asked now.
   void onOffered(instant Now) {
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -183,6 +183,8 @@
     /// The store has the entry. \p Existed: it named this service and address
     /// before this process wrote anything.
     std::function<void(bool Existed)> OnStored;
+    /// The store does not hold the entry that it shall hold; it is written next.
+    std::function<void()> OnMissing;
     /// What the store held when it was first read, for look().
     std::function<void(const target_entry &)> OnFound;
     /// A call failed; \p Reason for the log.
@@ -201,6 +203,9 @@
   void set(const target_entry &Entry);
   /// From now on the store shall hold no entry.
   void withdraw();
+  /// The entry may have been taken out by someone else: looks, and writes it
+  /// again if it is missing.
+  void recheck();
   /// True when the store holds what it shall.
   bool settled() const;
 
@@ -281,6 +286,9 @@
   std::uint64_t routesVersion() const;
   /// Everything that the store accepted before this moment is known here.
   std::optional<instant> knownAsOf() const;
+  /// Takes the entries of an agent that is gone for good out of the store, if
+  /// this balancer is the first of its zone; the others leave it to that one.
+  void removeTarget(const endpoint &Agent);
   /// Peers heard within the last seconds.
   std::size_t livePeers() const;
 
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -115,6 +115,13 @@
 std::size_t encodeLoadQuestion(std::span<std::uint8_t> Buffer);
 bool isLoadQuestion(bytes_view Bytes);
 
+/// Tells an agent that reports that the store's list does not hold it: its
+/// entry was taken out while it was cut off, and it has to announce itself
+/// again.
+inline constexpr std::size_t UnlistedNoticeBytes = 4;
+std::size_t encodeUnlistedNotice(std::span<std::uint8_t> Buffer);
+bool isUnlistedNotice(bytes_view Bytes);
+
 //===----------------------------------------------------------------------===//
 // Where new flows go
 //===----------------------------------------------------------------------===//
@@ -203,6 +210,8 @@
   std::string Zone;
   /// Flows remembered at most; 32 bytes each, taken as they come.
   std::size_t MaxFlows = 200'000;
+  /// The longest life of a flow.
+  duration FlowLife = std::chrono::minutes(1);
 };
 
 struct forward_balancer_hooks {
@@ -213,6 +222,9 @@
   /// The time line's clock, which a new flow's first packet carries; may be
   /// empty.
   std::function<std::uint64_t()> Clock;
+  /// An agent of the own zone has not answered for \p Silence, and every flow
+  /// that its target held is over. May be empty.
+  std::function<void(const endpoint &Agent, duration Silence)> OnAgentLost;
 };
 
 struct forward_balancer_counters {
@@ -281,6 +293,9 @@
   std::function<void(const flow_event &)> OnEvent;
   /// The time line's clock of the balancer that placed a flow; may be empty.
   std::function<void(std::uint64_t)> Witness;
+  /// A balancer says that the store does not hold this agent's entry; may be
+  /// empty.
+  std::function<void()> Unlisted;
 };
 
 /// What became of a packet at an agent.
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -491,6 +491,22 @@
   return std::min(*Routes, *Site);
 }
 
+void directory::removeTarget(const endpoint &Agent) {
+  if (Impl->Peers.rankIn(Impl->ZoneNumber, Impl->Timers.now()) != 0)
+    return;
+  for (const auto &[Name, Target] : Impl->Targets) {
+    if (Target.Agent != Agent)
+      continue;
+    const auto Object = Impl->Site.objects().find(Name);
+    if (Object == Impl->Site.objects().end())
+      continue;
+    Impl->Hooks.OnEvent(event_kind::TargetDown, Name);
+    // A conflict means that someone has just written it: then it lives.
+    Impl->Platform.Site.Remove(Object->second.Key, Object->second.Version,
+                               [](const platform_reply &) {});
+  }
+}
+
 std::size_t directory::livePeers() const {
   return Impl->Peers.live(Impl->Timers.now());
 }
--- a/src/directory/target_registrar.cpp
+++ b/src/directory/target_registrar.cpp
@@ -78,6 +78,8 @@
     Version = 0;
   else if (auto Entry = decodeTarget(Name, Reply.Object.Body))
     Held = *Entry;
+  if (!Held && Keeping && Wanted && Hooks.OnMissing)
+    Hooks.OnMissing();
   if (Held && !WroteBefore && Hooks.OnFound)
     Hooks.OnFound(*Held);
   tellStored();
@@ -167,6 +169,11 @@
   Impl->work();
 }
 
+void target_registrar::recheck() {
+  Impl->Fresh = false;
+  Impl->work();
+}
+
 bool target_registrar::settled() const { return Impl->settled(); }
 
 } // namespace marjoramrail
--- a/src/forward/agent_roster.cpp
+++ b/src/forward/agent_roster.cpp
@@ -57,7 +57,9 @@
       State->SentSince = Now;
 }
 
-void agent_roster::noteReport(const load_report &Report, instant Now) {
+bool agent_roster::noteReport(const load_report &Report, instant Now) {
+  if (!ByEndpoint.contains(Report.Agent))
+    return false;
   for (agent_state &State : Agents) {
     if (State.Agent != Report.Agent)
       continue;
@@ -68,6 +70,7 @@
     State.Placed = 0;
     State.Suspect = false;
   }
+  return true;
 }
 
 bool agent_roster::review(
@@ -79,6 +82,7 @@
         Now - *State.SentSince < SuspectAfter)
       continue;
     State.Suspect = true;
+    State.SuspectSince = Now;
     Changed = true;
     OnSuspicion(State);
   }
--- a/src/forward/agent_roster.h
+++ b/src/forward/agent_roster.h
@@ -45,6 +45,8 @@
   std::optional<instant> AskedAt;
   std::uint32_t Placed = 0;
   bool Suspect = false;
+  /// Since when it has been suspect.
+  instant SuspectSince;
 
   bool isOwnZone() const { return ZoneOrder == 0; }
   /// Packets were sent there for \p Time, and no report has come since.
@@ -75,7 +77,8 @@
   std::size_t size() const { return Agents.size(); }
 
   void noteSent(const endpoint &Agent, instant Now);
-  void noteReport(const load_report &Report, instant Now);
+  /// False if no agent of the list has that address.
+  bool noteReport(const load_report &Report, instant Now);
   /// Finds the suspects and whom to ask; true if a suspicion changed.
   bool review(instant Now, std::vector<endpoint> &Ask,
               const std::function<void(const agent_state &)> &OnSuspicion);
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -12,6 +12,9 @@
 /// Balancers that have sent nothing for longer get no reports: longer than
 /// their AskAfter, so that one that asks keeps hearing.
 constexpr duration ReportFor = std::chrono::seconds(2);
+/// A report to the last balancer known, when none has been heard: rare enough
+/// to cost nothing, often enough for an agent that comes back after a long cut.
+constexpr duration CallOutPeriod = std::chrono::seconds(5);
 /// The same balancer is told the owner of the same flow at most this often.
 constexpr duration NoticeSpacing = std::chrono::milliseconds(100);
 
@@ -40,6 +43,7 @@
   void nameOwner(const routed_packet &Routed, const flow_key &Flow,
                  instant Now);
   void resetAll(instant Now);
+  void callOut(instant Now);
   void sendReport(const endpoint &Balancer, instant Now);
   load_report report(instant Now) const;
   void tell(event_kind What, std::string_view Why, const flow_key &Flow,
@@ -51,6 +55,8 @@
   offered_packets Offered;
   target_load Load;
   std::map<endpoint, instant> Balancers;
+  /// The last balancer heard, and when it was heard or called last.
+  std::optional<std::pair<endpoint, instant>> LastBalancer;
   bool Admitting = false;
   bool TargetGone = false;
   /// The target has not answered the last thing put to it.
@@ -324,6 +330,11 @@
 
 agent_outcome forward_agent::onRouted(const endpoint &From, bytes_view Bytes,
                                       instant Now) {
+  if (isUnlistedNotice(Bytes)) {
+    if (Impl->Hooks.Unlisted)
+      Impl->Hooks.Unlisted();
+    return agent_outcome::Delivered;
+  }
   if (isLoadQuestion(Bytes)) {
     Impl->Balancers[From] = Now;
     Impl->sendReport(From, Now);
@@ -365,9 +376,22 @@
   std::erase_if(Impl->Balancers, [&](const auto &Item) {
     return Now - Item.second > ReportFor;
   });
+  if (!Impl->Balancers.empty())
+    Impl->LastBalancer = {Impl->Balancers.begin()->first, Now};
+  else
+    Impl->callOut(Now);
   reportNow(Now);
 }
 
+/// Nobody sends or asks: calm, or this agent was cut off and taken out of the
+/// list meanwhile. The last balancer known says which.
+void forward_agent::impl::callOut(instant Now) {
+  if (!LastBalancer || Now - LastBalancer->second < CallOutPeriod)
+    return;
+  LastBalancer->second = Now;
+  sendReport(LastBalancer->first, Now);
+}
+
 void forward_agent::reportNow(instant Now) {
   for (const auto &[Balancer, HeardAt] : Impl->Balancers)
     Impl->sendReport(Balancer, Now);
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -14,9 +14,14 @@
 /// covers a packet's way and a late timer.
 constexpr duration SureFor = SettleTime - std::chrono::milliseconds(100);
 
-/// How often old flows are forgotten, in ticks: every ten seconds.
+/// How often old flows and agents are looked through, in ticks: every ten
+/// seconds.
 constexpr int TicksPerSweep = 50;
 
+/// A flow may have been opened just before its agent fell silent, and its
+/// caller send for some seconds more.
+constexpr duration LostSlack = std::chrono::seconds(10);
+
 struct weighted_service {
   service_id Service{};
   std::uint32_t Weight = 0;
@@ -57,6 +62,8 @@
   forward_outcome refuse(const segment &Segment, forward_outcome Outcome,
                          std::string_view Why, instant Now);
   bool isSure(instant Now) const;
+  void tellUnlisted(const endpoint &Agent, instant Now);
+  void tellLost(instant Now);
   void tell(event_kind What, std::string_view Why, const flow_key &Flow,
             const endpoint &Agent, instant Now, double Load = 0);
 
@@ -245,6 +252,30 @@
   return KnownAsOf && Now - *KnownAsOf <= SureFor;
 }
 
+/// Only on fresh knowledge: an agent that joined a moment ago is not in an old
+/// list.
+void forward_balancer::impl::tellUnlisted(const endpoint &Agent, instant Now) {
+  if (!isSure(Now))
+    return;
+  std::array<std::uint8_t, UnlistedNoticeBytes> Notice;
+  encodeUnlistedNotice(Notice);
+  Hooks.SendToAgent(Agent, Notice);
+}
+
+/// VMs die every day and take their entries with them to no one. Left in the
+/// store, each would stand at the end of every list for ever, and no flow that
+/// is lost could be told so, because the dead one never declines.
+void forward_balancer::impl::tellLost(instant Now) {
+  if (!Hooks.OnAgentLost)
+    return;
+  for (std::size_t I = 0; I < Roster.size(); ++I) {
+    const agent_state &Agent = Roster.at(I);
+    if (Agent.Suspect && Agent.isOwnZone() &&
+        Now - Agent.SuspectSince > Settings.FlowLife + LostSlack)
+      Hooks.OnAgentLost(Agent.Agent, Now - Agent.SuspectSince);
+  }
+}
+
 void forward_balancer::impl::tell(event_kind What, std::string_view Why,
                                   const flow_key &Flow, const endpoint &Agent,
                                   instant Now, double Load) {
@@ -333,7 +364,8 @@
   load_report Report;
   if (decodeLoadReport(Bytes, Report)) {
     ++Impl->Counters.Reports;
-    Impl->Roster.noteReport(Report, Now);
+    if (!Impl->Roster.noteReport(Report, Now))
+      Impl->tellUnlisted(Report.Agent, Now);
     return;
   }
   owner_notice Notice;
@@ -356,8 +388,10 @@
     ++Impl->Counters.Questions;
     Impl->Hooks.SendToAgent(Agent, Question);
   }
-  if (++Impl->Ticks % TicksPerSweep == 0)
-    Impl->Memory.forgetOld(Now);
+  if (++Impl->Ticks % TicksPerSweep != 0)
+    return;
+  Impl->Memory.forgetOld(Now);
+  Impl->tellLost(Now);
 }
 
 const forward_balancer_counters &forward_balancer::counters() const {
--- a/src/forward/load_report.cpp
+++ b/src/forward/load_report.cpp
@@ -10,6 +10,7 @@
 /// u32 warm-up ms | padding
 static constexpr std::uint16_t ReportMagic = 0x4d4c;
 static constexpr std::uint16_t QuestionMagic = 0x4d51;
+static constexpr std::uint16_t UnlistedMagic = 0x4d55;
 static constexpr std::uint8_t Format = 1;
 static constexpr std::uint8_t AdmittingBit = 1;
 static constexpr std::uint8_t AnsweringBit = 2;
@@ -68,18 +69,32 @@
   return true;
 }
 
-std::size_t encodeLoadQuestion(std::span<std::uint8_t> Buffer) {
+/// A message that is its magic number alone.
+static std::size_t encodeBare(std::uint16_t Magic,
+                              std::span<std::uint8_t> Buffer) {
   if (Buffer.size() < LoadQuestionBytes)
     return 0;
   byte_writer Writer(Buffer.data());
-  Writer.put(QuestionMagic);
+  Writer.put(Magic);
   Writer.put(Format);
   Writer.put(std::uint8_t{0});
   return LoadQuestionBytes;
 }
 
+std::size_t encodeLoadQuestion(std::span<std::uint8_t> Buffer) {
+  return encodeBare(QuestionMagic, Buffer);
+}
+
 bool isLoadQuestion(bytes_view Bytes) {
   return Bytes.size() == LoadQuestionBytes && hasMagic(Bytes, QuestionMagic);
 }
 
+std::size_t encodeUnlistedNotice(std::span<std::uint8_t> Buffer) {
+  return encodeBare(UnlistedMagic, Buffer);
+}
+
+bool isUnlistedNotice(bytes_view Bytes) {
+  return Bytes.size() == UnlistedNoticeBytes && hasMagic(Bytes, UnlistedMagic);
+}
+
 } // namespace marjoramrail
--- a/test/directory/target_registrar_test.cpp
+++ b/test/directory/target_registrar_test.cpp
@@ -14,6 +14,7 @@
   store_faults Faults;
   std::vector<bool> Stored;
   std::vector<target_entry> Found;
+  int Missing = 0;
   target_entry Entry{"target.one", "ledger", {0x0a000101, 700},
                      "brugge",     4,        false};
   target_registrar Registrar{
@@ -21,6 +22,7 @@
       siteStore(Store, Faults, "site"),
       "site",
       {[this](bool Existed) { Stored.push_back(Existed); },
+       [this] { ++Missing; },
        [this](const target_entry &Entry) { Found.push_back(Entry); },
        [](const std::string &) {}}};
 
@@ -93,6 +95,21 @@
   CHECK(Registrar.settled());
 }
 
+TEST_CASE_FIXTURE(registrar_fixture, "an entry that was taken out comes back") {
+  // An agent was cut off for longer than flows live, and a balancer took its
+  // entry for that of a dead VM. Back again, its target would idle for ever.
+  Registrar.set(Entry);
+  pass(100ms);
+  Missing = 0;
+  Store.erase("site", Entry.Name);
+  Registrar.recheck();
+  pass(500ms);
+
+  CHECK(Missing == 1);
+  CHECK(held() == Entry);
+  CHECK(Stored.back() == false);
+}
+
 TEST_CASE("an entry that cannot be read is refused") {
   for (const char *Broken :
        {"", "[]", R"({"service": 1})", R"({"service": "a"})",
--- a/test/forward/forward_world.h
+++ b/test/forward/forward_world.h
@@ -110,13 +110,19 @@
     bool Cut = false;
     bool Listed = true;
     bool LookedAt = false;
+    /// Times that a balancer said that the list lacks it.
+    int Unlisted = 0;
   };
 
+  static constexpr duration FlowLife = std::chrono::seconds(20);
+
   instant Now{std::chrono::seconds(10)};
   std::map<unsigned, host> Hosts;
   std::map<unsigned, std::unique_ptr<forward_balancer>> Balancers;
   std::vector<received> Received;
   std::vector<flow_event> Events;
+  /// Agents that a balancer has called lost.
+  std::vector<endpoint> Lost;
   /// Datagrams between processes, for the price of a walk.
   std::uint64_t Hops = 0;
 
@@ -144,6 +150,7 @@
     Hooks.SendToCaller = [this](const endpoint &, bytes_view Bytes) {
       Received.push_back({frameOf(Bytes).Segment, frameOf(Bytes).Body});
     };
+    Hooks.Unlisted = [&Host] { ++Host.Unlisted; };
     Hooks.TargetSilent = [&Host] { Host.LookedAt = true; };
     Hooks.OnEvent = [this](const flow_event &Event) {
       Events.push_back(Event);
@@ -164,9 +171,12 @@
     Hooks.OnEvent = [this](const flow_event &Event) {
       Events.push_back(Event);
     };
+    Hooks.OnAgentLost = [this](const endpoint &Agent, duration) {
+      Lost.push_back(Agent);
+    };
     Balancers[Number] = std::make_unique<forward_balancer>(
-        forward_balancer_settings{balancerAt(Number), Zone, 1000}, testCodec(),
-        Hooks);
+        forward_balancer_settings{balancerAt(Number), Zone, 1000, FlowLife},
+        testCodec(), Hooks);
     Balancers[Number]->setRoutes({{RouteAddress, {{"ledger", 1}}, {"ledger"}}});
     tellBalancers();
   }
--- a/test/forward/new_flows_test.cpp
+++ b/test/forward/new_flows_test.cpp
@@ -137,3 +137,31 @@
   CHECK(packet(1, data(flowOf(1), 7)) == forward_outcome::Unsure);
   CHECK(resets() == 0);
 }
+
+TEST_CASE_FIXTURE(small_site, "a VM that is gone for good is told so") {
+  // Every day VMs die without a word. Their entries would pile up at the end of
+  // every list, and no lost flow could be reset.
+  Hosts[2].Cut = true;
+  for (std::uint16_t Port = 1; Port <= 20; ++Port)
+    packet(1, syn(flowOf(Port)));
+  pass(FlowLife);
+  CHECK(Lost.empty());
+
+  pass(25s);
+  REQUIRE_FALSE(Lost.empty());
+  for (const endpoint &Agent : Lost)
+    CHECK(Agent == agentAt(2));
+}
+
+TEST_CASE_FIXTURE(small_site, "an agent that the list lacks hears it") {
+  // It was cut off, taken for dead, and is back. Nobody sends there, so it has
+  // to call out itself.
+  packet(1, syn(flowOf(1)));
+  Hosts[3].Listed = false;
+  for (int Second = 0; Second < 8; ++Second) {
+    pass(1s);
+    tellBalancers();
+  }
+  CHECK(Hosts[3].Unlisted > 0);
+  CHECK(Hosts[1].Unlisted == 0);
+}
