Reset a lost flow at its own agent

Cause: after a target's crash each of its flows was walked through all targets (10 to 56) before its caller heard of it, and not at all while the store was away. Change: an agent that saw its target hold an open flow, and gets it back declined, tells the caller itself; what the caller acknowledges tells a new flow on a used port from the old one. Three tests of walks now restart the owner's agent first, since a walk only happens then; their checks are the same.

--- a/daemons/marjoramctl/flow_story.cpp
+++ b/daemons/marjoramctl/flow_story.cpp
@@ -129,6 +129,9 @@
     // Only the agent of the flow's own target sees its requests.
     Owner = Event.Process;
     break;
+  case event_kind::FlowLost:
+    End = "lost by its target" + Why;
+    break;
   case event_kind::FlowRefused:
     End = "refused by " + Event.Process + Why;
     break;
--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -64,6 +64,8 @@
   FaultInjected,
   /// No target takes the new flow; its caller was told at once.
   FlowRefused,
+  /// The target does not hold a flow any more that it held.
+  FlowLost,
   /// The first bytes of a request have reached the agent of its target.
   RequestSeen,
   /// The first bytes of its answer have left: plainly, late for this target, or
@@ -95,7 +97,7 @@
   LinesLeftOut,
 };
 
-inline constexpr name_table<event_kind, 46> EventKindNames = {{
+inline constexpr name_table<event_kind, 47> EventKindNames = {{
     {event_kind::ProcessStarted, "process-started"},
     {event_kind::ProcessStopping, "process-stopping"},
     {event_kind::ViewTaken, "view-taken"},
@@ -121,6 +123,7 @@
     {event_kind::DrainUndone, "drain-undone"},
     {event_kind::FaultInjected, "fault-injected"},
     {event_kind::FlowRefused, "flow-refused"},
+    {event_kind::FlowLost, "flow-lost"},
     {event_kind::RequestSeen, "request-seen"},
     {event_kind::RequestAnswered, "request-answered"},
     {event_kind::RequestSlow, "request-slow"},
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -39,6 +39,7 @@
                           std::string_view Why, instant Now);
   agent_outcome onDeclined(const segment &Segment, bytes_view Bytes,
                            instant Now);
+  agent_outcome resetLost(const tcp_packet &Head);
   agent_outcome onAnswer(segment Segment, bytes_view Bytes, instant Now);
   void nameOwner(const routed_packet &Routed, const flow_key &Flow,
                  instant Now);
@@ -219,8 +220,11 @@
   offered_packet *Packet = Offered.declined(Segment.Tag, Segment.Head.Flow);
   if (!Packet)
     return agent_outcome::Unsure;
+  const bool WasHeld = Load.heldOpen(Segment.Head);
   if (!Segment.Head.opensFlow())
     Load.forget(Segment.Head.Flow, Now);
+  if (WasHeld)
+    return resetLost(Segment.Head);
   std::array<std::uint8_t, MaxPacketBytes> Buffer;
   std::copy(Bytes.begin(), Bytes.end(), Buffer.begin());
   const std::span<std::uint8_t> Restored(Buffer.data(), Bytes.size());
@@ -230,6 +234,22 @@
   return passOn(Routed, Packet->Head, "declined", Now);
 }
 
+/// An open flow is held by one target; if that one has lost it, no other needs
+/// to be asked. After a target's crash this saves a walk for each of its flows,
+/// and holds also where the list may not be whole.
+agent_outcome forward_agent::impl::resetLost(const tcp_packet &Head) {
+  tell(event_kind::FlowLost, "its target does not hold it any more", Head.Flow,
+       {});
+  if (Head.Rst)
+    return agent_outcome::Unsure;
+  std::array<std::uint8_t, MaxPacketBytes> Buffer;
+  const std::size_t Size = Codec.WriteReset(Head, Buffer);
+  if (Size == 0)
+    return agent_outcome::Unsure;
+  Hooks.SendToCaller(Head.Flow.Caller, {Buffer.data(), Size});
+  return agent_outcome::Reset;
+}
+
 agent_outcome forward_agent::impl::onAnswer(segment Segment, bytes_view Bytes,
                                             instant Now) {
   tcp_packet &Head = Segment.Head;
--- a/src/forward/target_load.cpp
+++ b/src/forward/target_load.cpp
@@ -9,6 +9,14 @@
 static constexpr double LatencySmoothing = 0.1;
 static constexpr duration SweepPeriod = std::chrono::seconds(5);
 
+/// What two packets of one flow can be apart: the ends have at most 16 packets
+/// of some 1,200 bytes in flight; four times that. A new flow on a used port
+/// starts anywhere.
+static bool isNear(std::uint32_t A, std::uint32_t B) {
+  constexpr std::uint32_t Window = 76'800;
+  return A - B <= Window || B - A <= Window;
+}
+
 target_load::caller_packet target_load::judge(const tcp_packet &Packet) const {
   const auto Found = Flows.find(Packet.Flow);
   if (Found == Flows.end())
@@ -19,9 +27,20 @@
   if (Flow.HalfOpen && Packet.Ack &&
       Packet.Acknowledged != Flow.TargetSequence + 1)
     return caller_packet::Elsewhere;
+  const std::uint32_t Last = Flow.CallerAcknowledged;
+  if (!Flow.HalfOpen && Last != 0 && !isNear(Packet.Acknowledged, Last))
+    return caller_packet::Unknown;
   return caller_packet::Known;
 }
 
+bool target_load::heldOpen(const tcp_packet &Packet) const {
+  const auto Found = Flows.find(Packet.Flow);
+  if (Found == Flows.end() || Found->second.HalfOpen)
+    return false;
+  const std::uint32_t Last = Found->second.CallerAcknowledged;
+  return Last != 0 && isNear(Packet.Acknowledged, Last);
+}
+
 void target_load::integrate(instant Now) {
   const double Passed =
       std::chrono::duration<double>(Now - IntegratedAt).count();
--- a/src/forward/target_load.h
+++ b/src/forward/target_load.h
@@ -39,6 +39,7 @@
   enum class caller_packet {
     /// Of a flow that the target has answered on.
     Known,
+    /// Of none, or of a new one on a port that is used again.
     Unknown,
     /// It confirms another target's answer: two targets answered copies of one
     /// SYN, and the caller took the other one.
@@ -49,6 +50,10 @@
   void setIdleFlow(duration Time) { IdleFlow = Time; }
 
   caller_packet judge(const tcp_packet &Packet) const;
+  /// Whether the target was seen to hold the open flow of \p Packet. A port
+  /// that is used again has a new flow under the same addresses; what the
+  /// caller acknowledges tells them apart.
+  bool heldOpen(const tcp_packet &Packet) const;
   /// The packet goes to the target. True if it begins a request.
   bool onCaller(const tcp_packet &Packet, instant Now);
   /// The target wrote a packet (Flow.Service is the target's end). If it begins
--- a/test/forward/flows_test.cpp
+++ b/test/forward/flows_test.cpp
@@ -69,12 +69,49 @@
   CHECK(Received[0].Segment.Head.Sequence == Ack);
 }
 
+TEST_CASE_FIXTURE(small_site, "a lost flow's own agent tells at once") {
+  // A target crashed; its agent knows that it held the flow, and nobody else
+  // can. No other target needs to be asked, and no fresh knowledge is needed.
+  const flow_key Flow = flowOf(1001);
+  const std::uint32_t Ack = open(1, Flow);
+  packet(1, data(Flow, Ack));
+  const unsigned Owner = ownerOf(Flow);
+  Hosts[Owner].Target = {};
+  losePlatform();
+  Received.clear();
+  Hops = 0;
+  packet(1, data(Flow, Ack + 50));
+
+  CHECK(resets() == 1);
+  CHECK(Hops == 1);
+}
+
+TEST_CASE_FIXTURE(small_site,
+                  "a port used again is not taken for the old flow") {
+  // A caller uses a port again; its new flow was placed elsewhere. The agent of
+  // the old one remembers that its target held a flow of these addresses.
+  const flow_key Flow = flowOf(1001);
+  open(1, Flow);
+  const unsigned Before = ownerOf(Flow);
+  Hosts[Before].Target = {};
+  const unsigned Next = Before == 1 ? 2 : 1;
+  Hosts[Next].Target.Opening[Flow] = 900'000'000;
+  Hosts[Next].Target.Flows.insert(Flow);
+  Received.clear();
+  packet(1, data(Flow, 900'000'001));
+
+  CHECK(resets() == 0);
+  CHECK(answers() == 1);
+}
+
 TEST_CASE_FIXTURE(small_site, "nothing is reset on old knowledge") {
   // The store cannot be asked. A target that joined since may hold the flow,
   // and a reset would break it; silence costs the caller time, not its session.
   const flow_key Flow = flowOf(1001);
   const std::uint32_t Ack = open(1, Flow);
-  Hosts[ownerOf(Flow)].Target = {};
+  const unsigned Owner = ownerOf(Flow);
+  Hosts[Owner].Target = {};
+  startAgent(Owner);
   losePlatform();
   Received.clear();
   packet(1, data(Flow, Ack));
@@ -211,7 +248,9 @@
 TEST_CASE_FIXTURE(small_site, "a walk asks each target once") {
   const flow_key Flow = flowOf(1001);
   const std::uint32_t Ack = open(1, Flow);
-  Hosts[ownerOf(Flow)].Target = {};
+  const unsigned Owner = ownerOf(Flow);
+  Hosts[Owner].Target = {};
+  startAgent(Owner);
   for (auto &[Number, Host] : Hosts)
     Host.Target.Declined = 0;
   packet(2, data(Flow, Ack));
@@ -238,7 +277,9 @@
   tellBalancers();
   const flow_key Flow = flowOf(1001);
   const std::uint32_t Ack = open(1, Flow);
-  Hosts[ownerOf(Flow)].Target = {};
+  const unsigned Owner = ownerOf(Flow);
+  Hosts[Owner].Target = {};
+  startAgent(Owner);
   Received.clear();
   packet(2, data(Flow, Ack));
 
