--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -12,6 +12,9 @@
 constexpr duration StoreTimeout = std::chrono::milliseconds(1500);
 /// A target that does not answer is looked at this often.
 constexpr duration LookPeriod = std::chrono::milliseconds(500);
+/// The longest time between two packets of a target whose flow is not over: the
+/// end of its back-off, and some room.
+constexpr duration LongestRetransmission = std::chrono::milliseconds(1800);
 /// On the same VM a connection comes about, or is refused, within this time.
 constexpr duration LookTime = std::chrono::milliseconds(300);
 /// For the last reports to leave before the process ends.
@@ -243,12 +246,19 @@
 
 void forward_agent_process::onTargetPackets(std::span<const datagram> Batch) {
   const instant Now = Loop.timers().now();
+  LastFromTarget = Now;
   for (const datagram &Datagram : Batch)
-    if (Core.onTargetPacket(Datagram.Bytes, Now) == agent_outcome::Answered)
-      Core.setTargetGone(false, Now);
+    if (Core.onTargetPacket(Datagram.Bytes, Now) == agent_outcome::Answered &&
+        Core.targetGone())
+      onTargetBack("it wrote a packet");
   Routed.flush();
 }
 
+void forward_agent_process::onTargetBack(const char *Why) {
+  Log.record(event_kind::TargetRegained, Why, toText(Settings.Target));
+  Core.setTargetGone(false, Loop.timers().now());
+}
+
 void forward_agent_process::armExpiry(std::optional<instant> Due) {
   if (!Due || std::exchange(ExpiryArmed, true))
     return;
@@ -300,7 +310,8 @@
   if (Report.Draining != WasDraining || Report.Sequence <= 1)
     Log.record(event_kind::ReportTaken, Report.Draining ? "draining" : "ready",
                Report.Id);
-  Core.setTargetGone(false, Now);
+  if (Core.targetGone())
+    onTargetBack("it reported");
   Core.setTarget(Report.Slots, Report.WarmupLeft, Now);
   review("the target reported");
   announce();
@@ -322,12 +333,16 @@
 /// A target says that it leaves before its process has ended, and still holds
 /// flows. Without its entry a balancer would find that nobody can hold them and
 /// have them reset.
+///
+/// A leaving target refuses connections before its flows have ended: as long as
+/// it sends their last packets again, a refusal proves nothing.
 void forward_agent_process::withdrawWhenGone() {
   if (!Reports.left() || Stopping)
     return;
   if (Core.targetGone())
     return Registrar.withdraw();
-  lookAtTarget();
+  if (Loop.timers().now() - LastFromTarget > LongestRetransmission)
+    lookAtTarget();
   Loop.timers().after(LookPeriod, [this] { withdrawWhenGone(); });
 }
 
--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -34,6 +34,7 @@
   std::optional<page_answer> onTargetCall(const page_request &Request);
   page_answer onReport(const target_report &Report);
   page_answer onLeave(const std::string &Id);
+  void onTargetBack(const char *Why);
   void announce();
   void announceAgain();
   void withdrawWhenGone();
@@ -69,6 +70,7 @@
   std::unique_ptr<tcp_stream> Look;
   bool ExpiryArmed = false;
   timer_id LookTimer{};
+  instant LastFromTarget;
   bool Stopping = false;
   bool Withdrawing = false;
   instant StopBy;
