--- a/bench/forward/main.cpp
+++ b/bench/forward/main.cpp
@@ -265,7 +265,8 @@
       return;
     }
     Work[Target] += ServiceSteps;
-    Waits.push_back(StepMs * (ServiceSteps + Work[Target] / Slots));
+    const double QueuedSteps = static_cast<double>(Work[Target]) / Slots;
+    Waits.push_back(StepMs * (ServiceSteps + QueuedSteps));
   }
 
   double waitAt(double Share) const {
