Split the directory by subject; one copy of what both processes serve; use seeds

Change: directory_impl.h with directory.cpp, _peers, _writes; process_pages; seeds name VMs, the port is the peers' own; a balancer's own entry is tried again after 2 s, not at every look.

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -1,4 +1,5 @@
 #include "forward_agent_process.h"
+#include "process_pages.h"
 
 #include <cerrno>
 #include <cstring>
@@ -139,27 +140,15 @@
 }
 
 status_page::hooks forward_agent_process::readyPage() {
-  status_page::hooks Hooks;
-  Hooks.Serve =
-      [this](const page_request &Request) -> std::optional<page_answer> {
-    if (!Adapter.AsksWhetherReady(Request))
-      return std::nullopt;
-    return page_answer{static_cast<std::uint16_t>(Stopping ? 503 : 200), ""};
-  };
-  Hooks.Pages["/timeline"] = [this] { return Log.recent(); };
-  Hooks.Pages["/status"] = [this] {
-    return Core.statusJson(Loop.timers().now());
-  };
+  status_page::hooks Hooks = readyHooks(Adapter, [this] { return !Stopping; });
+  addInsight(Hooks, Log,
+             [this] { return Core.statusJson(Loop.timers().now()); });
   return Hooks;
 }
 
 void forward_agent_process::showMetrics() {
-  for (const auto &[Outcome, Name] : AgentOutcomeNames)
-    Metrics.gauge(
-        "marjoramrail_packets_" + std::string(Name), [this, Outcome = Outcome] {
-          return static_cast<double>(
-              Core.counters().Outcomes[static_cast<std::size_t>(Outcome)]);
-        });
+  showProcess(Metrics, Store, Log);
+  showOutcomes(Metrics, AgentOutcomeNames, Core.counters().Outcomes);
   Metrics.gauge("marjoramrail_requests_seen", [this] {
     return static_cast<double>(Core.counters().Requests);
   });
@@ -177,12 +166,6 @@
   });
   Metrics.gauge("marjoramrail_admitting",
                 [this] { return Core.admitting() ? 1.0 : 0.0; });
-  Metrics.gauge("marjoramrail_store_calls",
-                [this] { return static_cast<double>(Store.calls()); });
-  Metrics.gauge("marjoramrail_log_lines",
-                [this] { return static_cast<double>(Log.lines()); });
-  Metrics.gauge("marjoramrail_log_lines_left_out",
-                [this] { return static_cast<double>(Log.leftOut()); });
 }
 
 //===----------------------------------------------------------------------===//
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -1,4 +1,5 @@
 #include "forward_balancer_process.h"
+#include "process_pages.h"
 
 namespace marjoramrail::daemons {
 
@@ -36,7 +37,9 @@
   Directory.Name = Settings.Name;
   Directory.Zone = Settings.Zone;
   Directory.Self = Settings.PeersListen;
-  Directory.Seeds = Settings.Seeds;
+  // Every balancer of a site listens for its peers on the same port.
+  for (const endpoint &Seed : Settings.Seeds)
+    Directory.Seeds.push_back({Seed.Address, Settings.PeersListen.Port});
   Directory.FlowLife = Settings.FlowLife;
   return Directory;
 }
@@ -120,15 +123,7 @@
 }
 
 status_page::hooks forward_balancer_process::readyPage() {
-  status_page::hooks Hooks;
-  Hooks.Serve =
-      [this](const page_request &Request) -> std::optional<page_answer> {
-    if (!Adapter.AsksWhetherReady(Request))
-      return std::nullopt;
-    const bool Ready = Directory.ready() && !Stopping;
-    return page_answer{static_cast<std::uint16_t>(Ready ? 200 : 503), ""};
-  };
-  return Hooks;
+  return readyHooks(Adapter, [this] { return Directory.ready() && !Stopping; });
 }
 
 status_page::hooks forward_balancer_process::peerPage() {
@@ -143,20 +138,14 @@
       return page_answer{503, ""};
     return page_answer{200, *List};
   };
-  Hooks.Pages["/timeline"] = [this] { return Log.recent(); };
-  Hooks.Pages["/status"] = [this] {
-    return Core.statusJson(Loop.timers().now());
-  };
+  addInsight(Hooks, Log,
+             [this] { return Core.statusJson(Loop.timers().now()); });
   return Hooks;
 }
 
 void forward_balancer_process::showMetrics() {
-  for (const auto &[Outcome, Name] : ForwardOutcomeNames)
-    Metrics.gauge(
-        "marjoramrail_packets_" + std::string(Name), [this, Outcome = Outcome] {
-          return static_cast<double>(
-              Core.counters().Outcomes[static_cast<std::size_t>(Outcome)]);
-        });
+  showProcess(Metrics, Store, Log);
+  showOutcomes(Metrics, ForwardOutcomeNames, Core.counters().Outcomes);
   Metrics.gauge("marjoramrail_resets",
                 [this] { return static_cast<double>(Core.counters().Resets); });
   Metrics.gauge("marjoramrail_agent_suspicions", [this] {
@@ -175,12 +164,6 @@
   });
   Metrics.gauge("marjoramrail_live_peers",
                 [this] { return static_cast<double>(Directory.livePeers()); });
-  Metrics.gauge("marjoramrail_store_calls",
-                [this] { return static_cast<double>(Store.calls()); });
-  Metrics.gauge("marjoramrail_log_lines",
-                [this] { return static_cast<double>(Log.lines()); });
-  Metrics.gauge("marjoramrail_log_lines_left_out",
-                [this] { return static_cast<double>(Log.leftOut()); });
 }
 
 //===----------------------------------------------------------------------===//
--- a/daemons/forwarder/forwarder_settings.h
+++ b/daemons/forwarder/forwarder_settings.h
@@ -27,7 +27,8 @@
   endpoint PeersListen;
   endpoint MetricsListen;
   endpoint Store;
-  /// Peers to ask before the store has named any.
+  /// VMs of balancers to ask before the store has named any, on the port of
+  /// PeersListen.
   std::vector<endpoint> Seeds;
   duration FlowLife;
   /// From the signal to stop to the forced end.
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -1,15 +1,9 @@
-#include "marjoramrail/directory.h"
-
-#include "directory/object_feed.h"
-#include "directory/peer_greeting.h"
-#include "directory/peer_ring.h"
-#include "directory/route_gate.h"
+#include "directory/directory_impl.h"
 
 #include <nlohmann/json.hpp>
 
 namespace marjoramrail {
 
-using namespace internal;
 using json = nlohmann::json;
 
 namespace {
@@ -32,22 +26,7 @@
 /// A balancer whose knowledge is older watches by itself: the watchers may be
 /// cut off from the store, or it from them.
 constexpr duration TrustPeersFor = std::chrono::milliseconds(900);
-/// A balancer's own watch usually brings news within this time; after that it
-/// asks the peer that has them.
-constexpr duration PullDelay = std::chrono::milliseconds(120);
 constexpr duration RecordPeriod = std::chrono::milliseconds(200);
-/// After a write of the record, its outcome has come by the watch.
-constexpr duration RecordRecheck = std::chrono::milliseconds(600);
-constexpr duration RecordExpiryCheck = std::chrono::seconds(10);
-/// The next in rank writes the record when the ones before have not.
-constexpr duration RankDelay = std::chrono::milliseconds(200);
-/// Ranks that wait their turn; beyond, a store that many cannot reach would
-/// hold up the record longer than SettleTime.
-constexpr std::size_t MostRanks = 4;
-
-constexpr const char *TargetPrefix = "target.";
-constexpr const char *BalancerPrefix = "balancer.";
-constexpr const char *RecordName = "routes";
 
 bool hasPrefix(const std::string &Name, const char *Prefix) {
   return Name.rfind(Prefix, 0) == 0;
@@ -55,69 +34,6 @@
 
 } // namespace
 
-struct directory::impl {
-  impl(timer_service &Timers, directory_platform Platform,
-       directory_settings Settings, directory_hooks Hooks);
-  ~impl() { *Alive = false; }
-
-  object_feed::hooks feedHooks(const std::string &Kind,
-                               void (impl::*OnObject)(const platform_object &),
-                               std::optional<duration> (impl::*Wait)());
-  std::optional<duration> routesWait();
-  std::optional<duration> siteWait();
-  std::optional<duration> nextWait(const object_feed &Feed, bool IsWatcher,
-                                   std::size_t Watchers);
-
-  void onRoutesObject(const platform_object &Object);
-  void onSiteObject(const platform_object &Object);
-  void onBalancer(const platform_object &Object);
-  void takeNewestRoutes();
-  void changed();
-  void armGate();
-
-  void greet();
-  void input(const endpoint &From, std::span<const std::uint8_t> Bytes);
-  peer_greeting greeting() const;
-  kind_knowledge knowledgeOf(const object_feed &Feed) const;
-  void learnFrom(const endpoint &Peer, object_feed &Feed,
-                 const std::string &Kind, const kind_knowledge &Theirs,
-                 instant Asked);
-  void pull(const endpoint &Peer, object_feed &Feed, const std::string &Kind,
-            std::uint64_t TheirChange);
-
-  void keepRecord();
-  void writeRecord(const std::string &Body);
-  void writeSelf();
-  std::string selfBody() const;
-
-  template <typename Callable> auto guarded(Callable Task) {
-    return [Alive = Alive, Task = std::move(Task)](auto &&...Arguments) {
-      if (*Alive)
-        Task(std::forward<decltype(Arguments)>(Arguments)...);
-    };
-  }
-
-  timer_service &Timers;
-  directory_platform Platform;
-  directory_settings Settings;
-  directory_hooks Hooks;
-  std::mt19937_64 Random;
-  peer_ring Peers;
-  route_record Record;
-  route_gate Gate;
-  object_feed Routes;
-  object_feed Site;
-  std::uint32_t ZoneNumber;
-  std::map<std::string, target_entry> Targets;
-  std::optional<route_table> Decoded;
-  bool Pulling = false;
-  bool RecordBusy = false;
-  bool SelfBusy = false;
-  std::optional<instant> RecordNeededSince;
-  std::optional<instant> RecheckRecordAt;
-  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
-};
-
 directory::impl::impl(timer_service &Timers, directory_platform Platform,
                       directory_settings Settings, directory_hooks Hooks)
     : Timers(Timers), Platform(std::move(Platform)),
@@ -262,164 +178,6 @@
   }));
 }
 
-//===----------------------------------------------------------------------===//
-// Peers
-//===----------------------------------------------------------------------===//
-
-kind_knowledge directory::impl::knowledgeOf(const object_feed &Feed) const {
-  kind_knowledge Knowledge;
-  if (!Feed.known())
-    return Knowledge;
-  Knowledge.Version = Feed.version();
-  Knowledge.LastChange = Feed.lastChange();
-  if (const auto AsOf = Feed.asOf())
-    Knowledge.AgeUs = (Timers.now() - *AsOf).count();
-  return Knowledge;
-}
-
-peer_greeting directory::impl::greeting() const {
-  peer_greeting Greeting;
-  Greeting.Self = Settings.Self;
-  Greeting.Zone = ZoneNumber;
-  Greeting.AskedUs = Timers.now().time_since_epoch().count();
-  Greeting.Routes = knowledgeOf(Routes);
-  Greeting.Site = knowledgeOf(Site);
-  return Greeting;
-}
-
-void directory::impl::greet() {
-  const std::vector<std::uint8_t> Bytes = encodeGreeting(greeting());
-  for (const endpoint &Peer : Peers.round(Timers.now()))
-    Hooks.Send(Peer, Bytes);
-}
-
-void directory::impl::input(const endpoint &,
-                            std::span<const std::uint8_t> Bytes) {
-  const auto Greeting = decodeGreeting(Bytes);
-  if (!Greeting)
-    return;
-  Peers.heard(Greeting->Self, Greeting->Zone, Timers.now());
-  if (!Greeting->IsReply) {
-    peer_greeting Reply = greeting();
-    Reply.IsReply = true;
-    Reply.AskedUs = Greeting->AskedUs;
-    Reply.ChangesSince = Greeting->Site.Version;
-    if (Site.lastChange() > Greeting->Site.Version)
-      Reply.Changes = Site.changesSince(Greeting->Site.Version);
-    Hooks.Send(Greeting->Self, encodeGreeting(Reply));
-    return;
-  }
-  const instant Asked{duration(Greeting->AskedUs)};
-  if (Asked > Timers.now())
-    return;
-  if (Greeting->Changes)
-    Site.takeChanges(*Greeting->Changes, Greeting->ChangesSince,
-                     Greeting->Site.Version);
-  learnFrom(Greeting->Self, Routes, Settings.RoutesKind, Greeting->Routes,
-            Asked);
-  learnFrom(Greeting->Self, Site, Settings.SiteKind, Greeting->Site, Asked);
-}
-
-void directory::impl::learnFrom(const endpoint &Peer, object_feed &Feed,
-                                const std::string &Kind,
-                                const kind_knowledge &Theirs, instant Asked) {
-  if (Theirs.Version == 0)
-    return;
-  if (Theirs.AgeUs >= 0)
-    Feed.confirm(Theirs.LastChange, Asked - duration(Theirs.AgeUs));
-  const bool Behind = !Feed.known() || Theirs.LastChange > Feed.version();
-  if (!Behind || Pulling)
-    return;
-  Pulling = true;
-  Timers.after(PullDelay,
-               guarded([this, Peer, &Feed, Kind, Change = Theirs.LastChange] {
-                 pull(Peer, Feed, Kind, Change);
-               }));
-}
-
-void directory::impl::pull(const endpoint &Peer, object_feed &Feed,
-                           const std::string &Kind, std::uint64_t TheirChange) {
-  if (Feed.known() && TheirChange <= Feed.version()) {
-    Pulling = false;
-    return;
-  }
-  Hooks.ListFromPeer(
-      Peer, Kind,
-      guarded([this, &Feed, Kind, Peer](const platform_reply &Reply) {
-        Pulling = false;
-        if (Reply.Outcome != platform_outcome::Ok)
-          return;
-        Hooks.OnEvent(event_kind::CopiedFromPeer,
-                      Kind + " from " + toText(Peer));
-        Feed.takeCopy(Reply);
-      }));
-}
-
-//===----------------------------------------------------------------------===//
-// What this balancer writes
-//===----------------------------------------------------------------------===//
-
-std::string directory::impl::selfBody() const {
-  return json{{"self", toText(Settings.Self)}, {"zone", Settings.Zone}}.dump();
-}
-
-void directory::impl::writeSelf() {
-  if (!Site.known() || SelfBusy)
-    return;
-  const std::string Name = BalancerPrefix + Settings.Name;
-  const auto Held = Site.objects().find(Name);
-  if (Held != Site.objects().end() &&
-      json::parse(Held->second.Body, nullptr, false) == json::parse(selfBody()))
-    return;
-  platform_write Write;
-  Write.Object.Key = {Settings.SiteKind, Name};
-  Write.Object.Body = selfBody();
-  Write.Expected = Held == Site.objects().end() ? 0 : Held->second.Version;
-  SelfBusy = true;
-  Platform.Site.Write(Write, guarded([this](const platform_reply &Reply) {
-                        SelfBusy = Reply.Outcome == platform_outcome::Ok;
-                      }));
-}
-
-void directory::impl::keepRecord() {
-  writeSelf();
-  const route_table *Newest = Gate.newest();
-  if (RecheckRecordAt && Timers.now() >= *RecheckRecordAt) {
-    RecheckRecordAt.reset();
-    RecordNeededSince = RecordNeededSince.value_or(Timers.now());
-  }
-  if (!RecordNeededSince || !Newest || !Site.known() || RecordBusy)
-    return;
-  const auto Body = Record.update(*Newest, Timers.now());
-  if (!Body) {
-    RecordNeededSince.reset();
-    // Former services leave the record in time.
-    if (!RecheckRecordAt)
-      RecheckRecordAt = Timers.now() + RecordExpiryCheck;
-    return;
-  }
-  const auto Rank = std::min(Peers.rank(Timers.now()), MostRanks);
-  if (Timers.now() - *RecordNeededSince >=
-      RankDelay * static_cast<std::int64_t>(Rank))
-    writeRecord(*Body);
-}
-
-void directory::impl::writeRecord(const std::string &Body) {
-  const auto Held = Site.objects().find(RecordName);
-  platform_write Write;
-  Write.Object.Key = {Settings.SiteKind, RecordName};
-  Write.Object.Body = Body;
-  Write.Expected = Held == Site.objects().end() ? 0 : Held->second.Version;
-  RecordBusy = true;
-  Platform.Site.Write(Write, guarded([this](const platform_reply &) {
-                        RecordBusy = false;
-                        // The watch brings the record; until then nobody needs
-                        // to write it again.
-                        RecordNeededSince.reset();
-                        RecheckRecordAt = Timers.now() + RecordRecheck;
-                      }));
-}
-
 //===----------------------------------------------------------------------===//
 // directory
 //===----------------------------------------------------------------------===//
--- /dev/null
+++ b/src/directory/directory_impl.h
@@ -0,0 +1,97 @@
+//===- directory_impl.h - The parts of a balancer's directory ---*- C++ -*-===//
+///
+/// \file
+/// The state behind directory. Its functions stand by subject: what is learnt
+/// from the store in directory.cpp, from peers in directory_peers.cpp, and what
+/// this balancer writes in directory_writes.cpp.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_DIRECTORY_DIRECTORY_IMPL_H
+#define MARJORAMRAIL_DIRECTORY_DIRECTORY_IMPL_H
+
+#include "marjoramrail/directory.h"
+
+#include "directory/object_feed.h"
+#include "directory/peer_greeting.h"
+#include "directory/peer_ring.h"
+#include "directory/route_gate.h"
+
+#include <random>
+
+namespace marjoramrail {
+
+using namespace internal;
+
+/// Names of our own objects begin with what they are.
+inline constexpr const char *TargetPrefix = "target.";
+inline constexpr const char *BalancerPrefix = "balancer.";
+inline constexpr const char *RecordName = "routes";
+
+struct directory::impl {
+  impl(timer_service &Timers, directory_platform Platform,
+       directory_settings Settings, directory_hooks Hooks);
+  ~impl() { *Alive = false; }
+
+  object_feed::hooks feedHooks(const std::string &Kind,
+                               void (impl::*OnObject)(const platform_object &),
+                               std::optional<duration> (impl::*Wait)());
+  std::optional<duration> routesWait();
+  std::optional<duration> siteWait();
+  std::optional<duration> nextWait(const object_feed &Feed, bool IsWatcher,
+                                   std::size_t Watchers);
+
+  void onRoutesObject(const platform_object &Object);
+  void onSiteObject(const platform_object &Object);
+  void onBalancer(const platform_object &Object);
+  void takeNewestRoutes();
+  void changed();
+  void armGate();
+
+  void greet();
+  void input(const endpoint &From, std::span<const std::uint8_t> Bytes);
+  peer_greeting greeting() const;
+  kind_knowledge knowledgeOf(const object_feed &Feed) const;
+  void learnFrom(const endpoint &Peer, object_feed &Feed,
+                 const std::string &Kind, const kind_knowledge &Theirs,
+                 instant Asked);
+  void pull(const endpoint &Peer, object_feed &Feed, const std::string &Kind,
+            std::uint64_t TheirChange);
+
+  void keepRecord();
+  void writeRecord(const std::string &Body);
+  void writeSelf();
+  std::string selfBody() const;
+
+  template <typename Callable> auto guarded(Callable Task) {
+    return [Alive = Alive, Task = std::move(Task)](auto &&...Arguments) {
+      if (*Alive)
+        Task(std::forward<decltype(Arguments)>(Arguments)...);
+    };
+  }
+
+  timer_service &Timers;
+  directory_platform Platform;
+  directory_settings Settings;
+  directory_hooks Hooks;
+  std::mt19937_64 Random;
+  peer_ring Peers;
+  route_record Record;
+  route_gate Gate;
+  object_feed Routes;
+  object_feed Site;
+  std::uint32_t ZoneNumber;
+  std::map<std::string, target_entry> Targets;
+  std::optional<route_table> Decoded;
+  bool Pulling = false;
+  bool RecordBusy = false;
+  bool SelfBusy = false;
+  instant NextSelfWrite;
+  std::optional<instant> RecordNeededSince;
+  std::optional<instant> RecheckRecordAt;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace marjoramrail
+
+#endif // MARJORAMRAIL_DIRECTORY_DIRECTORY_IMPL_H
--- /dev/null
+++ b/src/directory/directory_peers.cpp
@@ -0,0 +1,98 @@
+#include "directory/directory_impl.h"
+
+namespace marjoramrail {
+
+/// A balancer's own watch usually brings news within this time; after that it
+/// asks the peer that has them.
+static constexpr duration PullDelay = std::chrono::milliseconds(120);
+
+kind_knowledge directory::impl::knowledgeOf(const object_feed &Feed) const {
+  kind_knowledge Knowledge;
+  if (!Feed.known())
+    return Knowledge;
+  Knowledge.Version = Feed.version();
+  Knowledge.LastChange = Feed.lastChange();
+  if (const auto AsOf = Feed.asOf())
+    Knowledge.AgeUs = (Timers.now() - *AsOf).count();
+  return Knowledge;
+}
+
+peer_greeting directory::impl::greeting() const {
+  peer_greeting Greeting;
+  Greeting.Self = Settings.Self;
+  Greeting.Zone = ZoneNumber;
+  Greeting.AskedUs = Timers.now().time_since_epoch().count();
+  Greeting.Routes = knowledgeOf(Routes);
+  Greeting.Site = knowledgeOf(Site);
+  return Greeting;
+}
+
+void directory::impl::greet() {
+  const std::vector<std::uint8_t> Bytes = encodeGreeting(greeting());
+  for (const endpoint &Peer : Peers.round(Timers.now()))
+    Hooks.Send(Peer, Bytes);
+}
+
+void directory::impl::input(const endpoint &,
+                            std::span<const std::uint8_t> Bytes) {
+  const auto Greeting = decodeGreeting(Bytes);
+  if (!Greeting)
+    return;
+  Peers.heard(Greeting->Self, Greeting->Zone, Timers.now());
+  if (!Greeting->IsReply) {
+    peer_greeting Reply = greeting();
+    Reply.IsReply = true;
+    Reply.AskedUs = Greeting->AskedUs;
+    Reply.ChangesSince = Greeting->Site.Version;
+    if (Site.lastChange() > Greeting->Site.Version)
+      Reply.Changes = Site.changesSince(Greeting->Site.Version);
+    Hooks.Send(Greeting->Self, encodeGreeting(Reply));
+    return;
+  }
+  const instant Asked{duration(Greeting->AskedUs)};
+  if (Asked > Timers.now())
+    return;
+  if (Greeting->Changes)
+    Site.takeChanges(*Greeting->Changes, Greeting->ChangesSince,
+                     Greeting->Site.Version);
+  learnFrom(Greeting->Self, Routes, Settings.RoutesKind, Greeting->Routes,
+            Asked);
+  learnFrom(Greeting->Self, Site, Settings.SiteKind, Greeting->Site, Asked);
+}
+
+void directory::impl::learnFrom(const endpoint &Peer, object_feed &Feed,
+                                const std::string &Kind,
+                                const kind_knowledge &Theirs, instant Asked) {
+  if (Theirs.Version == 0)
+    return;
+  if (Theirs.AgeUs >= 0)
+    Feed.confirm(Theirs.LastChange, Asked - duration(Theirs.AgeUs));
+  const bool Behind = !Feed.known() || Theirs.LastChange > Feed.version();
+  if (!Behind || Pulling)
+    return;
+  Pulling = true;
+  Timers.after(PullDelay,
+               guarded([this, Peer, &Feed, Kind, Change = Theirs.LastChange] {
+                 pull(Peer, Feed, Kind, Change);
+               }));
+}
+
+void directory::impl::pull(const endpoint &Peer, object_feed &Feed,
+                           const std::string &Kind, std::uint64_t TheirChange) {
+  if (Feed.known() && TheirChange <= Feed.version()) {
+    Pulling = false;
+    return;
+  }
+  Hooks.ListFromPeer(
+      Peer, Kind,
+      guarded([this, &Feed, Kind, Peer](const platform_reply &Reply) {
+        Pulling = false;
+        if (Reply.Outcome != platform_outcome::Ok)
+          return;
+        Hooks.OnEvent(event_kind::CopiedFromPeer,
+                      Kind + " from " + toText(Peer));
+        Feed.takeCopy(Reply);
+      }));
+}
+
+} // namespace marjoramrail
--- /dev/null
+++ b/src/directory/directory_writes.cpp
@@ -0,0 +1,82 @@
+#include "directory/directory_impl.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marjoramrail {
+
+using json = nlohmann::json;
+
+/// After a write of the record, its outcome has come by the watch.
+static constexpr duration RecordRecheck = std::chrono::milliseconds(600);
+static constexpr duration RecordExpiryCheck = std::chrono::seconds(10);
+/// A store that refuses is not asked by every balancer at every look.
+static constexpr duration SelfRetry = std::chrono::seconds(2);
+/// The next in rank writes the record when the ones before have not.
+static constexpr duration RankDelay = std::chrono::milliseconds(200);
+/// Ranks that wait their turn; beyond, a store that many cannot reach would
+/// hold up the record longer than SettleTime.
+static constexpr std::size_t MostRanks = 4;
+
+std::string directory::impl::selfBody() const {
+  return json{{"self", toText(Settings.Self)}, {"zone", Settings.Zone}}.dump();
+}
+
+void directory::impl::writeSelf() {
+  if (!Site.known() || SelfBusy || Timers.now() < NextSelfWrite)
+    return;
+  const std::string Name = BalancerPrefix + Settings.Name;
+  const auto Held = Site.objects().find(Name);
+  if (Held != Site.objects().end() &&
+      json::parse(Held->second.Body, nullptr, false) == json::parse(selfBody()))
+    return;
+  platform_write Write;
+  Write.Object.Key = {Settings.SiteKind, Name};
+  Write.Object.Body = selfBody();
+  Write.Expected = Held == Site.objects().end() ? 0 : Held->second.Version;
+  SelfBusy = true;
+  NextSelfWrite = Timers.now() + SelfRetry;
+  Platform.Site.Write(Write, guarded([this](const platform_reply &Reply) {
+                        SelfBusy = Reply.Outcome == platform_outcome::Ok;
+                      }));
+}
+
+void directory::impl::keepRecord() {
+  writeSelf();
+  const route_table *Newest = Gate.newest();
+  if (RecheckRecordAt && Timers.now() >= *RecheckRecordAt) {
+    RecheckRecordAt.reset();
+    RecordNeededSince = RecordNeededSince.value_or(Timers.now());
+  }
+  if (!RecordNeededSince || !Newest || !Site.known() || RecordBusy)
+    return;
+  const auto Body = Record.update(*Newest, Timers.now());
+  if (!Body) {
+    RecordNeededSince.reset();
+    // Former services leave the record in time.
+    if (!RecheckRecordAt)
+      RecheckRecordAt = Timers.now() + RecordExpiryCheck;
+    return;
+  }
+  const auto Rank = std::min(Peers.rank(Timers.now()), MostRanks);
+  if (Timers.now() - *RecordNeededSince >=
+      RankDelay * static_cast<std::int64_t>(Rank))
+    writeRecord(*Body);
+}
+
+void directory::impl::writeRecord(const std::string &Body) {
+  const auto Held = Site.objects().find(RecordName);
+  platform_write Write;
+  Write.Object.Key = {Settings.SiteKind, RecordName};
+  Write.Object.Body = Body;
+  Write.Expected = Held == Site.objects().end() ? 0 : Held->second.Version;
+  RecordBusy = true;
+  Platform.Site.Write(Write, guarded([this](const platform_reply &) {
+                        RecordBusy = false;
+                        // The watch brings the record; until then nobody needs
+                        // to write it again.
+                        RecordNeededSince.reset();
+                        RecheckRecordAt = Timers.now() + RecordRecheck;
+                      }));
+}
+
+} // namespace marjoramrail
