--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -24,6 +24,10 @@
                         const site_adapter &Adapter);
 
   result<void> open();
+  /// Nothing in an agent's settings can change while its target lives.
+  void reload() {
+    Log.record(event_kind::SettingsReloaded, "nothing is taken over");
+  }
   /// Tells balancers to send no more and ends: the target's flows go on, and
   /// the shorter the agent is away, the sooner they do.
   void shutDown();
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -31,15 +31,21 @@
   return Client;
 }
 
+/// Every balancer of a site listens for its peers on the same port.
+std::vector<endpoint> peersOf(const balancer_program_settings &Settings) {
+  std::vector<endpoint> Peers;
+  for (const endpoint &Seed : Settings.Seeds)
+    Peers.push_back({Seed.Address, Settings.PeersListen.Port});
+  return Peers;
+}
+
 directory_settings
 directorySettings(const balancer_program_settings &Settings) {
   directory_settings Directory;
   Directory.Name = Settings.Name;
   Directory.Zone = Settings.Zone;
   Directory.Self = Settings.PeersListen;
-  // Every balancer of a site listens for its peers on the same port.
-  for (const endpoint &Seed : Settings.Seeds)
-    Directory.Seeds.push_back({Seed.Address, Settings.PeersListen.Port});
+  Directory.Seeds = peersOf(Settings);
   Directory.FlowLife = Settings.FlowLife;
   return Directory;
 }
@@ -220,7 +226,8 @@
 void forward_balancer_process::reload(
     const balancer_program_settings &Changed) {
   Settings.Grace = Changed.Grace;
-  Log.record(event_kind::SettingsReloaded, "grace is taken over");
+  Directory.knowPeers(peersOf(Changed));
+  Log.record(event_kind::SettingsReloaded, "grace and seeds are taken over");
 }
 
 void forward_balancer_process::shutDown() {
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -271,6 +271,9 @@
 
   void start();
 
+  /// More peers to ask, from settings that have changed.
+  void knowPeers(const std::vector<endpoint> &Peers);
+
   /// A datagram that isPeerGreeting().
   void input(const endpoint &From, std::span<const std::uint8_t> Bytes);
   static bool isPeerGreeting(std::span<const std::uint8_t> Bytes);
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -198,6 +198,11 @@
                      Impl->guarded([this] { Impl->keepRecord(); }));
 }
 
+void directory::knowPeers(const std::vector<endpoint> &Peers) {
+  for (const endpoint &Peer : Peers)
+    Impl->Peers.know(Peer);
+}
+
 void directory::input(const endpoint &From,
                       std::span<const std::uint8_t> Bytes) {
   Impl->input(From, Bytes);
