Greet less and more often; drop entries of replaced balancers

Change: two greetings each 200 ms instead of three each 300; a silent peer each fifth round; the first in rank takes out entries that five greetings and a minute have not raised. The test's harness keeps a stopped balancer's faults until its calls are over (a use after free, seen as a crash of directory_test).

--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-constexpr duration GreetingPeriod = std::chrono::milliseconds(300);
+/// A balancer that does not watch hears of changes, and dates its knowledge, by
+/// these; 120 bytes each, two in a round.
+constexpr duration GreetingPeriod = std::chrono::milliseconds(200);
 /// All watchers of a kind together let a watch run out about this often, so
 /// that some peer is always able to date its knowledge by less than SettleTime,
 /// at a rate of calls that does not grow with the fleet.
@@ -25,7 +27,7 @@
 constexpr std::size_t RoutesWatchersInZone = 2;
 /// A balancer whose knowledge is older watches by itself: the watchers may be
 /// cut off from the store, or it from them.
-constexpr duration TrustPeersFor = std::chrono::milliseconds(900);
+constexpr duration TrustPeersFor = std::chrono::milliseconds(1000);
 constexpr duration RecordPeriod = std::chrono::milliseconds(200);
 
 bool hasPrefix(const std::string &Name, const char *Prefix) {
@@ -138,13 +140,26 @@
       [&] { Hooks.OnEvent(event_kind::ObjectRefused, Name); });
 }
 
-void directory::impl::onBalancer(const platform_object &Object) {
+std::optional<endpoint>
+directory::impl::balancerAt(const platform_object &Object) {
+  if (!hasPrefix(Object.Key.Name, BalancerPrefix))
+    return std::nullopt;
   const json Body = json::parse(Object.Body, nullptr, false);
-  if (Object.Deleted || !Body.is_object() || !Body.contains("self") ||
-      !Body["self"].is_string())
+  if (!Body.is_object() || !Body.contains("self") || !Body["self"].is_string())
+    return std::nullopt;
+  const auto Self = parseEndpoint(Body["self"].get<std::string>());
+  return Self ? std::optional(*Self) : std::nullopt;
+}
+
+/// A deleted entry leads nowhere any more, unless its balancer is heard again.
+void directory::impl::onBalancer(const platform_object &Object) {
+  const auto Peer = balancerAt(Object);
+  if (!Peer)
     return;
-  if (auto Self = parseEndpoint(Body["self"].get<std::string>()))
-    Peers.know(*Self);
+  if (Object.Deleted)
+    Peers.forget(*Peer);
+  else
+    Peers.know(*Peer);
 }
 
 void directory::impl::changed() {
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -61,6 +61,9 @@
   void keepRecord();
   void writeRecord(const std::string &Body);
   void writeSelf();
+  void dropGonePeers();
+  /// The balancer that \p Object names, if it is a balancer's entry.
+  static std::optional<endpoint> balancerAt(const platform_object &Object);
   std::string selfBody() const;
 
   template <typename Callable> auto guarded(Callable Task) {
@@ -87,6 +90,7 @@
   bool RecordBusy = false;
   bool SelfBusy = false;
   instant NextSelfWrite;
+  instant NextPeerSweep;
   std::optional<instant> RecordNeededSince;
   std::optional<instant> RecheckRecordAt;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -11,6 +11,7 @@
 static constexpr duration RecordExpiryCheck = std::chrono::seconds(10);
 /// A store that refuses is not asked by every balancer at every look.
 static constexpr duration SelfRetry = std::chrono::seconds(2);
+static constexpr duration PeerSweepPeriod = std::chrono::seconds(10);
 /// The next in rank writes the record when the ones before have not.
 static constexpr duration RankDelay = std::chrono::milliseconds(200);
 /// Ranks that wait their turn; beyond, a store that many cannot reach would
@@ -40,8 +41,27 @@
                       }));
 }
 
+/// Entries of balancers that were replaced. Left there, every balancer would
+/// greet them for ever. One that lives finds its entry missing and writes it
+/// again.
+void directory::impl::dropGonePeers() {
+  const instant Now = Timers.now();
+  if (Now < NextPeerSweep || !Site.known() || Peers.rank(Now) != 0)
+    return;
+  NextPeerSweep = Now + PeerSweepPeriod;
+  for (const auto &[Name, Object] : Site.objects()) {
+    const auto Peer = balancerAt(Object);
+    if (!Peer || !Peers.isGone(*Peer, Now))
+      continue;
+    Hooks.OnEvent(event_kind::TargetDown, Name);
+    Platform.Site.Remove(Object.Key, Object.Version,
+                         [](const platform_reply &) {});
+  }
+}
+
 void directory::impl::keepRecord() {
   writeSelf();
+  dropGonePeers();
   const route_table *Newest = Gate.newest();
   if (RecheckRecordAt && Timers.now() >= *RecheckRecordAt) {
     RecheckRecordAt.reset();
--- a/src/directory/peer_ring.cpp
+++ b/src/directory/peer_ring.cpp
@@ -9,7 +9,7 @@
 
 void peer_ring::heard(const endpoint &Peer, std::uint32_t Zone, instant Now) {
   if (Peer != Self)
-    Peers[Peer] = {Now, Zone};
+    Peers[Peer] = {Now, Zone, 0, Now};
 }
 
 std::size_t peer_ring::live(instant Now) const {
@@ -46,25 +46,38 @@
   return Sum;
 }
 
+bool peer_ring::isGone(const endpoint &Peer, instant Now) const {
+  const auto Found = Peers.find(Peer);
+  return Found != Peers.end() && !Found->second.isLive(Now) &&
+         Found->second.Unanswered >= GoneAfterGreetings &&
+         Now - Found->second.UnansweredSince >= GoneAfter;
+}
+
 std::vector<endpoint> peer_ring::round(instant Now) {
   std::vector<endpoint> Live;
   std::vector<endpoint> Silent;
   for (const auto &[Peer, State] : Peers)
     (State.isLive(Now) ? Live : Silent).push_back(Peer);
-  // One of the first in rank, one of all, and one that is silent.
+  // One of the first in rank, then any.
   std::shuffle(Live.begin(), Live.begin() + std::min(Live.size(), FirstInRank),
                Random);
   if (Live.size() > 1)
     std::shuffle(Live.begin() + 1, Live.end(), Random);
   std::shuffle(Silent.begin(), Silent.end(), Random);
-  const std::size_t Others = Silent.empty() ? 0 : 1;
+  const bool AskSilent = ++Rounds % RoundsASilent == 0 && !Silent.empty();
   std::vector<endpoint> Chosen(
-      Live.begin(), Live.begin() + std::min(Live.size(), Fanout - Others));
+      Live.begin(),
+      Live.begin() + std::min(Live.size(), Fanout - (AskSilent ? 1 : 0)));
   for (const endpoint &Peer : Silent) {
     if (Chosen.size() >= Fanout)
       break;
     Chosen.push_back(Peer);
   }
+  for (const endpoint &Peer : Chosen) {
+    peer &State = Peers[Peer];
+    if (State.Unanswered++ == 0)
+      State.UnansweredSince = Now;
+  }
   return Chosen;
 }
 
--- a/src/directory/peer_ring.h
+++ b/src/directory/peer_ring.h
@@ -21,7 +21,13 @@
 class peer_ring {
 public:
   /// Peers greeted in one round.
-  static constexpr std::size_t Fanout = 3;
+  static constexpr std::size_t Fanout = 2;
+  /// Every so many rounds the last turn goes to a silent peer.
+  static constexpr std::uint64_t RoundsASilent = 5;
+  /// A peer counts as gone after so many greetings without a word,
+  static constexpr int GoneAfterGreetings = 5;
+  /// and so long a silence: a restart or a cut that heals is shorter.
+  static constexpr duration GoneAfter = std::chrono::minutes(1);
   /// A peer that was not heard for longer does not count as live: some rounds
   /// of greetings, so that lost datagrams do not matter.
   static constexpr duration LiveFor = std::chrono::seconds(3);
@@ -45,6 +51,9 @@
   /// their zone.
   std::size_t firstOfZones(std::size_t Count, std::uint32_t OwnZone,
                            instant Now) const;
+  /// Whether \p Peer has left for good, as far as this balancer can tell.
+  bool isGone(const endpoint &Peer, instant Now) const;
+  void forget(const endpoint &Peer) { Peers.erase(Peer); }
   /// Whom to greet in this round.
   std::vector<endpoint> round(instant Now);
 
@@ -52,6 +61,9 @@
   struct peer {
     std::optional<instant> HeardAt;
     std::uint32_t Zone = 0;
+    /// Greetings since it was heard, and the first of them.
+    int Unanswered = 0;
+    instant UnansweredSince;
 
     bool isLive(instant Now) const {
       return HeardAt && Now - *HeardAt <= LiveFor;
@@ -61,6 +73,7 @@
   endpoint Self;
   std::map<endpoint, peer> Peers;
   std::mt19937_64 Random;
+  std::uint64_t Rounds = 0;
 };
 
 } // namespace marjoramrail::internal
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -65,7 +65,11 @@
     Self.Directory->start();
   }
 
-  void stop(unsigned Number) { Balancers.erase(Number); }
+  /// Calls under way still pass by the balancer's faults.
+  void stop(unsigned Number) {
+    Former.push_back(std::move(Balancers.at(Number).Faults));
+    Balancers.erase(Number);
+  }
 
   directory &at(unsigned Number) { return *Balancers.at(Number).Directory; }
 
@@ -83,6 +87,8 @@
   }
 
 private:
+  std::vector<std::unique_ptr<store_faults>> Former;
+
   unsigned numberOf(const endpoint &Address) {
     return Address.Address - addressOf(0).Address;
   }
@@ -270,3 +276,23 @@
   CHECK(at(1).routesVersion() == 1);
   CHECK(sharesAt(at(1)) == names{"ledger"});
 }
+
+TEST_CASE_FIXTURE(directory_world, "entries of replaced balancers go") {
+  // VMs are replaced every day. Were their entries kept, each balancer would
+  // greet thousands that are gone, and reach those that are there too late.
+  configure(1, {"ledger"});
+  for (const unsigned Number : {1U, 2U, 3U})
+    start(Number, {addressOf(1)});
+  pass(5s);
+  stop(3);
+  pass(20s);
+  CHECK(Store.get("marjoramrail", "balancer.balancer-3").Version != 0);
+  pass(120s);
+  CHECK((Store.get("marjoramrail", "balancer.balancer-3").Version == 0 ||
+         Store.get("marjoramrail", "balancer.balancer-3").Deleted));
+  CHECK_FALSE(Store.get("marjoramrail", "balancer.balancer-2").Deleted);
+
+  start(3, {addressOf(1)});
+  pass(5s);
+  CHECK_FALSE(Store.get("marjoramrail", "balancer.balancer-3").Deleted);
+}
