--- a/src/directory/object_feed.cpp
+++ b/src/directory/object_feed.cpp
@@ -10,6 +10,10 @@
 /// a second come from one balancer.
 static constexpr duration FirstRetry = std::chrono::milliseconds(100);
 static constexpr duration LastRetry = std::chrono::milliseconds(800);
+/// After news the next watch begins this much later, so that changes in quick
+/// succession (all agents of a site start, configurations follow each other)
+/// come in one answer, not in a call each for every watcher.
+static constexpr duration NewsPause = std::chrono::milliseconds(150);
 /// How often a feed that lives on peers' news looks whether they still come.
 static constexpr duration IdlePeriod = std::chrono::milliseconds(300);
 /// Deletions remembered; older ones make peers copy the whole kind.
@@ -84,9 +88,13 @@
   const bool WaitedOut = Reply.Objects.empty() && Timers.now() - Asked >= Wait;
   advance(std::max(Reply.StoreVersion, Version),
           WaitedOut ? Asked + Wait : Asked);
-  if (Changed)
-    Hooks.OnBatch();
-  follow();
+  if (!Changed)
+    return follow();
+  Hooks.OnBatch();
+  Timers.after(NewsPause, [this, Alive = Alive] {
+    if (*Alive)
+      follow();
+  });
 }
 
 void object_feed::takeWhole(const platform_reply &Reply) {
