Copy from the own zone first, and not while the store's list is on its way

Cause: at 300 machines balancers still held up to 57 connections to peers and moved 326 KB/s at the busiest: all that started copied whole kinds from each other, and configurations crossed zones. Change: a balancer without knowledge asks a peer after 500 ms; peers of other zones are asked 700 ms after news, those of the own zone after 120; greetings go by turns to the first of the fleet and of the zone.

--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -56,6 +56,7 @@
   void learnFrom(const endpoint &Peer, object_feed &Feed,
                  const std::string &Kind, const kind_knowledge &Theirs,
                  instant Asked);
+  duration pullDelay(const endpoint &Peer, const object_feed &Feed) const;
   void pull(const endpoint &Peer, object_feed &Feed, const std::string &Kind,
             std::uint64_t TheirChange);
 
--- a/src/directory/directory_peers.cpp
+++ b/src/directory/directory_peers.cpp
@@ -5,6 +5,11 @@
 /// A balancer's own watch usually brings news within this time; after that it
 /// asks the peer that has them.
 static constexpr duration PullDelay = std::chrono::milliseconds(120);
+/// A whole kind may be a megabyte: a peer of another zone is asked only after
+/// those of the own zone have had their turn.
+static constexpr duration FarPullDelay = std::chrono::milliseconds(700);
+/// A balancer that has just started is about to get the store's own list.
+static constexpr duration FirstPullDelay = std::chrono::milliseconds(500);
 
 kind_knowledge directory::impl::knowledgeOf(const object_feed &Feed) const {
   kind_knowledge Knowledge;
@@ -82,21 +87,26 @@
   if (Theirs.AgeUs >= 0)
     Feed.confirm(Theirs.LastChange, Asked - duration(Theirs.AgeUs));
   const bool Behind = !Feed.known() || Theirs.LastChange > Feed.version();
-  if (!Behind || Pulling)
+  if (!Behind)
     return;
-  Pulling = true;
-  Timers.after(PullDelay,
+  Timers.after(pullDelay(Peer, Feed),
                guarded([this, Peer, &Feed, Kind, Change = Theirs.LastChange] {
                  pull(Peer, Feed, Kind, Change);
                }));
 }
 
+duration directory::impl::pullDelay(const endpoint &Peer,
+                                    const object_feed &Feed) const {
+  if (!Feed.known())
+    return FirstPullDelay;
+  return Peers.isOfZone(Peer, ZoneNumber) ? PullDelay : FarPullDelay;
+}
+
 void directory::impl::pull(const endpoint &Peer, object_feed &Feed,
                            const std::string &Kind, std::uint64_t TheirChange) {
-  if (Feed.known() && TheirChange <= Feed.version()) {
-    Pulling = false;
+  if (Pulling || (Feed.known() && TheirChange <= Feed.version()))
     return;
-  }
+  Pulling = true;
   Hooks.ListFromPeer(
       Peer, Kind,
       guarded([this, &Feed, Kind, Peer](const platform_reply &Reply) {
--- a/src/directory/peer_ring.cpp
+++ b/src/directory/peer_ring.cpp
@@ -46,6 +46,11 @@
   return Sum;
 }
 
+bool peer_ring::isOfZone(const endpoint &Peer, std::uint32_t Wanted) const {
+  const auto Found = Peers.find(Peer);
+  return Found != Peers.end() && Found->second.Zone == Wanted;
+}
+
 bool peer_ring::isGone(const endpoint &Peer, instant Now) const {
   const auto Found = Peers.find(Peer);
   return Found != Peers.end() && !Found->second.isLive(Now) &&
@@ -59,12 +64,16 @@
   for (const auto &[Peer, State] : Peers)
     (State.isLive(Now) ? Live : Silent).push_back(Peer);
   // One of the first in rank, then any.
+  if (++Rounds % 2 == 0)
+    std::stable_partition(Live.begin(), Live.end(), [&](const endpoint &Peer) {
+      return isOfZone(Peer, Zone);
+    });
   std::shuffle(Live.begin(), Live.begin() + std::min(Live.size(), FirstInRank),
                Random);
   if (Live.size() > 1)
     std::shuffle(Live.begin() + 1, Live.end(), Random);
   std::shuffle(Silent.begin(), Silent.end(), Random);
-  const bool AskSilent = ++Rounds % RoundsASilent == 0 && !Silent.empty();
+  const bool AskSilent = Rounds % RoundsASilent == 0 && !Silent.empty();
   std::vector<endpoint> Chosen(
       Live.begin(),
       Live.begin() + std::min(Live.size(), Fanout - (AskSilent ? 1 : 0)));
--- a/src/directory/peer_ring.h
+++ b/src/directory/peer_ring.h
@@ -32,8 +32,8 @@
   /// of greetings, so that lost datagrams do not matter.
   static constexpr duration LiveFor = std::chrono::seconds(3);
 
-  peer_ring(const endpoint &Self, std::uint64_t Seed)
-      : Self(Self), Random(Seed) {}
+  peer_ring(const endpoint &Self, std::uint32_t Zone, std::uint64_t Seed)
+      : Self(Self), Zone(Zone), Random(Seed) {}
 
   /// \p Peer may be a balancer: from the settings or from the store.
   void know(const endpoint &Peer);
@@ -47,6 +47,7 @@
   std::size_t rank(instant Now) const;
   /// The same among the peers of \p Zone.
   std::size_t rankIn(std::uint32_t Zone, instant Now) const;
+  bool isOfZone(const endpoint &Peer, std::uint32_t Zone) const;
   /// How many of this and the live balancers are among the first \p Count of
   /// their zone.
   std::size_t firstOfZones(std::size_t Count, std::uint32_t OwnZone,
@@ -71,6 +72,7 @@
   };
 
   endpoint Self;
+  std::uint32_t Zone;
   std::map<endpoint, peer> Peers;
   std::mt19937_64 Random;
   std::uint64_t Rounds = 0;
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -287,6 +287,17 @@
   CHECK(Copies == 0);
 }
 
+TEST_CASE_FIXTURE(directory_world, "a site that starts copies nothing") {
+  // All balancers start at once; each is about to get the store's own list.
+  configure(1, {"ledger"});
+  addTarget("one");
+  for (unsigned Number = 1; Number <= 8; ++Number)
+    start(Number, {addressOf(1)});
+  pass(3s);
+
+  CHECK(Copies == 0);
+}
+
 TEST_CASE_FIXTURE(directory_world, "an invalid configuration changes nothing") {
   configure(1, {"ledger"});
   start(1);
