Let the number of watchers follow the fleet

Cause: all balancers greeted one of the same three; their share grows with the fleet (busiest balancer 29% of its core at 300 machines, 9% in the middle). Change: one watcher for 100 balancers, three at least; watchers greet the first three. Figures: peer_ring_test: 100 of 2,000 balancers put at most 15 greetings on one.

--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -19,9 +19,6 @@
 constexpr duration LoneWatch = std::chrono::milliseconds(900);
 /// Longer waits only delay the notice that a connection has gone silent.
 constexpr duration MostWatch = std::chrono::seconds(20);
-/// Balancers that watch our own objects, in the whole fleet: peers hear their
-/// changes in replies to greetings.
-constexpr std::size_t SiteWatchers = peer_ring::FirstInRank;
 /// Balancers of a zone that watch the configuration: it is too large for a
 /// datagram, and a copy within the zone crosses no link between zones.
 constexpr std::size_t RoutesWatchersInZone = 2;
@@ -82,8 +79,9 @@
 
 std::optional<duration> directory::impl::siteWait() {
   const instant Now = Timers.now();
-  return nextWait(Site, Peers.rank(Now) < SiteWatchers,
-                  std::min(Peers.live(Now) + 1, SiteWatchers));
+  const std::size_t Watchers = Peers.watchers(Now);
+  return nextWait(Site, Peers.rank(Now) < Watchers,
+                  std::min(Peers.live(Now) + 1, Watchers));
 }
 
 /// Spread by a quarter, or balancers that started together would all ask at
--- a/src/directory/peer_ring.cpp
+++ b/src/directory/peer_ring.cpp
@@ -25,6 +25,10 @@
       }));
 }
 
+std::size_t peer_ring::watchers(instant Now) const {
+  return std::max(FirstInRank, live(Now) / BalancersAWatcher);
+}
+
 std::size_t peer_ring::rankIn(std::uint32_t Zone, instant Now) const {
   return static_cast<std::size_t>(
       std::count_if(Peers.begin(), Peers.end(), [&](const auto &Peer) {
@@ -68,7 +72,10 @@
     std::stable_partition(Live.begin(), Live.end(), [&](const endpoint &Peer) {
       return isOfZone(Peer, Zone);
     });
-  std::shuffle(Live.begin(), Live.begin() + std::min(Live.size(), FirstInRank),
+  // Watchers greet the very first of them, so that all know the same soon.
+  const std::size_t Watchers = watchers(Now);
+  const std::size_t First = rank(Now) < Watchers ? FirstInRank : Watchers;
+  std::shuffle(Live.begin(), Live.begin() + std::min(Live.size(), First),
                Random);
   if (Live.size() > 1)
     std::shuffle(Live.begin() + 1, Live.end(), Random);
--- a/src/directory/peer_ring.h
+++ b/src/directory/peer_ring.h
@@ -39,8 +39,13 @@
   void know(const endpoint &Peer);
   void heard(const endpoint &Peer, std::uint32_t Zone, instant Now);
   std::size_t live(instant Now) const;
-  /// How many are greeted by rank: those who watch for all.
+  /// How many watch for all and are greeted by rank, at least,
   static constexpr std::size_t FirstInRank = 3;
+  /// and one for so many balancers: each is greeted by some hundred others, a
+  /// few hundred datagrams a second, whatever the fleet's size.
+  static constexpr std::size_t BalancersAWatcher = 100;
+  /// The number of those watchers among the live balancers.
+  std::size_t watchers(instant Now) const;
 
   /// The number of live peers whose address is below this balancer's: an order
   /// in which duties are taken without asking anyone.
--- /dev/null
+++ b/test/directory/peer_ring_test.cpp
@@ -0,0 +1,65 @@
+#include "directory/peer_ring.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+using namespace marjoramrail::internal;
+using namespace std::chrono_literals;
+
+static endpoint balancer(std::uint32_t Number) { return {Number, 7000}; }
+
+static peer_ring ringOf(std::uint32_t Self, std::uint32_t Balancers,
+                        instant Now) {
+  peer_ring Ring(balancer(Self), 1, Self);
+  for (std::uint32_t Number = 1; Number <= Balancers; ++Number)
+    Ring.heard(balancer(Number), 1, Now);
+  return Ring;
+}
+
+TEST_CASE("no balancer is greeted by a whole large fleet") {
+  // Three balancers that watch for thousands would have nothing else to do than
+  // to answer them.
+  const instant Now(10s);
+  constexpr std::uint32_t Fleet = 2000;
+  std::map<endpoint, int> Greeted;
+  for (std::uint32_t Self = 1; Self <= Fleet; Self += 20) {
+    peer_ring Ring = ringOf(Self, Fleet, Now);
+    for (const endpoint &Peer : Ring.round(Now))
+      ++Greeted[Peer];
+  }
+
+  int Most = 0;
+  for (const auto &[Peer, Times] : Greeted)
+    Most = std::max(Most, Times);
+  // 100 rounds over 20 watchers.
+  CHECK(Most <= 15);
+}
+
+TEST_CASE("a silent peer is asked now and then, and given up in the end") {
+  const instant Start(10s);
+  peer_ring Ring = ringOf(1, 5, Start);
+  Ring.know(balancer(9));
+  int Asked = 0;
+  instant Now = Start;
+  for (int Round = 0; Round < 400; ++Round) {
+    Now += 200ms;
+    for (std::uint32_t Number = 2; Number <= 5; ++Number)
+      Ring.heard(balancer(Number), 1, Now);
+    for (const endpoint &Peer : Ring.round(Now))
+      Asked += Peer == balancer(9);
+  }
+
+  CHECK(Asked >= 50);
+  CHECK(Asked <= 100);
+  CHECK(Ring.isGone(balancer(9), Now));
+  CHECK_FALSE(Ring.isGone(balancer(2), Now));
+}
+
+TEST_CASE("ranks count live peers below") {
+  const instant Now(10s);
+  const peer_ring Ring = ringOf(3, 5, Now);
+
+  CHECK(Ring.live(Now) == 4);
+  CHECK(Ring.rank(Now) == 2);
+  CHECK(Ring.rank(Now + 10s) == 0);
+}
