Let the operators' tool read the users' store

Cause: marjoramctl spoke the product's own object API alone; a watch whose history was gone asked for it for ever. Change: one tool with two mains (run_tool), the second with the adapter's dialect; a watch goes on from the present and says so.

--- /dev/null
+++ b/daemons/marjoramctl/run_tool.h
@@ -0,0 +1,20 @@
+//===- run_tool.h - The operators' tool, for any platform -------*- C++ -*-===//
+///
+/// \file
+/// Reads the command line, joins a verb to the platform and prints.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_DAEMONS_MARJORAMCTL_RUN_TOOL_H
+#define MARJORAMRAIL_DAEMONS_MARJORAMCTL_RUN_TOOL_H
+
+#include "marjoramrail/platform.h"
+
+namespace marjoramrail::ctl {
+
+/// Returns the exit code of the process; see exit_code.
+int runTool(int Argc, char **Argv, const platform_dialect &Dialect);
+
+} // namespace marjoramrail::ctl
+
+#endif // MARJORAMRAIL_DAEMONS_MARJORAMCTL_RUN_TOOL_H
--- a/daemons/marjoramctl/watch.cpp
+++ b/daemons/marjoramctl/watch.cpp
@@ -24,6 +24,7 @@
 private:
   duration waitLeft() const;
   void onReply(const platform_reply &Reply);
+  void skipToPresent(const platform_reply &Gone);
   bool wanted(const object_key &Key) const {
     return (Kind.empty() || Key.Kind == Kind) &&
            (Name.empty() || Key.Name == Name);
@@ -56,7 +57,23 @@
       });
 }
 
+/// The platform no longer holds the changes asked for. The watch goes on from
+/// the present, and says so: what happened in between is not shown.
+void watch_run::skipToPresent(const platform_reply &Gone) {
+  tellReply(Context, step::WatchPlatform, {Kind.empty() ? "*" : Kind, "*"},
+            Gone);
+  Context.Platform.List(
+      Kind, [Self = shared_from_this()](const platform_reply &Present) {
+        if (Present.Outcome != platform_outcome::Ok)
+          return Self->onReply(Present);
+        Self->Since = std::max(Self->Since, Present.StoreVersion);
+        Self->next();
+      });
+}
+
 void watch_run::onReply(const platform_reply &Reply) {
+  if (Reply.Outcome == platform_outcome::HistoryGone)
+    return skipToPresent(Reply);
   if (Reply.Outcome != platform_outcome::Ok) {
     // An outage does not end a watch; the line tells why nothing comes.
     tellReply(Context, step::WatchPlatform, {Kind.empty() ? "*" : Kind, "*"},
--- a/test/daemons/marjoramctl/read_verbs_test.cpp
+++ b/test/daemons/marjoramctl/read_verbs_test.cpp
@@ -157,3 +157,32 @@
   CHECK(Test.printed("ledger-3  -"));
   CHECK(Test.run(runStatus, {"nothing"}) == exit_code::Refused);
 }
+
+TEST_CASE("watch goes on from the present when the history is gone") {
+  // The platform has dropped its history while an operator's terminal was
+  // closed. A watch that asked for it again and again would show nothing.
+  fake_site Test;
+  Test.put("service", "ledger", "{}");
+  int Gone = 1;
+  Test.Context.Platform.Watch = [&, Watch = Test.Context.Platform.Watch](
+                                    std::uint64_t Since, duration Wait,
+                                    const platform_callback &Done) {
+    if (Gone-- <= 0)
+      return Watch(Since, Wait, Done);
+    Test.put("service", "archive", "{}");
+    platform_reply Reply;
+    Reply.Outcome = platform_outcome::HistoryGone;
+    Done(Reply);
+  };
+  ctl_options Options;
+  Options.Arguments = {"service"};
+  Options.For = std::chrono::seconds(60);
+  Test.Timers.after(std::chrono::seconds(10),
+                    [&] { Test.put("service", "late", "{}"); });
+
+  CHECK(Test.run(runWatch, Options) == exit_code::Ok);
+
+  CHECK(Test.told("history gone"));
+  CHECK(Test.printed("late"));
+  CHECK_FALSE(Test.printed("archive"));
+}
