--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -149,13 +149,13 @@
 void forward_agent_process::showMetrics() {
   showProcess(Metrics, Store, Log);
   showOutcomes(Metrics, AgentOutcomeNames, Core.counters().Outcomes);
-  Metrics.gauge("marjoramrail_requests_seen", [this] {
+  Metrics.counterOf("marjoramrail_requests_seen", [this] {
     return static_cast<double>(Core.counters().Requests);
   });
-  Metrics.gauge("marjoramrail_packets_declined", [this] {
+  Metrics.counterOf("marjoramrail_packets_declined", [this] {
     return static_cast<double>(Core.counters().Declined);
   });
-  Metrics.gauge("marjoramrail_target_timeouts", [this] {
+  Metrics.counterOf("marjoramrail_target_timeouts", [this] {
     return static_cast<double>(Core.counters().TimedOut);
   });
   Metrics.gauge("marjoramrail_target_flows", [this] {
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -152,9 +152,10 @@
 void forward_balancer_process::showMetrics() {
   showProcess(Metrics, Store, Log);
   showOutcomes(Metrics, ForwardOutcomeNames, Core.counters().Outcomes);
-  Metrics.gauge("marjoramrail_resets",
-                [this] { return static_cast<double>(Core.counters().Resets); });
-  Metrics.gauge("marjoramrail_agent_suspicions", [this] {
+  Metrics.counterOf("marjoramrail_resets", [this] {
+    return static_cast<double>(Core.counters().Resets);
+  });
+  Metrics.counterOf("marjoramrail_agent_suspicions", [this] {
     return static_cast<double>(Core.counters().Suspicions);
   });
   Metrics.gauge("marjoramrail_flows_remembered",
--- a/daemons/forwarder/process_pages.cpp
+++ b/daemons/forwarder/process_pages.cpp
@@ -22,12 +22,12 @@
 
 void showProcess(metrics &Metrics, const platform_client &Store,
                  const event_log &Log) {
-  Metrics.gauge("marjoramrail_store_calls",
-                [&Store] { return static_cast<double>(Store.calls()); });
-  Metrics.gauge("marjoramrail_log_lines",
-                [&Log] { return static_cast<double>(Log.lines()); });
-  Metrics.gauge("marjoramrail_log_lines_left_out",
-                [&Log] { return static_cast<double>(Log.leftOut()); });
+  Metrics.counterOf("marjoramrail_store_calls",
+                    [&Store] { return static_cast<double>(Store.calls()); });
+  Metrics.counterOf("marjoramrail_log_lines",
+                    [&Log] { return static_cast<double>(Log.lines()); });
+  Metrics.counterOf("marjoramrail_log_lines_left_out",
+                    [&Log] { return static_cast<double>(Log.leftOut()); });
 }
 
 } // namespace marjoramrail::daemons
--- a/daemons/forwarder/process_pages.h
+++ b/daemons/forwarder/process_pages.h
@@ -26,13 +26,13 @@
 void showProcess(metrics &Metrics, const platform_client &Store,
                  const event_log &Log);
 
-/// One gauge for each enumerator of \p Names.
+/// One counter for each enumerator of \p Names.
 template <typename Enum, std::size_t Size>
 void showOutcomes(metrics &Metrics, const name_table<Enum, Size> &Names,
                   const std::array<std::uint64_t, Size> &Counts) {
   for (std::size_t I = 0; I < Size; ++I)
-    Metrics.gauge("marjoramrail_packets_" + std::string(Names[I].second),
-                  [&Counts, I] { return static_cast<double>(Counts[I]); });
+    Metrics.counterOf("marjoramrail_packets_" + std::string(Names[I].second),
+                      [&Counts, I] { return static_cast<double>(Counts[I]); });
 }
 
 } // namespace marjoramrail::daemons
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -208,6 +208,8 @@
                          const std::string &Labels = "");
   /// A gauge read when the page is.
   void gauge(const std::string &Name, std::function<double()> Read);
+  /// A counter that someone else keeps, read when the page is.
+  void counterOf(const std::string &Name, std::function<double()> Read);
   /// Adds \p Value to a distribution (count, mean, 0.5, 0.99, max).
   void observe(const std::string &Name, double Value);
 
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -20,7 +20,12 @@
 
 struct metrics::impl {
   std::map<std::pair<std::string, std::string>, std::uint64_t> Counters;
-  std::map<std::string, std::function<double()>> Gauges;
+  struct read_value {
+    std::function<double()> Read;
+    const char *Type = "gauge";
+  };
+
+  std::map<std::string, read_value> Values;
   std::map<std::string, distribution> Distributions;
 };
 
@@ -34,7 +39,11 @@
 }
 
 void metrics::gauge(const std::string &Name, std::function<double()> Read) {
-  Impl->Gauges[Name] = std::move(Read);
+  Impl->Values[Name] = {std::move(Read), "gauge"};
+}
+
+void metrics::counterOf(const std::string &Name, std::function<double()> Read) {
+  Impl->Values[Name] = {std::move(Read), "counter"};
 }
 
 void metrics::observe(const std::string &Name, double Value) {
@@ -77,8 +86,9 @@
       Out << "{" << Labels << "}";
     Out << " " << Value << "\n";
   }
-  for (const auto &[Name, Read] : Impl->Gauges)
-    Out << "# TYPE " << Name << " gauge\n" << Name << " " << Read() << "\n";
+  for (const auto &[Name, Value] : Impl->Values)
+    Out << "# TYPE " << Name << " " << Value.Type << "\n"
+        << Name << " " << Value.Read() << "\n";
   for (const auto &[Name, Values] : Impl->Distributions)
     writeDistribution(Out, Name, Values);
   return Out.str();
