--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -39,6 +39,7 @@
                           std::string_view Why, instant Now);
   agent_outcome onDeclined(const segment &Segment, bytes_view Bytes,
                            instant Now);
+  bool sendReset(const tcp_packet &Packet);
   agent_outcome resetLost(const tcp_packet &Head);
   agent_outcome onAnswer(segment Segment, bytes_view Bytes, instant Now);
   void nameOwner(const routed_packet &Routed, const flow_key &Flow,
@@ -190,6 +191,16 @@
   return agent_outcome::PassedOn;
 }
 
+/// Tells the caller of \p Packet that its flow is over.
+bool forward_agent::impl::sendReset(const tcp_packet &Packet) {
+  std::array<std::uint8_t, MaxPacketBytes> Buffer;
+  const std::size_t Size = Codec.WriteReset(Packet, Buffer);
+  if (Size == 0)
+    return false;
+  Hooks.SendToCaller(Packet.Flow.Caller, {Buffer.data(), Size});
+  return true;
+}
+
 /// Nobody in the list takes the packet. A new flow has been offered to all that
 /// admit, and was opened by none: its caller may be told. A flow that is open
 /// may only be reset if the list was whole and all have said no.
@@ -199,13 +210,10 @@
   const bool IsNew = Head.opensFlow();
   if (Head.Rst || (!IsNew && !Routed.has(routed_flag::Whole)))
     return agent_outcome::Unsure;
-  std::array<std::uint8_t, MaxPacketBytes> Buffer;
-  const std::size_t Size = Codec.WriteReset(Head, Buffer);
-  if (Size == 0)
+  if (!sendReset(Head))
     return agent_outcome::Unsure;
   tell(IsNew ? event_kind::FlowRefused : event_kind::FlowReset, Why, Head.Flow,
        {});
-  Hooks.SendToCaller(Head.Flow.Caller, {Buffer.data(), Size});
   return IsNew ? agent_outcome::Refused : agent_outcome::Reset;
 }
 
@@ -240,14 +248,8 @@
 agent_outcome forward_agent::impl::resetLost(const tcp_packet &Head) {
   tell(event_kind::FlowLost, "its target does not hold it any more", Head.Flow,
        {});
-  if (Head.Rst)
-    return agent_outcome::Unsure;
-  std::array<std::uint8_t, MaxPacketBytes> Buffer;
-  const std::size_t Size = Codec.WriteReset(Head, Buffer);
-  if (Size == 0)
-    return agent_outcome::Unsure;
-  Hooks.SendToCaller(Head.Flow.Caller, {Buffer.data(), Size});
-  return agent_outcome::Reset;
+  return !Head.Rst && sendReset(Head) ? agent_outcome::Reset
+                                      : agent_outcome::Unsure;
 }
 
 agent_outcome forward_agent::impl::onAnswer(segment Segment, bytes_view Bytes,
@@ -322,12 +324,8 @@
     tcp_packet Last;
     Last.Flow = Key;
     Last.Acknowledged = Flow.CallerAcknowledged;
-    std::array<std::uint8_t, MaxPacketBytes> Buffer;
-    const std::size_t Size = Codec.WriteReset(Last, Buffer);
-    if (Size == 0)
-      return;
-    tell(event_kind::FlowReset, "target gone", Key, {});
-    Hooks.SendToCaller(Key.Caller, {Buffer.data(), Size});
+    if (sendReset(Last))
+      tell(event_kind::FlowReset, "target gone", Key, {});
   });
 }
 
