--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -120,7 +120,7 @@
 void directory::impl::onSiteObject(const platform_object &Object) {
   const std::string &Name = Object.Key.Name;
   if (Name == RecordName && !Object.Deleted)
-    return Record.load(Object.Body, Timers.now());
+    return Record.load(Object.Body);
   if (hasPrefix(Name, BalancerPrefix))
     return onBalancer(Object);
   if (!hasPrefix(Name, TargetPrefix))
--- a/src/directory/route_record.cpp
+++ b/src/directory/route_record.cpp
@@ -18,7 +18,7 @@
   return Current;
 }
 
-void route_record::load(const std::string &Body, instant) {
+void route_record::load(const std::string &Body) {
   Loaded = true;
   Services.clear();
   const json Record = json::parse(Body, nullptr, /*allow_exceptions=*/false);
--- a/src/directory/route_record.h
+++ b/src/directory/route_record.h
@@ -28,7 +28,7 @@
   explicit route_record(duration FlowLife) : FlowLife(FlowLife) {}
 
   /// What the store holds now; a body that cannot be read counts as empty.
-  void load(const std::string &Body, instant Now);
+  void load(const std::string &Body);
   bool loaded() const { return Loaded; }
 
   /// Whether the store names \p Service for \p Address.
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -33,10 +33,10 @@
   agent_outcome deliver(const routed_packet &Routed, const segment &Segment,
                         bool Waits, instant Now);
   agent_outcome passOn(routed_packet Routed, const tcp_packet &Head,
-                       std::string_view Why, instant Now);
-  void passOnUnsure(routed_packet Routed, const tcp_packet &Head, instant Now);
+                       std::string_view Why);
+  void passOnUnsure(routed_packet Routed, const tcp_packet &Head);
   agent_outcome endOfList(const routed_packet &Routed, const tcp_packet &Head,
-                          std::string_view Why, instant Now);
+                          std::string_view Why);
   agent_outcome onDeclined(const segment &Segment, bytes_view Bytes,
                            instant Now);
   bool sendReset(const tcp_packet &Packet);
@@ -99,13 +99,13 @@
   // An address is used again by other services; the balancer's list may be of
   // before.
   if (Routed.Service != Settings.Service)
-    return passOn(Routed, Segment.Head, "another service", Now);
+    return passOn(Routed, Segment.Head, "another service");
   if (!Admitting && Hooks.OfferedInVain)
     Hooks.OfferedInVain();
   if (!Admitting)
-    return passOn(Routed, Segment.Head, "not admitting", Now);
+    return passOn(Routed, Segment.Head, "not admitting");
   if (TargetGone)
-    return passOn(Routed, Segment.Head, "target gone", Now);
+    return passOn(Routed, Segment.Head, "target gone");
   return deliver(Routed, Segment, /*Waits=*/true, Now);
 }
 
@@ -113,10 +113,10 @@
                                                 const segment &Segment,
                                                 instant Now) {
   if (TargetGone)
-    return passOn(Routed, Segment.Head, "target gone", Now);
+    return passOn(Routed, Segment.Head, "target gone");
   const target_load::caller_packet Kind = Load.judge(Segment.Head);
   if (Kind == target_load::caller_packet::Elsewhere)
-    return passOn(Routed, Segment.Head, "opened elsewhere", Now);
+    return passOn(Routed, Segment.Head, "opened elsewhere");
   const bool IsKnown = Kind == target_load::caller_packet::Known;
   if (IsKnown) {
     nameOwner(Routed, Segment.Head.Flow, Now);
@@ -128,7 +128,7 @@
   }
   const agent_outcome Outcome = deliver(Routed, Segment, /*Waits=*/false, Now);
   if (!IsKnown && Silent)
-    passOnUnsure(Routed, Segment.Head, Now);
+    passOnUnsure(Routed, Segment.Head);
   return Outcome;
 }
 
@@ -136,9 +136,9 @@
 /// and nobody may call the flow lost; but if another target holds it, the
 /// packet must get there.
 void forward_agent::impl::passOnUnsure(routed_packet Routed,
-                                       const tcp_packet &Head, instant Now) {
+                                       const tcp_packet &Head) {
   Routed.Flags &= ~static_cast<std::uint8_t>(routed_flag::Whole);
-  passOn(Routed, Head, "target silent", Now);
+  passOn(Routed, Head, "target silent");
 }
 
 agent_outcome forward_agent::impl::deliver(const routed_packet &Routed,
@@ -173,13 +173,13 @@
 
 agent_outcome forward_agent::impl::passOn(routed_packet Routed,
                                           const tcp_packet &Head,
-                                          std::string_view Why, instant Now) {
+                                          std::string_view Why) {
   do
     ++Routed.Position;
   while (Routed.Position < Routed.Count &&
          Routed.Owners[Routed.Position] == Settings.Self);
   if (Routed.Position >= Routed.Count)
-    return endOfList(Routed, Head, Why, Now);
+    return endOfList(Routed, Head, Why);
   std::array<std::uint8_t, MaxRoutedBytes> Buffer;
   const std::size_t Size = encodeRouted(Routed, Buffer);
   if (Size == 0)
@@ -206,7 +206,7 @@
 /// may only be reset if the list was whole and all have said no.
 agent_outcome forward_agent::impl::endOfList(const routed_packet &Routed,
                                              const tcp_packet &Head,
-                                             std::string_view Why, instant) {
+                                             std::string_view Why) {
   const bool IsNew = Head.opensFlow();
   if (Head.Rst || (!IsNew && !Routed.has(routed_flag::Whole)))
     return agent_outcome::Unsure;
@@ -239,7 +239,7 @@
   Codec.Restore(Restored);
   routed_packet Routed = Packet->Routed;
   Routed.Packet = Restored;
-  return passOn(Routed, Packet->Head, "declined", Now);
+  return passOn(Routed, Packet->Head, "declined");
 }
 
 /// An open flow is held by one target; if that one has lost it, no other needs
@@ -384,7 +384,7 @@
     }
     routed_packet Routed = Late->Routed;
     Routed.Packet = Late->Bytes;
-    Impl->passOnUnsure(Routed, Late->Head, Now);
+    Impl->passOnUnsure(Routed, Late->Head);
   }
   return Impl->Offered.nextLate();
 }
--- a/test/directory/route_gate_test.cpp
+++ b/test/directory/route_gate_test.cpp
@@ -15,7 +15,7 @@
   route_record Record{60s};
   route_gate Gate;
 
-  gate_fixture() { Record.load(R"({"10.0.0.1:443": ["ledger"]})", Now); }
+  gate_fixture() { Record.load(R"({"10.0.0.1:443": ["ledger"]})"); }
 
   std::vector<std::string> sharesNow() {
     std::vector<std::string> Names;
--- a/test/directory/route_record_test.cpp
+++ b/test/directory/route_record_test.cpp
@@ -10,19 +10,19 @@
 
 TEST_CASE("a record gains the services of a new configuration") {
   route_record Record(60s);
-  Record.load(R"({"10.0.0.1:443": ["ledger"]})", instant());
+  Record.load(R"({"10.0.0.1:443": ["ledger"]})");
   const auto Body = Record.update(tableOf(2, {"archive"}), instant());
 
   REQUIRE(Body);
   route_record Written(60s);
-  Written.load(*Body, instant());
+  Written.load(*Body);
   CHECK(Written.holds(FirstAddress, "ledger"));
   CHECK(Written.holds(FirstAddress, "archive"));
 }
 
 TEST_CASE("a record that says all needs no write") {
   route_record Record(60s);
-  Record.load(R"({"10.0.0.1:443": ["ledger"]})", instant());
+  Record.load(R"({"10.0.0.1:443": ["ledger"]})");
 
   CHECK_FALSE(Record.update(tableOf(2, {"ledger"}), instant()));
 }
@@ -32,7 +32,7 @@
   // service. Dropped earlier, a balancer that starts then would not ask there,
   // and a broker's open session would starve.
   route_record Record(60s);
-  Record.load(R"({"10.0.0.1:443": ["archive", "ledger"]})", instant());
+  Record.load(R"({"10.0.0.1:443": ["archive", "ledger"]})");
   const route_table Moved = tableOf(2, {"archive"});
 
   CHECK_FALSE(Record.update(Moved, instant(1s)));
@@ -44,7 +44,7 @@
 
 TEST_CASE("a service that comes back is not former any more") {
   route_record Record(60s);
-  Record.load(R"({"10.0.0.1:443": ["archive", "ledger"]})", instant());
+  Record.load(R"({"10.0.0.1:443": ["archive", "ledger"]})");
   Record.update(tableOf(2, {"archive"}), instant(1s));
   Record.update(tableOf(3, {"archive", "ledger"}), instant(30s));
 
@@ -54,7 +54,7 @@
 TEST_CASE("a record that cannot be read is written anew") {
   route_record Record(60s);
   for (const char *Broken : {"", "[]", "7", R"({"a": 1})", R"({"a": [1]})"}) {
-    Record.load(Broken, instant());
+    Record.load(Broken);
     CHECK(Record.servicesOf(FirstAddress).empty());
     CHECK(Record.update(tableOf(1, {"ledger"}), instant()).has_value());
   }
