--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -183,7 +183,8 @@
     /// The store has the entry. \p Existed: it named this service and address
     /// before this process wrote anything.
     std::function<void(bool Existed)> OnStored;
-    /// The store does not hold the entry that it shall hold; it is written next.
+    /// The store does not hold the entry that it shall hold; it is written
+    /// next.
     std::function<void()> OnMissing;
     /// What the store held when it was first read, for look().
     std::function<void(const target_entry &)> OnFound;
--- a/test/path/planned_changes_test.cpp
+++ b/test/path/planned_changes_test.cpp
@@ -127,9 +127,9 @@
 
 TEST_CASE("no caller is refused when flows pin all generations") {
   // Flows that later joins pushed out of their newest four choices would keep
-  // old generations alive for as long as they last. With all eight in use no new
-  // one could come, so the newest one's hosts would drain away under it, and
-  // callers whose choices have all left would be refused although new hosts
+  // old generations alive for as long as they last. With all eight in use no
+  // new one could come, so the newest one's hosts would drain away under it,
+  // and callers whose choices have all left would be refused although new hosts
   // stand ready.
   replaceHosts(7);
   replaceHosts(12);
