Read flags as bits in the forwarding tests' own frame

The product's codec reads bits and cannot do so. Ruled out: load (the same program fails alone under UBSan; it had run in Release alone).

--- a/test/forward/forward_world.h
+++ b/test/forward/forward_world.h
@@ -32,9 +32,20 @@
   return Bytes;
 }
 
+/// Bytes that a test has mutated may be no bool; a real codec reads bits.
+inline void makeValid(bool &Flag) {
+  std::uint8_t Byte = 0;
+  std::memcpy(&Byte, &Flag, sizeof(Byte));
+  Flag = (Byte & 1) != 0;
+}
+
 inline test_frame frameOf(bytes_view Bytes) {
   test_frame Frame;
   std::memcpy(&Frame, Bytes.data(), sizeof(Frame));
+  tcp_packet &Head = Frame.Segment.Head;
+  for (bool *Flag :
+       {&Head.Syn, &Head.Ack, &Head.Fin, &Head.Rst, &Frame.Segment.Declined})
+    makeValid(*Flag);
   return Frame;
 }
 
