Write once how a process reaches the store

Cause: both forwarding processes built the same client settings, with the same threshold. Change: storeSettings in site_adapter.h; no value changes.

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// As for balancers: a store that answers in milliseconds, 100 times slower on
-/// a bad day.
-constexpr duration StoreTimeout = std::chrono::milliseconds(1500);
 /// A target that does not answer is looked at this often.
 constexpr duration LookPeriod = std::chrono::milliseconds(500);
 /// The longest time between two packets of a target whose flow is not over: the
@@ -24,16 +21,6 @@
 /// grace period.
 constexpr duration WithdrawTime = std::chrono::seconds(3);
 
-platform_client_settings storeSettings(const agent_program_settings &Settings,
-                                       const site_adapter &Adapter) {
-  platform_client_settings Client;
-  Client.Servers = {Settings.Store};
-  Client.Writer = Settings.Name;
-  Client.Timeout = StoreTimeout;
-  Client.Dialect = Adapter.Dialect;
-  return Client;
-}
-
 std::string entryName(const agent_program_settings &Settings) {
   return "target." + Settings.Name;
 }
@@ -47,7 +34,7 @@
       Log(Loop, Settings.Name), Requests(Log, Metrics, this->Adapter),
       Routed(Loop, [this](auto Batch) { onRouted(Batch); }),
       TargetPackets(Loop, [this](auto Batch) { onTargetPackets(Batch); }),
-      Store(Loop, storeSettings(Settings, Adapter)),
+      Store(Loop, storeSettings(Settings.Name, Settings.Store, Adapter)),
       Core({.Service = serviceNumber(Settings.Service),
             .Self = Settings.RoutedListen},
            Adapter.Codec, coreHooks()),
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -13,24 +13,11 @@
 constexpr duration QuietCheck = std::chrono::milliseconds(100);
 /// Kept back from the grace period for the process's own end.
 constexpr duration EndMargin = std::chrono::milliseconds(500);
-/// A store that answers in milliseconds and is 100 times slower on a bad day.
-constexpr duration StoreTimeout = std::chrono::milliseconds(1500);
 /// Peers are a few milliseconds away; a silent one must not hold up the next.
 constexpr duration PeerTimeout = std::chrono::seconds(1);
 
 const std::string ObjectsPath = "/v1/objects/";
 
-platform_client_settings
-storeSettings(const balancer_program_settings &Settings,
-              const site_adapter &Adapter) {
-  platform_client_settings Client;
-  Client.Servers = {Settings.Store};
-  Client.Writer = Settings.Name;
-  Client.Timeout = StoreTimeout;
-  Client.Dialect = Adapter.Dialect;
-  return Client;
-}
-
 /// Every balancer of a site listens for its peers on the same port.
 std::vector<endpoint> peersOf(const balancer_program_settings &Settings) {
   std::vector<endpoint> Peers;
@@ -64,7 +51,7 @@
       Log(Loop, Settings.Name),
       Callers(Loop, [this](auto Batch) { onCallers(Batch); }),
       Peers(Loop, [this](auto Batch) { onPeers(Batch); }),
-      Store(Loop, storeSettings(Settings, Adapter)),
+      Store(Loop, storeSettings(Settings.Name, Settings.Store, Adapter)),
       Core({.Self = Settings.PeersListen,
             .Zone = Settings.Zone,
             .FlowLife = Settings.FlowLife},
--- a/daemons/forwarder/site_adapter.h
+++ b/daemons/forwarder/site_adapter.h
@@ -40,6 +40,20 @@
   std::function<int(bytes_view Packet)> StatusOf;
 };
 
+/// How a process called \p Name reaches the site's store.
+inline platform_client_settings storeSettings(const std::string &Name,
+                                              const endpoint &Store,
+                                              const site_adapter &Adapter) {
+  /// The store answers in milliseconds, 100 times slower on a bad day.
+  constexpr duration Timeout = std::chrono::milliseconds(1500);
+  platform_client_settings Client;
+  Client.Servers = {Store};
+  Client.Writer = Name;
+  Client.Timeout = Timeout;
+  Client.Dialect = Adapter.Dialect;
+  return Client;
+}
+
 } // namespace marjoramrail::daemons
 
 #endif // MARJORAMRAIL_DAEMONS_FORWARDER_SITE_ADAPTER_H
