Keep long flows in the store, and tell their callers after a loss of power

Cause: after all machines lose power nobody knows which flows there were. Ruled out: telling balancers or peers (they lose power too); a flow's whole state (the address, the port and a number are enough for a reset); resets by balancers (only the agent knows that its target is another run). Change: flow_keeper (directory): each agent keeps flows older than 3 s in an object of a kind that nobody watches, writes only when there are new ones, 12 KB at most, and resets them when another, later run of its target reports. Dead VMs' objects go with their entries.

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -41,7 +41,7 @@
       Reports(Settings.Service),
       Registrar(Loop.timers(), Store.api(), directory_settings().SiteKind,
                 registrarHooks()),
-      CallsPage(Loop, Metrics, callsPage()),
+      Keeper(makeKeeper()), CallsPage(Loop, Metrics, callsPage()),
       ReadyPage(Loop, Metrics, readyPage()), MetricsPage(Loop, Metrics, {}),
       Malformed(Metrics.counter("marjoramrail_target_reports_malformed_total")),
       Late(Metrics.counter("marjoramrail_target_reports_late_total")) {
@@ -118,6 +118,45 @@
   return Hooks;
 }
 
+std::unique_ptr<flow_keeper> forward_agent_process::makeKeeper() {
+  if (Settings.KeepFlowsEvery == duration::zero())
+    return nullptr;
+  flow_keeper::hooks Hooks;
+  Hooks.OpenFlows = [this] {
+    return Core.openFlows(Settings.KeepFlowsEvery, Loop.timers().now());
+  };
+  Hooks.OnLost = [this](const std::vector<open_flow> &Flows) {
+    Core.resetFormer(Flows);
+    Routed.flush();
+  };
+  Hooks.OnTrouble = [this](const std::string &Reason) {
+    Log.record(event_kind::StoreLost, "kept flows: " + Reason);
+  };
+  return std::make_unique<flow_keeper>(
+      Loop.timers(), Store.api(),
+      flow_keeper::settings{{KeptFlowsKind, entryName(Settings)},
+                            Settings.KeepFlowsEvery},
+      std::move(Hooks));
+}
+
+/// The kept flows go first: while the entry is there, a balancer that finds the
+/// VM dead takes both out.
+void forward_agent_process::withdraw() {
+  if (std::exchange(Withdrawing, true))
+    return;
+  const auto WithdrawEntry = [this] {
+    // Another run of the target may have announced itself meanwhile.
+    if (!Withdrawing)
+      return;
+    Withdrawn = true;
+    Registrar.withdraw();
+  };
+  if (Keeper)
+    Keeper->drop(WithdrawEntry);
+  else
+    WithdrawEntry();
+}
+
 status_page::hooks forward_agent_process::callsPage() {
   status_page::hooks Hooks;
   Hooks.Serve = [this](const page_request &Request) {
@@ -176,6 +215,8 @@
   });
   Log.record(event_kind::ProcessStarted, "settings are in force");
   Registrar.look(entryName(Settings));
+  if (Keeper)
+    Keeper->start();
   return {};
 }
 
@@ -196,11 +237,9 @@
 void forward_agent_process::endWhenDone() {
   const instant Now = Loop.timers().now();
   const bool IsOver = Reports.left() || Core.targetGone();
-  if (IsOver && !Withdrawing) {
-    Withdrawing = true;
-    Registrar.withdraw();
-  }
-  const bool IsDone = IsOver ? Registrar.settled() : !Look;
+  if (IsOver)
+    withdraw();
+  const bool IsDone = IsOver ? Withdrawn && Registrar.settled() : !Look;
   if (IsDone || Now >= StopBy)
     Loop.stop();
 }
@@ -282,6 +321,8 @@
                Report.Id);
   if (Core.targetGone())
     onTargetBack("it reported");
+  if (Keeper)
+    Keeper->onRun({Report.Id, Report.Born});
   Core.setTarget(Report.Slots, Report.WarmupLeft, Now);
   review("the target reported");
   announce();
@@ -310,7 +351,7 @@
   if (!Reports.left() || Stopping)
     return;
   if (Core.targetGone())
-    return Registrar.withdraw();
+    return withdraw();
   if (Loop.timers().now() - LastFromTarget > LongestRetransmission)
     lookAtTarget();
   Loop.timers().after(LookPeriod, [this] { withdrawWhenGone(); });
@@ -332,6 +373,8 @@
   Entry.Zone = Settings.Zone;
   Entry.Slots = Reports.last().Slots;
   Entry.Draining = Reports.last().Draining;
+  Withdrawing = false;
+  Withdrawn = false;
   Registrar.set(Entry);
 }
 
--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -40,6 +40,8 @@
   page_answer onLeave(const std::string &Id);
   void onTargetBack(const char *Why);
   void announce();
+  void withdraw();
+  std::unique_ptr<flow_keeper> makeKeeper();
   void announceAgain();
   void withdrawWhenGone();
   void review(const char *Why);
@@ -68,6 +70,8 @@
   target_reports Reports;
   target_admission Admission;
   target_registrar Registrar;
+  /// Empty if the settings keep no flows.
+  std::unique_ptr<flow_keeper> Keeper;
   status_page CallsPage;
   status_page ReadyPage;
   status_page MetricsPage;
@@ -76,7 +80,9 @@
   timer_id LookTimer{};
   instant LastFromTarget;
   bool Stopping = false;
+  /// The target has left, and its entry goes, or is told to go.
   bool Withdrawing = false;
+  bool Withdrawn = false;
   instant StopBy;
   std::uint64_t &Malformed;
   std::uint64_t &Late;
--- a/daemons/forwarder/forwarder_settings.cpp
+++ b/daemons/forwarder/forwarder_settings.cpp
@@ -6,8 +6,9 @@
 static constexpr std::int64_t MostSeconds = 24 * 3600;
 
 static duration seconds(settings_reader &Reader, const std::string &Field,
-                        std::int64_t Default) {
-  return std::chrono::seconds(Reader.number(Field, Default, 1, MostSeconds));
+                        std::int64_t Default, std::int64_t Least = 1) {
+  return std::chrono::seconds(
+      Reader.number(Field, Default, Least, MostSeconds));
 }
 
 result<balancer_program_settings>
@@ -43,6 +44,8 @@
   Settings.Target = Reader.address("target");
   Settings.Store = Reader.address("store");
   Settings.FlowLife = seconds(Reader, "flow_life_seconds", 60);
+  Settings.KeepFlowsEvery =
+      seconds(Reader, "keep_flows_seconds", /*Default=*/0, /*Least=*/0);
   if (auto Finished = Reader.finish(); !Finished)
     return Finished.error();
   return Settings;
--- a/daemons/forwarder/forwarder_settings.h
+++ b/daemons/forwarder/forwarder_settings.h
@@ -51,6 +51,9 @@
   endpoint Target;
   endpoint Store;
   duration FlowLife;
+  /// How often open flows are kept in the store for the case that the VM loses
+  /// power; zero: never.
+  duration KeepFlowsEvery;
 };
 
 result<balancer_program_settings> readBalancerSettings(const std::string &Path);
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -215,6 +215,88 @@
   std::unique_ptr<impl> Impl;
 };
 
+//===----------------------------------------------------------------------===//
+// Flows that outlast a loss of power
+//===----------------------------------------------------------------------===//
+
+/// An open flow, as a reset of it needs it.
+struct open_flow {
+  flow_key Flow;
+  /// What the caller acknowledged last.
+  std::uint32_t Acknowledged = 0;
+
+  bool operator==(const open_flow &) const = default;
+};
+
+/// One run of a target's process; see target_report.
+struct target_run {
+  std::string Id;
+  std::int64_t Born = 0;
+
+  bool operator==(const target_run &) const = default;
+};
+
+/// The flows that one run of a target held a short while ago.
+struct kept_flows {
+  target_run Run;
+  std::vector<open_flow> Flows;
+};
+
+std::string encodeFlows(const kept_flows &Kept);
+/// Fails with step::ValidateObject.
+result<kept_flows> decodeFlows(const object_key &Key, const std::string &Body);
+
+/// The kind under which flows are kept. Not that of targets and balancers:
+/// nobody watches it.
+inline constexpr const char *KeptFlowsKind = "marjoramrail-flows";
+
+/// Keeps the open flows of an agent's target in the store, so that their
+/// callers are told when the VM has lost power.
+///
+/// Nothing on the VM knows then which flows there were, and an idle caller
+/// finds out only by its next request: one that may run only once is lost with
+/// it, because nobody can say that it has not run. The symptom is a tail of
+/// failed requests for many seconds after the power is back. With the flows
+/// from the store each caller gets a reset before it asks again, and opens a
+/// new flow.
+///
+/// What it costs: a write of at most 12 KB a period for each target whose
+/// flows have changed. It is for sites whose store has room for that rate.
+class flow_keeper {
+public:
+  struct settings {
+    object_key Key;
+    duration Period = std::chrono::seconds(3);
+  };
+
+  struct hooks {
+    /// The flows worth keeping: those that have been open for a period.
+    std::function<std::vector<open_flow>()> OpenFlows;
+    /// These flows are lost: another run of the target has begun.
+    std::function<void(const std::vector<open_flow> &)> OnLost;
+    /// A call failed; \p Reason for the log.
+    std::function<void(const std::string &Reason)> OnTrouble;
+  };
+
+  flow_keeper(timer_service &Timers, platform_api Store, settings Settings,
+              hooks Hooks);
+  ~flow_keeper();
+  flow_keeper(const flow_keeper &) = delete;
+  flow_keeper &operator=(const flow_keeper &) = delete;
+
+  /// Reads what a process before this one has kept; writes from then on.
+  void start();
+  /// The target has said which run it is.
+  void onRun(const target_run &Run);
+  /// The target has left: takes the flows out of the store, tries once, and
+  /// calls \p Done.
+  void drop(std::function<void()> Done);
+
+private:
+  struct impl;
+  std::unique_ptr<impl> Impl;
+};
+
 //===----------------------------------------------------------------------===//
 // The balancer's directory
 //===----------------------------------------------------------------------===//
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -359,6 +359,14 @@
   void setTarget(std::uint32_t Slots, duration Warmup, instant Now);
   void setIdleFlow(duration IdleFlow);
 
+  /// Open flows whose handshake was seen \p Age ago or earlier; a caller that
+  /// has kept a flow for a while keeps it on.
+  std::vector<open_flow> openFlows(duration Age, instant Now) const;
+  /// Tells the callers of flows that a former run of the target held. A flow
+  /// that was seen since this agent started is another one under the same
+  /// addresses, and is left alone.
+  void resetFormer(const std::vector<open_flow> &Flows);
+
   /// A datagram of a balancer or of another agent.
   agent_outcome onRouted(const endpoint &From, bytes_view Bytes, instant Now);
   agent_outcome onTargetPacket(bytes_view Bytes, instant Now);
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -283,6 +283,7 @@
     // A conflict means that someone has just written it: then it lives.
     Impl->Platform.Site.Remove(Object->second.Key, Object->second.Version,
                                [](const platform_reply &) {});
+    Impl->removeKeptFlows(Name);
   }
 }
 
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -64,6 +64,7 @@
   void writeRecord(const std::string &Body);
   void writeSelf();
   void dropGonePeers();
+  void removeKeptFlows(const std::string &Target);
   /// The balancer that \p Object names, if it is a balancer's entry.
   static std::optional<endpoint> balancerAt(const platform_object &Object);
   std::string selfBody() const;
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -59,6 +59,17 @@
   }
 }
 
+/// Nobody else takes out what a dead VM's agent has kept; thousands of VMs are
+/// replaced a day.
+void directory::impl::removeKeptFlows(const std::string &Target) {
+  const object_key Key{KeptFlowsKind, Target};
+  Platform.Site.Read(Key, guarded([this, Key](const platform_reply &Reply) {
+                       if (Reply.Outcome == platform_outcome::Ok)
+                         Platform.Site.Remove(Key, Reply.Object.Version,
+                                              [](const platform_reply &) {});
+                     }));
+}
+
 void directory::impl::keepRecord() {
   writeSelf();
   dropGonePeers();
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -46,6 +46,7 @@
   void nameOwner(const routed_packet &Routed, const flow_key &Flow,
                  instant Now);
   void resetAll(instant Now);
+  void resetOpen(const open_flow &Open, std::string_view Why);
   void callOut(instant Now);
   void sendReport(const endpoint &Balancer, instant Now);
   load_report report(instant Now) const;
@@ -341,14 +342,36 @@
 /// dead flow, cannot be repeated, because nobody can say that it has not run.
 void forward_agent::impl::resetAll(instant Now) {
   Load.forgetAll(Now, [&](const flow_key &Key, const watched_flow &Flow) {
-    tcp_packet Last;
-    Last.Flow = Key;
-    Last.Acknowledged = Flow.CallerAcknowledged;
-    if (sendReset(Last))
-      tell(event_kind::FlowReset, "target gone", Key, {});
+    resetOpen({Key, Flow.CallerAcknowledged}, "target gone");
   });
 }
 
+void forward_agent::impl::resetOpen(const open_flow &Open,
+                                    std::string_view Why) {
+  tcp_packet Last;
+  Last.Flow = Open.Flow;
+  Last.Acknowledged = Open.Acknowledged;
+  if (sendReset(Last))
+    tell(event_kind::FlowReset, Why, Open.Flow, {});
+}
+
+std::vector<open_flow> forward_agent::openFlows(duration Age,
+                                                instant Now) const {
+  std::vector<open_flow> Flows;
+  Impl->Load.forEachOpen([&](const flow_key &Key, const watched_flow &Flow) {
+    if (!Flow.CallerEnded && Flow.CallerAcknowledged != 0 &&
+        Now - Flow.OpenedAt >= Age)
+      Flows.push_back({Key, Flow.CallerAcknowledged});
+  });
+  return Flows;
+}
+
+void forward_agent::resetFormer(const std::vector<open_flow> &Flows) {
+  for (const open_flow &Open : Flows)
+    if (!Impl->Load.find(Open.Flow))
+      Impl->resetOpen(Open, "kept from before its target's restart");
+}
+
 void forward_agent::setTarget(std::uint32_t Slots, duration Warmup,
                               instant Now) {
   Impl->Slots = std::max(Slots, 1U);
--- a/src/forward/target_load.cpp
+++ b/src/forward/target_load.cpp
@@ -56,6 +56,12 @@
   Active += Asking ? 1 : -1;
 }
 
+void target_load::noteOpen(watched_flow &Flow, instant Now) {
+  Flow.HalfOpen = false;
+  Flow.OpenedAt = Now;
+  ++Open;
+}
+
 bool target_load::onCaller(const tcp_packet &Packet, instant Now) {
   if (Packet.opensFlow())
     return false;
@@ -65,10 +71,8 @@
   watched_flow &Flow = Found->second;
   Flow.SeenAt = Now;
   Flow.CallerAcknowledged = Packet.Acknowledged;
-  if (Flow.HalfOpen) {
-    Flow.HalfOpen = false;
-    ++Open;
-  }
+  if (Flow.HalfOpen)
+    noteOpen(Flow, Now);
   if (Packet.Rst) {
     erase(Found, Now);
     return false;
@@ -94,11 +98,9 @@
     Flow.TargetSequence = Packet.Sequence;
     return std::nullopt;
   }
-  if (Flow.HalfOpen) {
-    // A flow of before this agent's start.
-    Flow.HalfOpen = false;
-    ++Open;
-  }
+  // A flow of before this agent's start.
+  if (Flow.HalfOpen)
+    noteOpen(Flow, Now);
   Flow.TargetEnded |= Packet.Fin;
   if (Packet.Payload == 0 || !Flow.Asking)
     return std::nullopt;
@@ -129,14 +131,20 @@
     instant Now,
     const std::function<void(const flow_key &, const watched_flow &)> &Each) {
   integrate(Now);
-  for (const auto &[Key, Flow] : Flows)
-    if (!Flow.HalfOpen && !Flow.TargetEnded)
-      Each(Key, Flow);
+  forEachOpen(Each);
   Flows.clear();
   Open = 0;
   Active = 0;
 }
 
+void target_load::forEachOpen(
+    const std::function<void(const flow_key &, const watched_flow &)> &Each)
+    const {
+  for (const auto &[Key, Flow] : Flows)
+    if (!Flow.HalfOpen && !Flow.TargetEnded)
+      Each(Key, Flow);
+}
+
 watched_flow *target_load::find(const flow_key &Flow) {
   const auto Found = Flows.find(Flow);
   return Found == Flows.end() ? nullptr : &Found->second;
--- a/src/forward/target_load.h
+++ b/src/forward/target_load.h
@@ -23,6 +23,8 @@
   bool SequenceKnown = false;
   /// The caller has not confirmed the target's end yet.
   bool HalfOpen = true;
+  /// When it did, as far as this agent has seen.
+  instant OpenedAt;
   /// What the caller acknowledged last: a reset has to be near it.
   std::uint32_t CallerAcknowledged = 0;
   bool Asking = false;
@@ -65,6 +67,10 @@
       instant Now,
       const std::function<void(const flow_key &, const watched_flow &)> &Each);
   watched_flow *find(const flow_key &Flow);
+  /// Open flows that neither end has closed.
+  void forEachOpen(
+      const std::function<void(const flow_key &, const watched_flow &)> &Each)
+      const;
 
   /// Samples the load; call it every forward_agent::TickPeriod.
   void tick(instant Now);
@@ -75,6 +81,7 @@
   duration latency() const;
 
 private:
+  void noteOpen(watched_flow &Flow, instant Now);
   void setAsking(watched_flow &Flow, bool Asking, instant Now);
   void integrate(instant Now);
   void erase(
