Ask a silent store again after half a second, until it has answered once

Ruled out: time in starting (10 to 20 ms), in placing, at the targets. Change: reads and lists wait 500 ms until the first answer of any kind; every fourth for one kind or object waits the whole time-out, for a store that is merely slow. The tool's calls keep their time-out. Tests: "a first read into silence is soon asked again", "a platform that is merely slow is read all the same".

--- a/daemons/forwarder/site_adapter.h
+++ b/daemons/forwarder/site_adapter.h
@@ -46,7 +46,11 @@
                                               const site_adapter &Adapter) {
   /// The store answers in milliseconds, 100 times slower on a bad day.
   constexpr duration Timeout = std::chrono::milliseconds(1500);
+  /// After a loss of all processes while the store is silent, callers wait this
+  /// much less for the first one that serves them.
+  constexpr duration FirstTimeout = std::chrono::milliseconds(500);
   platform_client_settings Client;
+  Client.FirstTimeout = FirstTimeout;
   Client.Servers = {Store};
   Client.Writer = Name;
   Client.Timeout = Timeout;
--- a/include/marjoramrail/platform.h
+++ b/include/marjoramrail/platform.h
@@ -204,6 +204,13 @@
   std::string Writer;
   /// For one call; a watch may take its own wait on top.
   duration Timeout = std::chrono::seconds(2);
+  /// For reads and lists until the first answer of any kind has come. A process
+  /// that starts while the platform is silent can serve nobody before it has
+  /// read, and a call that was sent into the silence is lost: with a short
+  /// time-out it asks again soon after the platform is back. Every fourth such
+  /// call gets the whole Timeout, for a platform that is merely slow. Zero: the
+  /// same Timeout for all.
+  duration FirstTimeout = duration::zero();
   /// Connections in use at once, besides one for each waiting watch.
   std::size_t MaxConnections = 8;
   /// Calls that wait for a connection; more are answered Unavailable, or a
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -40,7 +40,12 @@
     bool Spent = false;
   };
 
+  /// Of the calls for one object or kind before the first answer, each so many
+  /// waits for long.
+  static constexpr unsigned PatientCalls = 4;
+
   void start(call Call);
+  duration timeoutOf(const call &Call);
   void pump();
   void schedulePump();
   lane *laneFor(const call &Call);
@@ -59,6 +64,9 @@
   /// The server that new connections go to.
   std::size_t Current = 0;
   std::uint64_t Sequence = 0;
+  bool HasAnswered = false;
+  /// Calls before the first answer, by what they read.
+  std::map<object_key, unsigned> FirstCalls;
   bool PumpScheduled = false;
   bool Closing = false;
   /// Deferred tasks look here whether the client is still there.
@@ -74,7 +82,7 @@
       Call.WriterSequence = ++Sequence;
   }
   auto Shared = std::make_shared<call>(std::move(Call));
-  Shared->Timer = Loop.timers().after(Shared->Wait + Settings.Timeout,
+  Shared->Timer = Loop.timers().after(timeoutOf(*Shared),
                                       [this, Shared] { onTimeout(Shared); });
   if (const std::string Fault = faultOf(*Shared); !Fault.empty())
     return finish(Shared, refusal(Fault));
@@ -88,6 +96,15 @@
   schedulePump();
 }
 
+duration platform_client::impl::timeoutOf(const call &Call) {
+  const bool IsRead =
+      Call.Verb == call_verb::Read || Call.Verb == call_verb::List;
+  if (HasAnswered || !IsRead || Settings.FirstTimeout == duration::zero())
+    return Call.Wait + Settings.Timeout;
+  const bool IsPatient = ++FirstCalls[Call.Key] % PatientCalls == 0;
+  return IsPatient ? Settings.Timeout : Settings.FirstTimeout;
+}
+
 void platform_client::impl::schedulePump() {
   if (std::exchange(PumpScheduled, true))
     return;
@@ -148,6 +165,9 @@
   const call_ptr Call = std::exchange(Lane.Call, nullptr);
   const std::size_t Server = Lane.Http->server();
   schedulePump();
+  HasAnswered |= Answer.has_value();
+  if (HasAnswered)
+    FirstCalls.clear();
   if (Answer)
     return take(Call, Settings.Dialect.Reply(*Call, *Answer));
   Lane.Spent = true;
--- a/test/standins/platform/client_and_server_test.cpp
+++ b/test/standins/platform/client_and_server_test.cpp
@@ -254,3 +254,58 @@
   CHECK(Reply.Outcome == platform_outcome::Invalid);
   CHECK(Test.Core.counters().Reads == 0);
 }
+
+namespace {
+
+/// A client that asks again and again until it is answered; when, by its own
+/// count of calls.
+int callsUntilAnswered(client_and_server &Test,
+                       const platform_client_settings &Settings) {
+  platform_client Client(Test.Loop, Settings);
+  const platform_api Api = Client.api();
+  int Asked = 0;
+  std::function<void()> Ask = [&] {
+    ++Asked;
+    Api.List("service", [&](const platform_reply &Reply) {
+      if (Reply.Outcome == platform_outcome::Ok)
+        return Test.Loop.stop();
+      Ask();
+    });
+  };
+  Ask();
+  Test.Loop.run();
+  return Asked;
+}
+
+} // namespace
+
+TEST_CASE("a first read into silence is soon asked again") {
+  // A process starts while the platform swallows all calls. It can serve nobody
+  // before it has read; the call that it made into the silence is lost, and
+  // waiting for it would add its whole time-out to the outage.
+  client_and_server Test;
+  Test.fault(R"({"delay_ms": 60000})");
+  Test.Loop.timers().after(milliseconds(150),
+                           [&] { Test.fault(R"({"delay_ms": 0})"); });
+  const instant Began = Test.Loop.timers().now();
+  callsUntilAnswered(Test, {.Servers = {Test.Server.local()},
+                            .Writer = "test",
+                            .Timeout = seconds(20),
+                            .FirstTimeout = milliseconds(50)});
+
+  CHECK(Test.Loop.timers().now() - Began < seconds(10));
+}
+
+TEST_CASE("a platform that is merely slow is read all the same") {
+  // Every answer takes longer than a first read waits. Asked with that patience
+  // alone, the platform would never be read.
+  client_and_server Test;
+  Test.fault(R"({"delay_ms": 150})");
+  const int Asked =
+      callsUntilAnswered(Test, {.Servers = {Test.Server.local()},
+                                .Writer = "test",
+                                .Timeout = seconds(20),
+                                .FirstTimeout = milliseconds(20)});
+
+  CHECK(Asked == 4);
+}
