Let a balancer that has known a target for long stand for the store's word

Cause, found by reading: an agent that cannot read the store counted itself known to all as soon as one balancer offered it a flow. That is no proof for an entry written a moment ago whose answer was lost: others may be without it, list everyone else and reset its flows. And an agent restarted while the store is silent reports that it admits nothing, so no balancer offers it anything: its target got no new flows until the store was back. Ruled out: the flag on offered flows (none are offered after the first report); waiting SettleTime after every restart (all targets closed for 1.2 s after a loss of power). Change: a balancer that hears "admits nothing" from an agent whose entry, for this service, it has had for SettleTime says so (8 bytes). Balancers know since when each entry is listed.

--- a/bench/forward/main.cpp
+++ b/bench/forward/main.cpp
@@ -94,7 +94,7 @@
       {[](const endpoint &, bytes_view) {}, [](const endpoint &, bytes_view) {},
        nullptr, nullptr, nullptr});
   Balancer.setRoutes({{RouteAddress, {{"ledger", 1}}, {"ledger"}}});
-  Balancer.setTargets(targets());
+  Balancer.setTargets(targets(), instant());
   const instant Now(std::chrono::seconds(1));
   Balancer.setKnownAsOf(Now);
   std::vector<std::vector<std::uint8_t>> Data;
@@ -115,7 +115,7 @@
   forward_agent Agent({serviceNumber("ledger"), {0x0a000100, 700}},
                       users_platform::packetCodec(),
                       {[](bytes_view) {}, [](const endpoint &, bytes_view) {},
-                       [](const endpoint &, bytes_view) {}, nullptr, [] {},
+                       [](const endpoint &, bytes_view) {}, [] {}, nullptr,
                        nullptr, nullptr, nullptr, nullptr, nullptr});
   Agent.setAdmitting(true);
   const instant Now(std::chrono::seconds(1));
--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -65,9 +65,9 @@
   Hooks.SendToCaller = [this](const endpoint &Caller, bytes_view Bytes) {
     Routed.send({Caller.Address, Settings.RoutedListen.Port}, Bytes);
   };
-  Hooks.OfferedInVain = [this] {
-    Admission.onOffered(Loop.timers().now());
-    review("a balancer knows this target");
+  Hooks.Listed = [this] {
+    Admission.onListed(Loop.timers().now());
+    review("a balancer has known this target for long");
   };
   Hooks.TargetSilent = [this] { lookAtTarget(); };
   Hooks.OnRequest = [this](const flow_key &Flow, bytes_view Packet) {
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -187,7 +187,7 @@
 
 void forward_balancer_process::takeDirectory() {
   Core.setRoutes(Directory.rules());
-  Core.setTargets(Directory.targets());
+  Core.setTargets(Directory.targets(), Loop.timers().now());
 }
 
 void forward_balancer_process::onCallers(std::span<const datagram> Batch) {
--- a/daemons/forwarder/target_admission.h
+++ b/daemons/forwarder/target_admission.h
@@ -30,9 +30,9 @@
   /// The entry was taken out of the store: what follows is as for a new target.
   void onUnlisted() { KnownSince.reset(); }
 
-  /// A balancer offered a flow of this target's service: it knows the entry,
-  /// so the store holds it although it cannot be asked now.
-  void onOffered(instant Now) {
+  /// A balancer has known the entry for SettleTime: so has everyone, although
+  /// the store cannot be asked now.
+  void onListed(instant Now) {
     if (!KnownSince)
       KnownSince = Now - SettleTime;
   }
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -13,7 +13,7 @@
 ///                       {.Name = "balancer-1", ...}, {.OnChange = ...});
 ///   Directory.start();
 ///   Core.setRoutes(Directory.rules());
-///   Core.setTargets(Directory.targets());
+///   Core.setTargets(Directory.targets(), Timers.now());
 /// \endcode
 ///
 /// An agent announces its target with a target_registrar and hears the target
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -25,7 +25,7 @@
 /// \code
 ///   forward_balancer Balancer(Settings, Codec, {.SendToAgent = ...});
 ///   Balancer.setRoutes(Directory.rules());
-///   Balancer.setTargets(Directory.targets());
+///   Balancer.setTargets(Directory.targets(), Timers.now());
 ///   Balancer.onCallerPacket(Bytes, Timers.now());
 ///
 ///   forward_agent Agent(Settings, Codec, {.SendToTarget = ...});
@@ -126,6 +126,13 @@
 std::size_t encodeUnlistedNotice(std::span<std::uint8_t> Buffer);
 bool isUnlistedNotice(bytes_view Bytes);
 
+/// Tells an agent that admits no flows that its entry, for this service, has
+/// been known for SettleTime: it needs the store's word no more.
+inline constexpr std::size_t ListedNoticeBytes = 8;
+std::size_t encodeListedNotice(service_id Service,
+                               std::span<std::uint8_t> Buffer);
+bool decodeListedNotice(bytes_view Bytes, service_id &Service);
+
 //===----------------------------------------------------------------------===//
 // Where new flows go
 //===----------------------------------------------------------------------===//
@@ -253,7 +260,7 @@
   forward_balancer &operator=(const forward_balancer &) = delete;
 
   void setRoutes(const std::vector<route_rule> &Routes);
-  void setTargets(const std::vector<target_entry> &Targets);
+  void setTargets(const std::vector<target_entry> &Targets, instant Now);
   /// Routes and targets miss nothing from before \p Moment.
   void setKnownAsOf(std::optional<instant> Moment);
 
@@ -287,8 +294,6 @@
   /// A routed packet to another agent, or a message to a balancer.
   std::function<void(const endpoint &To, bytes_view)> SendToPeer;
   std::function<void(const endpoint &Caller, bytes_view)> SendToCaller;
-  /// A new flow of this service was offered while none are admitted.
-  std::function<void()> OfferedInVain;
   /// Something put to the target got no answer: look whether it is there.
   std::function<void()> TargetSilent;
   /// A packet's text may name a request: for the log.
@@ -302,6 +307,9 @@
   /// A balancer says that the store does not hold this agent's entry; may be
   /// empty.
   std::function<void()> Unlisted;
+  /// A balancer says that this agent's entry has been known for SettleTime; may
+  /// be empty.
+  std::function<void()> Listed;
 };
 
 /// What became of a packet at an agent.
--- a/src/forward/agent_roster.cpp
+++ b/src/forward/agent_roster.cpp
@@ -10,7 +10,7 @@
       std::distance(Zones.begin(), Zones.find(Zone)));
 }
 
-void agent_roster::set(const std::vector<target_entry> &Targets) {
+void agent_roster::set(const std::vector<target_entry> &Targets, instant Now) {
   std::vector<agent_state> Former = std::exchange(Agents, {});
   ByService.clear();
   const auto Places = std::exchange(ByEndpoint, {});
@@ -22,8 +22,11 @@
     const auto Known = Places.find(Target.Agent);
     if (Known != Places.end())
       State = Former[Known->second];
+    const service_id Service = serviceNumber(Target.Service);
+    if (Known == Places.end() || State.Service != Service)
+      State.ListedSince = Now;
     State.Agent = Target.Agent;
-    State.Service = serviceNumber(Target.Service);
+    State.Service = Service;
     State.ZoneOrder = Target.Zone == Zone ? 0 : orderOf(Zones, Target.Zone) + 1;
     State.Draining = Target.Draining;
     if (!State.ReportedAt) {
@@ -57,9 +60,11 @@
       State->SentSince = Now;
 }
 
-bool agent_roster::noteReport(const load_report &Report, instant Now) {
+const agent_state *agent_roster::noteReport(const load_report &Report,
+                                            instant Now) {
+  const agent_state *Named = nullptr;
   if (!ByEndpoint.contains(Report.Agent))
-    return false;
+    return Named;
   for (agent_state &State : Agents) {
     if (State.Agent != Report.Agent)
       continue;
@@ -69,8 +74,10 @@
     State.AskedAt.reset();
     State.Placed = 0;
     State.Suspect = false;
+    if (State.Service == Report.Service)
+      Named = &State;
   }
-  return true;
+  return Named;
 }
 
 bool agent_roster::review(
--- a/src/forward/agent_roster.h
+++ b/src/forward/agent_roster.h
@@ -36,6 +36,8 @@
   /// zone by zone, so that a walk crosses each link between zones once.
   std::uint32_t ZoneOrder = 0;
   bool Draining = false;
+  /// Since when the store's list names this agent for this service.
+  instant ListedSince;
   /// In the store's list; others are only remembered for their flows.
   bool Listed = true;
   load_report Report;
@@ -69,7 +71,7 @@
 
   explicit agent_roster(std::string Zone) : Zone(std::move(Zone)) {}
 
-  void set(const std::vector<target_entry> &Targets);
+  void set(const std::vector<target_entry> &Targets, instant Now);
   agent_state *find(const endpoint &Agent);
   const std::vector<std::size_t> &ofService(service_id Service) const;
   agent_state &at(std::size_t Index) { return Agents[Index]; }
@@ -77,8 +79,9 @@
   std::size_t size() const { return Agents.size(); }
 
   void noteSent(const endpoint &Agent, instant Now);
-  /// False if no agent of the list has that address.
-  bool noteReport(const load_report &Report, instant Now);
+  /// Returns the agent that reports, or null if the list does not name it for
+  /// its service.
+  const agent_state *noteReport(const load_report &Report, instant Now);
   /// Finds the suspects and whom to ask; true if a suspicion changed.
   bool review(instant Now, std::vector<endpoint> &Ask,
               const std::function<void(const agent_state &)> &OnSuspicion);
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -102,8 +102,6 @@
   // before.
   if (Routed.Service != Settings.Service)
     return passOn(Routed, Segment.Head, "another service");
-  if (!Admitting && Hooks.OfferedInVain)
-    Hooks.OfferedInVain();
   if (!Admitting)
     return passOn(Routed, Segment.Head, "not admitting");
   if (TargetGone)
@@ -396,6 +394,11 @@
       Impl->Hooks.Unlisted();
     return agent_outcome::Delivered;
   }
+  if (service_id Service{}; decodeListedNotice(Bytes, Service)) {
+    if (Impl->Hooks.Listed && Service == Impl->Settings.Service)
+      Impl->Hooks.Listed();
+    return agent_outcome::Delivered;
+  }
   if (isLoadQuestion(Bytes)) {
     Impl->Balancers[From] = Now;
     Impl->sendReport(From, Now);
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -70,6 +70,7 @@
                          std::string_view Why, instant Now);
   bool isSure(instant Now) const;
   void tellUnlisted(const endpoint &Agent, instant Now);
+  void tellListed(const agent_state &Agent, instant Now);
   void tellLost(instant Now);
   void tell(event_kind What, std::string_view Why, const flow_key &Flow,
             const endpoint &Agent, instant Now, double Load = 0);
@@ -325,6 +326,17 @@
   Hooks.SendToAgent(Agent, Notice);
 }
 
+/// An agent that was restarted while the store is away cannot read its own
+/// entry, and gives its target no new flows before it knows that everyone has
+/// it. A balancer that has had the entry for SettleTime is the proof.
+void forward_balancer::impl::tellListed(const agent_state &Agent, instant Now) {
+  if (Agent.Draining || Now - Agent.ListedSince < SettleTime)
+    return;
+  std::array<std::uint8_t, ListedNoticeBytes> Notice;
+  encodeListedNotice(Agent.Service, Notice);
+  Hooks.SendToAgent(Agent.Agent, Notice);
+}
+
 /// VMs die every day and take their entries with them to no one. Left in the
 /// store, each would stand at the end of every list for ever, and no flow that
 /// is lost could be told so, because the dead one never declines.
@@ -404,8 +416,9 @@
   }
 }
 
-void forward_balancer::setTargets(const std::vector<target_entry> &Targets) {
-  Impl->Roster.set(Targets);
+void forward_balancer::setTargets(const std::vector<target_entry> &Targets,
+                                  instant Now) {
+  Impl->Roster.set(Targets, Now);
 }
 
 void forward_balancer::setKnownAsOf(std::optional<instant> Moment) {
@@ -427,8 +440,11 @@
   load_report Report;
   if (decodeLoadReport(Bytes, Report)) {
     ++Impl->Counters.Reports;
-    if (!Impl->Roster.noteReport(Report, Now))
+    const agent_state *Agent = Impl->Roster.noteReport(Report, Now);
+    if (!Agent)
       Impl->tellUnlisted(Report.Agent, Now);
+    else if (!Report.Admitting)
+      Impl->tellListed(*Agent, Now);
     return;
   }
   routed_packet Routed;
--- a/src/forward/load_report.cpp
+++ b/src/forward/load_report.cpp
@@ -11,6 +11,7 @@
 static constexpr std::uint16_t ReportMagic = 0x4d4c;
 static constexpr std::uint16_t QuestionMagic = 0x4d51;
 static constexpr std::uint16_t UnlistedMagic = 0x4d55;
+static constexpr std::uint16_t ListedMagic = 0x4d4b;
 static constexpr std::uint8_t Format = 1;
 static constexpr std::uint8_t AdmittingBit = 1;
 static constexpr std::uint8_t AnsweringBit = 2;
@@ -97,4 +98,26 @@
   return Bytes.size() == UnlistedNoticeBytes && hasMagic(Bytes, UnlistedMagic);
 }
 
+/// u16 magic | u8 format | u8 zero | u32 service
+std::size_t encodeListedNotice(service_id Service,
+                               std::span<std::uint8_t> Buffer) {
+  if (Buffer.size() < ListedNoticeBytes)
+    return 0;
+  byte_writer Writer(Buffer.data());
+  Writer.put(ListedMagic);
+  Writer.put(Format);
+  Writer.put(std::uint8_t{0});
+  Writer.put(static_cast<std::uint32_t>(Service));
+  return ListedNoticeBytes;
+}
+
+bool decodeListedNotice(bytes_view Bytes, service_id &Service) {
+  if (Bytes.size() != ListedNoticeBytes || !hasMagic(Bytes, ListedMagic))
+    return false;
+  constexpr std::size_t HeadBytes = 4;
+  byte_reader Reader(Bytes.data() + HeadBytes);
+  Service = service_id(Reader.take<std::uint32_t>());
+  return true;
+}
+
 } // namespace marjoramrail
--- a/src/forward/target_load.h
+++ b/src/forward/target_load.h
@@ -68,9 +68,8 @@
       const std::function<void(const flow_key &, const watched_flow &)> &Each);
   watched_flow *find(const flow_key &Flow);
   /// Open flows that neither end has closed.
-  void forEachOpen(
-      const std::function<void(const flow_key &, const watched_flow &)> &Each)
-      const;
+  void forEachOpen(const std::function<void(const flow_key &,
+                                            const watched_flow &)> &Each) const;
 
   /// Samples the load; call it every forward_agent::TickPeriod.
   void tick(instant Now);
--- a/test/forward/flows_test.cpp
+++ b/test/forward/flows_test.cpp
@@ -349,7 +349,7 @@
   BeforeBalancer = [this] {
     BeforeBalancer = nullptr;
     for (unsigned Number = 1; Number < 40; ++Number)
-      Hosts[Number].Listed = false;
+      Hosts[Number].InStore = false;
     tellBalancers();
   };
   packet(2, data(Flow, Ack));
--- a/test/forward/forward_world.h
+++ b/test/forward/forward_world.h
@@ -119,10 +119,12 @@
     target Target;
     /// The VM or its way to the others is gone.
     bool Cut = false;
-    bool Listed = true;
+    bool InStore = true;
     bool LookedAt = false;
     /// Times that a balancer said that the list lacks it.
     int Unlisted = 0;
+    /// Times that a balancer said that the list has held it for long.
+    int Listed = 0;
   };
 
   static constexpr duration FlowLife = std::chrono::seconds(20);
@@ -164,6 +166,7 @@
       Received.push_back({frameOf(Bytes).Segment, frameOf(Bytes).Body});
     };
     Hooks.Unlisted = [&Host] { ++Host.Unlisted; };
+    Hooks.Listed = [&Host] { ++Host.Listed; };
     Hooks.TargetSilent = [&Host] { Host.LookedAt = true; };
     Hooks.OnEvent = [this](const flow_event &Event) {
       Events.push_back(Event);
@@ -202,11 +205,11 @@
   void tellBalancers() {
     std::vector<target_entry> Targets;
     for (const auto &[Number, Host] : Hosts)
-      if (Host.Listed)
+      if (Host.InStore)
         Targets.push_back({"target." + std::to_string(Number), Host.Service,
                            agentAt(Number), Host.Zone, 4, false});
     for (auto &[Number, Balancer] : Balancers) {
-      Balancer->setTargets(Targets);
+      Balancer->setTargets(Targets, Now);
       Balancer->setKnownAsOf(Now);
     }
   }
--- a/test/forward/new_flows_test.cpp
+++ b/test/forward/new_flows_test.cpp
@@ -157,7 +157,7 @@
   // It was cut off, taken for dead, and is back. Nobody sends there, so it has
   // to call out itself.
   packet(1, syn(flowOf(1)));
-  Hosts[3].Listed = false;
+  Hosts[3].InStore = false;
   for (int Second = 0; Second < 8; ++Second) {
     pass(1s);
     tellBalancers();
@@ -188,3 +188,38 @@
   CHECK(Total >= 20);
   CHECK(Most * 3 <= Total * 2);
 }
+
+TEST_CASE_FIXTURE(small_site, "a new target is not called known too early") {
+  // A target has just been announced, and the store's answer to its agent was
+  // lost. The first balancers have heard of it; others may still be without it,
+  // and would find that nobody holds its flows.
+  addHost(5);
+  Hosts[5].Agent->setAdmitting(false);
+  pass(SettleTime - 200ms);
+  CHECK(Hosts[5].Listed == 0);
+  pass(1s);
+  CHECK(Hosts[5].Listed > 0);
+}
+
+TEST_CASE_FIXTURE(small_site, "a target that all know hears it") {
+  // An agent is restarted while the store is silent, and cannot read whether
+  // its entry stands. Balancers that have known it for long tell it, or its
+  // target would get no flows until the store is back.
+  pass(SettleTime);
+  startAgent(3);
+  Hosts[3].Agent->setAdmitting(false);
+  pass(2s);
+  CHECK(Hosts[3].Listed > 0);
+  CHECK(Hosts[1].Listed == 0);
+}
+
+TEST_CASE_FIXTURE(small_site, "a former entry makes no new target known") {
+  // A VM's address is used again by another service. Balancers have known the
+  // address for long, but not for this service.
+  pass(SettleTime);
+  Hosts[3].Service = "archive";
+  startAgent(3);
+  Hosts[3].Agent->setAdmitting(false);
+  pass(2s);
+  CHECK(Hosts[3].Listed == 0);
+}
