Let balancers announce a target whose agent the store refuses

Cause: the store may refuse some machines for long and serve the others. Ruled out: agents that ask other agents (refused alike); a way for writes of every kind through balancers (one entry, written once, is enough). Change: while its calls fail, an agent asks the balancers of its settings, in one datagram, to write its entry; one that has the store's list writes it if it is not there, marked as written by a peer.

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -115,6 +115,12 @@
   Hooks.OnTrouble = [this](const std::string &Reason) {
     Log.record(event_kind::StoreLost, Reason);
   };
+  Hooks.AskPeers = [this](const target_entry &Entry) {
+    const std::vector<std::uint8_t> Bytes = encodeAnnouncement(Entry);
+    for (const endpoint &Balancer : this->Settings.Balancers)
+      Routed.send(Balancer, Bytes);
+    Routed.flush();
+  };
   return Hooks;
 }
 
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -207,7 +207,7 @@
 
 void forward_balancer_process::onPeers(std::span<const datagram> Batch) {
   for (const datagram &Datagram : Batch) {
-    if (directory::isPeerGreeting(Datagram.Bytes))
+    if (directory::isForDirectory(Datagram.Bytes))
       Directory.input(Datagram.From, Datagram.Bytes);
     else
       Core.onAgentMessage(Datagram.From, Datagram.Bytes, Loop.timers().now());
--- a/daemons/forwarder/forwarder_settings.cpp
+++ b/daemons/forwarder/forwarder_settings.cpp
@@ -44,6 +44,10 @@
   Settings.Target = Reader.address("target");
   Settings.Store = Reader.address("store");
   Settings.FlowLife = seconds(Reader, "flow_life_seconds", 60);
+  const auto PeersPort = static_cast<std::uint16_t>(
+      Reader.number("peers_port", /*Default=*/0, 0, UINT16_MAX));
+  for (const endpoint &Seed : Reader.addresses("seeds", /*Required=*/false))
+    Settings.Balancers.push_back({Seed.Address, PeersPort});
   Settings.KeepFlowsEvery =
       seconds(Reader, "keep_flows_seconds", /*Default=*/0, /*Least=*/0);
   if (auto Finished = Reader.finish(); !Finished)
--- a/daemons/forwarder/forwarder_settings.h
+++ b/daemons/forwarder/forwarder_settings.h
@@ -51,6 +51,9 @@
   endpoint Target;
   endpoint Store;
   duration FlowLife;
+  /// Balancers that may announce the target if the store refuses this agent, at
+  /// the address of their PeersListen.
+  std::vector<endpoint> Balancers;
   /// How often open flows are kept in the store for the case that the VM loses
   /// power; zero: never.
   duration KeepFlowsEvery;
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -103,6 +103,10 @@
   std::uint32_t Slots = 1;
   /// It leaves: no new flows.
   bool Draining = false;
+  /// A balancer wrote it for an agent that the store refused, which writes it
+  /// anew as soon as it can. Until then it may have been known to some for a
+  /// moment only.
+  bool ByPeer = false;
 
   bool operator==(const target_entry &) const = default;
 };
@@ -112,6 +116,13 @@
 result<target_entry> decodeTarget(const std::string &Name,
                                   const std::string &Body);
 
+/// An agent that the store refuses asks balancers, in one datagram, to write
+/// its entry.
+std::vector<std::uint8_t> encodeAnnouncement(const target_entry &Target);
+bool isAnnouncement(std::span<const std::uint8_t> Bytes);
+/// Fails with step::DecodeMessage or step::ValidateObject.
+result<target_entry> decodeAnnouncement(std::span<const std::uint8_t> Bytes);
+
 /// What a target says of itself.
 struct target_report {
   /// Identifies one run of the target's process.
@@ -190,6 +201,9 @@
     std::function<void(const target_entry &)> OnFound;
     /// A call failed; \p Reason for the log.
     std::function<void(const std::string &Reason)> OnTrouble;
+    /// The store does not serve this process: balancers may announce the
+    /// target, which does not leave. Called at each failure; may be empty.
+    std::function<void(const target_entry &)> AskPeers;
   };
 
   target_registrar(timer_service &Timers, platform_api Store, std::string Kind,
@@ -357,9 +371,9 @@
   /// More peers to ask, from settings that have changed.
   void knowPeers(const std::vector<endpoint> &Peers);
 
-  /// A datagram that isPeerGreeting().
+  /// A datagram that belongs here: of another balancer, or an announcement.
   void input(const endpoint &From, std::span<const std::uint8_t> Bytes);
-  static bool isPeerGreeting(std::span<const std::uint8_t> Bytes);
+  static bool isForDirectory(std::span<const std::uint8_t> Bytes);
 
   /// The copies of \p Kind as the product's object API lists them, for peers.
   std::optional<std::string> serve(const std::string &Kind) const;
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -27,10 +27,6 @@
 constexpr duration TrustPeersFor = std::chrono::milliseconds(1000);
 constexpr duration RecordPeriod = std::chrono::milliseconds(200);
 
-bool hasPrefix(const std::string &Name, const char *Prefix) {
-  return Name.rfind(Prefix, 0) == 0;
-}
-
 } // namespace
 
 directory::impl::impl(timer_service &Timers, directory_platform Platform,
@@ -121,9 +117,9 @@
   const std::string &Name = Object.Key.Name;
   if (Name == RecordName && !Object.Deleted)
     return Record.load(Object.Body);
-  if (hasPrefix(Name, BalancerPrefix))
+  if (Name.starts_with(BalancerPrefix))
     return onBalancer(Object);
-  if (!hasPrefix(Name, TargetPrefix))
+  if (!Name.starts_with(TargetPrefix))
     return;
   if (Object.Deleted) {
     Targets.erase(Name);
@@ -143,7 +139,7 @@
 
 std::optional<endpoint>
 directory::impl::balancerAt(const platform_object &Object) {
-  if (!hasPrefix(Object.Key.Name, BalancerPrefix))
+  if (!Object.Key.Name.starts_with(BalancerPrefix))
     return std::nullopt;
   const json Body = json::parse(Object.Body, nullptr, false);
   if (!Body.is_object() || !Body.contains("self") || !Body["self"].is_string())
@@ -221,11 +217,13 @@
 
 void directory::input(const endpoint &From,
                       std::span<const std::uint8_t> Bytes) {
+  if (isAnnouncement(Bytes))
+    return Impl->announce(From, Bytes);
   Impl->input(From, Bytes);
 }
 
-bool directory::isPeerGreeting(std::span<const std::uint8_t> Bytes) {
-  return isGreeting(Bytes);
+bool directory::isForDirectory(std::span<const std::uint8_t> Bytes) {
+  return isGreeting(Bytes) || isAnnouncement(Bytes);
 }
 
 std::optional<std::string> directory::serve(const std::string &Kind) const {
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -65,6 +65,8 @@
   void writeSelf();
   void dropGonePeers();
   void removeKeptFlows(const std::string &Target);
+  void announce(const endpoint &From, std::span<const std::uint8_t> Bytes);
+  void writeFor(const target_entry &Target);
   /// The balancer that \p Object names, if it is a balancer's entry.
   static std::optional<endpoint> balancerAt(const platform_object &Object);
   std::string selfBody() const;
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -59,6 +59,34 @@
   }
 }
 
+void directory::impl::announce(const endpoint &From,
+                               std::span<const std::uint8_t> Bytes) {
+  const auto Failure = failureOf([&]() -> result<void> {
+    BOOST_LEAF_AUTO(Target, decodeAnnouncement(Bytes));
+    writeFor(Target);
+    return {};
+  });
+  if (Failure)
+    Hooks.OnEvent(event_kind::ObjectRefused,
+                  toText(From) + ": " + toText(*Failure));
+}
+
+/// The store may refuse the VM of a new target for long, and serve this one.
+/// Only an entry that is not there is written: of one that is, its agent alone
+/// knows more than the store.
+void directory::impl::writeFor(const target_entry &Target) {
+  if (!Site.known() || !Target.Name.starts_with(TargetPrefix) ||
+      Site.objects().contains(Target.Name))
+    return;
+  Hooks.OnEvent(event_kind::TargetJoined, Target.Name + " by way of here");
+  platform_write Write;
+  Write.Object.Key = {Settings.SiteKind, Target.Name};
+  target_entry Entry = Target;
+  Entry.ByPeer = true;
+  Write.Object.Body = encodeTarget(Entry);
+  Platform.Site.Write(Write, [](const platform_reply &) {});
+}
+
 /// Nobody else takes out what a dead VM's agent has kept; thousands of VMs are
 /// replaced a day.
 void directory::impl::removeKeptFlows(const std::string &Target) {
--- a/src/directory/target_entry.cpp
+++ b/src/directory/target_entry.cpp
@@ -1,22 +1,31 @@
 #include "marjoramrail/directory.h"
+#include "wire/byte_order.h"
 
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
 namespace marjoramrail {
 
+/// u16 magic | u8 format | u8 length of the name | name | entry as JSON
+static constexpr std::uint16_t AnnouncementMagic = 0x4d41;
+static constexpr std::uint8_t AnnouncementFormat = 1;
+static constexpr std::size_t AnnouncementHeadBytes = 4;
+static constexpr std::size_t MostNameBytes = 128;
+
 service_id serviceNumber(std::string_view Name) {
   return service_id(
       static_cast<std::uint32_t>(XXH3_64bits(Name.data(), Name.size())));
 }
 
 std::string encodeTarget(const target_entry &Target) {
-  return nlohmann::json{{"service", Target.Service},
-                        {"agent", toText(Target.Agent)},
-                        {"zone", Target.Zone},
-                        {"slots", Target.Slots},
-                        {"draining", Target.Draining}}
-      .dump();
+  nlohmann::json Entry = {{"service", Target.Service},
+                          {"agent", toText(Target.Agent)},
+                          {"zone", Target.Zone},
+                          {"slots", Target.Slots},
+                          {"draining", Target.Draining}};
+  if (Target.ByPeer)
+    Entry["by_peer"] = true;
+  return Entry.dump();
 }
 
 result<target_entry> decodeTarget(const std::string &Name,
@@ -32,9 +41,42 @@
   Target.Slots =
       static_cast<std::uint32_t>(Reader.number("slots", 1, 1, MostSlots));
   Target.Draining = Reader.flag("draining", false);
+  Target.ByPeer = Reader.flag("by_peer", false);
   if (auto Finished = Reader.finish(); !Finished)
     return Finished.error();
   return Target;
 }
 
+std::vector<std::uint8_t> encodeAnnouncement(const target_entry &Target) {
+  const std::string Name = Target.Name.substr(0, MostNameBytes);
+  const std::string Body = encodeTarget(Target);
+  std::vector<std::uint8_t> Bytes(AnnouncementHeadBytes);
+  internal::byte_writer Writer(Bytes.data());
+  Writer.put(AnnouncementMagic);
+  Writer.put(AnnouncementFormat);
+  Writer.put(static_cast<std::uint8_t>(Name.size()));
+  Bytes.insert(Bytes.end(), Name.begin(), Name.end());
+  Bytes.insert(Bytes.end(), Body.begin(), Body.end());
+  return Bytes;
+}
+
+bool isAnnouncement(std::span<const std::uint8_t> Bytes) {
+  if (Bytes.size() < AnnouncementHeadBytes)
+    return false;
+  internal::byte_reader Reader(Bytes.data());
+  return Reader.take<std::uint16_t>() == AnnouncementMagic &&
+         Reader.take<std::uint8_t>() == AnnouncementFormat;
+}
+
+result<target_entry> decodeAnnouncement(std::span<const std::uint8_t> Bytes) {
+  if (!isAnnouncement(Bytes))
+    return fail(step::DecodeMessage, "", "this is no announcement");
+  const std::size_t NameBytes = Bytes[AnnouncementHeadBytes - 1];
+  const auto Text = Bytes.subspan(AnnouncementHeadBytes);
+  if (NameBytes == 0 || NameBytes > std::min(Text.size(), MostNameBytes))
+    return fail(step::DecodeMessage, "", "the announcement has no name");
+  const auto Middle = Text.begin() + static_cast<std::ptrdiff_t>(NameBytes);
+  return decodeTarget({Text.begin(), Middle}, {Middle, Text.end()});
+}
+
 } // namespace marjoramrail
--- a/src/directory/target_registrar.cpp
+++ b/src/directory/target_registrar.cpp
@@ -17,6 +17,7 @@
   void onRead(const platform_reply &Reply);
   void onWritten(const platform_reply &Reply);
   void retry(const std::string &Reason);
+  void askPeers();
   platform_callback then(void (impl::*Step)(const platform_reply &));
   bool settled() const;
   void tellStored();
@@ -80,7 +81,7 @@
     Held = *Entry;
   if (!Held && Keeping && Wanted && Hooks.OnMissing)
     Hooks.OnMissing();
-  if (Held && !WroteBefore && Hooks.OnFound)
+  if (Held && !Held->ByPeer && !WroteBefore && Hooks.OnFound)
     Hooks.OnFound(*Held);
   tellStored();
   work();
@@ -91,7 +92,7 @@
 void target_registrar::impl::tellStored() {
   if (Held && Wanted && Held->Service == Wanted->Service &&
       Held->Agent == Wanted->Agent)
-    Hooks.OnStored(!WroteBefore);
+    Hooks.OnStored(!WroteBefore && !Held->ByPeer);
 }
 
 void target_registrar::impl::write() {
@@ -130,8 +131,15 @@
   work();
 }
 
+void target_registrar::impl::askPeers() {
+  if (!Hooks.AskPeers || !Wanted || Wanted->Draining)
+    return;
+  Hooks.AskPeers(*Wanted);
+}
+
 void target_registrar::impl::retry(const std::string &Reason) {
   Hooks.OnTrouble(Reason);
+  askPeers();
   const duration Wait =
       std::min(FirstRetry * (1 << std::min(Failures++, 3)), LastRetry);
   Busy = true;
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -346,3 +346,50 @@
     CHECK((Left.Version == 0 || Left.Deleted));
   }
 }
+
+TEST_CASE_FIXTURE(directory_world, "a balancer announces for a refused agent") {
+  // The store serves balancers and refuses the agent of a new target.
+  start(1);
+  configure(1, {"ledger"});
+  pass(3s);
+  const target_entry Entry{"target.new", "ledger", {0x0a000307, 700},
+                           "brugge",     4,        false};
+  at(1).input({0x0a000307, 700}, encodeAnnouncement(Entry));
+  pass(1s);
+
+  REQUIRE(at(1).targets().size() == 1);
+  CHECK(at(1).targets().front().Agent == Entry.Agent);
+  CHECK(at(1).targets().front().ByPeer);
+}
+
+TEST_CASE_FIXTURE(directory_world, "an announcement changes no entry") {
+  // A datagram that was held up, or comes from another writer, must not undo
+  // what an agent has written itself: a leaver would get new flows again.
+  start(1);
+  configure(1, {"ledger"});
+  target_entry Entry{"target.new", "ledger", {0x0a000307, 700},
+                     "brugge",     4,        true};
+  Store.put("marjoramrail", Entry.Name, encodeTarget(Entry));
+  pass(3s);
+  target_entry Other = Entry;
+  Other.Draining = false;
+  at(1).input({0x0a000307, 700}, encodeAnnouncement(Other));
+  pass(1s);
+
+  REQUIRE(at(1).targets().size() == 1);
+  CHECK(at(1).targets().front() == Entry);
+}
+
+TEST_CASE_FIXTURE(directory_world, "only targets are announced") {
+  start(1);
+  configure(1, {"ledger"});
+  pass(3s);
+  const target_entry Entry{"routes", "ledger", {0x0a000307, 700},
+                           "brugge", 4,        false};
+  const std::string Before = Store.get("marjoramrail", "routes").Body;
+  at(1).input({0x0a000307, 700}, encodeAnnouncement(Entry));
+  pass(1s);
+
+  CHECK(at(1).targets().empty());
+  CHECK(Store.get("marjoramrail", "routes").Body == Before);
+}
--- a/test/directory/target_registrar_test.cpp
+++ b/test/directory/target_registrar_test.cpp
@@ -14,6 +14,7 @@
   store_faults Faults;
   std::vector<bool> Stored;
   std::vector<target_entry> Found;
+  std::vector<target_entry> Asked;
   int Missing = 0;
   target_entry Entry{"target.one", "ledger", {0x0a000101, 700},
                      "brugge",     4,        false};
@@ -24,7 +25,8 @@
       {[this](bool Existed) { Stored.push_back(Existed); },
        [this] { ++Missing; },
        [this](const target_entry &Entry) { Found.push_back(Entry); },
-       [](const std::string &) {}}};
+       [](const std::string &) {},
+       [this](const target_entry &Entry) { Asked.push_back(Entry); }}};
 
   void pass(duration Time) { Timers.advance(Timers.now() + Time); }
 
@@ -110,6 +112,83 @@
   CHECK(Stored.back() == false);
 }
 
+TEST_CASE_FIXTURE(registrar_fixture,
+                  "peers are asked where the store refuses") {
+  // The store refuses some VMs and serves the others. A target that has just
+  // started beside a refused agent would idle until that is over.
+  Store.Down = true;
+  Registrar.set(Entry);
+  pass(2s);
+
+  REQUIRE_FALSE(Asked.empty());
+  CHECK(Asked.front() == Entry);
+}
+
+TEST_CASE_FIXTURE(registrar_fixture, "what a peer wrote counts as new") {
+  // A balancer has written the entry. When the store answers this agent again,
+  // others may have heard of the entry only a moment ago.
+  Store.Down = true;
+  Registrar.set(Entry);
+  pass(2s);
+  target_entry ByPeer = Entry;
+  ByPeer.ByPeer = true;
+  Store.put("site", Entry.Name, encodeTarget(ByPeer));
+  Store.Down = false;
+  pass(2s);
+
+  REQUIRE_FALSE(Stored.empty());
+  CHECK(Stored == std::vector<bool>(Stored.size(), false));
+  CHECK(held() == Entry);
+}
+
+TEST_CASE_FIXTURE(registrar_fixture, "an outage makes no known target new") {
+  // All machines lose power while the store is silent. When it is back, every
+  // target is one that all know; waiting would close them all for longer.
+  Store.put("site", Entry.Name, encodeTarget(Entry));
+  Store.Down = true;
+  Registrar.set(Entry);
+  pass(2s);
+  Store.Down = false;
+  pass(2s);
+
+  REQUIRE_FALSE(Stored.empty());
+  CHECK(Stored.front() == true);
+}
+
+TEST_CASE_FIXTURE(registrar_fixture, "nobody is asked to announce a leaver") {
+  Store.Down = true;
+  Entry.Draining = true;
+  Registrar.set(Entry);
+  pass(2s);
+  Registrar.withdraw();
+  pass(2s);
+
+  CHECK(Asked.empty());
+}
+
+TEST_CASE("an announcement survives its way") {
+  const target_entry Entry{"target.one", "ledger", {0x0a000101, 700},
+                           "brugge",     4,        false};
+  const auto Bytes = encodeAnnouncement(Entry);
+  REQUIRE(isAnnouncement(Bytes));
+  const auto Back = decodeAnnouncement(Bytes);
+  REQUIRE(Back);
+  CHECK(*Back == Entry);
+}
+
+TEST_CASE("an announcement that cannot be read names no target") {
+  const target_entry Entry{"target.one", "ledger", {0x0a000101, 700},
+                           "brugge",     4,        false};
+  auto Bytes = encodeAnnouncement(Entry);
+  while (Bytes.size() > 1) {
+    Bytes.pop_back();
+    CHECK(failureOf([&]() -> result<void> {
+            BOOST_LEAF_CHECK(decodeAnnouncement(Bytes));
+            return {};
+          }).has_value());
+  }
+}
+
 TEST_CASE("an entry that cannot be read is refused") {
   for (const char *Broken :
        {"", "[]", R"({"service": 1})", R"({"service": "a"})",
