Count a request once, and one that was given up on as over

Cause: an agent counted any packet with text as a request when none was in progress. After a fault callers send requests again that were answered already; the target does not answer twice, so the agent took the request for running until the flow was forgotten. In the same way requests that callers gave up on counted for up to five seconds after both ends had closed. Ruled out: requests lost between agent and target (none). Change: each end's bytes are followed by sequence number; only new ones begin a request or an answer. A flow that both ends have closed counts no more. Tests: target_load_test (8; there were none): "a request sent again is not another one" and "an answer sent again ends no request" fail before.

--- a/src/forward/target_load.cpp
+++ b/src/forward/target_load.cpp
@@ -62,6 +62,18 @@
   ++Open;
 }
 
+/// A caller that has given up ends its flow, and the target follows without an
+/// answer. Counted as in progress until the flow is forgotten, such requests
+/// make a target look full for seconds after a burst, and new flows go to the
+/// others.
+void target_load::noteEnds(watched_flow &Flow, instant Now) {
+  if (Flow.Over || !Flow.CallerEnded || !Flow.TargetEnded)
+    return;
+  Flow.Over = true;
+  setAsking(Flow, false, Now);
+  --Open;
+}
+
 bool target_load::onCaller(const tcp_packet &Packet, instant Now) {
   if (Packet.opensFlow())
     return false;
@@ -78,7 +90,8 @@
     return false;
   }
   Flow.CallerEnded |= Packet.Fin;
-  if (Packet.Payload == 0 || Flow.Asking)
+  noteEnds(Flow, Now);
+  if (!Flow.CallerSent.take(Packet) || Flow.Asking || Flow.Over)
     return false;
   setAsking(Flow, true, Now);
   Flow.AskedAt = Now;
@@ -95,6 +108,9 @@
   Flow.SeenAt = Now;
   Flow.SequenceKnown = true;
   if (Packet.Syn) {
+    // Another flow under the same addresses counts from elsewhere.
+    if (Flow.TargetSequence != Packet.Sequence)
+      Flow.CallerSent = Flow.TargetSent = sent_bytes();
     Flow.TargetSequence = Packet.Sequence;
     return std::nullopt;
   }
@@ -102,7 +118,8 @@
   if (Flow.HalfOpen)
     noteOpen(Flow, Now);
   Flow.TargetEnded |= Packet.Fin;
-  if (Packet.Payload == 0 || !Flow.Asking)
+  noteEnds(Flow, Now);
+  if (!Flow.TargetSent.take(Packet) || !Flow.Asking)
     return std::nullopt;
   const duration Took = Now - Flow.AskedAt;
   const auto TookUs = static_cast<double>(Took.count());
@@ -116,7 +133,7 @@
     std::unordered_map<flow_key, watched_flow, flow_key_hash>::iterator Place,
     instant Now) {
   setAsking(Place->second, false, Now);
-  if (!Place->second.HalfOpen)
+  if (!Place->second.HalfOpen && !Place->second.Over)
     --Open;
   Flows.erase(Place);
 }
@@ -163,8 +180,7 @@
   for (auto Place = Flows.begin(); Place != Flows.end();) {
     const auto Next = std::next(Place);
     const watched_flow &Flow = Place->second;
-    const bool IsOver = Flow.CallerEnded && Flow.TargetEnded;
-    if (IsOver || Now - Flow.SeenAt > IdleFlow)
+    if (Flow.Over || Now - Flow.SeenAt > IdleFlow)
       erase(Place, Now);
     Place = Next;
   }
--- a/src/forward/target_load.h
+++ b/src/forward/target_load.h
@@ -16,6 +16,32 @@
 
 namespace marjoramrail::internal {
 
+/// The bytes that one end of a flow has sent.
+class sent_bytes {
+public:
+  /// Takes a packet in; true if it holds bytes that were not sent before. What
+  /// was lost or answered late is sent again, and is neither another request
+  /// nor another answer.
+  bool take(const tcp_packet &Packet) {
+    const std::uint32_t End = Packet.Sequence + Packet.Payload;
+    const bool IsNew = Packet.Payload > 0 && (!Known || isAfter(End, Next));
+    if (IsNew) {
+      Known = true;
+      Next = End;
+    }
+    return IsNew;
+  }
+
+private:
+  /// Numbers wrap; two of one flow are never half of all apart.
+  static bool isAfter(std::uint32_t A, std::uint32_t B) {
+    return static_cast<std::int32_t>(A - B) > 0;
+  }
+
+  bool Known = false;
+  std::uint32_t Next = 0;
+};
+
 struct watched_flow {
   instant SeenAt;
   /// The number with which the target's end began, once it has answered.
@@ -27,9 +53,13 @@
   instant OpenedAt;
   /// What the caller acknowledged last: a reset has to be near it.
   std::uint32_t CallerAcknowledged = 0;
+  sent_bytes CallerSent;
+  sent_bytes TargetSent;
   bool Asking = false;
   bool CallerEnded = false;
   bool TargetEnded = false;
+  /// Both have ended; only packets that were under way may still come.
+  bool Over = false;
   instant AskedAt;
   endpoint NoticedBalancer;
   instant NoticedAt;
@@ -82,6 +112,7 @@
 private:
   void noteOpen(watched_flow &Flow, instant Now);
   void setAsking(watched_flow &Flow, bool Asking, instant Now);
+  void noteEnds(watched_flow &Flow, instant Now);
   void integrate(instant Now);
   void erase(
       std::unordered_map<flow_key, watched_flow, flow_key_hash>::iterator Place,
--- /dev/null
+++ b/test/forward/target_load_test.cpp
@@ -0,0 +1,164 @@
+#include "forward/target_load.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+using namespace marjoramrail::internal;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One flow, packet by packet; sequence numbers as its two ends would write.
+struct load_fixture {
+  target_load Load;
+  instant Now{10s};
+  flow_key Flow{{0x64400007, 1001}, {0x0a00ff01, 443}};
+  std::uint32_t CallerNext = 5000;
+  std::uint32_t TargetNext = 9000;
+
+  load_fixture() {
+    Load.setSlots(4);
+    tcp_packet Answer = fromTarget(0);
+    Answer.Syn = true;
+    Load.onTarget(Answer, Now);
+    ++TargetNext;
+    Load.onCaller(fromCaller(0), Now);
+  }
+
+  tcp_packet fromCaller(std::uint16_t Payload) const {
+    tcp_packet Packet;
+    Packet.Flow = Flow;
+    Packet.Ack = true;
+    Packet.Sequence = CallerNext;
+    Packet.Acknowledged = TargetNext;
+    Packet.Payload = Payload;
+    return Packet;
+  }
+
+  tcp_packet fromTarget(std::uint16_t Payload) const {
+    tcp_packet Packet;
+    Packet.Flow = Flow;
+    Packet.Ack = true;
+    Packet.Sequence = TargetNext;
+    Packet.Acknowledged = CallerNext;
+    Packet.Payload = Payload;
+    return Packet;
+  }
+
+  tcp_packet ask(std::uint16_t Payload = 100) {
+    const tcp_packet Packet = fromCaller(Payload);
+    CallerNext += Payload;
+    Load.onCaller(Packet, Now);
+    return Packet;
+  }
+
+  std::optional<duration> answer(std::uint16_t Payload = 100) {
+    const tcp_packet Packet = fromTarget(Payload);
+    TargetNext += Payload;
+    return Load.onTarget(Packet, Now);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(load_fixture, "a request is in progress until its answer") {
+  ask();
+  CHECK(Load.active() == 1);
+  Now += 30ms;
+  CHECK(answer() == std::optional<duration>(30ms));
+  CHECK(Load.active() == 0);
+}
+
+TEST_CASE_FIXTURE(load_fixture, "a request sent again is not another one") {
+  // The answer is lost on its way, and the caller sends its request once more.
+  // The target has answered and does not begin again; counted as in progress,
+  // it would make an idle target look full until its flows end, and new flows
+  // would go elsewhere.
+  const tcp_packet Request = ask();
+  answer();
+  CHECK_FALSE(Load.onCaller(Request, Now));
+  CHECK(Load.active() == 0);
+}
+
+TEST_CASE_FIXTURE(load_fixture, "an answer sent again ends no request") {
+  // The target sends its last answer once more while the next request runs. A
+  // request that counts as over makes a busy target look idle, and its time to
+  // an answer too short.
+  ask();
+  const tcp_packet Answer = fromTarget(100);
+  answer();
+  ask();
+  Now += 10ms;
+  CHECK_FALSE(Load.onTarget(Answer, Now));
+  CHECK(Load.active() == 1);
+  Now += 20ms;
+  CHECK(answer() == std::optional<duration>(30ms));
+}
+
+TEST_CASE_FIXTURE(load_fixture, "a long request is one") {
+  ask(1200);
+  ask(1200);
+  CHECK(Load.active() == 1);
+  answer(1200);
+  answer(1200);
+  CHECK(Load.active() == 0);
+}
+
+TEST_CASE_FIXTURE(load_fixture, "a request given up on is over") {
+  // The caller's time is over and it ends its flow; the target ends it too,
+  // without an answer.
+  ask();
+  tcp_packet End = fromCaller(0);
+  End.Fin = true;
+  Load.onCaller(End, Now);
+  CHECK(Load.active() == 1);
+  tcp_packet Other = fromTarget(0);
+  Other.Fin = true;
+  Load.onTarget(Other, Now);
+
+  CHECK(Load.active() == 0);
+  CHECK(Load.open() == 0);
+  Load.onTarget(Other, Now);
+  Load.forget(Flow, Now);
+  CHECK(Load.open() == 0);
+}
+
+TEST_CASE_FIXTURE(load_fixture, "sequence numbers may wrap") {
+  CallerNext = 0xffffffff - 50;
+  ask();
+  answer();
+  ask();
+  CHECK(Load.active() == 1);
+}
+
+TEST_CASE_FIXTURE(load_fixture, "a port used again begins anew") {
+  // A caller opens another flow from the same port before the former one is
+  // forgotten; its numbers are lower.
+  ask();
+  answer();
+  CallerNext = 100;
+  TargetNext = 200;
+  tcp_packet Answer = fromTarget(0);
+  Answer.Syn = true;
+  Load.onTarget(Answer, Now);
+  ++TargetNext;
+  ask();
+  CHECK(Load.active() == 1);
+  answer();
+  CHECK(Load.active() == 0);
+}
+
+TEST_CASE(
+    "a flow of before the agent's start is counted from its next packet") {
+  target_load Load;
+  const instant Now{10s};
+  tcp_packet Packet;
+  Packet.Flow = {{0x64400007, 1001}, {0x0a00ff01, 443}};
+  Packet.Ack = true;
+  Packet.Payload = 100;
+  Packet.Sequence = 77;
+  Load.onTarget(Packet, Now);
+  CHECK(Load.open() == 1);
+  CHECK(Load.onCaller(Packet, Now));
+  CHECK(Load.active() == 1);
+}
