--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -286,7 +286,7 @@
     /// The least time between two writes.
     duration Period = std::chrono::seconds(2);
     /// Of all agents of the site together.
-    double WritesPerSecond = 10;
+    double WritesPerSecond = 5;
   };
 
   struct hooks {
