--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -278,7 +278,7 @@
 /// flows. The store's rates grow more slowly than fleets, so all agents of a
 /// site together stay within a budget of writes: each writes the less often the
 /// more there are. On the users' sites with 10 and with 56 targets that is
-/// every 2 and every 6 s; with 130,000 it is practically never.
+/// every 2 and every 11 s; with 130,000 it is practically never.
 class flow_keeper {
 public:
   struct settings {
