--- /dev/null
+++ b/src/forward/flow_walk.cpp
@@ -0,0 +1,106 @@
+#include "forward/forward_balancer_impl.h"
+
+namespace marjoramrail {
+
+using namespace internal;
+
+forward_outcome forward_balancer::impl::follow(const route_state &Route,
+                                               const segment &Segment,
+                                               bytes_view Bytes, instant Now) {
+  const flow_key &Flow = Segment.Head.Flow;
+  auto Remembered = Memory.find(Flow, Now);
+  // An agent that has left the store's list took its flows along; one that has
+  // not got there yet may still name itself to a balancer that is behind.
+  if (Remembered && !Roster.find(*Remembered) && isSure(Now)) {
+    Memory.forget(Flow);
+    Remembered.reset();
+  }
+  collectHolders(Route);
+  if (Holders.empty() && !Remembered)
+    return forward_outcome::Unsure;
+  // A flow whose holder is remembered needs no order of its own behind it,
+  // unless the walk may take several lists, which must agree.
+  const bool TakesSeveral = Holders.size() > ownersThatFit(Bytes.size());
+  Order.sortForWalk(Holders, Flow, !Remembered || TakesSeveral);
+  sendToHolders(Route, Remembered, /*Named=*/0, isSure(Now), Bytes, Now);
+  return Remembered ? forward_outcome::SentByMemory : forward_outcome::Sent;
+}
+
+/// Everyone who may hold a flow of \p Route.
+void forward_balancer::impl::collectHolders(const route_state &Route) {
+  Holders.clear();
+  for (const service_id Service : Route.Holders) {
+    const auto &Members = Roster.ofService(Service);
+    Holders.insert(Holders.end(), Members.begin(), Members.end());
+  }
+}
+
+/// Sends to those of Order that come after \p Named. \p Sure: nobody was left
+/// out up to there, and what is known now is fresh.
+void forward_balancer::impl::sendToHolders(const route_state &Route,
+                                           const std::optional<endpoint> &First,
+                                           std::size_t Named, bool Sure,
+                                           bytes_view Bytes, instant Now) {
+  holder_list List(Bytes.size());
+  const auto Rest = Order.list(Named, First, List);
+  if (List.empty())
+    return;
+  const service_id Service =
+      Route.Holders.empty() ? service_id{} : Route.Holders.front();
+  if (Rest && Sure)
+    send(List, Service, {routed_flag::Continues, routed_flag::WholeSoFar},
+         encodeCursor(*Rest), Bytes, Now);
+  else if (Rest)
+    send(List, Service, {routed_flag::Continues}, encodeCursor(*Rest), Bytes,
+         Now);
+  else if (Sure)
+    send(List, Service, {routed_flag::Whole}, 0, Bytes, Now);
+  else
+    send(List, Service, {}, 0, Bytes, Now);
+}
+
+/// All in a list have declined, and the list was cut to fit into a datagram.
+/// Without this a balancer that has not seen a flow before could never reach an
+/// owner beyond the first list: the caller's packets would all end there, and
+/// its requests time out although the owner is well.
+void forward_balancer::impl::continueWalk(const routed_packet &Routed,
+                                          instant Now) {
+  segment Segment;
+  if (!Routed.has(routed_flag::Continues) ||
+      !Codec.Parse(Routed.Packet, Segment) || Segment.Head.opensFlow())
+    return;
+  const auto Found = Routes.find(Segment.Head.Flow.Service);
+  if (Found == Routes.end())
+    return;
+  ++Counters.WalksContinued;
+  collectHolders(Found->second);
+  Order.sortForWalk(Holders, Segment.Head.Flow, /*OwnOrder=*/true);
+  const walk_cursor Cursor = decodeCursor(Routed.Version);
+  const bool Sure = Routed.has(routed_flag::WholeSoFar) && isSure(Now) &&
+                    Order.beginsAs(Cursor);
+  sendToHolders(Found->second, std::nullopt, Cursor.Named, Sure, Routed.Packet,
+                Now);
+}
+
+void forward_balancer::impl::send(const holder_list &List, service_id Service,
+                                  std::initializer_list<routed_flag> Flags,
+                                  std::uint64_t Version, bytes_view Bytes,
+                                  instant Now) {
+  routed_packet Routed;
+  Routed.Version = Version;
+  Routed.Service = Service;
+  Routed.Balancer = Settings.Self;
+  Routed.Count = static_cast<std::uint8_t>(List.size());
+  std::copy(List.begin(), List.end(), Routed.Owners.begin());
+  for (const routed_flag Flag : Flags)
+    Routed.Flags |= static_cast<std::uint8_t>(Flag);
+  Routed.Packet = Bytes;
+  std::array<std::uint8_t, MaxRoutedBytes> Buffer;
+  const std::size_t Size = encodeRouted(Routed, Buffer);
+  if (Size == 0)
+    return;
+  Hooks.SendToAgent(List.front(), {Buffer.data(), Size});
+  Roster.noteSent(List.front(), Now);
+}
+
+} // namespace marjoramrail
--- /dev/null
+++ b/src/forward/new_flows.cpp
@@ -0,0 +1,117 @@
+#include "forward/forward_balancer_impl.h"
+
+namespace marjoramrail {
+
+using namespace internal;
+
+placing_view forward_balancer::impl::viewOf(const agent_state &Agent,
+                                            std::optional<endpoint> Avoid,
+                                            instant Now) const {
+  placing_view View;
+  View.OwnZone = Agent.isOwnZone();
+  View.Reported =
+      Agent.ReportedAt && !Agent.isSilentFor(agent_roster::DoubtAfter, Now);
+  View.Admitting = Agent.Report.Admitting && !Agent.Draining;
+  View.Suspect = Agent.Suspect ||
+                 Agent.isSilentFor(agent_roster::SuspectAfter, Now) ||
+                 !Agent.Report.Answering || Avoid == Agent.Agent;
+  View.Slots = Agent.Report.Slots;
+  View.Flows = Agent.Report.Flows;
+  View.Placed = Agent.Placed;
+  View.Active = Agent.Report.Active;
+  View.Busy = Agent.Report.Busy;
+  View.Latency = Agent.Report.Latency;
+  View.Warmup = Agent.Report.Warmup;
+  return View;
+}
+
+std::optional<std::size_t>
+forward_balancer::impl::placeAt(service_id Service, const flow_key &Flow,
+                                std::optional<endpoint> Avoid, instant Now) {
+  const std::vector<std::size_t> &Agents = Roster.ofService(Service);
+  Views.clear();
+  for (const std::size_t Index : Agents)
+    Views.push_back(viewOf(Roster.at(Index), Avoid, Now));
+  const auto Chosen = Placement.choose(Views, Order.forFlow(Agents, Flow));
+  if (!Chosen)
+    return std::nullopt;
+  return Agents[*Chosen];
+}
+
+/// The service that the weights give the flow, then the others: a service
+/// without targets must not cost callers their flow while another one may take
+/// it.
+std::vector<service_id>
+forward_balancer::impl::servicesInTurn(const route_state &Route,
+                                       const flow_key &Flow) const {
+  std::vector<service_id> Turn;
+  if (Route.TotalWeight > 0) {
+    std::uint64_t Point = hashOf(Flow, 1) % Route.TotalWeight;
+    for (const weighted_service &Share : Route.Shares) {
+      if (Point < Share.Weight) {
+        Turn.push_back(Share.Service);
+        break;
+      }
+      Point -= Share.Weight;
+    }
+  }
+  for (const weighted_service &Share : Route.Shares)
+    if (Share.Weight > 0 &&
+        std::find(Turn.begin(), Turn.end(), Share.Service) == Turn.end())
+      Turn.push_back(Share.Service);
+  return Turn;
+}
+
+std::optional<std::size_t>
+forward_balancer::impl::place(const route_state &Route, const segment &Segment,
+                              std::optional<endpoint> Avoid, instant Now) {
+  for (const service_id Service : servicesInTurn(Route, Segment.Head.Flow))
+    if (const auto Chosen = placeAt(Service, Segment.Head.Flow, Avoid, Now))
+      return Chosen;
+  return std::nullopt;
+}
+
+forward_outcome forward_balancer::impl::open(const route_state &Route,
+                                             const segment &Segment,
+                                             bytes_view Bytes, instant Now) {
+  const flow_key &Flow = Segment.Head.Flow;
+  // A caller sends its SYN again when nobody answered: then whoever got the
+  // first one is the last to get this one.
+  const auto Before = Memory.find(Flow, Now);
+  const auto Chosen = place(Route, Segment, Before, Now);
+  if (!Chosen) {
+    if (Route.Shares.empty() || !isSure(Now))
+      return forward_outcome::Unsure;
+    return refuse(Segment, forward_outcome::NoTarget, "no target admits", Now);
+  }
+  agent_state &Agent = Roster.at(*Chosen);
+  ++Agent.Placed;
+  Memory.note(Flow, Agent.Agent, Now);
+  holder_list List(Bytes.size());
+  List.add(Agent.Agent);
+  addSubstitutes(Agent, Flow, List);
+  tell(event_kind::FlowRouted, Before ? "again" : "new", Flow, Agent.Agent, Now,
+       static_cast<double>(Agent.Report.Flows + Agent.Placed));
+  send(List, Agent.Service, {}, Hooks.Clock ? Hooks.Clock() : 0, Bytes, Now);
+  return forward_outcome::Placed;
+}
+
+/// Who else may take the flow if the chosen one does not: its own zone first,
+/// in the flow's own order. In one order for all flows, everything that a full
+/// target declines would fall upon the same next one.
+void forward_balancer::impl::addSubstitutes(const agent_state &Chosen,
+                                            const flow_key &Flow,
+                                            holder_list &List) {
+  const auto &Agents = Roster.ofService(Chosen.Service);
+  const std::vector<std::size_t> &Positions = Order.forFlow(Agents, Flow);
+  for (const bool SameZone : {true, false})
+    for (const std::size_t Position : Positions) {
+      const agent_state &Other = Roster.at(Agents[Position]);
+      const bool IsUsable = Other.Report.Admitting && !Other.Draining &&
+                            !Other.Suspect && Other.Agent != Chosen.Agent;
+      if (IsUsable && (Other.ZoneOrder == Chosen.ZoneOrder) == SameZone)
+        List.add(Other.Agent);
+    }
+}
+
+} // namespace marjoramrail
