--- a/src/directory/flow_keeper.cpp
+++ b/src/directory/flow_keeper.cpp
@@ -13,8 +13,9 @@
 /// 59 bytes of JSON a flow at most: 8 KB a write, which at a write every 2 s is
 /// 4 KB/s, all that a node has for control.
 static constexpr std::size_t MostKept = 135;
-/// How often it is looked whether a write is due.
+/// How often it is looked whether a write is due: late by a quarter at most.
 static constexpr int StepsPerPeriod = 4;
+/// A store that refuses is not asked more often than it takes to answer slowly.
 static constexpr duration ReadRetry = std::chrono::seconds(1);
 /// Callers of flows that were lost longer ago have asked by themselves.
 static constexpr duration ReadFor = std::chrono::seconds(15);
