Refuse a setting that is given twice, and name the line of every fault

Cause: the parsed document keeps the last of two equal keys and knows no lines. An operator who changed the first of two saw no effect; with -check_settings the program exited with 0. Ruled out: the parser's own check (it has none), a SAX parser of our own (the callback with a counting iterator knows lines already). Change: runtime/field_lines notes where each field of a settings file stands; settings_reader refuses repeated ones and puts the line before each fault. Objects of the store are left out: programs write them, and they are read by the thousand. Before: {"name":..,"name":..} taken silently. After: 'line 2: field name: was given before, on line 1', exit 1. Three tests that compare whole messages now expect the line as well; four new ones.

--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -269,7 +269,8 @@
 
 /// Reads settings, JSON with comments, and refuses what it does not know: a
 /// misspelt key would otherwise leave a default in force on a VM that no one
-/// logs in to. Every error names file, field, reason and the range allowed.
+/// logs in to. Every error names file, line, field, reason and the range
+/// allowed; a field that is given twice is refused.
 ///
 /// \code
 ///   result<settings_reader> Reader = settings_reader::fromFile(Path);
--- a/src/runtime/settings_reader.cpp
+++ b/src/runtime/settings_reader.cpp
@@ -1,5 +1,7 @@
 #include "marjoramrail/runtime.h"
 
+#include "runtime/field_lines.h"
+
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -19,9 +21,21 @@
   /// Shared with the readers of nested objects, so that finish() of the
   /// outermost one tells every fault of the file.
   std::shared_ptr<std::vector<std::string>> Faults;
+  /// Of the whole file, shared likewise.
+  std::shared_ptr<internal::field_lines> Lines;
 
   void fault(const std::string &Field, const std::string &Reason) const {
-    Faults->push_back("field " + Prefix + Field + ": " + Reason);
+    const auto Line = Lines->lineOf(Prefix + Field);
+    const std::string Where =
+        Line ? "line " + std::to_string(*Line) + ": " : "";
+    Faults->push_back(Where + "field " + Prefix + Field + ": " + Reason);
+  }
+
+  void refuseRepeated() const {
+    for (const internal::repeated_field &Again : Lines->repeated())
+      Faults->push_back("line " + std::to_string(Again.Line) + ": field " +
+                        Again.Field + ": was given before, on line " +
+                        std::to_string(Again.FirstLine));
   }
 
   /// The value of a field, or null with a fault if a required one is missing.
@@ -88,6 +102,12 @@
     return Parsed.error();
   if (!State->Object.is_object())
     return fail(Step, State->File, "expected an object");
+  // People write settings; objects of the store are written by programs, which
+  // repeat nothing, and are read by the thousand.
+  State->Lines = Step == step::ParseSettings
+                     ? std::make_shared<internal::field_lines>(Text)
+                     : std::make_shared<internal::field_lines>();
+  State->refuseRepeated();
   return settings_reader(std::move(State));
 }
 
@@ -209,6 +229,7 @@
     State->Prefix = Impl->Prefix + Field + "[" + std::to_string(I) + "].";
     State->Object = (*Value)[I];
     State->Faults = Impl->Faults;
+    State->Lines = Impl->Lines;
     if (!State->Object.is_object()) {
       Impl->fault(Field, "expected a list of objects");
       continue;
--- a/test/runtime/settings_reader_test.cpp
+++ b/test/runtime/settings_reader_test.cpp
@@ -27,8 +27,9 @@
 
   Reader.number("drain", std::nullopt, 1, 60);
 
-  CHECK(finish(Reader) == "parse-settings test.json: field drain: 90 is not a "
-                          "whole number from 1 to 60");
+  CHECK(finish(Reader) ==
+        "parse-settings test.json: line 1: field drain: 90 is not a "
+        "whole number from 1 to 60");
 }
 
 TEST_CASE("settings_reader refuses a field that nothing reads") {
@@ -37,7 +38,7 @@
   Reader.number("drain", 30, 1, 60);
 
   CHECK(finish(Reader) ==
-        "parse-settings test.json: field drian: is not known here");
+        "parse-settings test.json: line 1: field drian: is not known here");
 }
 
 TEST_CASE("settings_reader tells the faults of nested objects") {
@@ -46,8 +47,9 @@
   for (auto &Peer : Reader.objects("peers", true))
     Peer.address("at");
 
-  CHECK(finish(Reader) == "parse-settings test.json: field peers[0].at: "
-                          "\"nowhere\": expected ADDRESS:PORT");
+  CHECK(finish(Reader) ==
+        "parse-settings test.json: line 1: field peers[0].at: "
+        "\"nowhere\": expected ADDRESS:PORT");
 }
 
 TEST_CASE("settings_reader names the line where the text is not JSON") {
@@ -57,3 +59,48 @@
   REQUIRE(Failure);
   CHECK(toText(*Failure) == "parse-settings test.json: line 2: not JSON");
 }
+
+TEST_CASE("settings_reader names the line of a fault") {
+  auto Reader = read("{\n  \"name\": \"a\", // said twice below\n  \"drain\": "
+                     "90\n}");
+
+  Reader.text("name");
+  Reader.number("drain", std::nullopt, 1, 60);
+
+  CHECK(finish(Reader) == "parse-settings test.json: line 3: field drain: 90 "
+                          "is not a whole number from 1 to 60");
+}
+
+// An operator copies a block of settings and changes the first copy. The last
+// one counts for a parser of JSON, so that the change does nothing and nobody
+// is told.
+TEST_CASE("settings_reader refuses a field that is given twice") {
+  auto Reader = read("{\n\"drain\": 30,\n\"drain\": 40\n}");
+
+  Reader.number("drain", std::nullopt, 1, 60);
+
+  CHECK(finish(Reader) == "parse-settings test.json: line 3: field drain: was "
+                          "given before, on line 2");
+}
+
+TEST_CASE("settings_reader refuses a nested field that is given twice") {
+  auto Reader = read("{\"peers\": [{\"at\": \"1.2.3.4:5\"},\n{\"at\": "
+                     "\"1.2.3.4:6\",\n\"at\": \"1.2.3.4:7\"}]}");
+
+  for (auto &Peer : Reader.objects("peers", true))
+    Peer.address("at");
+
+  CHECK(finish(Reader) == "parse-settings test.json: line 3: field "
+                          "peers[1].at: was given before, on line 2");
+}
+
+TEST_CASE("settings_reader lets equal names stand in different objects") {
+  auto Reader = read("{\"peers\": [{\"at\": \"1.2.3.4:5\"}, {\"at\": "
+                     "\"1.2.3.4:6\"}], \"at\": \"1.2.3.4:7\"}");
+
+  for (auto &Peer : Reader.objects("peers", true))
+    Peer.address("at");
+  Reader.address("at");
+
+  CHECK(finish(Reader) == "");
+}
