--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -73,6 +73,13 @@
     Admission.onListed(Loop.timers().now());
     review("a balancer has known this target for long");
   };
+  Hooks.Found = [this] {
+    // An entry that this process has written may have been new to all.
+    if (Registrar.hasWritten())
+      return;
+    Admission.onListed(Loop.timers().now());
+    review("a balancer that started found this target in the store");
+  };
   Hooks.TargetSilent = [this] { lookAtTarget(); };
   Hooks.OnRequest = [this](const flow_key &Flow, bytes_view Packet) {
     Requests.seen(Flow, Packet, Core.report(Loop.timers().now()).Active);
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -223,6 +223,8 @@
   void recheck();
   /// True when the store holds what it shall.
   bool settled() const;
+  /// This process has sent the entry to the store, whatever became of it.
+  bool hasWritten() const;
 
 private:
   struct impl;
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -133,6 +133,15 @@
                                std::span<std::uint8_t> Buffer);
 bool decodeListedNotice(bytes_view Bytes, service_id &Service);
 
+/// Tells an agent that admits no flows that its entry, for this service, stood
+/// in the first list that this balancer got after its start. It was written
+/// before then: if not by this run of the agent, then by a former one, and all
+/// know it.
+inline constexpr std::size_t FoundNoticeBytes = 8;
+std::size_t encodeFoundNotice(service_id Service,
+                              std::span<std::uint8_t> Buffer);
+bool decodeFoundNotice(bytes_view Bytes, service_id &Service);
+
 /// Tells an agent how many agents the site has, for budgets that all share.
 inline constexpr std::size_t SiteSizeBytes = 8;
 std::size_t encodeSiteSize(std::uint32_t Agents,
@@ -316,6 +325,8 @@
   /// A balancer says that this agent's entry has been known for SettleTime; may
   /// be empty.
   std::function<void()> Listed;
+  /// A balancer found this agent's entry when it started; may be empty.
+  std::function<void()> Found;
   /// The site has so many agents; may be empty.
   std::function<void(std::uint32_t)> OnSiteSize;
 };
--- a/src/directory/target_registrar.cpp
+++ b/src/directory/target_registrar.cpp
@@ -184,4 +184,6 @@
 
 bool target_registrar::settled() const { return Impl->settled(); }
 
+bool target_registrar::hasWritten() const { return Impl->WroteBefore; }
+
 } // namespace marjoramrail
--- a/src/forward/agent_roster.cpp
+++ b/src/forward/agent_roster.cpp
@@ -11,6 +11,7 @@
 }
 
 void agent_roster::set(const std::vector<target_entry> &Targets, instant Now) {
+  const bool IsFirst = Agents.empty();
   std::vector<agent_state> Former = std::exchange(Agents, {});
   ByService.clear();
   const auto Places = std::exchange(ByEndpoint, {});
@@ -23,8 +24,10 @@
     if (Known != Places.end())
       State = Former[Known->second];
     const service_id Service = serviceNumber(Target.Service);
-    if (Known == Places.end() || State.Service != Service)
+    if (Known == Places.end() || State.Service != Service) {
       State.ListedSince = Now;
+      State.Found = IsFirst && !Target.ByPeer;
+    }
     State.Agent = Target.Agent;
     State.Service = Service;
     State.ZoneOrder = Target.Zone == Zone ? 0 : orderOf(Zones, Target.Zone) + 1;
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -399,6 +399,11 @@
       Impl->Hooks.Listed();
     return agent_outcome::Delivered;
   }
+  if (service_id Service{}; decodeFoundNotice(Bytes, Service)) {
+    if (Impl->Hooks.Found && Service == Impl->Settings.Service)
+      Impl->Hooks.Found();
+    return agent_outcome::Delivered;
+  }
   if (std::uint32_t Agents = 0; decodeSiteSize(Bytes, Agents)) {
     if (Impl->Hooks.OnSiteSize)
       Impl->Hooks.OnSiteSize(Agents);
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -44,11 +44,23 @@
 /// An agent that was restarted while the store is away cannot read its own
 /// entry, and gives its target no new flows before it knows that everyone has
 /// it. A balancer that has had the entry for SettleTime is the proof.
+///
+/// After a loss of all power no balancer has had it for so long, and each agent
+/// is on its own with a store that has just come back: at the pace of their
+/// retries the first one to be served took every flow of the site for a second,
+/// and refused most. A balancer's first list is the proof for all who stand in
+/// it. Its price is a datagram for each agent; what it buys is in
+/// docs/POLICY.md.
 void forward_balancer::impl::tellListed(const agent_state &Agent, instant Now) {
-  if (Agent.Draining || Now - Agent.ListedSince < SettleTime)
+  if (Agent.Draining)
     return;
   std::array<std::uint8_t, ListedNoticeBytes> Notice;
-  encodeListedNotice(Agent.Service, Notice);
+  if (Now - Agent.ListedSince >= SettleTime)
+    encodeListedNotice(Agent.Service, Notice);
+  else if (Agent.Found)
+    encodeFoundNotice(Agent.Service, Notice);
+  else
+    return;
   Hooks.SendToAgent(Agent.Agent, Notice);
 }
 
@@ -133,7 +145,11 @@
 
 void forward_balancer::setTargets(const std::vector<target_entry> &Targets,
                                   instant Now) {
+  const bool IsFirst = Impl->Roster.size() == 0;
   Impl->Roster.set(Targets, Now);
+  // Agents that have started with this balancer may wait for its word.
+  if (IsFirst)
+    Impl->review(Now);
 }
 
 void forward_balancer::setKnownAsOf(std::optional<instant> Moment) {
@@ -185,19 +201,24 @@
   Hooks.SendToAgent(Agent->Agent, Notice);
 }
 
-void forward_balancer::tick(instant Now) {
+/// Finds those that do not answer any more, and asks those that were not heard.
+void forward_balancer::impl::review(instant Now) {
   std::vector<endpoint> Ask;
-  Impl->Roster.review(Now, Ask, [&](const agent_state &Agent) {
-    ++Impl->Counters.Suspicions;
-    Impl->tell(event_kind::AgentSuspected, "no report since a packet was sent",
-               {}, Agent.Agent, Now);
+  Roster.review(Now, Ask, [&](const agent_state &Agent) {
+    ++Counters.Suspicions;
+    tell(event_kind::AgentSuspected, "no report since a packet was sent", {},
+         Agent.Agent, Now);
   });
   std::array<std::uint8_t, LoadQuestionBytes> Question;
   encodeLoadQuestion(Question);
   for (const endpoint &Agent : Ask) {
-    ++Impl->Counters.Questions;
-    Impl->Hooks.SendToAgent(Agent, Question);
+    ++Counters.Questions;
+    Hooks.SendToAgent(Agent, Question);
   }
+}
+
+void forward_balancer::tick(instant Now) {
+  Impl->review(Now);
   if (++Impl->Ticks % TicksPerSweep != 0)
     return;
   Impl->Memory.forgetOld(Now);
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -66,6 +66,7 @@
                          std::string_view Why, instant Now);
   bool isSure(instant Now) const;
   void onReport(const load_report &Report, instant Now);
+  void review(instant Now);
   void tellUnlisted(const endpoint &Agent, instant Now);
   void tellListed(const internal::agent_state &Agent, instant Now);
   void tellLost(instant Now);
--- a/src/forward/load_report.cpp
+++ b/src/forward/load_report.cpp
@@ -12,10 +12,12 @@
 static constexpr std::uint16_t QuestionMagic = 0x4d51;
 static constexpr std::uint16_t UnlistedMagic = 0x4d55;
 static constexpr std::uint16_t ListedMagic = 0x4d4b;
+static constexpr std::uint16_t FoundMagic = 0x4d46;
 static constexpr std::uint16_t SiteSizeMagic = 0x4d4e;
 /// Of a message that is a magic number and another number.
 static constexpr std::size_t NumberBytes = 8;
-static_assert(ListedNoticeBytes == NumberBytes && SiteSizeBytes == NumberBytes);
+static_assert(ListedNoticeBytes == NumberBytes &&
+              FoundNoticeBytes == NumberBytes && SiteSizeBytes == NumberBytes);
 static constexpr std::uint8_t Format = 1;
 static constexpr std::uint8_t AdmittingBit = 1;
 static constexpr std::uint8_t AnsweringBit = 2;
@@ -128,13 +130,27 @@
   return encodeNumber(ListedMagic, static_cast<std::uint32_t>(Service), Buffer);
 }
 
-bool decodeListedNotice(bytes_view Bytes, service_id &Service) {
-  const auto Number = decodeNumber(Bytes, ListedMagic);
+static bool decodeService(bytes_view Bytes, std::uint16_t Magic,
+                          service_id &Service) {
+  const auto Number = decodeNumber(Bytes, Magic);
   if (Number)
     Service = service_id(*Number);
   return Number.has_value();
 }
 
+bool decodeListedNotice(bytes_view Bytes, service_id &Service) {
+  return decodeService(Bytes, ListedMagic, Service);
+}
+
+std::size_t encodeFoundNotice(service_id Service,
+                              std::span<std::uint8_t> Buffer) {
+  return encodeNumber(FoundMagic, static_cast<std::uint32_t>(Service), Buffer);
+}
+
+bool decodeFoundNotice(bytes_view Bytes, service_id &Service) {
+  return decodeService(Bytes, FoundMagic, Service);
+}
+
 std::size_t encodeSiteSize(std::uint32_t Agents,
                            std::span<std::uint8_t> Buffer) {
   return encodeNumber(SiteSizeMagic, Agents, Buffer);
--- a/test/forward/forward_world.h
+++ b/test/forward/forward_world.h
@@ -120,11 +120,15 @@
     /// The VM or its way to the others is gone.
     bool Cut = false;
     bool InStore = true;
+    /// A balancer wrote its entry.
+    bool ByPeer = false;
     bool LookedAt = false;
     /// Times that a balancer said that the list lacks it.
     int Unlisted = 0;
     /// Times that a balancer said that the list has held it for long.
     int Listed = 0;
+    /// Times that a balancer said that it found the entry at its start.
+    int Found = 0;
     /// How many agents the site has, as far as it was told.
     std::uint32_t SiteSize = 0;
   };
@@ -172,6 +176,7 @@
       Host.SiteSize = Agents;
     };
     Hooks.Listed = [&Host] { ++Host.Listed; };
+    Hooks.Found = [&Host] { ++Host.Found; };
     Hooks.TargetSilent = [&Host] { Host.LookedAt = true; };
     Hooks.OnEvent = [this](const flow_event &Event) {
       Events.push_back(Event);
@@ -212,7 +217,7 @@
     for (const auto &[Number, Host] : Hosts)
       if (Host.InStore)
         Targets.push_back({"target." + std::to_string(Number), Host.Service,
-                           agentAt(Number), Host.Zone, 4, false});
+                           agentAt(Number), Host.Zone, 4, false, Host.ByPeer});
     for (auto &[Number, Balancer] : Balancers) {
       Balancer->setTargets(Targets, Now);
       Balancer->setKnownAsOf(Now);
--- a/test/forward/new_flows_test.cpp
+++ b/test/forward/new_flows_test.cpp
@@ -231,3 +231,35 @@
   for (const auto &[Number, Host] : Hosts)
     CHECK(Host.SiteSize == 4);
 }
+
+TEST_CASE_FIXTURE(small_site, "a balancer that starts tells whom it finds") {
+  // All VMs lose power while the store is away. When it is back, balancers read
+  // its list at once; agents are on their own, and the first one that the store
+  // answers would get every flow of the site for a second.
+  Balancers.erase(1);
+  startAgent(3);
+  Hosts[3].Agent->setAdmitting(false);
+  addBalancer(2);
+  pass(40ms);
+  CHECK(Hosts[3].Found > 0);
+  CHECK(Hosts[1].Found == 0);
+  CHECK(Hosts[3].Listed == 0);
+}
+
+TEST_CASE_FIXTURE(small_site, "a target that came later was not found") {
+  // It was announced while this balancer ran: others may not know it yet.
+  addHost(5);
+  Hosts[5].Agent->setAdmitting(false);
+  pass(SettleTime - 200ms);
+  CHECK(Hosts[5].Found == 0);
+}
+
+TEST_CASE_FIXTURE(small_site, "what a balancer announced was not found") {
+  // Another balancer wrote the entry a moment ago, for an agent that the store
+  // refuses; it is as new as one that the agent has written.
+  Hosts[3].ByPeer = true;
+  Hosts[3].Agent->setAdmitting(false);
+  addBalancer(2);
+  pass(SettleTime - 200ms);
+  CHECK(Hosts[3].Found == 0);
+}
