--- a/bench/forward/main.cpp
+++ b/bench/forward/main.cpp
@@ -1,6 +1,7 @@
 // Processor time and allocations a packet of the forwarding cores, and where
 // placing sends flows, on models of our own.
 
+#include "forward/failure_watch.h"
 #include "packet_head.h"
 
 #include <algorithm>
@@ -155,13 +156,17 @@
     {policy::Ours, "ours"},
 }};
 
+enum class trouble { None, FailingTargets };
+
 /// Targets with a queue, two thirds of their slots in use; flows that ask once
 /// a second; reports five times a second, which is all that is known (the worst
 /// case: many balancers, none of which sees the others' flows). One target is
-/// replaced by an empty one half-way.
+/// replaced by an empty one half-way. With FailingTargets, two targets answer
+/// four requests in ten with an error, at once, in the middle half of the time.
 class placing_model {
 public:
-  explicit placing_model(policy Policy) : Policy(Policy), Real(Targets) {
+  placing_model(policy Policy, trouble Trouble)
+      : Policy(Policy), Trouble(Trouble), Real(Targets) {
     for (placing_view &Target : Real) {
       Target.OwnZone = true;
       Target.Slots = Slots;
@@ -181,6 +186,12 @@
     }
   }
 
+  void printFailed() const {
+    const std::string Name(nameOf(PolicyNames, Policy));
+    std::printf("bench: placing_failing_%s_failed %.0f requests\n",
+                Name.c_str(), static_cast<double>(Failed));
+  }
+
   void print() {
     std::sort(Waits.begin(), Waits.end());
     double Most = 0;
@@ -209,6 +220,8 @@
   static constexpr unsigned Slots = 4;
   static constexpr int ServiceSteps = 4;
   static constexpr int QueueLimit = 16;
+  static constexpr std::size_t FailingTargets = 2;
+  static constexpr double FailingShare = 0.4;
 
   struct flow {
     std::size_t Target;
@@ -259,7 +272,22 @@
     }
   }
 
+  bool fails(std::size_t Target) {
+    const bool IsTime = Now >= Steps / 4 && Now < Steps * 3 / 4;
+    return Trouble == trouble::FailingTargets && Target < FailingTargets &&
+           IsTime && std::bernoulli_distribution(FailingShare)(Random);
+  }
+
   void request(std::size_t Target) {
+    const bool IsFailure = fails(Target);
+    const instant At{std::chrono::milliseconds(Now * StepMs)};
+    Failures[Target].onAnswer(IsFailure, At);
+    Real[Target].Failing =
+        static_cast<std::uint16_t>(Failures[Target].share() * 1000);
+    if (IsFailure) {
+      ++Failed;
+      return;
+    }
     const int Queued = Work[Target] / ServiceSteps;
     if (Queued >= static_cast<int>(Slots) + QueueLimit) {
       ++Refused;
@@ -278,12 +306,15 @@
   }
 
   policy Policy;
+  trouble Trouble;
   std::vector<placing_view> Real;
   std::vector<placing_view> Known;
   std::vector<flow> Open;
   std::array<int, Targets> Work{};
   std::vector<double> Waits;
   std::uint64_t Refused = 0;
+  std::uint64_t Failed = 0;
+  std::array<internal::failure_watch, Targets> Failures{};
   int Now = 0;
   std::minstd_rand Random{17};
 };
@@ -292,8 +323,13 @@
   measureBalancer();
   measureAgent();
   for (const auto &[Policy, Name] : PolicyNames) {
-    placing_model Model(Policy);
+    placing_model Model(Policy, trouble::None);
     Model.run();
     Model.print();
   }
+  for (const auto &[Policy, Name] : PolicyNames) {
+    placing_model Model(Policy, trouble::FailingTargets);
+    Model.run();
+    Model.printFailed();
+  }
 }
--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -86,8 +86,10 @@
   };
   Hooks.OnAnswer = [this](const flow_key &Flow, bytes_view Packet,
                           duration Took) {
-    Requests.answered(Flow, Packet, Took,
-                      Core.report(Loop.timers().now()).Latency);
+    const instant Now = Loop.timers().now();
+    const int Status = this->Adapter.StatusOf(Packet);
+    Core.noteAnswer(Flow, request_log::isFailure(Status), Now);
+    Requests.answered(Flow, Status, Took, Core.report(Now).Latency);
   };
   Hooks.OnEvent = [this](const flow_event &Event) { recordFlow(Event); };
   Hooks.OnSiteSize = [this](std::uint32_t Agents) {
--- a/daemons/forwarder/request_log.cpp
+++ b/daemons/forwarder/request_log.cpp
@@ -17,9 +17,8 @@
   Log.record(std::move(Event));
 }
 
-void request_log::answered(const flow_key &Flow, bytes_view Packet,
-                           duration Took, duration Usual) {
-  const int Status = Adapter.StatusOf(Packet);
+void request_log::answered(const flow_key &Flow, int Status, duration Took,
+                           duration Usual) {
   const std::string Class = Status == 0 ? "none" : std::to_string(Status / 100);
   ++Metrics.counter("marjoramrail_answers_total", "class=\"" + Class + "xx\"");
   Metrics.observe("marjoramrail_answer_seconds",
@@ -29,7 +28,7 @@
   Event.What = event_kind::RequestAnswered;
   if (Took > Usual * SlowFactor && Took > NeverSlow)
     Event.What = event_kind::RequestSlow;
-  if (Status >= 500)
+  if (isFailure(Status))
     Event.What = event_kind::RequestFailed;
   if (!Log.wants(Event.What))
     return;
--- a/daemons/forwarder/request_log.h
+++ b/daemons/forwarder/request_log.h
@@ -24,9 +24,13 @@
 
   /// \p Active requests are at the target, this one included.
   void seen(const flow_key &Flow, bytes_view Packet, std::uint16_t Active);
-  /// \p Usual is the smoothed time to an answer at this target.
-  void answered(const flow_key &Flow, bytes_view Packet, duration Took,
+  /// \p Status: the code of the answer, 0 if unknown; \p Usual: the smoothed
+  /// time to an answer at this target.
+  void answered(const flow_key &Flow, int Status, duration Took,
                 duration Usual);
+  /// Whether an answer of this code says that the target did not do what was
+  /// asked, and not that the request was wrong.
+  static bool isFailure(int Status) { return Status >= 500; }
   /// The id of the request that waits on \p Flow, or ""; it is over now.
   std::string lost(const flow_key &Flow);
 
--- a/daemons/marjoramctl/flow_story.cpp
+++ b/daemons/marjoramctl/flow_story.cpp
@@ -46,6 +46,7 @@
   case event_kind::ProcessStopping:
   case event_kind::TargetSilent:
   case event_kind::TargetDeclines:
+  case event_kind::TargetFailing:
   case event_kind::TargetGone:
   case event_kind::TargetRegained:
   case event_kind::AdmissionChanged:
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -102,6 +102,8 @@
   duration Latency = duration::zero();
   /// How long the target is still slower after its start.
   duration Warmup = duration::zero();
+  /// Failures among its last answers, in thousandths.
+  std::uint16_t Failing = 0;
 
   bool operator==(const load_report &) const = default;
 };
@@ -168,6 +170,8 @@
   std::uint16_t Busy = 0;
   duration Latency = duration::zero();
   duration Warmup = duration::zero();
+  /// Failures among its last answers, in thousandths.
+  std::uint16_t Failing = 0;
 };
 
 /// Chooses among the targets of one service; see placement.cpp for the loads
@@ -184,12 +188,17 @@
   struct typical {
     duration Latency = duration::zero();
     double FlowsPerSlot = 0;
+    /// The median, in thousandths.
+    std::uint16_t Failing = 0;
   };
   static typical typicalOf(const std::vector<placing_view> &Targets);
 
   /// The load of a target relative to what it can do: open flows a slot, and
   /// requests beyond the slots; more for one that is slow or warming up.
   static double loadOf(const placing_view &Target, const typical &Typical);
+
+  /// Whether the target fails its callers much more often than is usual.
+  static bool isFailing(const placing_view &Target, const typical &Typical);
 };
 
 //===----------------------------------------------------------------------===//
@@ -384,6 +393,9 @@
   bool targetGone() const;
   /// The target runs so many requests at once and is slow for that long.
   void setTarget(std::uint32_t Slots, duration Warmup, instant Now);
+  /// The target has answered a request on \p Flow; \p Failed: not with what was
+  /// asked for.
+  void noteAnswer(const flow_key &Flow, bool Failed, instant Now);
   void setIdleFlow(duration IdleFlow);
 
   /// Open flows whose handshake was seen \p Age ago or earlier; a caller that
--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -76,10 +76,11 @@
   /// An agent does not confirm what is sent to it, or does again.
   AgentSuspected,
   AgentRegained,
-  /// The target does not answer its agent; takes no new flows; its process is
-  /// gone; it is back.
+  /// The target does not answer its agent; takes no new flows; answers with
+  /// failures, or not any more; its process is gone; it is back.
   TargetSilent,
   TargetDeclines,
+  TargetFailing,
   TargetGone,
   TargetRegained,
   /// The target's own word on itself was taken, or was late or malformed.
@@ -99,7 +100,7 @@
   LinesLeftOut,
 };
 
-inline constexpr name_table<event_kind, 48> EventKindNames = {{
+inline constexpr name_table<event_kind, 49> EventKindNames = {{
     {event_kind::ProcessStarted, "process-started"},
     {event_kind::ProcessStopping, "process-stopping"},
     {event_kind::ViewTaken, "view-taken"},
@@ -134,6 +135,7 @@
     {event_kind::AgentRegained, "agent-regained"},
     {event_kind::TargetSilent, "target-silent"},
     {event_kind::TargetDeclines, "target-declines"},
+    {event_kind::TargetFailing, "target-failing"},
     {event_kind::TargetGone, "target-gone"},
     {event_kind::TargetRegained, "target-regained"},
     {event_kind::ReportTaken, "report-taken"},
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -1,4 +1,5 @@
 #include "forward/decline_watch.h"
+#include "forward/failure_watch.h"
 #include "forward/offered_packets.h"
 #include "forward/target_load.h"
 
@@ -19,6 +20,8 @@
 /// The same balancer is told the owner of the same flow at most this often.
 constexpr duration NoticeSpacing = std::chrono::milliseconds(100);
 
+constexpr double Thousandths = 1000;
+
 } // namespace
 
 struct forward_agent::impl {
@@ -44,6 +47,8 @@
   bool sendReset(const tcp_packet &Packet);
   agent_outcome resetLost(const tcp_packet &Head);
   void noteDeclined(const flow_key &Flow, instant Now);
+  void noteAnswer(const flow_key &Flow, bool Failed, instant Now);
+  void tellFailures(const flow_key &Flow);
   agent_outcome onAnswer(segment Segment, bytes_view Bytes, instant Now);
   void nameOwner(const routed_packet &Routed, const flow_key &Flow,
                  instant Now);
@@ -69,6 +74,7 @@
   /// The target has not answered the last thing put to it.
   bool Silent = false;
   decline_watch Declines;
+  failure_watch Failures;
   std::uint32_t Slots = 1;
   instant WarmUntil;
   forward_agent_counters Counters;
@@ -280,6 +286,24 @@
   reportNow(Now);
 }
 
+void forward_agent::impl::noteAnswer(const flow_key &Flow, bool Failed,
+                                     instant Now) {
+  Failures.onAnswer(Failed, Now);
+  tellFailures(Flow);
+}
+
+/// Figure of the event: failures in thousandths, as balancers are told.
+void forward_agent::impl::tellFailures(const flow_key &Flow) {
+  if (!Failures.review() || !Hooks.OnEvent)
+    return;
+  Hooks.OnEvent({event_kind::TargetFailing,
+                 Failures.fails() ? "answers fail" : "answers are well again",
+                 Flow,
+                 {},
+                 Failures.share() * Thousandths,
+                 duration::zero()});
+}
+
 /// An open flow is held by one target; if that one has lost it, no other needs
 /// to be asked. After a target's crash this saves a walk for each of its flows,
 /// and holds also where the list may not be whole.
@@ -298,6 +322,9 @@
   if (Head.Syn)
     Declines.onOpened();
   Offered.settle(Head.Flow);
+  const watched_flow *Watched = Load.find(Head.Flow);
+  if (Head.Rst && Watched && Watched->Asking)
+    noteAnswer(Head.Flow, /*Failed=*/true, Now);
   const auto Took = Load.onTarget(Head, Now);
   Hooks.SendToCaller(Head.Flow.Caller, Bytes);
   if (Took && Hooks.OnAnswer)
@@ -320,6 +347,7 @@
   Report.Flows = Load.open();
   Report.Busy = Load.busy();
   Report.Latency = Load.latency();
+  Report.Failing = static_cast<std::uint16_t>(Failures.share() * Thousandths);
   if (WarmUntil > Now)
     Report.Warmup = WarmUntil - Now;
   return Report;
@@ -399,6 +427,10 @@
   Impl->WarmUntil = Now + Warmup;
 }
 
+void forward_agent::noteAnswer(const flow_key &Flow, bool Failed, instant Now) {
+  Impl->noteAnswer(Flow, Failed, Now);
+}
+
 void forward_agent::setIdleFlow(duration IdleFlow) {
   Impl->Load.setIdleFlow(IdleFlow);
 }
@@ -470,6 +502,8 @@
 void forward_agent::tick(instant Now) {
   Impl->Load.tick(Now);
   Impl->Declines.tick(Now);
+  Impl->Failures.tick(Now);
+  Impl->tellFailures({});
   std::erase_if(Impl->Balancers, [&](const auto &Item) {
     return Now - Item.second > ReportFor;
   });
--- a/src/forward/load_report.cpp
+++ b/src/forward/load_report.cpp
@@ -7,7 +7,7 @@
 
 /// u16 magic | u8 format | u8 flags | u32 service | u32, u16 agent |
 /// u16 active | u16 slots | u32 flows | u16 busy | u32 latency us |
-/// u32 warm-up ms | padding
+/// u32 warm-up us | u16 failing | padding
 static constexpr std::uint16_t ReportMagic = 0x4d4c;
 static constexpr std::uint16_t QuestionMagic = 0x4d51;
 static constexpr std::uint16_t UnlistedMagic = 0x4d55;
@@ -51,6 +51,7 @@
   Writer.put(Report.Busy);
   Writer.put(cappedCount(Report.Latency));
   Writer.put(cappedCount(Report.Warmup));
+  Writer.put(Report.Failing);
   return LoadReportBytes;
 }
 
@@ -73,6 +74,7 @@
   Report.Busy = Reader.take<std::uint16_t>();
   Report.Latency = duration(Reader.take<std::uint32_t>());
   Report.Warmup = duration(Reader.take<std::uint32_t>());
+  Report.Failing = Reader.take<std::uint16_t>();
   return true;
 }
 
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -22,6 +22,7 @@
   View.Busy = Agent.Report.Busy;
   View.Latency = Agent.Report.Latency;
   View.Warmup = Agent.Report.Warmup;
+  View.Failing = Agent.Report.Failing;
   return View;
 }
 
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -41,6 +41,12 @@
 /// and another zone's queue is shorter by this.
 constexpr double WorthTheWay = 0.75;
 
+/// A target counts as failing if it fails this much more often than the median
+/// of its service, in thousandths: two failures of its own among some twenty
+/// answers are chance, three are not. Measured against the median, a service
+/// whose targets all fail alike keeps them all, and at most half are left out.
+constexpr std::uint16_t FailingAbove = 100;
+
 static double slotsOf(const placing_view &Target) {
   return std::max<std::uint32_t>(Target.Slots, 1);
 }
@@ -64,10 +70,24 @@
   return (Flows + Queued * QueueWeight * Usual) * Slowdown;
 }
 
+bool placement::isFailing(const placing_view &Target, const typical &Typical) {
+  return Target.Failing > Typical.Failing + FailingAbove;
+}
+
+/// The median, or a value-initialized one of none; reorders \p Values.
+template <typename Value> static Value medianOf(std::vector<Value> &Values) {
+  if (Values.empty())
+    return Value();
+  const auto Middle = Values.begin() + (Values.size() - 1) / 2;
+  std::nth_element(Values.begin(), Middle, Values.end());
+  return *Middle;
+}
+
 placement::typical
 placement::typicalOf(const std::vector<placing_view> &Targets) {
   typical Typical;
   std::vector<duration> Latencies;
+  std::vector<std::uint16_t> Failing;
   double Flows = 0;
   double Slots = 0;
   for (const placing_view &Target : Targets) {
@@ -75,16 +95,14 @@
       continue;
     Flows += Target.Flows;
     Slots += slotsOf(Target);
+    Failing.push_back(Target.Failing);
     if (Target.Latency > duration::zero())
       Latencies.push_back(Target.Latency);
   }
   if (Slots > 0)
     Typical.FlowsPerSlot = Flows / Slots;
-  if (Latencies.empty())
-    return Typical;
-  const auto Middle = Latencies.begin() + (Latencies.size() - 1) / 2;
-  std::nth_element(Latencies.begin(), Middle, Latencies.end());
-  Typical.Latency = *Middle;
+  Typical.Latency = medianOf(Latencies);
+  Typical.Failing = medianOf(Failing);
   return Typical;
 }
 
@@ -100,16 +118,34 @@
 
 } // namespace
 
-/// \p Rank 0: those that have reported and answer; 1: those not heard yet,
-/// which may not admit; 2: suspects, where nothing else is left.
+/// Who is asked before whom.
+enum class rank {
+  /// Has reported and answers.
+  Well,
+  /// Not heard yet: may not admit.
+  New,
+  /// Answers much of what it is asked with a failure.
+  Failing,
+  /// Says nothing, or takes nothing.
+  Suspect,
+};
+
+static rank rankOf(const placing_view &Target,
+                   const placement::typical &Typical) {
+  if (Target.Suspect)
+    return rank::Suspect;
+  if (placement::isFailing(Target, Typical))
+    return rank::Failing;
+  return Target.Reported ? rank::Well : rank::New;
+}
+
 static candidate_set candidates(const std::vector<placing_view> &Targets,
                                 const std::vector<std::size_t> &Order,
-                                int Rank) {
+                                const placement::typical &Typical, rank Rank) {
   candidate_set Set;
   for (const std::size_t Position : Order) {
     const placing_view &Target = Targets[Position];
-    const int Own = Target.Suspect ? 2 : Target.Reported ? 0 : 1;
-    if (!Target.Admitting || Own != Rank)
+    if (!Target.Admitting || rankOf(Target, Typical) != Rank)
       continue;
     (Target.OwnZone ? Set.OwnZone : Set.OtherZones).push_back(Position);
   }
@@ -125,8 +161,8 @@
 }
 
 static std::size_t lessLoaded(const std::vector<placing_view> &Targets,
+                              const placement::typical &Typical,
                               const std::vector<std::size_t> &Positions) {
-  const placement::typical Typical = placement::typicalOf(Targets);
   std::size_t Best = Positions.front();
   double Least = placement::loadOf(Targets[Best], Typical);
   for (std::size_t I = 1; I < std::min(Positions.size(), Choices); ++I) {
@@ -140,33 +176,38 @@
 }
 
 static std::size_t withinZones(const std::vector<placing_view> &Targets,
+                               const placement::typical &Typical,
                                const candidate_set &Set) {
   if (Set.OwnZone.empty())
-    return lessLoaded(Targets, Set.OtherZones);
+    return lessLoaded(Targets, Typical, Set.OtherZones);
   const double Own = shortestQueue(Targets, Set.OwnZone);
   const bool IsFull =
       Own >= FullZone &&
       shortestQueue(Targets, Set.OtherZones) + WorthTheWay <= Own;
-  return lessLoaded(Targets, IsFull ? Set.OtherZones : Set.OwnZone);
+  return lessLoaded(Targets, Typical, IsFull ? Set.OtherZones : Set.OwnZone);
 }
 
 std::optional<std::size_t>
 placement::choose(const std::vector<placing_view> &Targets,
                   const std::vector<std::size_t> &Order) const {
+  const typical Typical = typicalOf(Targets);
+  const auto Ranked = [&](rank Rank) {
+    return candidates(Targets, Order, Typical, Rank);
+  };
   // A target of the own zone that was not heard yet goes before one of another
   // zone that was: after a restart of the balancer none was.
-  candidate_set Heard = candidates(Targets, Order, 0);
-  const candidate_set New = candidates(Targets, Order, 1);
+  candidate_set Heard = Ranked(rank::Well);
+  const candidate_set New = Ranked(rank::New);
   if (Heard.OwnZone.empty())
     Heard.OwnZone = New.OwnZone;
   if (Heard.OtherZones.empty())
     Heard.OtherZones = New.OtherZones;
   if (!Heard.empty())
-    return withinZones(Targets, Heard);
-  const candidate_set Suspects = candidates(Targets, Order, 2);
-  if (Suspects.empty())
-    return std::nullopt;
-  return withinZones(Targets, Suspects);
+    return withinZones(Targets, Typical, Heard);
+  for (const rank Rank : {rank::Failing, rank::Suspect})
+    if (const candidate_set Left = Ranked(Rank); !Left.empty())
+      return withinZones(Targets, Typical, Left);
+  return std::nullopt;
 }
 
 } // namespace marjoramrail
--- /dev/null
+++ b/test/forward/failure_watch_test.cpp
@@ -0,0 +1,94 @@
+#include "forward/failure_watch.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace marjoramrail;
+using namespace marjoramrail::internal;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A target that answers a hundred requests a second.
+struct answering_target {
+  failure_watch Watch;
+  instant Now{10s};
+  std::minstd_rand Random{11};
+
+  void answer(double FailingShare) {
+    Now += 10ms;
+    Watch.onAnswer(std::bernoulli_distribution(FailingShare)(Random), Now);
+    if (++Answers % 20 == 0)
+      Watch.tick(Now);
+  }
+
+  int Answers = 0;
+};
+
+/// What placement takes for failing where the others fail nothing.
+constexpr double Failing = 0.1;
+
+} // namespace
+
+TEST_CASE_FIXTURE(answering_target, "failure_watch notices within a moment") {
+  // Four requests in ten fail from now on; callers should not have to find out
+  // for seconds.
+  int Needed = 0;
+  while (Watch.share() <= Failing) {
+    answer(0.4);
+    REQUIRE(++Needed <= 30);
+  }
+}
+
+TEST_CASE_FIXTURE(answering_target, "failure_watch lets failures be rare") {
+  // One request in a hundred fails, as on any day.
+  int Believed = 0;
+  for (int Answer = 0; Answer < 10'000; ++Answer) {
+    answer(0.01);
+    Believed += Watch.share() > Failing;
+  }
+  CHECK(Believed < 100);
+}
+
+TEST_CASE_FIXTURE(answering_target, "failure_watch does not flap") {
+  // Half of the requests fail; a row of good ones in between must not bring the
+  // target back each second.
+  for (int Answer = 0; Answer < 50; ++Answer)
+    answer(0.5);
+  int Cleared = 0;
+  for (int Answer = 0; Answer < 10'000; ++Answer) {
+    answer(0.5);
+    Cleared += Watch.share() <= Failing;
+  }
+  CHECK(Cleared == 0);
+}
+
+TEST_CASE_FIXTURE(answering_target, "failure_watch believes a target again") {
+  for (int Answer = 0; Answer < 50; ++Answer)
+    answer(1.0);
+  SUBCASE("by its answers") {
+    for (int Answer = 0; Answer < 60; ++Answer)
+      answer(0.0);
+    CHECK(Watch.share() <= Failing);
+  }
+  SUBCASE("that nobody asks any more, to try it") {
+    for (int Tick = 0; Tick < 20; ++Tick)
+      Watch.tick(Now += 200ms);
+    CHECK(Watch.share() <= Failing);
+  }
+}
+
+TEST_CASE_FIXTURE(answering_target, "failure_watch tells each change once") {
+  int Told = 0;
+  for (int Answer = 0; Answer < 400; ++Answer) {
+    answer(0.15);
+    Told += Watch.review();
+  }
+  CHECK(Watch.fails());
+  CHECK(Told <= 3);
+  for (int Answer = 0; Answer < 100; ++Answer) {
+    answer(0.0);
+    Watch.review();
+  }
+  CHECK_FALSE(Watch.fails());
+}
--- /dev/null
+++ b/test/forward/load_report_test.cpp
@@ -0,0 +1,27 @@
+#include "marjoramrail/forward.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+using namespace std::chrono_literals;
+
+TEST_CASE("a load report comes back as it was written") {
+  load_report Report;
+  Report.Service = serviceNumber("ledger");
+  Report.Agent = {0x0a000101, 700};
+  Report.Admitting = true;
+  Report.Answering = false;
+  Report.Active = 3;
+  Report.Slots = 4;
+  Report.Flows = 120;
+  Report.Busy = 700;
+  Report.Latency = 17ms;
+  Report.Warmup = 1500ms;
+  Report.Failing = 412;
+
+  std::array<std::uint8_t, LoadReportBytes> Buffer{};
+  REQUIRE(encodeLoadReport(Report, Buffer) == LoadReportBytes);
+  load_report Read;
+  REQUIRE(decodeLoadReport(Buffer, Read));
+  CHECK(Read == Report);
+}
--- a/test/forward/placement_test.cpp
+++ b/test/forward/placement_test.cpp
@@ -178,3 +178,79 @@
   REQUIRE(decodeLoadReport(Buffer, Back));
   CHECK(Back == Report);
 }
+
+namespace {
+
+/// Targets of one service, all in the caller's zone, that differ only in how
+/// they answer.
+std::vector<placing_view> answering(const std::vector<int> &Failing) {
+  std::vector<placing_view> Targets;
+  for (const int Thousandths : Failing) {
+    placing_view Target;
+    Target.OwnZone = true;
+    Target.Slots = 4;
+    Target.Flows = 20;
+    Target.Failing = static_cast<std::uint16_t>(Thousandths);
+    Targets.push_back(Target);
+  }
+  return Targets;
+}
+
+/// How often each target is chosen for flows whose orders are drawn anew.
+std::vector<int> chosenOf(const std::vector<placing_view> &Targets,
+                          int Flows = 600) {
+  std::minstd_rand Random(7);
+  std::vector<int> Chosen(Targets.size());
+  std::vector<std::size_t> Order(Targets.size());
+  for (std::size_t Position = 0; Position < Order.size(); ++Position)
+    Order[Position] = Position;
+  for (int Flow = 0; Flow < Flows; ++Flow) {
+    std::shuffle(Order.begin(), Order.end(), Random);
+    const auto Position = placement().choose(Targets, Order);
+    REQUIRE(Position);
+    ++Chosen[*Position];
+  }
+  return Chosen;
+}
+
+} // namespace
+
+TEST_CASE("targets that fail get no flows while others do well") {
+  // Two of seven targets answer four requests in ten with an error, at once.
+  // They look idle, and by load alone would get more flows than any other.
+  auto Targets = answering({400, 0, 10, 350, 0, 0, 0});
+  Targets[0].Flows = 2;
+  Targets[3].Flows = 0;
+  const auto Chosen = chosenOf(Targets);
+  CHECK(Chosen[0] == 0);
+  CHECK(Chosen[3] == 0);
+}
+
+TEST_CASE("a few failures take nothing away from a target") {
+  const auto Chosen = chosenOf(answering({95, 0, 50, 0, 0, 20, 0}));
+  for (const int Count : Chosen)
+    CHECK(Count > 30);
+}
+
+TEST_CASE("a service whose targets all fail alike keeps them all") {
+  // A bad release, or a database behind the service that is gone: left out one
+  // by one, targets would leave all flows to the last.
+  const auto Chosen = chosenOf(answering({500, 450, 520, 480, 500, 510, 490}));
+  for (const int Count : Chosen)
+    CHECK(Count > 30);
+}
+
+TEST_CASE("failing targets are better than none") {
+  auto Targets = answering({900, 0, 0});
+  Targets[1].Admitting = false;
+  Targets[2].Suspect = true;
+  CHECK(chosenOf(Targets)[0] == 600);
+}
+
+TEST_CASE("a zone whose targets fail is left for one whose targets do well") {
+  auto Targets = answering({400, 450, 0, 0, 0, 0});
+  for (std::size_t Position = 2; Position < Targets.size(); ++Position)
+    Targets[Position].OwnZone = false;
+  const auto Chosen = chosenOf(Targets);
+  CHECK(Chosen[0] + Chosen[1] == 0);
+}
