Let settings switch mechanisms off by name, for ablations

Cause: what each decision is worth could only be found by patching it out. Change: include/marjoramrail/mechanism.h names sixteen of them in one table; "without": [...] in the settings of both forwarding processes, refused if unknown, said in the line of the process's start. placement.cpp is a class for one flow's choice now, so that each step reads what is switched off.

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -38,9 +38,11 @@
       Log(Loop, Settings.Name), Requests(Log, Metrics, this->Adapter),
       Routed(Loop, [this](auto Batch) { onRouted(Batch); }),
       TargetPackets(Loop, [this](auto Batch) { onTargetPackets(Batch); }),
-      Store(Loop, storeSettings(Settings.Name, Settings.Store, Adapter)),
+      Store(Loop, storeSettings(Settings.Name, Settings.Store, Adapter,
+                                Settings.Without)),
       Core({.Service = serviceNumber(Settings.Service),
-            .Self = Settings.RoutedListen},
+            .Self = Settings.RoutedListen,
+            .Without = Settings.Without},
            Adapter.Codec, coreHooks()),
       Reports(Settings.Service),
       Registrar(Loop.timers(), Store.api(), directory_settings().SiteKind,
@@ -70,12 +72,15 @@
     Routed.send({Caller.Address, Settings.RoutedListen.Port}, Bytes);
   };
   Hooks.Listed = [this] {
+    if (this->Settings.Without.has(mechanism::ListedNotices))
+      return;
     Admission.onListed(Loop.timers().now());
     review("a balancer has known this target for long");
   };
   Hooks.Found = [this] {
     // An entry that this process has written may have been new to all.
-    if (Registrar.hasWritten())
+    if (Registrar.hasWritten() ||
+        this->Settings.Without.has(mechanism::FoundNotices))
       return;
     Admission.onListed(Loop.timers().now());
     review("a balancer that started found this target in the store");
@@ -126,13 +131,17 @@
     review("not in the store");
   };
   Hooks.OnStored = [this](bool Existed) {
-    Admission.onStored(Existed, Loop.timers().now());
+    const bool IsKnown =
+        Existed || this->Settings.Without.has(mechanism::SettleTime);
+    Admission.onStored(IsKnown, Loop.timers().now());
     review("the store holds this target");
   };
   Hooks.OnTrouble = [this](const std::string &Reason) {
     Log.record(event_kind::StoreLost, Reason);
   };
   Hooks.AskPeers = [this](const target_entry &Entry) {
+    if (this->Settings.Without.has(mechanism::PeerAnnouncements))
+      return;
     const std::vector<std::uint8_t> Bytes = encodeAnnouncement(Entry);
     for (const endpoint &Balancer : this->Settings.Balancers)
       Routed.send(Balancer, Bytes);
@@ -142,7 +151,8 @@
 }
 
 std::unique_ptr<flow_keeper> forward_agent_process::makeKeeper() {
-  if (Settings.KeepFlowsEvery == duration::zero())
+  if (Settings.KeepFlowsEvery == duration::zero() ||
+      Settings.Without.has(mechanism::KeptFlows))
     return nullptr;
   flow_keeper::hooks Hooks;
   Hooks.OpenFlows = [this] {
@@ -236,7 +246,7 @@
     Core.tick(Loop.timers().now());
     Routed.flush();
   });
-  Log.record(event_kind::ProcessStarted, "settings are in force");
+  Log.record(event_kind::ProcessStarted, startReason(Settings.Without));
   Registrar.look(entryName(Settings));
   if (Keeper)
     Keeper->start();
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -34,6 +34,7 @@
   Directory.Self = Settings.PeersListen;
   Directory.Seeds = peersOf(Settings);
   Directory.FlowLife = Settings.FlowLife;
+  Directory.Without = Settings.Without;
   return Directory;
 }
 
@@ -51,10 +52,12 @@
       Log(Loop, Settings.Name),
       Callers(Loop, [this](auto Batch) { onCallers(Batch); }),
       Peers(Loop, [this](auto Batch) { onPeers(Batch); }),
-      Store(Loop, storeSettings(Settings.Name, Settings.Store, Adapter)),
+      Store(Loop, storeSettings(Settings.Name, Settings.Store, Adapter,
+                                Settings.Without)),
       Core({.Self = Settings.PeersListen,
             .Zone = Settings.Zone,
-            .FlowLife = Settings.FlowLife},
+            .FlowLife = Settings.FlowLife,
+            .Without = Settings.Without},
            Adapter.Codec, coreHooks()),
       Directory(Loop.timers(), storeApis(Store), directorySettings(Settings),
                 directoryHooks()),
@@ -180,7 +183,7 @@
     return Opened.error();
   Loop.timers().every(forward_balancer::TickPeriod,
                       [this] { Core.tick(Loop.timers().now()); });
-  Log.record(event_kind::ProcessStarted, "settings are in force");
+  Log.record(event_kind::ProcessStarted, startReason(Settings.Without));
   Directory.start();
   return {};
 }
--- a/daemons/forwarder/forwarder_settings.cpp
+++ b/daemons/forwarder/forwarder_settings.cpp
@@ -11,6 +11,18 @@
       Reader.number(Field, Default, Least, MostSeconds));
 }
 
+/// Mechanisms that an experiment switches off, by name.
+static mechanism_set readWithout(settings_reader &Reader) {
+  mechanism_set Without;
+  for (const std::string &Name : Reader.texts("without", /*Required=*/false)) {
+    if (const auto Mechanism = valueNamed(MechanismNames, Name))
+      Without.add(*Mechanism);
+    else
+      Reader.refuse("without", "no mechanism is called \"" + Name + "\"");
+  }
+  return Without;
+}
+
 result<balancer_program_settings>
 readBalancerSettings(const std::string &Path) {
   BOOST_LEAF_AUTO(Reader, settings_reader::fromFile(Path));
@@ -25,6 +37,7 @@
   Settings.Seeds = Reader.addresses("seeds", /*Required=*/false);
   Settings.FlowLife = seconds(Reader, "flow_life_seconds", 60);
   Settings.Grace = seconds(Reader, "grace_seconds", 6);
+  Settings.Without = readWithout(Reader);
   if (auto Finished = Reader.finish(); !Finished)
     return Finished.error();
   return Settings;
@@ -50,6 +63,7 @@
     Settings.Balancers.push_back({Seed.Address, PeersPort});
   Settings.KeepFlowsEvery =
       seconds(Reader, "keep_flows_seconds", /*Default=*/0, /*Least=*/0);
+  Settings.Without = readWithout(Reader);
   if (auto Finished = Reader.finish(); !Finished)
     return Finished.error();
   return Settings;
--- a/daemons/forwarder/forwarder_settings.h
+++ b/daemons/forwarder/forwarder_settings.h
@@ -10,6 +10,7 @@
 #define MARJORAMRAIL_DAEMONS_FORWARDER_FORWARDER_SETTINGS_H
 
 #include "marjoramrail/base.h"
+#include "marjoramrail/mechanism.h"
 
 #include <string>
 #include <vector>
@@ -33,6 +34,7 @@
   duration FlowLife;
   /// From the signal to stop to the forced end.
   duration Grace;
+  mechanism_set Without;
 };
 
 struct agent_program_settings {
@@ -57,6 +59,7 @@
   /// How often open flows are kept in the store for the case that the VM loses
   /// power; zero: never.
   duration KeepFlowsEvery;
+  mechanism_set Without;
 };
 
 result<balancer_program_settings> readBalancerSettings(const std::string &Path);
--- a/daemons/forwarder/site_adapter.h
+++ b/daemons/forwarder/site_adapter.h
@@ -40,17 +40,25 @@
   std::function<int(bytes_view Packet)> StatusOf;
 };
 
+/// What a process says at its start.
+inline std::string startReason(const mechanism_set &Without) {
+  const std::string Reason = "settings are in force";
+  return Without.empty() ? Reason : Reason + "; without " + toText(Without);
+}
+
 /// How a process called \p Name reaches the site's store.
 inline platform_client_settings storeSettings(const std::string &Name,
                                               const endpoint &Store,
-                                              const site_adapter &Adapter) {
+                                              const site_adapter &Adapter,
+                                              const mechanism_set &Without) {
   /// The store answers in milliseconds, 100 times slower on a bad day.
   constexpr duration Timeout = std::chrono::milliseconds(1500);
   /// After a loss of all processes while the store is silent, callers wait this
   /// much less for the first one that serves them.
   constexpr duration FirstTimeout = std::chrono::milliseconds(500);
   platform_client_settings Client;
-  Client.FirstTimeout = FirstTimeout;
+  if (!Without.has(mechanism::EarlyStoreRetry))
+    Client.FirstTimeout = FirstTimeout;
   Client.Servers = {Store};
   Client.Writer = Name;
   Client.Timeout = Timeout;
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -25,6 +25,7 @@
 #define MARJORAMRAIL_DIRECTORY_H
 
 #include "marjoramrail/base.h"
+#include "marjoramrail/mechanism.h"
 #include "marjoramrail/platform.h"
 #include "marjoramrail/timeline.h"
 
@@ -345,6 +346,8 @@
   std::string SiteKind = "marjoramrail";
   /// The longest life of a flow: so long a former service keeps its flows.
   duration FlowLife = std::chrono::minutes(1);
+  /// Switched off for an experiment.
+  mechanism_set Without;
 };
 
 struct directory_platform {
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -39,6 +39,7 @@
 #define MARJORAMRAIL_FORWARD_H
 
 #include "marjoramrail/directory.h"
+#include "marjoramrail/mechanism.h"
 #include "marjoramrail/timeline.h"
 #include "marjoramrail/wire.h"
 
@@ -178,27 +179,16 @@
 /// it answers.
 class placement {
 public:
+  explicit placement(const mechanism_set &Without = {}) : Without(Without) {}
+
   /// \p Order: positions in \p Targets, the flow's own order of preference.
   /// Returns a position in \p Targets, or nothing if no target takes flows.
   std::optional<std::size_t>
   choose(const std::vector<placing_view> &Targets,
          const std::vector<std::size_t> &Order) const;
 
-  /// What is usual among the targets of a service.
-  struct typical {
-    duration Latency = duration::zero();
-    double FlowsPerSlot = 0;
-    /// The median, in thousandths.
-    std::uint16_t Failing = 0;
-  };
-  static typical typicalOf(const std::vector<placing_view> &Targets);
-
-  /// The load of a target relative to what it can do: open flows a slot, and
-  /// requests beyond the slots; more for one that is slow or warming up.
-  static double loadOf(const placing_view &Target, const typical &Typical);
-
-  /// Whether the target fails its callers much more often than is usual.
-  static bool isFailing(const placing_view &Target, const typical &Typical);
+private:
+  mechanism_set Without = {};
 };
 
 //===----------------------------------------------------------------------===//
@@ -247,6 +237,8 @@
   std::size_t MaxFlows = 200'000;
   /// The longest life of a flow.
   duration FlowLife = std::chrono::minutes(1);
+  /// Switched off for an experiment.
+  mechanism_set Without = {};
 };
 
 struct forward_balancer_hooks {
@@ -311,6 +303,8 @@
   service_id Service{};
   /// Where this agent takes routed packets.
   endpoint Self;
+  /// Switched off for an experiment.
+  mechanism_set Without = {};
 };
 
 struct forward_agent_hooks {
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -70,6 +70,8 @@
   Feed.OnBatch = [this] { changed(); };
   Feed.Wait = [this, Wait] { return (this->*Wait)(); };
   Feed.MostFirstRetry = [this] {
+    if (Settings.Without.has(mechanism::ShortFirstRetry))
+      return MostFirstRetry;
     const auto Balancers =
         static_cast<std::int64_t>(Peers.live(Timers.now())) + 1;
     return std::clamp(FirstListSpacing * Balancers, LeastFirstRetry,
--- a/src/forward/flow_walk.cpp
+++ b/src/forward/flow_walk.cpp
@@ -47,7 +47,9 @@
     return;
   const service_id Service =
       Route.Holders.empty() ? service_id{} : Route.Holders.front();
-  if (Rest && Sure)
+  if (Rest && Settings.Without.has(mechanism::WalkContinuation))
+    send(List, Service, {}, 0, Bytes, Now);
+  else if (Rest && Sure)
     send(List, Service, {routed_flag::Continues, routed_flag::WholeSoFar},
          encodeCursor(*Rest), Bytes, Now);
   else if (Rest)
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -341,7 +341,9 @@
   Report.Service = Settings.Service;
   Report.Agent = Settings.Self;
   Report.Admitting = Admitting && !TargetGone;
-  Report.Answering = !Silent && !Declines.declines();
+  const bool Declining =
+      Declines.declines() && !Settings.Without.has(mechanism::DeclineWatch);
+  Report.Answering = !Silent && !Declining;
   Report.Active = Load.active();
   Report.Slots = static_cast<std::uint16_t>(std::min(Slots, 65535U));
   Report.Flows = Load.open();
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -82,7 +82,7 @@
   /// Scratch space of one packet's decision.
   std::vector<placing_view> Views;
   std::vector<std::size_t> Holders;
-  placement Placement;
+  placement Placement{Settings.Without};
   std::map<endpoint, internal::route_state> Routes;
   std::optional<instant> KnownAsOf;
   forward_balancer_counters Counters;
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -9,12 +9,16 @@
                                             instant Now) const {
   placing_view View;
   View.OwnZone = Agent.isOwnZone();
-  View.Reported =
-      Agent.ReportedAt && !Agent.isSilentFor(agent_roster::DoubtAfter, Now);
+  const auto IsSilentFor = [&](duration Time) {
+    return Agent.isSilentFor(Time, Now) &&
+           !Settings.Without.has(mechanism::Suspicion);
+  };
+  View.Reported = Agent.ReportedAt && !IsSilentFor(agent_roster::DoubtAfter);
   View.Admitting = Agent.Report.Admitting && !Agent.Draining;
-  View.Suspect = Agent.Suspect ||
-                 Agent.isSilentFor(agent_roster::SuspectAfter, Now) ||
-                 !Agent.Report.Answering || Avoid == Agent.Agent;
+  View.Suspect =
+      (Agent.Suspect && !Settings.Without.has(mechanism::Suspicion)) ||
+      IsSilentFor(agent_roster::SuspectAfter) || !Agent.Report.Answering ||
+      Avoid == Agent.Agent;
   View.Slots = Agent.Report.Slots;
   View.Flows = Agent.Report.Flows;
   View.Placed = Agent.Placed;
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -56,23 +56,62 @@
   return (Target.Active + Target.Placed - slotsOf(Target)) / slotsOf(Target);
 }
 
-double placement::loadOf(const placing_view &Target, const typical &Typical) {
-  double Slowdown = 1;
-  if (Target.Latency > Typical.Latency && Typical.Latency > duration::zero())
-    Slowdown = std::min(static_cast<double>(Target.Latency.count()) /
-                            static_cast<double>(Typical.Latency.count()),
-                        MostSlowdown);
-  if (Target.Warmup > duration::zero())
-    Slowdown = std::max(Slowdown, WarmupSlowdown);
-  const double Flows = (Target.Flows + Target.Placed + 1) / slotsOf(Target);
-  const double Queued = std::max(queueOf(Target), 0.0);
-  const double Usual = std::max(Typical.FlowsPerSlot, LeastFlowsPerSlot);
-  return (Flows + Queued * QueueWeight * Usual) * Slowdown;
-}
+namespace {
 
-bool placement::isFailing(const placing_view &Target, const typical &Typical) {
-  return Target.Failing > Typical.Failing + FailingAbove;
-}
+/// What is usual among the targets of a service.
+struct typical {
+  duration Latency = duration::zero();
+  double FlowsPerSlot = 0;
+  /// The median, in thousandths.
+  std::uint16_t Failing = 0;
+};
+
+/// Positions of targets that a flow may be placed at, in its own order.
+struct candidate_set {
+  std::vector<std::size_t> OwnZone;
+  std::vector<std::size_t> OtherZones;
+
+  bool empty() const { return OwnZone.empty() && OtherZones.empty(); }
+};
+
+/// Who is asked before whom.
+enum class rank {
+  /// Has reported and answers.
+  Well,
+  /// Not heard yet: may not admit.
+  New,
+  /// Answers much of what it is asked with a failure.
+  Failing,
+  /// Says nothing, or takes nothing.
+  Suspect,
+};
+
+/// The choice for one flow.
+class flow_choice {
+public:
+  flow_choice(const std::vector<placing_view> &Targets,
+              const std::vector<std::size_t> &Order,
+              const mechanism_set &Without);
+
+  std::optional<std::size_t> choose() const;
+
+private:
+  candidate_set candidates(rank Rank) const;
+  rank rankOf(const placing_view &Target) const;
+  bool isFailing(const placing_view &Target) const;
+  double loadOf(const placing_view &Target) const;
+  double slowdownOf(const placing_view &Target) const;
+  double shortestQueue(const std::vector<std::size_t> &Positions) const;
+  std::size_t lessLoaded(const std::vector<std::size_t> &Positions) const;
+  std::size_t withinZones(const candidate_set &Set) const;
+
+  const std::vector<placing_view> &Targets;
+  const std::vector<std::size_t> &Order;
+  const mechanism_set &Without;
+  typical Typical;
+};
+
+} // namespace
 
 /// The median, or a value-initialized one of none; reorders \p Values.
 template <typename Value> static Value medianOf(std::vector<Value> &Values) {
@@ -83,8 +122,7 @@
   return *Middle;
 }
 
-placement::typical
-placement::typicalOf(const std::vector<placing_view> &Targets) {
+static typical typicalOf(const std::vector<placing_view> &Targets) {
   typical Typical;
   std::vector<duration> Latencies;
   std::vector<std::uint16_t> Failing;
@@ -106,67 +144,76 @@
   return Typical;
 }
 
-namespace {
-
-/// The targets that a flow may be placed at, in its own order.
-struct candidate_set {
-  std::vector<std::size_t> OwnZone;
-  std::vector<std::size_t> OtherZones;
+flow_choice::flow_choice(const std::vector<placing_view> &Targets,
+                         const std::vector<std::size_t> &Order,
+                         const mechanism_set &Without)
+    : Targets(Targets), Order(Order), Without(Without),
+      Typical(typicalOf(Targets)) {}
 
-  bool empty() const { return OwnZone.empty() && OtherZones.empty(); }
-};
+/// How much longer than usual the target takes.
+double flow_choice::slowdownOf(const placing_view &Target) const {
+  double Slowdown = 1;
+  const bool IsSlow =
+      Target.Latency > Typical.Latency && Typical.Latency > duration::zero();
+  if (IsSlow && !Without.has(mechanism::Latency))
+    Slowdown = std::min(static_cast<double>(Target.Latency.count()) /
+                            static_cast<double>(Typical.Latency.count()),
+                        MostSlowdown);
+  if (Target.Warmup > duration::zero() && !Without.has(mechanism::WarmUp))
+    Slowdown = std::max(Slowdown, WarmupSlowdown);
+  return Slowdown;
+}
 
-} // namespace
+/// The load of a target relative to what it can do: open flows a slot, and
+/// requests beyond the slots; more for one that is slow or warming up.
+double flow_choice::loadOf(const placing_view &Target) const {
+  const double Flows = (Target.Flows + Target.Placed + 1) / slotsOf(Target);
+  const double Queued =
+      Without.has(mechanism::QueueWeight) ? 0 : std::max(queueOf(Target), 0.0);
+  const double Usual = std::max(Typical.FlowsPerSlot, LeastFlowsPerSlot);
+  return (Flows + Queued * QueueWeight * Usual) * slowdownOf(Target);
+}
 
-/// Who is asked before whom.
-enum class rank {
-  /// Has reported and answers.
-  Well,
-  /// Not heard yet: may not admit.
-  New,
-  /// Answers much of what it is asked with a failure.
-  Failing,
-  /// Says nothing, or takes nothing.
-  Suspect,
-};
+/// Whether the target fails its callers much more often than is usual.
+bool flow_choice::isFailing(const placing_view &Target) const {
+  return Target.Failing > Typical.Failing + FailingAbove &&
+         !Without.has(mechanism::FailurePlacing);
+}
 
-static rank rankOf(const placing_view &Target,
-                   const placement::typical &Typical) {
+rank flow_choice::rankOf(const placing_view &Target) const {
   if (Target.Suspect)
     return rank::Suspect;
-  if (placement::isFailing(Target, Typical))
+  if (isFailing(Target))
     return rank::Failing;
   return Target.Reported ? rank::Well : rank::New;
 }
 
-static candidate_set candidates(const std::vector<placing_view> &Targets,
-                                const std::vector<std::size_t> &Order,
-                                const placement::typical &Typical, rank Rank) {
+candidate_set flow_choice::candidates(rank Rank) const {
   candidate_set Set;
   for (const std::size_t Position : Order) {
     const placing_view &Target = Targets[Position];
-    if (!Target.Admitting || rankOf(Target, Typical) != Rank)
+    if (!Target.Admitting || rankOf(Target) != Rank)
       continue;
     (Target.OwnZone ? Set.OwnZone : Set.OtherZones).push_back(Position);
   }
   return Set;
 }
 
-static double shortestQueue(const std::vector<placing_view> &Targets,
-                            const std::vector<std::size_t> &Positions) {
+double
+flow_choice::shortestQueue(const std::vector<std::size_t> &Positions) const {
   double Least = std::numeric_limits<double>::infinity();
   for (const std::size_t Position : Positions)
     Least = std::min(Least, queueOf(Targets[Position]));
   return Least;
 }
 
-static std::size_t lessLoaded(const std::vector<placing_view> &Targets,
-                              const placement::typical &Typical,
-                              const std::vector<std::size_t> &Positions) {
+std::size_t
+flow_choice::lessLoaded(const std::vector<std::size_t> &Positions) const {
+  const std::size_t Compared = Without.has(mechanism::TwoChoices) ? 1 : Choices;
   std::size_t Best = Positions.front();
-  double Least = placement::loadOf(Targets[Best], Typical);
-  for (std::size_t I = 1; I < std::min(Positions.size(), Choices); ++I) {
-    const double Load = placement::loadOf(Targets[Positions[I]], Typical);
+  double Least = loadOf(Targets[Best]);
+  for (std::size_t I = 1; I < std::min(Positions.size(), Compared); ++I) {
+    const double Load = loadOf(Targets[Positions[I]]);
     if (Load >= Least)
       continue;
     Best = Positions[I];
@@ -175,39 +222,37 @@
   return Best;
 }
 
-static std::size_t withinZones(const std::vector<placing_view> &Targets,
-                               const placement::typical &Typical,
-                               const candidate_set &Set) {
+std::size_t flow_choice::withinZones(const candidate_set &Set) const {
   if (Set.OwnZone.empty())
-    return lessLoaded(Targets, Typical, Set.OtherZones);
-  const double Own = shortestQueue(Targets, Set.OwnZone);
-  const bool IsFull =
-      Own >= FullZone &&
-      shortestQueue(Targets, Set.OtherZones) + WorthTheWay <= Own;
-  return lessLoaded(Targets, Typical, IsFull ? Set.OtherZones : Set.OwnZone);
+    return lessLoaded(Set.OtherZones);
+  const double Own = shortestQueue(Set.OwnZone);
+  const bool IsFull = Own >= FullZone &&
+                      shortestQueue(Set.OtherZones) + WorthTheWay <= Own &&
+                      !Without.has(mechanism::ZoneOverflow);
+  return lessLoaded(IsFull ? Set.OtherZones : Set.OwnZone);
 }
 
-std::optional<std::size_t>
-placement::choose(const std::vector<placing_view> &Targets,
-                  const std::vector<std::size_t> &Order) const {
-  const typical Typical = typicalOf(Targets);
-  const auto Ranked = [&](rank Rank) {
-    return candidates(Targets, Order, Typical, Rank);
-  };
+std::optional<std::size_t> flow_choice::choose() const {
   // A target of the own zone that was not heard yet goes before one of another
   // zone that was: after a restart of the balancer none was.
-  candidate_set Heard = Ranked(rank::Well);
-  const candidate_set New = Ranked(rank::New);
+  candidate_set Heard = candidates(rank::Well);
+  const candidate_set New = candidates(rank::New);
   if (Heard.OwnZone.empty())
     Heard.OwnZone = New.OwnZone;
   if (Heard.OtherZones.empty())
     Heard.OtherZones = New.OtherZones;
   if (!Heard.empty())
-    return withinZones(Targets, Typical, Heard);
+    return withinZones(Heard);
   for (const rank Rank : {rank::Failing, rank::Suspect})
-    if (const candidate_set Left = Ranked(Rank); !Left.empty())
-      return withinZones(Targets, Typical, Left);
+    if (const candidate_set Left = candidates(Rank); !Left.empty())
+      return withinZones(Left);
   return std::nullopt;
 }
 
+std::optional<std::size_t>
+placement::choose(const std::vector<placing_view> &Targets,
+                  const std::vector<std::size_t> &Order) const {
+  return flow_choice(Targets, Order, Without).choose();
+}
+
 } // namespace marjoramrail
