--- a/daemons/forwarder/request_log.h
+++ b/daemons/forwarder/request_log.h
@@ -29,8 +29,13 @@
   void answered(const flow_key &Flow, int Status, duration Took,
                 duration Usual);
   /// Whether an answer of this code says that the target did not do what was
-  /// asked, and not that the request was wrong.
-  static bool isFailure(int Status) { return Status >= 500; }
+  /// asked, and not that the request was wrong. Too many requests (429) are too
+  /// many for this target; where a caller sends too many to all, all say so,
+  /// and none stands out.
+  static bool isFailure(int Status) {
+    constexpr int TooManyRequests = 429;
+    return Status >= 500 || Status == TooManyRequests;
+  }
   /// The id of the request that waits on \p Flow, or ""; it is over now.
   std::string lost(const flow_key &Flow);
 
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -48,6 +48,7 @@
   agent_outcome resetLost(const tcp_packet &Head);
   void noteDeclined(const flow_key &Flow, instant Now);
   void noteAnswer(const flow_key &Flow, bool Failed, instant Now);
+  void noteGivenUp(const tcp_packet &Head, instant Now);
   void tellFailures(const flow_key &Flow);
   agent_outcome onAnswer(segment Segment, bytes_view Bytes, instant Now);
   void nameOwner(const routed_packet &Routed, const flow_key &Flow,
@@ -130,6 +131,7 @@
   const bool IsKnown = Kind == target_load::caller_packet::Known;
   if (IsKnown) {
     nameOwner(Routed, Segment.Head.Flow, Now);
+    noteGivenUp(Segment.Head, Now);
     if (Load.onCaller(Segment.Head, Now)) {
       ++Counters.Requests;
       if (Hooks.OnRequest)
@@ -292,6 +294,15 @@
   tellFailures(Flow);
 }
 
+/// A target that takes requests and answers nothing is found out by callers who
+/// give up: they end a flow on which their request still waits.
+void forward_agent::impl::noteGivenUp(const tcp_packet &Head, instant Now) {
+  const watched_flow *Watched = Load.find(Head.Flow);
+  if ((Head.Fin || Head.Rst) && Watched && Watched->Asking &&
+      !Watched->CallerEnded)
+    noteAnswer(Head.Flow, /*Failed=*/true, Now);
+}
+
 /// Figure of the event: failures in thousandths, as balancers are told.
 void forward_agent::impl::tellFailures(const flow_key &Flow) {
   if (!Failures.review() || !Hooks.OnEvent)
--- a/test/forward/flows_test.cpp
+++ b/test/forward/flows_test.cpp
@@ -444,3 +444,35 @@
   Site.tellBalancers();
   CHECK(Site.open(2, flowOf(5000)) > 1);
 }
+
+TEST_CASE_FIXTURE(small_site, "callers who give up count as failures") {
+  // A target takes requests and answers none. It refuses nothing and fails
+  // nothing; only its callers' patience shows that it is not well, and without
+  // it new flows would go on to it as to any other.
+  const std::uint32_t Next = open(1, flowOf(2001));
+  const unsigned Owner = ownerOf(flowOf(2001));
+  REQUIRE(Owner != 0);
+  Hosts[Owner].Target.Frozen = true;
+  test_frame Request = data(flowOf(2001), Next);
+  Request.Segment.Head.Sequence = 100;
+  packet(1, Request);
+  CHECK(Hosts[Owner].Agent->report(Now).Failing == 0);
+  test_frame End = data(flowOf(2001), Next);
+  End.Segment.Head.Payload = 0;
+  End.Segment.Head.Fin = true;
+  packet(1, End);
+  const auto Failing = Hosts[Owner].Agent->report(Now).Failing;
+  CHECK(Failing > 0);
+  packet(1, End);
+  CHECK(Hosts[Owner].Agent->report(Now).Failing == Failing);
+}
+
+TEST_CASE_FIXTURE(small_site, "a flow that ends in calm is no failure") {
+  const std::uint32_t Next = open(1, flowOf(2001));
+  packet(1, data(flowOf(2001), Next));
+  test_frame End = data(flowOf(2001), Next);
+  End.Segment.Head.Payload = 0;
+  End.Segment.Head.Fin = true;
+  packet(1, End);
+  CHECK(Hosts[ownerOf(flowOf(2001))].Agent->report(Now).Failing == 0);
+}
