Split the agent's core and its process by subject

The core is three files behind forward_agent_impl.h as the balancer's is: packets of balancers and agents, packets of the target and how it answers, the rest. The process's part that hears and looks at its target is a file of its own.

--- a/bench/forward/main.cpp
+++ b/bench/forward/main.cpp
@@ -282,8 +282,7 @@
     const bool IsFailure = fails(Target);
     const instant At{std::chrono::milliseconds(Now * StepMs)};
     Failures[Target].onAnswer(IsFailure, At);
-    Real[Target].Failing =
-        static_cast<std::uint16_t>(Failures[Target].share() * 1000);
+    Real[Target].Failing = Failures[Target].thousandths();
     if (IsFailure) {
       ++Failed;
       return;
--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -1,20 +1,10 @@
 #include "forward_agent_process.h"
 #include "process_pages.h"
 
-#include <cerrno>
-#include <cstring>
-
 namespace marjoramrail::daemons {
 
 namespace {
 
-/// A target that does not answer is looked at this often.
-constexpr duration LookPeriod = std::chrono::milliseconds(500);
-/// The longest time between two packets of a target whose flow is not over: the
-/// end of its back-off, and some room.
-constexpr duration LongestRetransmission = std::chrono::milliseconds(1800);
-/// On the same VM a connection comes about, or is refused, within this time.
-constexpr duration LookTime = std::chrono::milliseconds(300);
 /// For the last reports to leave before the process ends.
 constexpr duration FarewellTime = std::chrono::milliseconds(20);
 /// For the store to drop the entry before the process ends; half of the usual
@@ -25,10 +15,6 @@
 /// a single request are over sooner, and would fill every write.
 constexpr duration KeepAge = std::chrono::seconds(1);
 
-std::string entryName(const agent_program_settings &Settings) {
-  return "target." + Settings.Name;
-}
-
 } // namespace
 
 forward_agent_process::forward_agent_process(
@@ -167,7 +153,7 @@
   };
   return std::make_unique<flow_keeper>(
       Loop.timers(), Store.api(),
-      flow_keeper::settings{{KeptFlowsKind, entryName(Settings)},
+      flow_keeper::settings{{KeptFlowsKind, Settings.entryName()},
                             Settings.KeepFlowsEvery},
       std::move(Hooks));
 }
@@ -247,7 +233,7 @@
     Routed.flush();
   });
   Log.record(event_kind::ProcessStarted, startReason(Settings.Without));
-  Registrar.look(entryName(Settings));
+  Registrar.look(Settings.entryName());
   if (Keeper)
     Keeper->start();
   return {};
@@ -311,150 +297,4 @@
   });
 }
 
-//===----------------------------------------------------------------------===//
-// The target
-//===----------------------------------------------------------------------===//
-
-std::optional<page_answer>
-forward_agent_process::onTargetCall(const page_request &Request) {
-  const auto Call = Adapter.DecodeTargetCall(Request);
-  if (!Call)
-    return std::nullopt;
-  switch (Call->Kind) {
-  case target_call_kind::Report:
-    return onReport(Call->Report);
-  case target_call_kind::Leave:
-    return onLeave(Call->Report.Id);
-  case target_call_kind::Malformed:
-    ++Malformed;
-    Log.record(event_kind::ReportRefused, Call->Reason);
-    return page_answer{400, "{}"};
-  }
-  return std::nullopt;
-}
-
-/// The answer is the promise that a leaving target gets no new flows; it is
-/// true when it is given, because this agent alone gives them.
-page_answer forward_agent_process::onReport(const target_report &Report) {
-  const instant Now = Loop.timers().now();
-  const bool WasDraining = Reports.last().Draining;
-  const report_verdict Verdict = Reports.take(Report, Now);
-  if (Verdict == report_verdict::WrongService) {
-    Log.record(event_kind::ReportRefused, "wrong service " + Report.Service,
-               Report.Id);
-    return {409, "{}"};
-  }
-  if (Verdict == report_verdict::Late) {
-    ++Late;
-    Log.record(event_kind::ReportRefused, "late", Report.Id);
-    return {200, "{}"};
-  }
-  if (Report.Draining != WasDraining || Report.Sequence <= 1)
-    Log.record(event_kind::ReportTaken, Report.Draining ? "draining" : "ready",
-               Report.Id);
-  if (Core.targetGone())
-    onTargetBack("it reported");
-  if (Keeper)
-    Keeper->onRun({Report.Id, Report.Born});
-  Core.setTarget(Report.Slots, Report.WarmupLeft, Now);
-  review("the target reported");
-  announce();
-  return {200, "{}"};
-}
-
-page_answer forward_agent_process::onLeave(const std::string &Id) {
-  const report_verdict Verdict = Reports.leave(Id, Loop.timers().now());
-  Log.record(Verdict == report_verdict::Taken ? event_kind::ReportTaken
-                                              : event_kind::ReportRefused,
-             "leaves", Id);
-  if (Verdict == report_verdict::Taken) {
-    review("the target left");
-    withdrawWhenGone();
-  }
-  return {200, "{}"};
-}
-
-/// A target says that it leaves before its process has ended, and still holds
-/// flows. Without its entry a balancer would find that nobody can hold them and
-/// have them reset.
-///
-/// A leaving target refuses connections before its flows have ended: as long as
-/// it sends their last packets again, a refusal proves nothing.
-void forward_agent_process::withdrawWhenGone() {
-  if (!Reports.left() || Stopping)
-    return;
-  if (Core.targetGone())
-    return withdraw();
-  if (Loop.timers().now() - LastFromTarget > LongestRetransmission)
-    lookAtTarget();
-  Loop.timers().after(LookPeriod, [this] { withdrawWhenGone(); });
-}
-
-/// The entry is gone although the target is there. Its next flows wait until
-/// all know it again.
-void forward_agent_process::announceAgain() {
-  if (Stopping || Reports.left() || !Registrar.settled())
-    return;
-  Registrar.recheck();
-}
-
-void forward_agent_process::announce() {
-  target_entry Entry;
-  Entry.Name = entryName(Settings);
-  Entry.Service = Settings.Service;
-  Entry.Agent = Settings.RoutedListen;
-  Entry.Zone = Settings.Zone;
-  Entry.Slots = Reports.last().Slots;
-  Entry.Draining = Reports.last().Draining;
-  Withdrawing = false;
-  Withdrawn = false;
-  Registrar.set(Entry);
-}
-
-void forward_agent_process::review(const char *Why) {
-  const instant Now = Loop.timers().now();
-  const bool Admits = Admission.admits(Reports, Now) && !Stopping;
-  if (Admits != Core.admitting()) {
-    Core.setAdmitting(Admits);
-    Log.record(event_kind::AdmissionChanged,
-               std::string(Admits ? "admits: " : "does not admit: ") + Why);
-    Core.reportNow(Now);
-    Routed.flush();
-  }
-  const auto Settled = Admission.settledAt();
-  if (!Admits && Settled && *Settled > Now)
-    Loop.timers().after(*Settled - Now, [this] { review("settled"); });
-}
-
-/// A target that does not answer is frozen, cut off or gone. Only the last
-/// means that its flows are lost; a refused connection is the proof, since on
-/// one VM nothing but a missing process refuses.
-void forward_agent_process::lookAtTarget() {
-  if (Look)
-    return;
-  tcp_stream::hooks Hooks;
-  Hooks.OnConnected = [this] { endLook(); };
-  Hooks.OnClosed = [this](const std::string &Reason) {
-    onTargetLooked(Reason);
-    endLook();
-  };
-  Look = tcp_stream::connect(Loop, Settings.Target, std::move(Hooks));
-  LookTimer = Loop.timers().after(LookTime, [this] { Look.reset(); });
-}
-
-/// Not at once: the stream must not go from within its own hook.
-void forward_agent_process::endLook() {
-  Loop.timers().cancel(LookTimer);
-  LookTimer = Loop.timers().after(duration::zero(), [this] { Look.reset(); });
-}
-
-void forward_agent_process::onTargetLooked(const std::string &Reason) {
-  if (Reason != std::strerror(ECONNREFUSED) || Core.targetGone())
-    return;
-  Log.record(event_kind::TargetGone, Reason, toText(Settings.Target));
-  Core.setTargetGone(true, Loop.timers().now());
-  Core.reportNow(Loop.timers().now());
-  Routed.flush();
-}
-
 } // namespace marjoramrail::daemons
--- a/daemons/forwarder/forwarder_settings.h
+++ b/daemons/forwarder/forwarder_settings.h
@@ -60,6 +60,9 @@
   /// power; zero: never.
   duration KeepFlowsEvery;
   mechanism_set Without;
+
+  /// The name of the target's objects in the store.
+  std::string entryName() const { return "target." + Name; }
 };
 
 result<balancer_program_settings> readBalancerSettings(const std::string &Path);
--- a/src/forward/failure_watch.h
+++ b/src/forward/failure_watch.h
@@ -17,6 +17,7 @@
 
 #include "marjoramrail/base.h"
 
+#include <cstdint>
 #include <utility>
 
 namespace marjoramrail::internal {
@@ -47,6 +48,10 @@
 
   /// Failures among the last answers, 0 to 1.
   double share() const { return Share; }
+  /// The same as reports carry it.
+  std::uint16_t thousandths() const {
+    return static_cast<std::uint16_t>(Share * 1000);
+  }
 
   /// What the log tells: whether the target counts as failing, by this share
   /// alone. It goes at half of where it came, so that a share that stays near
--- /dev/null
+++ b/src/forward/forward_agent_impl.h
@@ -0,0 +1,79 @@
+//===- forward_agent_impl.h - The parts of the agent ------------*- C++ -*-===//
+///
+/// \file
+/// The agent's core behind its public face. routed_packets.cpp takes what
+/// balancers and other agents send, target_packets.cpp what the target writes
+/// and how it answers, forward_agent.cpp does the rest.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_FORWARD_FORWARD_AGENT_IMPL_H
+#define MARJORAMRAIL_FORWARD_FORWARD_AGENT_IMPL_H
+
+#include "forward/decline_watch.h"
+#include "forward/failure_watch.h"
+#include "forward/offered_packets.h"
+#include "forward/target_load.h"
+
+namespace marjoramrail {
+
+struct forward_agent::impl {
+  impl(const forward_agent_settings &Settings, segment_codec Codec,
+       forward_agent_hooks Hooks)
+      : Settings(Settings), Codec(std::move(Codec)), Hooks(std::move(Hooks)) {}
+
+  agent_outcome onRouted(const routed_packet &Routed, instant Now);
+  agent_outcome onNewFlow(const routed_packet &Routed, const segment &Segment,
+                          instant Now);
+  agent_outcome onFlowPacket(const routed_packet &Routed,
+                             const segment &Segment, instant Now);
+  agent_outcome deliver(const routed_packet &Routed, const segment &Segment,
+                        bool Waits, instant Now);
+  agent_outcome passOn(routed_packet Routed, const tcp_packet &Head,
+                       std::string_view Why);
+  void passOnUnsure(routed_packet Routed, const tcp_packet &Head);
+  agent_outcome endOfList(const routed_packet &Routed, const tcp_packet &Head,
+                          std::string_view Why);
+  agent_outcome askForMore(routed_packet Routed);
+  agent_outcome onDeclined(const segment &Segment, bytes_view Bytes,
+                           instant Now);
+  bool sendReset(const tcp_packet &Packet);
+  agent_outcome resetLost(const tcp_packet &Head);
+  void noteDeclined(const flow_key &Flow, instant Now);
+  void noteAnswer(const flow_key &Flow, bool Failed, instant Now);
+  void noteGivenUp(const tcp_packet &Head, instant Now);
+  void tellFailures(const flow_key &Flow);
+  agent_outcome onAnswer(segment Segment, bytes_view Bytes, instant Now);
+  void nameOwner(const routed_packet &Routed, const flow_key &Flow,
+                 instant Now);
+  void resetAll(instant Now);
+  void resetOpen(const open_flow &Open, std::string_view Why);
+  void callOut(instant Now);
+  void sendReport(const endpoint &Balancer, instant Now);
+  void reportNow(instant Now);
+  load_report report(instant Now) const;
+  void tell(event_kind What, std::string_view Why, const flow_key &Flow,
+            const endpoint &Agent);
+
+  forward_agent_settings Settings;
+  segment_codec Codec;
+  forward_agent_hooks Hooks;
+  internal::offered_packets Offered;
+  internal::target_load Load;
+  std::map<endpoint, instant> Balancers;
+  /// The last balancer heard, and when it was heard or called last.
+  std::optional<std::pair<endpoint, instant>> LastBalancer;
+  bool Admitting = false;
+  bool TargetGone = false;
+  /// The target has not answered the last thing put to it.
+  bool Silent = false;
+  internal::decline_watch Declines;
+  internal::failure_watch Failures;
+  std::uint32_t Slots = 1;
+  instant WarmUntil;
+  forward_agent_counters Counters;
+};
+
+} // namespace marjoramrail
+
+#endif // MARJORAMRAIL_FORWARD_FORWARD_AGENT_IMPL_H
