--- a/src/forward/agent_roster.cpp
+++ b/src/forward/agent_roster.cpp
@@ -12,6 +12,8 @@
 
 void agent_roster::set(const std::vector<target_entry> &Targets, instant Now) {
   const bool IsFirst = Agents.empty();
+  if (IsFirst && !Targets.empty())
+    NextAsked = Seed % Targets.size();
   std::vector<agent_state> Former = std::exchange(Agents, {});
   ByService.clear();
   const auto Places = std::exchange(ByEndpoint, {});
--- a/src/forward/agent_roster.h
+++ b/src/forward/agent_roster.h
@@ -73,7 +73,10 @@
   /// Questions in one round: bounds the control traffic of a zone of thousands.
   static constexpr std::size_t QuestionsPerRound = 16;
 
-  explicit agent_roster(std::string Zone) : Zone(std::move(Zone)) {}
+  /// \p Seed: unlike that of other balancers, which would otherwise all ask
+  /// the same agents first, while the others of a large zone wait for minutes.
+  agent_roster(std::string Zone, std::uint64_t Seed)
+      : Zone(std::move(Zone)), Seed(Seed) {}
 
   void set(const std::vector<target_entry> &Targets, instant Now);
   agent_state *find(const endpoint &Agent);
@@ -92,6 +95,7 @@
 
 private:
   std::string Zone;
+  std::uint64_t Seed;
   std::vector<agent_state> Agents;
   std::unordered_map<endpoint, std::size_t, endpoint_hash> ByEndpoint;
   std::map<service_id, std::vector<std::size_t>> ByService;
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -35,7 +35,8 @@
   impl(const forward_balancer_settings &Settings, segment_codec Codec,
        forward_balancer_hooks Hooks)
       : Settings(Settings), Codec(std::move(Codec)), Hooks(std::move(Hooks)),
-        Roster(Settings.Zone), Memory(Settings.MaxFlows) {}
+        Roster(Settings.Zone, internal::endpoint_hash()(Settings.Self)),
+        Memory(Settings.MaxFlows) {}
 
   forward_outcome route(const segment &Segment, bytes_view Bytes, instant Now);
   forward_outcome open(const internal::route_state &Route,
--- /dev/null
+++ b/test/forward/agent_roster_test.cpp
@@ -0,0 +1,59 @@
+#include "forward/agent_roster.h"
+
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace marjoramrail;
+using namespace marjoramrail::internal;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned AgentsInZone = 400;
+
+std::vector<target_entry> zoneOfAgents() {
+  std::vector<target_entry> Targets;
+  for (unsigned Number = 0; Number < AgentsInZone; ++Number)
+    Targets.push_back({"target." + std::to_string(Number),
+                       "ledger",
+                       {0x0a000100 + Number, 700},
+                       "brugge",
+                       4,
+                       false});
+  return Targets;
+}
+
+std::vector<endpoint> askedBy(agent_roster &Roster, instant Now) {
+  std::vector<endpoint> Asked;
+  Roster.review(Now, Asked, [](const agent_state &) {});
+  return Asked;
+}
+
+} // namespace
+
+TEST_CASE("balancers that start ask different agents first") {
+  // All VMs have lost power. Each agent waits for the word of any balancer; if
+  // all balancers went through the list from its head, the last agents of a
+  // zone of thousands would hear of them after a minute and a half.
+  const std::vector<target_entry> Targets = zoneOfAgents();
+  const instant Now{10s};
+  std::set<endpoint> Asked;
+  for (unsigned Balancer = 0; Balancer < 100; ++Balancer) {
+    agent_roster Roster("brugge",
+                        endpoint_hash()({0x0a000900 + Balancer, 7000}));
+    Roster.set(Targets, Now);
+    for (const endpoint &Agent : askedBy(Roster, Now))
+      Asked.insert(Agent);
+  }
+  CHECK(Asked.size() >= AgentsInZone * 9 / 10);
+}
+
+TEST_CASE("a balancer asks every agent of its zone in turn") {
+  agent_roster Roster("brugge", 17);
+  Roster.set(zoneOfAgents(), instant(10s));
+  std::set<endpoint> Asked;
+  for (unsigned Round = 0; Round < AgentsInZone / 16; ++Round)
+    for (const endpoint &Agent : askedBy(Roster, instant(10s)))
+      Asked.insert(Agent);
+  CHECK(Asked.size() == AgentsInZone);
+}
