Take no balancer's word for an entry that the store has called missing

Cause, found by reading: an agent that restarts after its entry was taken out (its VM had been cut off for over a minute) reads 'not found'; a balancer that is itself behind still lists the old entry and says 'found' or 'known for long'. The agent would have admitted flows at once, which balancers that do not list it reset. Change: both notices count only while the store has not said that the entry is missing. Two tests of the registrar.

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -57,15 +57,17 @@
   Hooks.SendToCaller = [this](const endpoint &Caller, bytes_view Bytes) {
     Routed.send({Caller.Address, Settings.RoutedListen.Port}, Bytes);
   };
+  // A balancer without the store's news may name an entry that is gone.
   Hooks.Listed = [this] {
-    if (this->Settings.Without.has(mechanism::ListedNotices))
+    if (Registrar.knownMissing() ||
+        this->Settings.Without.has(mechanism::ListedNotices))
       return;
     Admission.onListed(Loop.timers().now());
     review("a balancer has known this target for long");
   };
   Hooks.Found = [this] {
     // An entry that this process has written may have been new to all.
-    if (Registrar.hasWritten() ||
+    if (Registrar.hasWritten() || Registrar.knownMissing() ||
         this->Settings.Without.has(mechanism::FoundNotices))
       return;
     Admission.onListed(Loop.timers().now());
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -226,6 +226,9 @@
   bool settled() const;
   /// This process has sent the entry to the store, whatever became of it.
   bool hasWritten() const;
+  /// The store has said that it holds no entry, and nothing has been written
+  /// since.
+  bool knownMissing() const;
 
 private:
   struct impl;
--- a/src/directory/target_registrar.cpp
+++ b/src/directory/target_registrar.cpp
@@ -186,4 +186,8 @@
 
 bool target_registrar::hasWritten() const { return Impl->WroteBefore; }
 
+bool target_registrar::knownMissing() const {
+  return Impl->Fresh && !Impl->Held;
+}
+
 } // namespace marjoramrail
--- a/test/directory/target_registrar_test.cpp
+++ b/test/directory/target_registrar_test.cpp
@@ -199,3 +199,27 @@
             return {};
           }).has_value());
 }
+
+TEST_CASE_FIXTURE(registrar_fixture, "it is told that an entry was taken out") {
+  // A VM was cut off for long, counted as dead, and comes back as a new
+  // process. A balancer that is still cut off names its old entry; whoever took
+  // that for the store's word would give the target flows that others reset.
+  Registrar.look(Entry.Name);
+  CHECK_FALSE(Registrar.knownMissing());
+  pass(100ms);
+  CHECK(Registrar.knownMissing());
+  CHECK_FALSE(Registrar.hasWritten());
+
+  Registrar.set(Entry);
+  CHECK(Registrar.hasWritten());
+  pass(100ms);
+  CHECK_FALSE(Registrar.knownMissing());
+}
+
+TEST_CASE_FIXTURE(registrar_fixture, "an entry of before is not missing") {
+  Store.put("site", Entry.Name, encodeTarget(Entry));
+  Registrar.look(Entry.Name);
+  pass(100ms);
+  CHECK_FALSE(Registrar.knownMissing());
+  CHECK_FALSE(Registrar.hasWritten());
+}
