--- a/include/marjoramrail/mechanism.h
+++ b/include/marjoramrail/mechanism.h
@@ -55,15 +55,13 @@
   FoundNotices,
   /// A store that has not answered once is asked again soon.
   EarlyStoreRetry,
-  /// A balancer that knows nothing asks the store again soon.
-  ShortFirstRetry,
   /// A new target waits for its first flow until everyone knows it.
   SettleTime,
   /// A list that was cut is walked on by its balancer.
   WalkContinuation,
 };
 
-inline constexpr name_table<mechanism, 16> MechanismNames = {{
+inline constexpr name_table<mechanism, 15> MechanismNames = {{
     {mechanism::TwoChoices, "two_choices"},
     {mechanism::ZoneOverflow, "zone_overflow"},
     {mechanism::QueueWeight, "queue_weight"},
@@ -77,7 +75,6 @@
     {mechanism::ListedNotices, "listed_notices"},
     {mechanism::FoundNotices, "found_notices"},
     {mechanism::EarlyStoreRetry, "early_store_retry"},
-    {mechanism::ShortFirstRetry, "short_first_retry"},
     {mechanism::SettleTime, "settle_time"},
     {mechanism::WalkContinuation, "walk_continuation"},
 }};
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -28,15 +28,6 @@
 /// A balancer whose knowledge is older watches by itself: the watchers may be
 /// cut off from the store, or it from them.
 constexpr duration TrustPeersFor = std::chrono::milliseconds(1000);
-/// As long as a balancer knows no routes it serves nobody: after a loss of all
-/// power each 100 ms that it notices the store's return later costs every
-/// request of as long. All balancers of a kind together ask a hundred times a
-/// second at most, a twentieth of what the store may be asked, and each no more
-/// often than its first answer needs,
-constexpr duration FirstListSpacing = std::chrono::milliseconds(10);
-constexpr duration LeastFirstRetry = std::chrono::milliseconds(150);
-/// and no less often than one that has an old list.
-constexpr duration MostFirstRetry = std::chrono::milliseconds(800);
 constexpr duration RecordPeriod = std::chrono::milliseconds(200);
 
 } // namespace
@@ -72,14 +63,6 @@
   };
   Feed.OnBatch = [this] { changed(); };
   Feed.Wait = [this, Wait] { return (this->*Wait)(); };
-  Feed.MostFirstRetry = [this] {
-    if (Settings.Without.has(mechanism::ShortFirstRetry))
-      return MostFirstRetry;
-    const auto Balancers =
-        static_cast<std::int64_t>(Peers.live(Timers.now())) + 1;
-    return std::clamp(FirstListSpacing * Balancers, LeastFirstRetry,
-                      MostFirstRetry);
-  };
   Feed.OnContact = [this, Kind](bool Answers, const std::string &Reason) {
     Hooks.OnEvent(Answers ? event_kind::StoreRegained : event_kind::StoreLost,
                   Kind + ": " + Reason);
--- a/src/directory/object_feed.cpp
+++ b/src/directory/object_feed.cpp
@@ -207,10 +207,8 @@
 void object_feed::retry(const platform_reply &Reply,
                         void (object_feed::*Step)()) {
   contact(false, Reply.Reason);
-  const duration Most =
-      Known || !Hooks.MostFirstRetry ? LastRetry : Hooks.MostFirstRetry();
   const duration Wait =
-      std::min(FirstRetry * (1 << std::min(Failures++, 3)), Most);
+      std::min(FirstRetry * (1 << std::min(Failures++, 3)), LastRetry);
   Timers.after(Wait, [this, Alive = Alive, Step] {
     if (*Alive)
       (this->*Step)();
--- a/src/directory/object_feed.h
+++ b/src/directory/object_feed.h
@@ -28,9 +28,6 @@
     std::function<void()> OnBatch;
     /// How long the next watch may wait; nothing while peers' news are enough.
     std::function<std::optional<duration>()> Wait;
-    /// The longest pause between two attempts as long as nothing is known; may
-    /// be empty.
-    std::function<duration()> MostFirstRetry;
     /// The store stopped or began to answer.
     std::function<void(bool Answers, const std::string &Reason)> OnContact;
   };
