--- a/src/forward/flow_walk.cpp
+++ b/src/forward/flow_walk.cpp
@@ -47,15 +47,15 @@
     return;
   const service_id Service =
       Route.Holders.empty() ? service_id{} : Route.Holders.front();
-  if (Rest && Settings.Without.has(mechanism::WalkContinuation))
-    send(List, Service, {}, 0, Bytes, Now);
-  else if (Rest && Sure)
+  const bool GoesOn =
+      Rest && !Settings.Without.has(mechanism::WalkContinuation);
+  if (GoesOn && Sure)
     send(List, Service, {routed_flag::Continues, routed_flag::WholeSoFar},
          encodeCursor(*Rest), Bytes, Now);
-  else if (Rest)
+  else if (GoesOn)
     send(List, Service, {routed_flag::Continues}, encodeCursor(*Rest), Bytes,
          Now);
-  else if (Sure)
+  else if (Sure && !Rest)
     send(List, Service, {routed_flag::Whole}, 0, Bytes, Now);
   else
     send(List, Service, {}, 0, Bytes, Now);
