--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -48,9 +48,10 @@
 /// After a loss of all power no balancer has had it for so long, and each agent
 /// is on its own with a store that has just come back: at the pace of their
 /// retries the first one to be served took every flow of the site for a second,
-/// and refused most. A balancer's first list is the proof for all who stand in
-/// it. Its price is a datagram for each agent; what it buys is in
-/// docs/POLICY.md.
+/// and its target refused most. A balancer's first list is the proof for all
+/// who stand in it, for a datagram each: all of them admit within 0.2 s of the
+/// store's return, by the log, and of the two seconds around it a quarter is
+/// served instead of a twentieth.
 void forward_balancer::impl::tellListed(const agent_state &Agent, instant Now) {
   if (Agent.Draining)
     return;
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -16,6 +16,12 @@
 // at most two flows in n. Without the preference for the zone every second
 // packet crosses to another one; without its limit a burst in one zone is
 // refused while the next one has free slots.
+//
+// How a target answers goes before how loaded it is: one that fails its
+// requests at once is idle and quick, and by load alone gets more of them the
+// more it fails. In the model of bench/forward, with two of fifteen targets
+// failing four requests in ten, 263 requests fail instead of 809 with the hash
+// alone and 1,026 with the least loaded.
 
 /// Choices compared for a flow.
 static constexpr std::size_t Choices = 2;
