--- a/src/forward/agent_roster.h
+++ b/src/forward/agent_roster.h
@@ -38,7 +38,8 @@
   bool Draining = false;
   /// Since when the store's list names this agent for this service.
   instant ListedSince;
-  /// It stood in the first list that this balancer got, written by itself.
+  /// It stood in the first list that this balancer got, and the agent itself,
+  /// not a balancer for it, had written the entry.
   bool Found = false;
   /// In the store's list; others are only remembered for their flows.
   bool Listed = true;
--- a/src/forward/decline_watch.h
+++ b/src/forward/decline_watch.h
@@ -5,9 +5,10 @@
 /// flow back within a millisecond. Its agent passes the flow on, so nothing is
 /// lost at once; but the target has few flows and none in progress, looks like
 /// the idlest of its zone, and is named first for every new flow. All of them
-/// then fall upon the next in its zone, whatever that one's load: half of the
-/// flows of a zone with two targets, on a day when one crashed, were refused by
-/// a full queue while other zones idled, and 600 of 21,000 requests late.
+/// then fall upon the next in its zone, whatever that one's load. In one play
+/// of a zone with two targets, one of which crashed, a full queue refused 682
+/// requests while other zones idled, and 640 of the zone's 8,563 were late;
+/// with this watch 85 were.
 ///
 /// So an agent whose target declines several new flows in a row says that it
 /// does not answer, and balancers choose among the others.
--- a/src/forward/failure_watch.h
+++ b/src/forward/failure_watch.h
@@ -1,5 +1,4 @@
-//===- failure_watch.h - How many of a target's answers are failures
-//-------===//
+//===- failure_watch.h - How often a target fails its callers ---*- C++ -*-===//
 ///
 /// \file
 /// The load: a target answers part of its requests with an error, at once. It
