Sight: what holds a process's loop up, and how each large call ends

Cause: the incident's two first hypotheses could not be told apart; neither transfers nor turns of the loop left a trace. Change: turns by kind of work as distributions, a line for a turn of 20 ms or more with wall and processor time, a line for a call that failed, was slow or brought 64 KB (with the bytes that came, also of one given up).

--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -49,11 +49,12 @@
     event_loop &Loop, const balancer_program_settings &Settings,
     const site_adapter &Adapter)
     : Loop(Loop), Settings(Settings), Adapter(Adapter),
-      Log(Loop, Settings.Name),
+      Log(Loop, Settings.Name), Work(Log, Metrics), OnWork(Work.onWork()),
       Callers(Loop, [this](auto Batch) { onCallers(Batch); }),
       Peers(Loop, [this](auto Batch) { onPeers(Batch); }),
-      Store(Loop, storeSettings(Settings.Name, Settings.Store, Adapter,
-                                Settings.Without)),
+      Store(Loop, watched(storeSettings(Settings.Name, Settings.Store, Adapter,
+                                        Settings.Without),
+                          Work)),
       Core({.Self = Settings.PeersListen,
             .Zone = Settings.Zone,
             .FlowLife = Settings.FlowLife,
@@ -102,6 +103,7 @@
   Hooks.OnEvent = [this](event_kind What, const std::string &Why) {
     Log.record(What, Why);
   };
+  Hooks.OnWork = OnWork;
   return Hooks;
 }
 
@@ -114,7 +116,7 @@
   Client.Servers = {Peer};
   Client.Writer = Settings.Name;
   Client.Timeout = PeerTimeout;
-  PeerClient = std::make_unique<platform_client>(Loop, Client);
+  PeerClient = std::make_unique<platform_client>(Loop, watched(Client, Work));
   PeerClient->api().List(Kind, std::move(Done));
 }
 
@@ -189,11 +191,19 @@
 }
 
 void forward_balancer_process::takeDirectory() {
-  Core.setRoutes(Directory.rules());
-  Core.setTargets(Directory.targets(), Loop.timers().now());
+  const std::vector<route_rule> Rules = Directory.rules();
+  {
+    const measured_work Taking(OnWork, work_kind::TakeRules, Rules.size());
+    Core.setRoutes(Rules);
+  }
+  const std::vector<target_entry> Targets = Directory.targets();
+  const measured_work Taking(OnWork, work_kind::TakeTargets, Targets.size());
+  Core.setTargets(Targets, Loop.timers().now());
 }
 
 void forward_balancer_process::onCallers(std::span<const datagram> Batch) {
+  const measured_work Forwarding(OnWork, work_kind::CallerPackets,
+                                 Batch.size());
   LastPacketAt = Loop.timers().now();
   Packets += Batch.size();
   Core.setKnownAsOf(Directory.knownAsOf());
@@ -201,14 +211,10 @@
     Core.onCallerPacket(Datagram.Bytes, LastPacketAt);
   Peers.flush();
   Callers.flush();
-  Loop.wake();
-  Metrics.observe(
-      "marjoramrail_batch_seconds",
-      std::chrono::duration<double>(Loop.timers().now() - LastPacketAt)
-          .count());
 }
 
 void forward_balancer_process::onPeers(std::span<const datagram> Batch) {
+  const measured_work Taking(OnWork, work_kind::PeerPackets, Batch.size());
   for (const datagram &Datagram : Batch) {
     if (directory::isForDirectory(Datagram.Bytes))
       Directory.input(Datagram.From, Datagram.Bytes);
--- a/daemons/forwarder/forward_balancer_process.h
+++ b/daemons/forwarder/forward_balancer_process.h
@@ -11,6 +11,7 @@
 #include "event_log.h"
 #include "forwarder_settings.h"
 #include "site_adapter.h"
+#include "work_log.h"
 
 namespace marjoramrail::daemons {
 
@@ -45,6 +46,8 @@
   site_adapter Adapter;
   event_log Log;
   metrics Metrics;
+  work_log Work;
+  work_hook OnWork;
   udp_socket Callers;
   udp_socket Peers;
   platform_client Store;
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -372,6 +372,8 @@
       ListFromPeer;
   /// For the log: what became known, lost or regained.
   std::function<void(event_kind What, const std::string &Why)> OnEvent;
+  /// What its longer pieces of work took; may be empty.
+  work_hook OnWork;
 };
 
 class directory {
--- a/include/marjoramrail/platform.h
+++ b/include/marjoramrail/platform.h
@@ -198,6 +198,29 @@
 /// Fills in Objects and StoreVersion; false if \p Text is no such list.
 bool decodeObjectList(std::string_view Text, platform_reply &Reply);
 
+/// How one call ended, for logs.
+struct platform_call_end {
+  platform_verb Verb = platform_verb::Read;
+  object_key Key;
+  /// The server that had the call last.
+  endpoint Server;
+  platform_outcome Outcome = platform_outcome::Unavailable;
+  std::string Reason;
+  /// Bytes of the answer's body that came, also of one that was given up.
+  std::size_t Bytes = 0;
+  /// From the call to its end, and how much of it the server was asked to wait.
+  duration Took = duration::zero();
+  duration Wait = duration::zero();
+};
+
+inline constexpr name_table<platform_verb, 5> PlatformVerbNames = {{
+    {platform_verb::Read, "read"},
+    {platform_verb::List, "list"},
+    {platform_verb::Write, "write"},
+    {platform_verb::Remove, "remove"},
+    {platform_verb::Watch, "watch"},
+}};
+
 struct platform_client_settings {
   std::vector<endpoint> Servers;
   /// The name under which this process writes.
@@ -217,6 +240,10 @@
   /// platform that hangs would let them pile up without bound.
   std::size_t MaxWaiting = 1024;
   platform_dialect Dialect = objectDialect();
+  /// Each call's end, before its callback; may be empty.
+  std::function<void(const platform_call_end &)> OnCallEnd = {};
+  /// What decoding answers and taking them took; may be empty.
+  work_hook OnWork = {};
 };
 
 /// platform_api over HTTP/1.1 (libevent).
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -220,6 +220,76 @@
   std::unique_ptr<impl> Impl;
 };
 
+/// What a process's loop spends its time on. While it does one of these, no
+/// packet is forwarded.
+enum class work_kind {
+  /// A batch of datagrams from callers; from peers and agents; from the target.
+  CallerPackets,
+  PeerPackets,
+  TargetPackets,
+  /// An answer of the store or of a peer: made into objects, and all that
+  /// follows from them.
+  DecodeAnswer,
+  TakeAnswer,
+  /// Copies of objects for a peer.
+  ServeCopies,
+  DecodeRoutes,
+  BuildRules,
+  TakeRules,
+  TakeTargets,
+  CompareRecord,
+  AnswerGreeting,
+};
+
+inline constexpr name_table<work_kind, 12> WorkKindNames = {{
+    {work_kind::CallerPackets, "caller_packets"},
+    {work_kind::PeerPackets, "peer_packets"},
+    {work_kind::TargetPackets, "target_packets"},
+    {work_kind::DecodeAnswer, "decode_answer"},
+    {work_kind::TakeAnswer, "take_answer"},
+    {work_kind::ServeCopies, "serve_copies"},
+    {work_kind::DecodeRoutes, "decode_routes"},
+    {work_kind::BuildRules, "build_rules"},
+    {work_kind::TakeRules, "take_rules"},
+    {work_kind::TakeTargets, "take_targets"},
+    {work_kind::CompareRecord, "compare_record"},
+    {work_kind::AnswerGreeting, "answer_greeting"},
+}};
+
+/// A piece of work that was done in one turn of the loop.
+struct work_done {
+  work_kind What = work_kind::CallerPackets;
+  /// How many packets, routes, targets or bytes it was about.
+  std::size_t Items = 0;
+  duration Took = duration::zero();
+  /// The thread's processor time: much less than Took on a VM that is out of
+  /// processor time, and equal to it where the work itself is long. Zero for
+  /// packets.
+  duration Processor = duration::zero();
+};
+
+using work_hook = std::function<void(const work_done &)>;
+
+/// Measures a piece of work from its construction to its end. Work within work
+/// counts for both.
+class measured_work {
+public:
+  /// \p Hook may be empty; then nothing is measured.
+  measured_work(const work_hook &Hook, work_kind What, std::size_t Items = 0);
+  ~measured_work();
+  measured_work(const measured_work &) = delete;
+  measured_work &operator=(const measured_work &) = delete;
+
+  /// For a number that is known only at the end.
+  void setItems(std::size_t Items) { Done.Items = Items; }
+
+private:
+  const work_hook &Hook;
+  work_done Done;
+  duration StartedAt = duration::zero();
+  duration ProcessorBefore = duration::zero();
+};
+
 /// One request that a page_call hook may serve.
 struct page_request {
   bool IsPost = false;
--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -96,11 +96,15 @@
   ObjectRefused,
   CopiedFromPeer,
   SettingsReloaded,
+  /// A call to the store or a peer failed, was slow or brought much.
+  CallEnded,
+  /// One turn of the loop took long; no packet was forwarded meanwhile.
+  LongTurn,
   /// Lines that the log's budget has left out since the last one of this kind.
   LinesLeftOut,
 };
 
-inline constexpr name_table<event_kind, 49> EventKindNames = {{
+inline constexpr name_table<event_kind, 51> EventKindNames = {{
     {event_kind::ProcessStarted, "process-started"},
     {event_kind::ProcessStopping, "process-stopping"},
     {event_kind::ViewTaken, "view-taken"},
@@ -149,6 +153,8 @@
     {event_kind::ObjectRefused, "object-refused"},
     {event_kind::CopiedFromPeer, "copied-from-peer"},
     {event_kind::SettingsReloaded, "settings-reloaded"},
+    {event_kind::CallEnded, "call-ended"},
+    {event_kind::LongTurn, "long-turn"},
     {event_kind::LinesLeftOut, "lines-left-out"},
 }};
 
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -104,6 +104,8 @@
     return;
   boost::leaf::try_handle_all(
       [&]() -> result<void> {
+        const measured_work Work(Hooks.OnWork, work_kind::DecodeRoutes,
+                                 Object.Body.size());
         BOOST_LEAF_AUTO(Table, Hooks.DecodeRoutes(Object));
         if (!Decoded || Table.Version > Decoded->Version)
           Decoded = Table;
@@ -237,11 +239,14 @@
     Feed = &Impl->Site;
   if (!Feed || !Feed->known())
     return std::nullopt;
+  measured_work Work(Impl->Hooks.OnWork, work_kind::ServeCopies);
   platform_reply List;
   List.StoreVersion = Feed->version();
   for (const auto &[Name, Object] : Feed->objects())
     List.Objects.push_back(Object);
-  return encodeObjectList(List);
+  std::string Text = encodeObjectList(List);
+  Work.setItems(Text.size());
+  return Text;
 }
 
 bool directory::ready() const {
@@ -249,7 +254,10 @@
 }
 
 std::vector<route_rule> directory::rules() const {
-  return Impl->Gate.rules(Impl->Record);
+  measured_work Work(Impl->Hooks.OnWork, work_kind::BuildRules);
+  std::vector<route_rule> Rules = Impl->Gate.rules(Impl->Record);
+  Work.setItems(Rules.size());
+  return Rules;
 }
 
 std::vector<target_entry> directory::targets() const {
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -61,6 +61,7 @@
             std::uint64_t TheirChange);
 
   void keepRecord();
+  std::optional<std::string> compareRecord(const route_table &Newest);
   void writeRecord(const std::string &Body);
   void writeSelf();
   void dropGonePeers();
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -98,6 +98,13 @@
                      }));
 }
 
+std::optional<std::string>
+directory::impl::compareRecord(const route_table &Newest) {
+  const measured_work Work(Hooks.OnWork, work_kind::CompareRecord,
+                           Newest.Routes.size());
+  return Record.update(Newest, Timers.now());
+}
+
 void directory::impl::keepRecord() {
   writeSelf();
   dropGonePeers();
@@ -108,7 +115,7 @@
   }
   if (!RecordNeededSince || !Newest || !Site.known() || RecordBusy)
     return;
-  const auto Body = Record.update(*Newest, Timers.now());
+  const auto Body = compareRecord(*Newest);
   if (!Body) {
     RecordNeededSince.reset();
     // Former services leave the record in time.
--- a/src/platform/call.h
+++ b/src/platform/call.h
@@ -32,6 +32,10 @@
   /// Servers that refused the connection, for reads.
   std::size_t Refusals = 0;
   timer_id Timer{};
+  instant StartedAt;
+  /// Where the call went last, and what came of the answer's body.
+  endpoint Server;
+  std::size_t Bytes = 0;
   /// Earlier parts of a list that comes in several.
   std::vector<platform_object> Parts;
 };
--- a/src/platform/http_lane.cpp
+++ b/src/platform/http_lane.cpp
@@ -42,11 +42,16 @@
 
 void http_lane::carry(const dialect_request &Sent, done_hook Hook) {
   Done = std::move(Hook);
+  Body.clear();
   evhttp_request *Request = evhttp_request_new(
       [](evhttp_request *Request, void *User) {
         static_cast<http_lane *>(User)->finish(Request);
       },
       this);
+  evhttp_request_set_chunked_cb(
+      Request, [](evhttp_request *Request, void *User) {
+        static_cast<http_lane *>(User)->takePart(Request);
+      });
   evkeyvalq *Fields = evhttp_request_get_output_headers(Request);
   evhttp_add_header(Fields, "Host", toText(Address).c_str());
   for (const auto &[Name, Value] : Sent.Fields)
@@ -60,12 +65,19 @@
   }
 }
 
-static http_answer answerOf(evhttp_request *Request) {
+/// libevent throws the part away after this hook.
+void http_lane::takePart(evhttp_request *Request) {
+  evbuffer *Input = evhttp_request_get_input_buffer(Request);
+  const std::size_t Before = Body.size();
+  const std::size_t Part = evbuffer_get_length(Input);
+  Body.resize(Before + Part);
+  evbuffer_remove(Input, Body.data() + Before, Part);
+}
+
+static http_answer answerOf(evhttp_request *Request, std::string Body) {
   http_answer Answer;
   Answer.Code = evhttp_request_get_response_code(Request);
-  evbuffer *Input = evhttp_request_get_input_buffer(Request);
-  Answer.Body.resize(evbuffer_get_length(Input));
-  evbuffer_remove(Input, Answer.Body.data(), Answer.Body.size());
+  Answer.Body = std::move(Body);
   const char *RetryAfter = evhttp_find_header(
       evhttp_request_get_input_headers(Request), "Retry-After");
   Answer.RetryAfter = RetryAfter ? RetryAfter : "";
@@ -82,7 +94,8 @@
     return Hook(std::nullopt, call_loss::NoAnswer);
   if (evhttp_request_get_response_code(Request) == 0)
     return Hook(std::nullopt, call_loss::NotSent);
-  Hook(answerOf(Request), call_loss::NoAnswer);
+  takePart(Request);
+  Hook(answerOf(Request, std::move(Body)), call_loss::NoAnswer);
 }
 
 } // namespace marjoramrail::internal
--- a/src/platform/http_lane.h
+++ b/src/platform/http_lane.h
@@ -35,15 +35,23 @@
   std::size_t server() const { return Server; }
   bool busy() const { return static_cast<bool>(Done); }
 
+  const endpoint &address() const { return Address; }
+
   void carry(const dialect_request &Request, done_hook Done);
 
+  /// Bytes of the answer's body that have come.
+  std::size_t received() const { return Body.size(); }
+
 private:
+  void takePart(evhttp_request *Request);
   void finish(evhttp_request *Request);
 
   std::size_t Server;
   endpoint Address;
   evhttp_connection *Connection;
   done_hook Done;
+  /// The answer's body, as far as it has come.
+  std::string Body;
 };
 
 } // namespace marjoramrail::internal
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -52,7 +52,9 @@
   void carry(lane &Lane, const call_ptr &Call);
   void onDone(lane &Lane, std::optional<http_answer> Answer, call_loss Loss);
   void onTimeout(const call_ptr &Call);
+  platform_reply decode(const call &Call, const http_answer &Answer);
   void take(const call_ptr &Call, platform_reply Reply);
+  void tellEnd(const call &Call, const platform_reply &Reply);
   void finish(const call_ptr &Call, platform_reply Reply);
   void deliver(const call_ptr &Call);
 
@@ -82,6 +84,7 @@
       Call.WriterSequence = ++Sequence;
   }
   auto Shared = std::make_shared<call>(std::move(Call));
+  Shared->StartedAt = Loop.timers().now();
   Shared->Timer = Loop.timers().after(timeoutOf(*Shared),
                                       [this, Shared] { onTimeout(Shared); });
   if (const std::string Fault = faultOf(*Shared); !Fault.empty())
@@ -152,6 +155,7 @@
 
 void platform_client::impl::carry(lane &Lane, const call_ptr &Call) {
   Lane.Call = Call;
+  Call->Server = Lane.Http->address();
   Lane.Http->carry(
       Settings.Dialect.Request(*Call),
       [this, &Lane](std::optional<http_answer> Answer, call_loss Loss) {
@@ -168,8 +172,10 @@
   HasAnswered |= Answer.has_value();
   if (HasAnswered)
     FirstCalls.clear();
-  if (Answer)
-    return take(Call, Settings.Dialect.Reply(*Call, *Answer));
+  if (Answer) {
+    Call->Bytes += Answer->Body.size();
+    return take(Call, decode(*Call, *Answer));
+  }
   Lane.Spent = true;
   const std::string Where = toText(Settings.Servers[Server]);
   if (Loss == call_loss::NoAnswer)
@@ -183,6 +189,13 @@
   finish(Call, replyToLoss(*Call, Loss, Where + " takes no connection"));
 }
 
+platform_reply platform_client::impl::decode(const call &Call,
+                                             const http_answer &Answer) {
+  const measured_work Work(Settings.OnWork, work_kind::DecodeAnswer,
+                           Answer.Body.size());
+  return Settings.Dialect.Reply(Call, Answer);
+}
+
 /// Asks for the next part of a list that comes in several, so that cores see
 /// one list. The parts may be of different moments; the version of the first is
 /// the one that a watch has to go on from.
@@ -212,6 +225,7 @@
                    [&](const auto &Lane) { return Lane->Call == Call; });
   if (Held != Lanes.end()) {
     const std::string Where = toText(Settings.Servers[(*Held)->Http->server()]);
+    Call->Bytes += (*Held)->Http->received();
     Lanes.erase(Held);
     schedulePump();
     return finish(Call, replyToLoss(*Call, call_loss::NoAnswer,
@@ -225,6 +239,7 @@
 /// The callback runs later: a core must not be entered from its own call.
 void platform_client::impl::finish(const call_ptr &Call, platform_reply Reply) {
   Loop.timers().cancel(Call->Timer);
+  tellEnd(*Call, Reply);
   Finished.emplace(Call, std::move(Reply));
   Loop.defer([this, Call, Alive = std::weak_ptr<bool>(Alive)] {
     if (!Alive.expired())
@@ -232,12 +247,29 @@
   });
 }
 
+void platform_client::impl::tellEnd(const call &Call,
+                                    const platform_reply &Reply) {
+  if (!Settings.OnCallEnd)
+    return;
+  platform_call_end End;
+  End.Verb = Call.Verb;
+  End.Key = Call.Key;
+  End.Server = Call.Server;
+  End.Outcome = Reply.Outcome;
+  End.Reason = Reply.Reason;
+  End.Bytes = Call.Bytes;
+  End.Took = Loop.timers().now() - Call.StartedAt;
+  End.Wait = Call.Wait;
+  Settings.OnCallEnd(End);
+}
+
 void platform_client::impl::deliver(const call_ptr &Call) {
   const auto Found = Finished.find(Call);
   if (Found == Finished.end())
     return;
   const platform_reply Reply = std::move(Found->second);
   Finished.erase(Found);
+  const measured_work Work(Settings.OnWork, work_kind::TakeAnswer, Call->Bytes);
   if (const platform_callback Done = std::exchange(Call->Done, nullptr))
     Done(Reply);
 }
--- /dev/null
+++ b/src/runtime/measured_work.cpp
@@ -0,0 +1,43 @@
+#include "marjoramrail/runtime.h"
+
+#include <ctime>
+
+namespace marjoramrail {
+
+static duration readClock(clockid_t Clock) {
+  timespec Time{};
+  clock_gettime(Clock, &Time);
+  return std::chrono::duration_cast<duration>(
+      std::chrono::seconds(Time.tv_sec) +
+      std::chrono::nanoseconds(Time.tv_nsec));
+}
+
+/// Reading the processor's clock is a system call, too dear for each batch of
+/// packets.
+static bool countsProcessor(work_kind What) {
+  return What != work_kind::CallerPackets && What != work_kind::PeerPackets &&
+         What != work_kind::TargetPackets;
+}
+
+measured_work::measured_work(const work_hook &Hook, work_kind What,
+                             std::size_t Items)
+    : Hook(Hook) {
+  if (!Hook)
+    return;
+  Done.What = What;
+  Done.Items = Items;
+  StartedAt = readClock(CLOCK_MONOTONIC);
+  if (countsProcessor(What))
+    ProcessorBefore = readClock(CLOCK_THREAD_CPUTIME_ID);
+}
+
+measured_work::~measured_work() {
+  if (!Hook)
+    return;
+  Done.Took = readClock(CLOCK_MONOTONIC) - StartedAt;
+  if (countsProcessor(Done.What))
+    Done.Processor = readClock(CLOCK_THREAD_CPUTIME_ID) - ProcessorBefore;
+  Hook(Done);
+}
+
+} // namespace marjoramrail
