--- /dev/null
+++ b/test/directory/many_routes_test.cpp
@@ -0,0 +1,135 @@
+#include "directory/site_store.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace marjoramrail;
+using namespace marjoramrail::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t ManyRoutes = 4200;
+/// A narrow link (10 Mbit/s) carries so much in 50 ms.
+constexpr std::size_t MostBytes = 64 * 1024;
+
+/// {"version": 3, "count": 2}: so many routes on successive addresses, spelled
+/// out to the size that a site's own configuration has.
+std::string bodyOf(std::uint64_t Version, std::size_t Count) {
+  nlohmann::json Routes = nlohmann::json::array();
+  for (std::size_t I = 0; I < Count; ++I)
+    Routes.push_back({{"name", "route-" + std::to_string(I)},
+                      {"address", 0x0a000001 + I / 4},
+                      {"port", 80 + I % 4},
+                      {"service", "ledger"},
+                      {"kind_of_requests", "safe"},
+                      {"target_milliseconds", 250},
+                      {"limit_milliseconds", 1500},
+                      {"order", I % 3},
+                      {"split", {{{"service", "ledger"}, {"weight", 1}}}},
+                      {"remarks", "one of the site's many addresses, " +
+                                      std::to_string(I)}});
+  return nlohmann::json{{"version", Version}, {"routes", Routes}}.dump();
+}
+
+result<route_table> decodeMany(const platform_object &Object) {
+  const auto Json = nlohmann::json::parse(Object.Body, nullptr, false);
+  if (!Json.is_object())
+    return fail(step::ValidateObject, Object.Key.Name, "no object");
+  route_table Table;
+  Table.Version = Json["version"];
+  for (const auto &Item : Json["routes"])
+    Table.Routes.push_back({Item["name"],
+                            {Item["address"].get<std::uint32_t>(),
+                             Item["port"].get<std::uint16_t>()},
+                            {{Item["service"], 1}}});
+  return Table;
+}
+
+/// One balancer that knows a large configuration and does with each change what
+/// its process does.
+class many_routes {
+public:
+  timer_service Timers;
+  fake_platform Store{Timers};
+  store_faults Faults;
+  std::unique_ptr<directory> Directory;
+  /// Routes that were looked at, by kind of work.
+  std::map<work_kind, std::size_t> Looked;
+
+  many_routes() {
+    Store.put("config", "main", bodyOf(1, ManyRoutes));
+    directory_settings Settings;
+    Settings.Name = "balancer-1";
+    Settings.Zone = "brugge";
+    Settings.Self = {0x0a000201, 7000};
+    directory_hooks Hooks;
+    Hooks.DecodeRoutes = decodeMany;
+    Hooks.OnChange = [this] { Directory->rules(); };
+    Hooks.OnEvent = [](event_kind, const std::string &) {};
+    Hooks.Send = [](const endpoint &, std::span<const std::uint8_t>) {};
+    Hooks.ListFromPeer = [](const endpoint &, const std::string &,
+                            const platform_callback &) {};
+    Hooks.OnWork = [this](const work_done &Work) {
+      Looked[Work.What] += Work.Items;
+    };
+    Directory = std::make_unique<directory>(
+        Timers,
+        directory_platform{siteStore(Store, Faults, Settings.RoutesKind),
+                           siteStore(Store, Faults, Settings.SiteKind)},
+        Settings, Hooks);
+    Directory->start();
+    pass(5s);
+    REQUIRE(Directory->routesVersion() == 1);
+    REQUIRE(Directory->rules().size() == ManyRoutes);
+    Looked.clear();
+  }
+
+  void pass(duration Time) { Timers.advance(Timers.now() + Time); }
+
+  void addTarget(unsigned Number) {
+    const std::string Name = "target." + std::to_string(Number);
+    const target_entry Target{Name,     "ledger", {0x0a000301 + Number, 700},
+                              "brugge", 4,        false};
+    Store.put("marjoramrail", Name, encodeTarget(Target));
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(many_routes, "targets that join cost no look at the routes" *
+                                   doctest::should_fail()) {
+  // Targets are replaced one after the other, several a second, on a site with
+  // thousands of routes. If every target makes balancers go through all routes,
+  // those with a small share of a core do nothing else: callers' packets wait,
+  // and so does the next configuration.
+  for (unsigned Number = 0; Number < 10; ++Number) {
+    addTarget(Number);
+    pass(500ms);
+  }
+
+  CHECK(Directory->targets().size() == 10);
+  CHECK(Looked[work_kind::BuildRules] == 0);
+  CHECK(Looked[work_kind::CompareRecord] == 0);
+}
+
+TEST_CASE_FIXTURE(many_routes, "a peer copies many routes in little" *
+                                   doctest::should_fail()) {
+  // All but two balancers of a zone copy a new configuration from those two. In
+  // the site's own spelling it fills a narrow link for a second, and more when
+  // several copy at once.
+  const auto Copy = Directory->serve("config");
+
+  REQUIRE(Copy);
+  CHECK(Copy->size() <= MostBytes);
+}
+
+TEST_CASE_FIXTURE(many_routes, "the record of many routes is small" *
+                                   doctest::should_fail()) {
+  // Every balancer gets the record of services when a route is added. A record
+  // that spells out each address takes as long to come as the configuration.
+  const platform_object Record = Store.get("marjoramrail", "routes");
+
+  REQUIRE(Record.Version != 0);
+  CHECK(Record.Body.size() <= MostBytes);
+}
--- a/test/standins/platform/client_and_server_test.cpp
+++ b/test/standins/platform/client_and_server_test.cpp
@@ -309,3 +309,111 @@
 
   CHECK(Asked == 4);
 }
+
+namespace {
+
+/// Serves one list in pieces, as over a link that is narrow or busy.
+class slow_server {
+public:
+  slow_server(event_loop &Loop, std::size_t Pieces, duration Gap)
+      : Loop(Loop), Gap(Gap), Left(Pieces),
+        Listener(Loop, [this](std::unique_ptr<tcp_stream> Stream) {
+          serve(std::move(Stream));
+        }) {
+    platform_reply Reply;
+    Reply.StoreVersion = 7;
+    Reply.Objects.push_back({{"config", "main"}, 7, "{}", "test", 1, false});
+    Text = encodeObjectList(Reply);
+    Text.append(PieceBytes * Pieces - Text.size(), ' ');
+    REQUIRE(Listener.open(AnyPort));
+  }
+
+  endpoint local() const { return Listener.local(); }
+  /// Stops after so many pieces, and says nothing more.
+  std::size_t FallsSilentAfter = SIZE_MAX;
+
+private:
+  static constexpr std::size_t PieceBytes = 1000;
+
+  void serve(std::unique_ptr<tcp_stream> Accepted) {
+    Stream = std::move(Accepted);
+    tcp_stream::hooks Hooks;
+    Hooks.OnConnected = [] {};
+    Hooks.OnData = [this](std::string_view) { begin(); };
+    Hooks.OnClosed = [this](const std::string &) { Gone = true; };
+    Hooks.OnDrained = [] {};
+    Stream->setHooks(Hooks);
+  }
+
+  void begin() {
+    if (std::exchange(Begun, true))
+      return;
+    Stream->write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                  std::to_string(Text.size()) + "\r\n\r\n");
+    Loop.timers().every(Gap, [this] { sendPiece(); });
+  }
+
+  void sendPiece() {
+    if (Gone || Left == 0 || Sent == FallsSilentAfter)
+      return;
+    --Left;
+    Stream->write(
+        std::string_view(Text).substr(PieceBytes * Sent++, PieceBytes));
+  }
+
+  event_loop &Loop;
+  duration Gap;
+  std::size_t Left;
+  std::size_t Sent = 0;
+  bool Begun = false;
+  bool Gone = false;
+  std::string Text;
+  std::unique_ptr<tcp_stream> Stream;
+  tcp_listener Listener;
+};
+
+platform_reply listFrom(event_loop &Loop, const slow_server &Server,
+                        duration Timeout) {
+  platform_client Client(
+      Loop,
+      {.Servers = {Server.local()}, .Writer = "test", .Timeout = Timeout});
+  platform_reply Reply;
+  Client.api().List("config", [&](const platform_reply &Received) {
+    Reply = Received;
+    Loop.stop();
+  });
+  Loop.timers().after(seconds(20), [&] { Loop.stop(); });
+  Loop.run();
+  return Reply;
+}
+
+} // namespace
+
+TEST_CASE("an answer that keeps coming is waited for" *
+          doctest::should_fail()) {
+  // A configuration of a megabyte comes to an entry VM with a narrow link, or
+  // from a peer that serves several. It takes longer than a call may wait for
+  // an answer. Given up and asked for anew it comes from its first byte again,
+  // and never gets through: two balancers used an old configuration for 17 s.
+  event_loop Loop;
+  const slow_server Server(Loop, /*Pieces=*/20, milliseconds(50));
+
+  const platform_reply Reply = listFrom(Loop, Server, milliseconds(400));
+
+  CHECK(Reply.Outcome == platform_outcome::Ok);
+  CHECK(Reply.StoreVersion == 7);
+}
+
+TEST_CASE("an answer that stops coming is given up") {
+  // A connection goes silent half way through an answer, for good. Whoever
+  // waits for the rest would wait for ever.
+  event_loop Loop;
+  slow_server Server(Loop, /*Pieces=*/20, milliseconds(20));
+  Server.FallsSilentAfter = 5;
+  const instant Began = Loop.timers().now();
+
+  const platform_reply Reply = listFrom(Loop, Server, milliseconds(400));
+
+  CHECK(Reply.Outcome == platform_outcome::Unavailable);
+  CHECK(Loop.timers().now() - Began < seconds(3));
+}
