Name the measured turns of the loop apart from the work library's kinds

Cause: work_kind stood twice (work.h); programs that include both did not build. Change: turn_kind, measured_turn, turn_log. No change of logic.

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -21,13 +21,13 @@
     event_loop &Loop, const agent_program_settings &Settings,
     const site_adapter &Adapter)
     : Loop(Loop), Settings(Settings), Adapter(Adapter),
-      Log(Loop, Settings.Name), Work(Log, Metrics), OnWork(Work.onWork()),
+      Log(Loop, Settings.Name), Turns(Log, Metrics), OnTurn(Turns.onTurn()),
       Requests(Log, Metrics, this->Adapter),
       Routed(Loop, [this](auto Batch) { onRouted(Batch); }),
       TargetPackets(Loop, [this](auto Batch) { onTargetPackets(Batch); }),
       Store(Loop, watched(storeSettings(Settings.Name, Settings.Store, Adapter,
                                         Settings.Without),
-                          Work)),
+                          Turns)),
       Core({.Service = serviceNumber(Settings.Service),
             .Self = Settings.RoutedListen,
             .Without = Settings.Without},
@@ -268,7 +268,7 @@
 }
 
 void forward_agent_process::onRouted(std::span<const datagram> Batch) {
-  const measured_work Taking(OnWork, work_kind::PeerPackets, Batch.size());
+  const measured_turn Taking(OnTurn, turn_kind::PeerPackets, Batch.size());
   const instant Now = Loop.timers().now();
   for (const datagram &Datagram : Batch)
     Core.onRouted(Datagram.From, Datagram.Bytes, Now);
@@ -278,7 +278,7 @@
 }
 
 void forward_agent_process::onTargetPackets(std::span<const datagram> Batch) {
-  const measured_work Taking(OnWork, work_kind::TargetPackets, Batch.size());
+  const measured_turn Taking(OnTurn, turn_kind::TargetPackets, Batch.size());
   const instant Now = Loop.timers().now();
   LastFromTarget = Now;
   for (const datagram &Datagram : Batch)
--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -14,7 +14,7 @@
 #include "request_log.h"
 #include "site_adapter.h"
 #include "target_admission.h"
-#include "work_log.h"
+#include "turn_log.h"
 
 namespace marjoramrail::daemons {
 
@@ -63,8 +63,8 @@
   site_adapter Adapter;
   event_log Log;
   metrics Metrics;
-  work_log Work;
-  work_hook OnWork;
+  turn_log Turns;
+  turn_hook OnTurn;
   request_log Requests;
   udp_socket Routed;
   udp_socket TargetPackets;
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -49,12 +49,12 @@
     event_loop &Loop, const balancer_program_settings &Settings,
     const site_adapter &Adapter)
     : Loop(Loop), Settings(Settings), Adapter(Adapter),
-      Log(Loop, Settings.Name), Work(Log, Metrics), OnWork(Work.onWork()),
+      Log(Loop, Settings.Name), Turns(Log, Metrics), OnTurn(Turns.onTurn()),
       Callers(Loop, [this](auto Batch) { onCallers(Batch); }),
       Peers(Loop, [this](auto Batch) { onPeers(Batch); }),
       Store(Loop, watched(storeSettings(Settings.Name, Settings.Store, Adapter,
                                         Settings.Without),
-                          Work)),
+                          Turns)),
       Core({.Self = Settings.PeersListen,
             .Zone = Settings.Zone,
             .FlowLife = Settings.FlowLife,
@@ -93,7 +93,7 @@
   directory_hooks Hooks;
   Hooks.DecodeRoutes = Adapter.DecodeRoutes;
   Hooks.OnRules = [this](const rule_changes &Changes) {
-    const measured_work Taking(OnWork, work_kind::TakeRules,
+    const measured_turn Taking(OnTurn, turn_kind::TakeRules,
                                Changes.Changed.size());
     Core.changeRoutes(Changes);
   };
@@ -108,7 +108,7 @@
   Hooks.OnEvent = [this](event_kind What, const std::string &Why) {
     Log.record(What, Why);
   };
-  Hooks.OnWork = OnWork;
+  Hooks.OnTurn = OnTurn;
   return Hooks;
 }
 
@@ -121,7 +121,7 @@
   Client.Servers = {Peer};
   Client.Writer = Settings.Name;
   Client.Timeout = PeerTimeout;
-  PeerClient = std::make_unique<platform_client>(Loop, watched(Client, Work));
+  PeerClient = std::make_unique<platform_client>(Loop, watched(Client, Turns));
   PeerClient->api().List(Kind, std::move(Done));
 }
 
@@ -197,12 +197,12 @@
 
 void forward_balancer_process::takeTargets() {
   const std::vector<target_entry> Targets = Directory.targets();
-  const measured_work Taking(OnWork, work_kind::TakeTargets, Targets.size());
+  const measured_turn Taking(OnTurn, turn_kind::TakeTargets, Targets.size());
   Core.setTargets(Targets, Loop.timers().now());
 }
 
 void forward_balancer_process::onCallers(std::span<const datagram> Batch) {
-  const measured_work Forwarding(OnWork, work_kind::CallerPackets,
+  const measured_turn Forwarding(OnTurn, turn_kind::CallerPackets,
                                  Batch.size());
   LastPacketAt = Loop.timers().now();
   Packets += Batch.size();
@@ -214,7 +214,7 @@
 }
 
 void forward_balancer_process::onPeers(std::span<const datagram> Batch) {
-  const measured_work Taking(OnWork, work_kind::PeerPackets, Batch.size());
+  const measured_turn Taking(OnTurn, turn_kind::PeerPackets, Batch.size());
   for (const datagram &Datagram : Batch) {
     if (directory::isForDirectory(Datagram.Bytes))
       Directory.input(Datagram.From, Datagram.Bytes);
--- a/daemons/forwarder/forward_balancer_process.h
+++ b/daemons/forwarder/forward_balancer_process.h
@@ -11,7 +11,7 @@
 #include "event_log.h"
 #include "forwarder_settings.h"
 #include "site_adapter.h"
-#include "work_log.h"
+#include "turn_log.h"
 
 namespace marjoramrail::daemons {
 
@@ -46,8 +46,8 @@
   site_adapter Adapter;
   event_log Log;
   metrics Metrics;
-  work_log Work;
-  work_hook OnWork;
+  turn_log Turns;
+  turn_hook OnTurn;
   udp_socket Callers;
   udp_socket Peers;
   platform_client Store;
--- a/daemons/forwarder/work_log.cpp
+++ b/daemons/forwarder/turn_log.cpp
@@ -1,4 +1,4 @@
-#include "work_log.h"
+#include "turn_log.h"
 
 namespace marjoramrail::daemons {
 
@@ -16,28 +16,28 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
 }
 
-work_log::work_log(event_log &Log, metrics &Metrics)
+turn_log::turn_log(event_log &Log, metrics &Metrics)
     : Log(Log), Metrics(Metrics) {
-  for (const auto &[What, Name] : WorkKindNames)
+  for (const auto &[What, Name] : TurnKindNames)
     TurnNames[static_cast<std::size_t>(What)] =
         "marjoramrail_turn_seconds_" + std::string(Name);
 }
 
-void work_log::take(const work_done &Work) {
-  Metrics.observe(TurnNames[static_cast<std::size_t>(Work.What)],
-                  seconds(Work.Took));
-  if (Work.Took < LongTurn || !Log.wants(event_kind::LongTurn))
+void turn_log::take(const turn_done &Turn) {
+  Metrics.observe(TurnNames[static_cast<std::size_t>(Turn.What)],
+                  seconds(Turn.Took));
+  if (Turn.Took < LongTurn || !Log.wants(event_kind::LongTurn))
     return;
   timeline_event Event;
   Event.What = event_kind::LongTurn;
-  Event.Why = std::string(nameOf(WorkKindNames, Work.What)) + " of " +
-              std::to_string(Work.Items) + ", processor " +
-              std::to_string(Work.Processor.count()) + " us";
-  Event.TookMs = milliseconds(Work.Took);
+  Event.Why = std::string(nameOf(TurnKindNames, Turn.What)) + " of " +
+              std::to_string(Turn.Items) + ", processor " +
+              std::to_string(Turn.Processor.count()) + " us";
+  Event.TookMs = milliseconds(Turn.Took);
   Log.record(std::move(Event));
 }
 
-void work_log::take(const platform_call_end &End) {
+void turn_log::take(const platform_call_end &End) {
   const bool Failed = End.Outcome == platform_outcome::Unavailable ||
                       End.Outcome == platform_outcome::Unknown;
   const bool IsSlow = End.Took >= End.Wait + SlowCall;
@@ -57,17 +57,17 @@
   Log.record(std::move(Event));
 }
 
-work_hook work_log::onWork() {
-  return [this](const work_done &Work) { take(Work); };
+turn_hook turn_log::onTurn() {
+  return [this](const turn_done &Turn) { take(Turn); };
 }
 
-std::function<void(const platform_call_end &)> work_log::onCallEnd() {
+std::function<void(const platform_call_end &)> turn_log::onCallEnd() {
   return [this](const platform_call_end &End) { take(End); };
 }
 
 platform_client_settings watched(platform_client_settings Settings,
-                                 work_log &Log) {
-  Settings.OnWork = Log.onWork();
+                                 turn_log &Log) {
+  Settings.OnTurn = Log.onTurn();
   Settings.OnCallEnd = Log.onCallEnd();
   return Settings;
 }
--- a/daemons/forwarder/work_log.h
+++ b/daemons/forwarder/turn_log.h
@@ -1,4 +1,4 @@
-//===- work_log.h - What a process's loop was held up by --------*- C++ -*-===//
+//===- turn_log.h - What a process's loop was held up by --------*- C++ -*-===//
 ///
 /// \file
 /// Distributions of the loop's turns by kind of work, and a line for each turn
@@ -8,36 +8,36 @@
 ///
 //===----------------------------------------------------------------------===//
 
-#ifndef MARJORAMRAIL_DAEMONS_FORWARDER_WORK_LOG_H
-#define MARJORAMRAIL_DAEMONS_FORWARDER_WORK_LOG_H
+#ifndef MARJORAMRAIL_DAEMONS_FORWARDER_TURN_LOG_H
+#define MARJORAMRAIL_DAEMONS_FORWARDER_TURN_LOG_H
 
 #include "event_log.h"
 #include "marjoramrail/platform.h"
 
 namespace marjoramrail::daemons {
 
-class work_log {
+class turn_log {
 public:
-  work_log(event_log &Log, metrics &Metrics);
+  turn_log(event_log &Log, metrics &Metrics);
 
-  void take(const work_done &Work);
+  void take(const turn_done &Turn);
   void take(const platform_call_end &End);
 
   /// Hooks for the parts that do the work; they refer to this object.
-  work_hook onWork();
+  turn_hook onTurn();
   std::function<void(const platform_call_end &)> onCallEnd();
 
 private:
   event_log &Log;
   metrics &Metrics;
   /// The names of the distributions, by kind of work.
-  std::array<std::string, WorkKindNames.size()> TurnNames;
+  std::array<std::string, TurnKindNames.size()> TurnNames;
 };
 
 /// \p Settings of a client whose calls \p Log shows.
 platform_client_settings watched(platform_client_settings Settings,
-                                 work_log &Log);
+                                 turn_log &Log);
 
 } // namespace marjoramrail::daemons
 
-#endif // MARJORAMRAIL_DAEMONS_FORWARDER_WORK_LOG_H
+#endif // MARJORAMRAIL_DAEMONS_FORWARDER_TURN_LOG_H
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -389,7 +389,7 @@
   /// For the log: what became known, lost or regained.
   std::function<void(event_kind What, const std::string &Why)> OnEvent;
   /// What its longer pieces of work took; may be empty.
-  work_hook OnWork;
+  turn_hook OnTurn;
 };
 
 class directory {
--- a/include/marjoramrail/platform.h
+++ b/include/marjoramrail/platform.h
@@ -244,7 +244,7 @@
   /// Each call's end, before its callback; may be empty.
   std::function<void(const platform_call_end &)> OnCallEnd = {};
   /// What decoding answers and taking them took; may be empty.
-  work_hook OnWork = {};
+  turn_hook OnTurn = {};
 };
 
 /// platform_api over HTTP/1.1 (libevent).
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -222,7 +222,7 @@
 
 /// What a process's loop spends its time on. While it does one of these, no
 /// packet is forwarded.
-enum class work_kind {
+enum class turn_kind {
   /// A batch of datagrams from callers; from peers and agents; from the target.
   CallerPackets,
   PeerPackets,
@@ -241,24 +241,24 @@
   AnswerGreeting,
 };
 
-inline constexpr name_table<work_kind, 12> WorkKindNames = {{
-    {work_kind::CallerPackets, "caller_packets"},
-    {work_kind::PeerPackets, "peer_packets"},
-    {work_kind::TargetPackets, "target_packets"},
-    {work_kind::DecodeAnswer, "decode_answer"},
-    {work_kind::TakeAnswer, "take_answer"},
-    {work_kind::ServeCopies, "serve_copies"},
-    {work_kind::DecodeRoutes, "decode_routes"},
-    {work_kind::BuildRules, "build_rules"},
-    {work_kind::TakeRules, "take_rules"},
-    {work_kind::TakeTargets, "take_targets"},
-    {work_kind::CompareRecord, "compare_record"},
-    {work_kind::AnswerGreeting, "answer_greeting"},
+inline constexpr name_table<turn_kind, 12> TurnKindNames = {{
+    {turn_kind::CallerPackets, "caller_packets"},
+    {turn_kind::PeerPackets, "peer_packets"},
+    {turn_kind::TargetPackets, "target_packets"},
+    {turn_kind::DecodeAnswer, "decode_answer"},
+    {turn_kind::TakeAnswer, "take_answer"},
+    {turn_kind::ServeCopies, "serve_copies"},
+    {turn_kind::DecodeRoutes, "decode_routes"},
+    {turn_kind::BuildRules, "build_rules"},
+    {turn_kind::TakeRules, "take_rules"},
+    {turn_kind::TakeTargets, "take_targets"},
+    {turn_kind::CompareRecord, "compare_record"},
+    {turn_kind::AnswerGreeting, "answer_greeting"},
 }};
 
 /// A piece of work that was done in one turn of the loop.
-struct work_done {
-  work_kind What = work_kind::CallerPackets;
+struct turn_done {
+  turn_kind What = turn_kind::CallerPackets;
   /// How many packets, routes, targets or bytes it was about.
   std::size_t Items = 0;
   duration Took = duration::zero();
@@ -268,24 +268,24 @@
   duration Processor = duration::zero();
 };
 
-using work_hook = std::function<void(const work_done &)>;
+using turn_hook = std::function<void(const turn_done &)>;
 
 /// Measures a piece of work from its construction to its end. Work within work
 /// counts for both.
-class measured_work {
+class measured_turn {
 public:
   /// \p Hook may be empty; then nothing is measured.
-  measured_work(const work_hook &Hook, work_kind What, std::size_t Items = 0);
-  ~measured_work();
-  measured_work(const measured_work &) = delete;
-  measured_work &operator=(const measured_work &) = delete;
+  measured_turn(const turn_hook &Hook, turn_kind What, std::size_t Items = 0);
+  ~measured_turn();
+  measured_turn(const measured_turn &) = delete;
+  measured_turn &operator=(const measured_turn &) = delete;
 
   /// For a number that is known only at the end.
   void setItems(std::size_t Items) { Done.Items = Items; }
 
 private:
-  const work_hook &Hook;
-  work_done Done;
+  const turn_hook &Hook;
+  turn_done Done;
   duration StartedAt = duration::zero();
   duration ProcessorBefore = duration::zero();
 };
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -101,7 +101,7 @@
 
 result<route_table>
 directory::impl::decodeRoutes(const platform_object &Object) {
-  const measured_work Work(Hooks.OnWork, work_kind::DecodeRoutes,
+  const measured_turn Turn(Hooks.OnTurn, turn_kind::DecodeRoutes,
                            Object.Body.size());
   if (isEncodedRouteTable(Object.Body))
     return decodeRouteTable(Object.Key, Object.Body);
@@ -189,9 +189,9 @@
 void directory::impl::tellRules() {
   if (!std::exchange(RulesChanged, false))
     return;
-  measured_work Work(Hooks.OnWork, work_kind::BuildRules);
+  measured_turn Turn(Hooks.OnTurn, turn_kind::BuildRules);
   const rule_changes Changes = Gate.changes(Record);
-  Work.setItems(Changes.Changed.size() + Changes.Gone.size());
+  Turn.setItems(Changes.Changed.size() + Changes.Gone.size());
   if (!Changes.empty())
     Hooks.OnRules(Changes);
 }
@@ -270,13 +270,13 @@
     Feed = &Impl->Site;
   if (!Feed || !Feed->known())
     return std::nullopt;
-  measured_work Work(Impl->Hooks.OnWork, work_kind::ServeCopies);
+  measured_turn Turn(Impl->Hooks.OnTurn, turn_kind::ServeCopies);
   platform_reply List;
   List.StoreVersion = Feed->version();
   for (const auto &[Name, Object] : Feed->objects())
     List.Objects.push_back(Object);
   std::string Text = encodeObjectList(List);
-  Work.setItems(Text.size());
+  Turn.setItems(Text.size());
   return Text;
 }
 
--- a/src/directory/directory_peers.cpp
+++ b/src/directory/directory_peers.cpp
@@ -45,7 +45,7 @@
     return;
   Peers.heard(Greeting->Self, Greeting->Zone, Timers.now());
   if (!Greeting->IsReply) {
-    const measured_work Work(Hooks.OnWork, work_kind::AnswerGreeting);
+    const measured_turn Turn(Hooks.OnTurn, turn_kind::AnswerGreeting);
     peer_greeting Reply = greeting();
     Reply.IsReply = true;
     Reply.AskedUs = Greeting->AskedUs;
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -104,7 +104,7 @@
 
 std::optional<std::string> directory::impl::compareRecord() {
   const route_services &Current = Gate.newestServices();
-  const measured_work Work(Hooks.OnWork, work_kind::CompareRecord,
+  const measured_turn Turn(Hooks.OnTurn, turn_kind::CompareRecord,
                            Current.entries().size());
   return Record.update(Current, Timers.now());
 }
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -211,7 +211,7 @@
 
 platform_reply platform_client::impl::decode(const call &Call,
                                              const http_answer &Answer) {
-  const measured_work Work(Settings.OnWork, work_kind::DecodeAnswer,
+  const measured_turn Turn(Settings.OnTurn, turn_kind::DecodeAnswer,
                            Answer.Body.size());
   return Settings.Dialect.Reply(Call, Answer);
 }
@@ -289,7 +289,7 @@
     return;
   const platform_reply Reply = std::move(Found->second);
   Finished.erase(Found);
-  const measured_work Work(Settings.OnWork, work_kind::TakeAnswer, Call->Bytes);
+  const measured_turn Turn(Settings.OnTurn, turn_kind::TakeAnswer, Call->Bytes);
   if (const platform_callback Done = std::exchange(Call->Done, nullptr))
     Done(Reply);
 }
--- a/src/runtime/measured_work.cpp
+++ b/src/runtime/measured_turn.cpp
@@ -14,12 +14,12 @@
 
 /// Reading the processor's clock is a system call, too dear for each batch of
 /// packets.
-static bool countsProcessor(work_kind What) {
-  return What != work_kind::CallerPackets && What != work_kind::PeerPackets &&
-         What != work_kind::TargetPackets;
+static bool countsProcessor(turn_kind What) {
+  return What != turn_kind::CallerPackets && What != turn_kind::PeerPackets &&
+         What != turn_kind::TargetPackets;
 }
 
-measured_work::measured_work(const work_hook &Hook, work_kind What,
+measured_turn::measured_turn(const turn_hook &Hook, turn_kind What,
                              std::size_t Items)
     : Hook(Hook) {
   if (!Hook)
@@ -31,7 +31,7 @@
     ProcessorBefore = readClock(CLOCK_THREAD_CPUTIME_ID);
 }
 
-measured_work::~measured_work() {
+measured_turn::~measured_turn() {
   if (!Hook)
     return;
   Done.Took = readClock(CLOCK_MONOTONIC) - StartedAt;
--- a/test/directory/many_routes_test.cpp
+++ b/test/directory/many_routes_test.cpp
@@ -54,7 +54,7 @@
   store_faults Faults;
   std::unique_ptr<directory> Directory;
   /// Routes that were looked at, by kind of work.
-  std::map<work_kind, std::size_t> Looked;
+  std::map<turn_kind, std::size_t> Looked;
 
   many_routes() {
     Store.put("config", "main", bodyOf(1, ManyRoutes));
@@ -70,8 +70,8 @@
     Hooks.Send = [](const endpoint &, std::span<const std::uint8_t>) {};
     Hooks.ListFromPeer = [](const endpoint &, const std::string &,
                             const platform_callback &) {};
-    Hooks.OnWork = [this](const work_done &Work) {
-      Looked[Work.What] += Work.Items;
+    Hooks.OnTurn = [this](const turn_done &Turn) {
+      Looked[Turn.What] += Turn.Items;
     };
     Directory = std::make_unique<directory>(
         Timers,
@@ -108,8 +108,8 @@
   }
 
   CHECK(Directory->targets().size() == 10);
-  CHECK(Looked[work_kind::BuildRules] == 0);
-  CHECK(Looked[work_kind::CompareRecord] == 0);
+  CHECK(Looked[turn_kind::BuildRules] == 0);
+  CHECK(Looked[turn_kind::CompareRecord] == 0);
 }
 
 TEST_CASE_FIXTURE(many_routes, "a peer copies many routes in little") {
