--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -114,7 +114,8 @@
   boost::leaf::try_handle_all(
       [&]() -> result<void> {
         BOOST_LEAF_AUTO(Table, decodeRoutes(Object));
-        Object.Body = encodeRouteTable(Table);
+        if (!isEncodedRouteTable(Object.Body))
+          Object.Body = encodeRouteTable(Table);
         if (DecodedVersion != 0 && Table.Version <= DecodedVersion)
           return {};
         DecodedVersion = Table.Version;
--- a/src/directory/route_table_codec.cpp
+++ b/src/directory/route_table_codec.cpp
@@ -12,24 +12,45 @@
 /// Every encoded table begins so; the fields keep their order.
 static constexpr std::string_view Beginning = "{\"marjoramrail_routes\":";
 
-static std::vector<std::pair<std::string, std::uint32_t>>
-plainShares(const route &Route) {
-  std::vector<std::pair<std::string, std::uint32_t>> Shares;
-  for (const service_share &Share : Route.Shares)
-    Shares.emplace_back(Share.Service, Share.Weight);
-  return Shares;
+/// Routes with the same shares.
+struct route_group {
+  std::vector<service_share> Shares;
+  std::vector<endpoint> Addresses;
+};
+
+static std::vector<route_group> groupsOf(const route_table &Table) {
+  std::map<std::vector<std::pair<std::string, std::uint32_t>>, std::size_t>
+      Numbers;
+  std::vector<route_group> Groups;
+  std::size_t Last = 0;
+  for (const route &Route : Table.Routes) {
+    // Most routes have the shares of the one before.
+    if (Groups.empty() || Groups[Last].Shares != Route.Shares) {
+      std::vector<std::pair<std::string, std::uint32_t>> Key;
+      for (const service_share &Share : Route.Shares)
+        Key.emplace_back(Share.Service, Share.Weight);
+      Last = Numbers.try_emplace(Key, Groups.size()).first->second;
+      if (Last == Groups.size())
+        Groups.push_back({Route.Shares, {}});
+    }
+    Groups[Last].Addresses.push_back(Route.Address);
+  }
+  return Groups;
+}
+
+static json encodeShares(const std::vector<service_share> &Shares) {
+  json List = json::array();
+  for (const service_share &Share : Shares)
+    List.push_back({Share.Service, Share.Weight});
+  return List;
 }
 
 std::string encodeRouteTable(const route_table &Table) {
-  std::map<std::vector<std::pair<std::string, std::uint32_t>>,
-           std::vector<endpoint>>
-      Groups;
-  for (const route &Route : Table.Routes)
-    Groups[plainShares(Route)].push_back(Route.Address);
   ordered_json List = ordered_json::array();
-  for (auto &[Shares, Addresses] : Groups)
+  for (route_group &Group : groupsOf(Table))
     List.push_back(
-        {{"shares", Shares}, {"addresses", encodeAddresses(Addresses)}});
+        {{"shares", encodeShares(Group.Shares)},
+         {"addresses", encodeAddresses(std::move(Group.Addresses))}});
   return ordered_json{{"marjoramrail_routes", Format},
                       {"version", Table.Version},
                       {"idle_us", Table.IdleFlow.count()},
