--- a/src/directory/object_feed.cpp
+++ b/src/directory/object_feed.cpp
@@ -14,12 +14,6 @@
 /// succession (all agents of a site start, configurations follow each other)
 /// come in one answer, not in a call each for every watcher.
 static constexpr duration NewsPause = std::chrono::milliseconds(150);
-/// How long the first watch after news waits at most. One that ends by news is
-/// only known to have been true when it was asked, seconds ago; until another
-/// has waited in vain, nobody can date what the fleet knows. The symptom is
-/// that all balancers turn to the store at once after a change, each for the
-/// whole configuration, and leave lost flows in silence meanwhile.
-static constexpr duration DatingWatch = std::chrono::milliseconds(300);
 /// How often a feed that lives on peers' news looks whether they still come.
 static constexpr duration IdlePeriod = std::chrono::milliseconds(300);
 /// Deletions remembered; older ones make peers copy the whole kind.
@@ -62,8 +56,7 @@
 
 void object_feed::follow() {
   if (const auto Wait = Hooks.Wait())
-    return watch(std::exchange(HadNews, false) ? std::min(*Wait, DatingWatch)
-                                               : *Wait);
+    return watch(*Wait);
   Timers.after(IdlePeriod, [this, Alive = Alive] {
     if (*Alive)
       follow();
@@ -97,7 +90,6 @@
           WaitedOut ? Asked + Wait : Asked);
   if (!Changed)
     return follow();
-  HadNews = true;
   Hooks.OnBatch();
   Timers.after(NewsPause, [this, Alive = Alive] {
     if (*Alive)
--- a/src/directory/object_feed.h
+++ b/src/directory/object_feed.h
@@ -92,8 +92,6 @@
   std::uint64_t GoneSince = 0;
   bool Known = false;
   bool Answering = true;
-  /// The last watch ended by news, and none has been asked since.
-  bool HadNews = false;
   int Failures = 0;
   std::uint64_t Version = 0;
   std::uint64_t LastChange = 0;
