Compare the record of services when it is one's turn, and one's own entry once

Cause: a balancer that waited for its turn to write the record built it anew at each look, and parsed its own entry five times a second. Change: the turn first, then the comparison; an entry of the same version is not read again.

--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -106,6 +106,8 @@
   bool RecordBusy = false;
   bool SelfBusy = false;
   instant NextSelfWrite;
+  /// The version of this balancer's entry that says what it shall.
+  std::uint64_t SelfReadAt = 0;
   instant NextPeerSweep;
   std::optional<instant> RecordNeededSince;
   std::optional<instant> RecheckRecordAt;
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -26,13 +26,18 @@
     return;
   const std::string Name = BalancerPrefix + Settings.Name;
   const auto Held = Site.objects().find(Name);
-  if (Held != Site.objects().end() &&
-      json::parse(Held->second.Body, nullptr, false) == json::parse(selfBody()))
+  const bool IsHeld = Held != Site.objects().end();
+  if (IsHeld && Held->second.Version == SelfReadAt)
     return;
+  if (IsHeld && json::parse(Held->second.Body, nullptr, false) ==
+                    json::parse(selfBody())) {
+    SelfReadAt = Held->second.Version;
+    return;
+  }
   platform_write Write;
   Write.Object.Key = {Settings.SiteKind, Name};
   Write.Object.Body = selfBody();
-  Write.Expected = Held == Site.objects().end() ? 0 : Held->second.Version;
+  Write.Expected = IsHeld ? Held->second.Version : 0;
   SelfBusy = true;
   NextSelfWrite = Timers.now() + SelfRetry;
   Platform.Site.Write(Write, guarded([this](const platform_reply &Reply) {
@@ -118,17 +123,16 @@
   }
   if (!RecordNeededSince || !Gate.known() || !Site.known() || RecordBusy)
     return;
-  const auto Body = compareRecord();
-  if (!Body) {
-    RecordNeededSince.reset();
-    // Former services leave the record in time.
-    RecheckRecordAt = Record.nextExpiry();
-    return;
-  }
+  // Whoever waits its turn compares only then: mostly the record has come.
   const auto Rank = std::min(Peers.rank(Timers.now()), MostRanks);
-  if (Timers.now() - *RecordNeededSince >=
+  if (Timers.now() - *RecordNeededSince <
       RankDelay * static_cast<std::int64_t>(Rank))
-    writeRecord(*Body);
+    return;
+  if (const auto Body = compareRecord())
+    return writeRecord(*Body);
+  RecordNeededSince.reset();
+  // Former services leave the record in time.
+  RecheckRecordAt = Record.nextExpiry();
 }
 
 void directory::impl::writeRecord(const std::string &Body) {
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -39,6 +39,8 @@
   std::map<unsigned, balancer> Balancers;
   /// Whole kinds copied from peers.
   int Copies = 0;
+  /// How often each balancer compared the record of services.
+  std::map<unsigned, int> Compared;
 
   void start(unsigned Number, const std::vector<endpoint> &Seeds = {}) {
     balancer &Self = Balancers[Number];
@@ -51,6 +53,9 @@
     Hooks.DecodeRoutes = decodeTable;
     Hooks.OnRules = [](const rule_changes &) {};
     Hooks.OnTargets = [] {};
+    Hooks.OnTurn = [this, Number](const turn_done &Turn) {
+      Compared[Number] += Turn.What == turn_kind::CompareRecord;
+    };
     Hooks.OnEvent = [](event_kind, const std::string &) {};
     Hooks.Send = [this, Number](const endpoint &To,
                                 std::span<const std::uint8_t> Bytes) {
@@ -394,3 +399,21 @@
   CHECK(at(1).targets().empty());
   CHECK(Store.get("marjoramrail", "routes").Body == Before);
 }
+
+TEST_CASE_FIXTURE(directory_world,
+                  "who waits its turn compares the record once") {
+  // A route is added to thousands. The first in rank writes the record of
+  // services; the others only look whether it has. If they build it anew at
+  // each look, small VMs do nothing else for a second.
+  configure(1, {"ledger"});
+  for (const unsigned Number : {1U, 2U, 3U})
+    start(Number, {addressOf(1)});
+  pass(5s);
+  Store.Delay = 60ms;
+  Compared.clear();
+  configure(2, {"archive"});
+  pass(3s);
+
+  CHECK(at(3).routesVersion() == 2);
+  CHECK(Compared[2] == 1);
+}
