Give copies among balancers a path of their own

Found by reading: while a fleet is updated, a balancer of before would copy the short form of a configuration, refuse it, and take that version for known: it would stay with its old routes until the next change. It finds no copy now and asks the store, as it does when peers are silent.

--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -16,7 +16,23 @@
 /// Peers are a few milliseconds away; a silent one must not hold up the next.
 constexpr duration PeerTimeout = std::chrono::seconds(1);
 
-const std::string ObjectsPath = "/v1/objects/";
+/// Where balancers copy objects from each other. Not the path of the object
+/// API: a program of before asked there and cannot read the short form of a
+/// configuration. It would take the copy for known and stay with its old
+/// routes, seen by `routes-refused` while a fleet is being updated; so it finds
+/// nothing and asks the store.
+const std::string CopiesPath = "/v1/copies/";
+
+/// The object API under CopiesPath.
+platform_dialect peerDialect() {
+  platform_dialect Dialect = objectDialect();
+  Dialect.Request = [Plain = Dialect.Request](const platform_call &Call) {
+    dialect_request Request = Plain(Call);
+    Request.Path = CopiesPath + Call.Key.Kind;
+    return Request;
+  };
+  return Dialect;
+}
 
 /// Every balancer of a site listens for its peers on the same port.
 std::vector<endpoint> peersOf(const balancer_program_settings &Settings) {
@@ -124,6 +140,7 @@
   Client.Servers = {Peer};
   Client.Writer = Settings.Name;
   Client.Timeout = PeerTimeout;
+  Client.Dialect = peerDialect();
   PeerClient = std::make_unique<platform_client>(Loop, watched(Client, Turns));
   PeerClient->api().List(Kind, std::move(Done));
 }
@@ -136,10 +153,10 @@
   status_page::hooks Hooks;
   Hooks.Serve =
       [this](const page_request &Request) -> std::optional<page_answer> {
-    if (Request.Path.rfind(ObjectsPath, 0) != 0)
+    if (Request.Path.rfind(CopiesPath, 0) != 0)
       return std::nullopt;
     const auto List =
-        Directory.serve(std::string(Request.Path.substr(ObjectsPath.size())));
+        Directory.serve(std::string(Request.Path.substr(CopiesPath.size())));
     if (!List)
       return page_answer{503, ""};
     return page_answer{200, *List};
