--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -17,10 +17,10 @@
 constexpr duration PeerTimeout = std::chrono::seconds(1);
 
 /// Where balancers copy objects from each other. Not the path of the object
-/// API: a program of before asked there and cannot read the short form of a
-/// configuration. It would take the copy for known and stay with its old
-/// routes, seen by `routes-refused` while a fleet is being updated; so it finds
-/// nothing and asks the store.
+/// API: an older program asks there and cannot read the short form of a
+/// configuration. It would take the copy for known and stay with its old routes
+/// while a fleet is updated, seen by `routes-refused`; so it finds nothing and
+/// asks the store.
 const std::string CopiesPath = "/v1/copies/";
 
 /// The object API under CopiesPath.
--- a/src/directory/route_record.h
+++ b/src/directory/route_record.h
@@ -10,9 +10,9 @@
 ///
 /// The object names the addresses of each service:
 ///   {"services": {"ledger": {"443": [3323068417, 1, 1]}}}
-/// An earlier form, {"198.18.0.1:443": ["ledger"]}, is read as well. It took
-/// thirty bytes a route, and every balancer gets the record when a route is
-/// added.
+/// Small, because every balancer gets the record when a route is added. The
+/// form of older programs, {"198.18.0.1:443": ["ledger"]}, is read as well:
+/// their former services must not be lost when a fleet is updated.
 ///
 //===----------------------------------------------------------------------===//
 
