--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -13,6 +13,7 @@
 #include "forwarder_settings.h"
 #include "request_log.h"
 #include "site_adapter.h"
+#include "store_calls.h"
 #include "target_admission.h"
 #include "turn_log.h"
 
@@ -64,6 +65,7 @@
   event_log Log;
   metrics Metrics;
   turn_log Turns;
+  store_calls Calls;
   turn_hook OnTurn;
   request_log Requests;
   udp_socket Routed;
--- a/daemons/forwarder/forward_balancer_process.h
+++ b/daemons/forwarder/forward_balancer_process.h
@@ -11,6 +11,7 @@
 #include "event_log.h"
 #include "forwarder_settings.h"
 #include "site_adapter.h"
+#include "store_calls.h"
 #include "turn_log.h"
 
 namespace marjoramrail::daemons {
@@ -47,6 +48,7 @@
   event_log Log;
   metrics Metrics;
   turn_log Turns;
+  store_calls Calls;
   turn_hook OnTurn;
   udp_socket Callers;
   udp_socket Peers;
--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -98,13 +98,15 @@
   SettingsReloaded,
   /// A call to the store or a peer failed, was slow or brought much.
   CallEnded,
+  /// Calls to the store since the start, by purpose.
+  StoreCalls,
   /// One turn of the loop took long; no packet was forwarded meanwhile.
   LongTurn,
   /// Lines that the log's budget has left out since the last one of this kind.
   LinesLeftOut,
 };
 
-inline constexpr name_table<event_kind, 51> EventKindNames = {{
+inline constexpr name_table<event_kind, 52> EventKindNames = {{
     {event_kind::ProcessStarted, "process-started"},
     {event_kind::ProcessStopping, "process-stopping"},
     {event_kind::ViewTaken, "view-taken"},
@@ -154,6 +156,7 @@
     {event_kind::CopiedFromPeer, "copied-from-peer"},
     {event_kind::SettingsReloaded, "settings-reloaded"},
     {event_kind::CallEnded, "call-ended"},
+    {event_kind::StoreCalls, "store-calls"},
     {event_kind::LongTurn, "long-turn"},
     {event_kind::LinesLeftOut, "lines-left-out"},
 }};
