--- a/test/directory/flow_keeper_test.cpp
+++ b/test/directory/flow_keeper_test.cpp
@@ -193,6 +193,27 @@
   CHECK(Store.Writes <= 6);
 }
 
+TEST_CASE_FIXTURE(keeper_fixture,
+                  "a large site keeps flows as fresh as a small one" *
+                      doctest::should_fail()) {
+  // All VMs of a site of 204 targets lose power. A caller that is not told asks
+  // for its next amendment in a flow that nobody holds, and that amendment is
+  // lost.
+  {
+    keeper_process Process(Timers, Store, Two);
+    Process.Keeper.onRun({"run-1", 100});
+    Process.Keeper.setAgents(204);
+    pass(4s);
+    Process.Open.push_back({{{0x64400003, 1003}, FirstAddress}, 9});
+    pass(5s);
+  }
+  keeper_process Process(Timers, Store, {});
+  pass(100ms);
+  Process.Keeper.onRun({"run-2", 200});
+
+  CHECK(Process.Lost.size() == 3);
+}
+
 TEST_CASE_FIXTURE(keeper_fixture, "a target that leaves leaves nothing") {
   keeper_process Process(Timers, Store, Two);
   Process.Keeper.onRun({"run-1", 100});
