Keep the flows of a zone in one object, collected by one of its balancers

Change: new library flowstore. The first balancer of a zone asks its agents every 500 ms for their flows (flow_question, flow_report: 64 flows a datagram, four at most, nothing if nothing changed) and writes one object a zone, once a second at most. After a restart an agent reads its zone's object, if its entry shows that there was a process before it. A flow counts for a run only if the target has reported that run since the flow was opened: until then it may belong to the next run, and a later process would reset it although it lives. What the store holds of silent agents is kept for 70 s, also by a collector that has just started; two collectors give way to each other for 3 s.

Gone: flow_keeper, the site-size notice that shared its budget, the balancer's removal of single objects, the setting keep_flows_seconds (now keep_flows).

Two changed their subject: 'agents hear how many share a budget' went with the notice; 'a dead VM leaves nothing in the store' now checks the entry alone, and the flows of a VM that is gone are checked by 'an agent that is gone is forgotten'.

--- a/daemons/forwarder/agent_target.cpp
+++ b/daemons/forwarder/agent_target.cpp
@@ -59,8 +59,8 @@
                Report.Id);
   if (Core.targetGone())
     onTargetBack("it reported");
-  if (Keeper)
-    Keeper->onRun({Report.Id, Report.Born});
+  if (Flows)
+    Flows->onRun({Report.Id, Report.Born});
   Core.setTarget(Report.Slots, Report.WarmupLeft, Now);
   review("the target reported");
   announce();
@@ -111,7 +111,6 @@
   Entry.Zone = Settings.Zone;
   Entry.Slots = Reports.last().Slots;
   Entry.Draining = Reports.last().Draining;
-  Withdrawing = false;
   Withdrawn = false;
   Registrar.set(Entry);
 }
--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -11,10 +11,6 @@
 /// grace period.
 constexpr duration WithdrawTime = std::chrono::seconds(3);
 
-/// A flow that has been open for so long is one that its caller keeps; those of
-/// a single request are over sooner, and would fill every write.
-constexpr duration KeepAge = std::chrono::seconds(1);
-
 } // namespace
 
 forward_agent_process::forward_agent_process(
@@ -36,7 +32,7 @@
       Reports(Settings.Service),
       Registrar(Loop.timers(), Store.api(), directory_settings().SiteKind,
                 registrarHooks()),
-      Keeper(makeKeeper()), CallsPage(Loop, Metrics, callsPage()),
+      Flows(makeReporter()), CallsPage(Loop, Metrics, callsPage()),
       ReadyPage(Loop, Metrics, readyPage()), MetricsPage(Loop, Metrics, {}),
       Malformed(Metrics.counter("marjoramrail_target_reports_malformed_total")),
       Late(Metrics.counter("marjoramrail_target_reports_late_total")) {
@@ -88,10 +84,6 @@
     Requests.answered(Flow, Status, Took, Core.report(Now).Latency);
   };
   Hooks.OnEvent = [this](const flow_event &Event) { recordFlow(Event); };
-  Hooks.OnSiteSize = [this](std::uint32_t Agents) {
-    if (Keeper)
-      Keeper->setAgents(Agents);
-  };
   Hooks.Unlisted = [this] { announceAgain(); };
   Hooks.Witness = [this](std::uint64_t Clock) { Log.witness(Clock); };
   return Hooks;
@@ -116,6 +108,10 @@
     Core.setTarget(Entry.Slots, duration::zero(), Now);
     review("the store holds this target");
   };
+  Hooks.OnLooked = [this](bool Existed) {
+    if (Flows)
+      Flows->start(/*HasFormer=*/Existed);
+  };
   // What follows is as for a new target: its flows wait until all know it.
   Hooks.OnMissing = [this] {
     Admission.onUnlisted();
@@ -141,44 +137,33 @@
   return Hooks;
 }
 
-std::unique_ptr<flow_keeper> forward_agent_process::makeKeeper() {
-  if (Settings.KeepFlowsEvery == duration::zero() ||
-      Settings.Without.has(mechanism::KeptFlows))
+std::unique_ptr<flow_reporter> forward_agent_process::makeReporter() {
+  if (!Settings.KeepFlows || Settings.Without.has(mechanism::KeptFlows))
     return nullptr;
-  flow_keeper::hooks Hooks;
-  Hooks.OpenFlows = [this] {
-    return Core.openFlows(KeepAge, Loop.timers().now());
-  };
-  Hooks.OnLost = [this](const std::vector<open_flow> &Flows) {
-    Core.resetFormer(Flows);
+  flow_reporter::hooks Hooks;
+  Hooks.OpenFlows = [this](instant Moment) { return Core.openFlows(Moment); };
+  Hooks.OnLost = [this](const std::vector<open_flow> &Lost) {
+    Core.resetFormer(Lost);
     Routed.flush();
   };
+  Hooks.Send = [this](const endpoint &To, bytes_view Bytes) {
+    Routed.send(To, Bytes);
+  };
   Hooks.OnTrouble = [this](const std::string &Reason) {
     Log.record(event_kind::StoreLost, "kept flows: " + Reason);
   };
-  return std::make_unique<flow_keeper>(
+  return std::make_unique<flow_reporter>(
       Loop.timers(), Store.api(),
-      flow_keeper::settings{{KeptFlowsKind, Settings.entryName()},
-                            Settings.KeepFlowsEvery},
+      flow_reporter::settings{Settings.entryName(), Settings.Zone},
       std::move(Hooks));
 }
 
-/// The kept flows go first: while the entry is there, a balancer that finds the
-/// VM dead takes both out.
 void forward_agent_process::withdraw() {
-  if (std::exchange(Withdrawing, true))
+  if (std::exchange(Withdrawn, true))
     return;
-  const auto WithdrawEntry = [this] {
-    // Another run of the target may have announced itself meanwhile.
-    if (!Withdrawing)
-      return;
-    Withdrawn = true;
-    Registrar.withdraw();
-  };
-  if (Keeper)
-    Keeper->drop(WithdrawEntry);
-  else
-    WithdrawEntry();
+  if (Flows)
+    Flows->leave();
+  Registrar.withdraw();
 }
 
 status_page::hooks forward_agent_process::callsPage() {
@@ -239,8 +224,6 @@
   });
   Log.record(event_kind::ProcessStarted, startReason(Settings.Without));
   Registrar.look(Settings.entryName());
-  if (Keeper)
-    Keeper->start();
   return {};
 }
 
@@ -272,7 +255,8 @@
   const measured_turn Taking(OnTurn, turn_kind::PeerPackets, Batch.size());
   const instant Now = Loop.timers().now();
   for (const datagram &Datagram : Batch)
-    Core.onRouted(Datagram.From, Datagram.Bytes, Now);
+    if (!Flows || !Flows->input(Datagram.From, Datagram.Bytes))
+      Core.onRouted(Datagram.From, Datagram.Bytes, Now);
   TargetPackets.flush();
   Routed.flush();
   armExpiry(Core.expire(Now));
--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -43,7 +43,7 @@
   void onTargetBack(const char *Why);
   void announce();
   void withdraw();
-  std::unique_ptr<flow_keeper> makeKeeper();
+  std::unique_ptr<flow_reporter> makeReporter();
   void announceAgain();
   void withdrawWhenGone();
   void review(const char *Why);
@@ -76,7 +76,7 @@
   target_admission Admission;
   target_registrar Registrar;
   /// Empty if the settings keep no flows.
-  std::unique_ptr<flow_keeper> Keeper;
+  std::unique_ptr<flow_reporter> Flows;
   status_page CallsPage;
   status_page ReadyPage;
   status_page MetricsPage;
@@ -85,8 +85,7 @@
   timer_id LookTimer{};
   instant LastFromTarget;
   bool Stopping = false;
-  /// The target has left, and its entry goes, or is told to go.
-  bool Withdrawing = false;
+  /// The target has left, and its entry goes.
   bool Withdrawn = false;
   instant StopBy;
   std::uint64_t &Malformed;
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -80,6 +80,8 @@
            Adapter.Codec, coreHooks()),
       Directory(Loop.timers(), storeApis(Store), directorySettings(Settings),
                 directoryHooks()),
+      Flows(Loop.timers(), Store.api(), keptFlowsKey(Settings.Zone),
+            flowHooks()),
       ReadyPage(Loop, Metrics, readyPage()),
       PeerPage(Loop, Metrics, peerPage()), MetricsPage(Loop, Metrics, {}),
       Packets(Metrics.counter("marjoramrail_caller_packets_total")) {
@@ -133,6 +135,25 @@
   return Hooks;
 }
 
+flow_collector::hooks forward_balancer_process::flowHooks() {
+  flow_collector::hooks Hooks;
+  Hooks.Agents = [this] {
+    std::map<std::string, endpoint> Agents;
+    if (this->Settings.Without.has(mechanism::KeptFlows))
+      return Agents;
+    for (const target_entry &Target : Directory.targetsInCharge())
+      Agents[Target.Name] = Target.Agent;
+    return Agents;
+  };
+  Hooks.Send = [this](const endpoint &To, bytes_view Bytes) {
+    Peers.send(To, Bytes);
+  };
+  Hooks.OnTrouble = [this](const std::string &Reason) {
+    Log.record(event_kind::StoreLost, "kept flows: " + Reason);
+  };
+  return Hooks;
+}
+
 /// Peers serve their copies in the product's own form of the object API, so one
 /// client reads both the store and them.
 void forward_balancer_process::listFromPeer(const endpoint &Peer,
@@ -214,6 +235,7 @@
                       [this] { Core.tick(Loop.timers().now()); });
   Log.record(event_kind::ProcessStarted, startReason(Settings.Without));
   Directory.start();
+  Flows.start();
   return {};
 }
 
@@ -240,6 +262,8 @@
   for (const datagram &Datagram : Batch) {
     if (directory::isForDirectory(Datagram.Bytes))
       Directory.input(Datagram.From, Datagram.Bytes);
+    else if (isFlowReport(Datagram.Bytes))
+      Flows.input(Datagram.Bytes);
     else
       Core.onAgentMessage(Datagram.From, Datagram.Bytes, Loop.timers().now());
   }
--- a/daemons/forwarder/forward_balancer_process.h
+++ b/daemons/forwarder/forward_balancer_process.h
@@ -39,6 +39,7 @@
   status_page::hooks readyPage();
   status_page::hooks peerPage();
   directory_hooks directoryHooks();
+  flow_collector::hooks flowHooks();
   forward_balancer_hooks coreHooks();
   void showMetrics();
 
@@ -56,6 +57,7 @@
   std::unique_ptr<platform_client> PeerClient;
   forward_balancer Core;
   directory Directory;
+  flow_collector Flows;
   status_page ReadyPage;
   status_page PeerPage;
   status_page MetricsPage;
--- a/daemons/forwarder/forwarder_settings.cpp
+++ b/daemons/forwarder/forwarder_settings.cpp
@@ -6,9 +6,8 @@
 static constexpr std::int64_t MostSeconds = 24 * 3600;
 
 static duration seconds(settings_reader &Reader, const std::string &Field,
-                        std::int64_t Default, std::int64_t Least = 1) {
-  return std::chrono::seconds(
-      Reader.number(Field, Default, Least, MostSeconds));
+                        std::int64_t Default) {
+  return std::chrono::seconds(Reader.number(Field, Default, 1, MostSeconds));
 }
 
 /// Mechanisms that an experiment switches off, by name.
@@ -61,8 +60,7 @@
       Reader.number("peers_port", /*Default=*/0, 0, UINT16_MAX));
   for (const endpoint &Seed : Reader.addresses("seeds", /*Required=*/false))
     Settings.Balancers.push_back({Seed.Address, PeersPort});
-  Settings.KeepFlowsEvery =
-      seconds(Reader, "keep_flows_seconds", /*Default=*/0, /*Least=*/0);
+  Settings.KeepFlows = Reader.flag("keep_flows", false);
   Settings.Without = readWithout(Reader);
   if (auto Finished = Reader.finish(); !Finished)
     return Finished.error();
--- a/daemons/forwarder/forwarder_settings.h
+++ b/daemons/forwarder/forwarder_settings.h
@@ -56,9 +56,8 @@
   /// Balancers that may announce the target if the store refuses this agent, at
   /// the address of their PeersListen.
   std::vector<endpoint> Balancers;
-  /// How often open flows are kept in the store for the case that the VM loses
-  /// power; zero: never.
-  duration KeepFlowsEvery;
+  /// Open flows are kept in the store for the case that the VM loses power.
+  bool KeepFlows = false;
   mechanism_set Without;
 
   /// The name of the target's objects in the store.
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -221,7 +221,10 @@
     std::function<void(const std::string &Reason)> OnTrouble;
     /// The store does not serve this process: balancers may announce the
     /// target, which does not leave. Called at each failure; may be empty.
-    std::function<void(const target_entry &)> AskPeers;
+    std::function<void(const target_entry &)> AskPeers = {};
+    /// The store was read for the first time. \p Existed: it held an entry, so
+    /// there was a process before this one. May be empty.
+    std::function<void(bool Existed)> OnLooked = {};
   };
 
   target_registrar(timer_service &Timers, platform_api Store, std::string Kind,
@@ -252,96 +255,6 @@
   std::unique_ptr<impl> Impl;
 };
 
-//===----------------------------------------------------------------------===//
-// Flows that outlast a loss of power
-//===----------------------------------------------------------------------===//
-
-/// An open flow, as a reset of it needs it.
-struct open_flow {
-  flow_key Flow;
-  /// What the caller acknowledged last.
-  std::uint32_t Acknowledged = 0;
-
-  bool operator==(const open_flow &) const = default;
-};
-
-/// One run of a target's process; see target_report.
-struct target_run {
-  std::string Id;
-  std::int64_t Born = 0;
-
-  bool operator==(const target_run &) const = default;
-};
-
-/// The flows that one run of a target held a short while ago.
-struct kept_flows {
-  target_run Run;
-  std::vector<open_flow> Flows;
-};
-
-std::string encodeFlows(const kept_flows &Kept);
-/// Fails with step::ValidateObject.
-result<kept_flows> decodeFlows(const object_key &Key, const std::string &Body);
-
-/// The kind under which flows are kept. Not that of targets and balancers:
-/// nobody watches it.
-inline constexpr const char *KeptFlowsKind = "marjoramrail-flows";
-
-/// Keeps the open flows of an agent's target in the store, so that their
-/// callers are told when the VM has lost power.
-///
-/// Nothing on the VM knows then which flows there were, and an idle caller
-/// finds out only by its next request: one that may run only once is lost with
-/// it, because nobody can say that it has not run. The symptom is a tail of
-/// failed requests for many seconds after the power is back. With the flows
-/// from the store each caller gets a reset before it asks again, and opens a
-/// new flow.
-///
-/// What it costs: a write of at most 8 KB a period for each target that has new
-/// flows. The store's rates grow more slowly than fleets, so all agents of a
-/// site together stay within a budget of writes: each writes the less often the
-/// more there are. On the users' sites with 10 and with 56 targets that is
-/// every 2 and every 11 s; with 130,000 it is practically never.
-class flow_keeper {
-public:
-  struct settings {
-    object_key Key;
-    /// The least time between two writes.
-    duration Period = std::chrono::seconds(2);
-    /// Of all agents of the site together.
-    double WritesPerSecond = 5;
-  };
-
-  struct hooks {
-    /// The flows worth keeping: those that their callers keep open.
-    std::function<std::vector<open_flow>()> OpenFlows;
-    /// These flows are lost: another run of the target has begun.
-    std::function<void(const std::vector<open_flow> &)> OnLost;
-    /// A call failed; \p Reason for the log.
-    std::function<void(const std::string &Reason)> OnTrouble;
-  };
-
-  flow_keeper(timer_service &Timers, platform_api Store, settings Settings,
-              hooks Hooks);
-  ~flow_keeper();
-  flow_keeper(const flow_keeper &) = delete;
-  flow_keeper &operator=(const flow_keeper &) = delete;
-
-  /// Reads what a process before this one has kept; writes from then on.
-  void start();
-  /// The target has said which run it is.
-  void onRun(const target_run &Run);
-  /// So many agents share the budget of writes.
-  void setAgents(std::uint32_t Count);
-  /// The target has left: takes the flows out of the store, tries once, and
-  /// calls \p Done.
-  void drop(std::function<void()> Done);
-
-private:
-  struct impl;
-  std::unique_ptr<impl> Impl;
-};
-
 //===----------------------------------------------------------------------===//
 // The balancer's directory
 //===----------------------------------------------------------------------===//
@@ -431,6 +344,9 @@
   /// Takes the entries of an agent that is gone for good out of the store, if
   /// this balancer is the first of its zone; the others leave it to that one.
   void removeTarget(const endpoint &Agent);
+  /// The targets of the own zone, if this balancer is the first of it and has
+  /// been running for long enough to tell; none otherwise.
+  std::vector<target_entry> targetsInCharge() const;
   /// Peers heard within the last seconds.
   std::size_t livePeers() const;
 
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -39,6 +39,7 @@
 #define MARJORAMRAIL_FORWARD_H
 
 #include "marjoramrail/directory.h"
+#include "marjoramrail/flowstore.h"
 #include "marjoramrail/mechanism.h"
 #include "marjoramrail/timeline.h"
 #include "marjoramrail/wire.h"
@@ -145,12 +146,6 @@
                               std::span<std::uint8_t> Buffer);
 bool decodeFoundNotice(bytes_view Bytes, service_id &Service);
 
-/// Tells an agent how many agents the site has, for budgets that all share.
-inline constexpr std::size_t SiteSizeBytes = 8;
-std::size_t encodeSiteSize(std::uint32_t Agents,
-                           std::span<std::uint8_t> Buffer);
-bool decodeSiteSize(bytes_view Bytes, std::uint32_t &Agents);
-
 //===----------------------------------------------------------------------===//
 // Where new flows go
 //===----------------------------------------------------------------------===//
@@ -333,8 +328,6 @@
   std::function<void()> Listed;
   /// A balancer found this agent's entry when it started; may be empty.
   std::function<void()> Found;
-  /// The site has so many agents; may be empty.
-  std::function<void(std::uint32_t)> OnSiteSize;
 };
 
 /// What became of a packet at an agent.
@@ -395,9 +388,8 @@
   void noteAnswer(const flow_key &Flow, bool Failed, instant Now);
   void setIdleFlow(duration IdleFlow);
 
-  /// Open flows whose handshake was seen \p Age ago or earlier; a caller that
-  /// has kept a flow for a while keeps it on.
-  std::vector<open_flow> openFlows(duration Age, instant Now) const;
+  /// Open flows whose handshake was seen by \p Moment, the oldest first.
+  std::vector<open_flow> openFlows(instant Moment) const;
   /// Tells the callers of flows that a former run of the target held. A flow
   /// that was seen since this agent started is another one under the same
   /// addresses, and is left alone.
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -254,6 +254,7 @@
 directory::~directory() = default;
 
 void directory::start() {
+  Impl->StartedAt = Impl->Timers.now();
   Impl->Routes.start();
   Impl->Site.start();
   Impl->greet();
@@ -335,10 +336,25 @@
     // A conflict means that someone has just written it: then it lives.
     Impl->Platform.Site.Remove(Object->second.Key, Object->second.Version,
                                [](const platform_reply &) {});
-    Impl->removeKeptFlows(Name);
   }
 }
 
+/// Peers are heard one after the other after the start; until most are, every
+/// balancer takes itself for the first.
+static constexpr duration ChargeAfter = std::chrono::seconds(2);
+
+std::vector<target_entry> directory::targetsInCharge() const {
+  const instant Now = Impl->Timers.now();
+  std::vector<target_entry> Zone;
+  if (!Impl->StartedAt || Now - *Impl->StartedAt < ChargeAfter ||
+      Impl->Peers.rankIn(Impl->ZoneNumber, Now) != 0)
+    return Zone;
+  for (const auto &[Name, Target] : Impl->Targets)
+    if (Target.Zone == Impl->Settings.Zone)
+      Zone.push_back(Target);
+  return Zone;
+}
+
 std::size_t directory::livePeers() const {
   return Impl->Peers.live(Impl->Timers.now());
 }
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -72,7 +72,6 @@
   void writeRecord(const std::string &Body);
   void writeSelf();
   void dropGonePeers();
-  void removeKeptFlows(const std::string &Target);
   void announce(const endpoint &From, std::span<const std::uint8_t> Bytes);
   void writeFor(const target_entry &Target);
   /// The balancer that \p Object names, if it is a balancer's entry.
@@ -100,6 +99,7 @@
   /// While the intake is at work: what was known before it began.
   std::optional<instant> KnownBeforeIntake;
   std::uint32_t ZoneNumber;
+  std::optional<instant> StartedAt;
   std::map<std::string, target_entry> Targets;
   /// The newest table, until the gate takes it.
   std::optional<route_table> Decoded;
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -91,17 +91,6 @@
   Platform.Site.Write(Write, [](const platform_reply &) {});
 }
 
-/// Nobody else takes out what a dead VM's agent has kept; thousands of VMs are
-/// replaced a day.
-void directory::impl::removeKeptFlows(const std::string &Target) {
-  const object_key Key{KeptFlowsKind, Target};
-  Platform.Site.Read(Key, guarded([this, Key](const platform_reply &Reply) {
-                       if (Reply.Outcome == platform_outcome::Ok)
-                         Platform.Site.Remove(Key, Reply.Object.Version,
-                                              [](const platform_reply &) {});
-                     }));
-}
-
 /// The routes or the record have changed, or a write may have failed.
 void directory::impl::needRecord() {
   RecordNeededSince = RecordNeededSince.value_or(Timers.now());
--- a/src/directory/target_registrar.cpp
+++ b/src/directory/target_registrar.cpp
@@ -37,6 +37,7 @@
   bool Keeping = false;
   bool Busy = false;
   bool WroteBefore = false;
+  bool HasLooked = false;
   int Failures = 0;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
@@ -79,6 +80,8 @@
     Version = 0;
   else if (auto Entry = decodeTarget(Name, Reply.Object.Body))
     Held = *Entry;
+  if (!std::exchange(HasLooked, true) && Hooks.OnLooked)
+    Hooks.OnLooked(/*Existed=*/Version != 0);
   if (!Held && Keeping && Wanted && Hooks.OnMissing)
     Hooks.OnMissing();
   if (Held && !Held->ByPeer && !WroteBefore && Hooks.OnFound)
--- /dev/null
+++ b/src/flowstore/flow_collector.cpp
@@ -0,0 +1,227 @@
+#include "marjoramrail/flowstore.h"
+
+#include <algorithm>
+
+namespace marjoramrail {
+
+/// How old a flow is on average before its agent has reported it.
+static constexpr duration AskPeriod = std::chrono::milliseconds(500);
+/// The least time between two writes: a call a second for each zone.
+static constexpr duration WritePeriod = std::chrono::seconds(1);
+/// A large object is written the less often. One balancer of a zone bears this
+/// for all of it.
+static constexpr std::int64_t BytesASecond = 16 * 1024;
+/// After a failed call, or when another balancer has written: that one keeps
+/// the zone's flows until it falls silent.
+static constexpr duration Pause = std::chrono::seconds(3);
+/// The flows of an agent that has said nothing for longer are over.
+static constexpr duration ForgetAfter = std::chrono::seconds(70);
+/// Of one zone: half of what an object of the store may hold.
+static constexpr std::size_t MostFlows = 25'000;
+
+struct flow_collector::impl {
+  impl(timer_service &Timers, platform_api Store, object_key Key, hooks Hooks)
+      : Timers(Timers), Store(std::move(Store)), Key(std::move(Key)),
+        Hooks(std::move(Hooks)) {}
+
+  /// One agent as it has reported itself, or as the store has it.
+  struct reporter {
+    target_run Run;
+    std::uint64_t Sequence = 0;
+    std::vector<std::vector<open_flow>> Parts;
+    /// Bits of the parts of Sequence that have come.
+    std::uint32_t Came = 0;
+    instant HeardAt;
+
+    bool isWhole() const { return Came + 1 == 1U << Parts.size(); }
+  };
+
+  void step();
+  void ask(const std::map<std::string, endpoint> &Agents);
+  void read();
+  void onRead(const platform_reply &Reply);
+  void takeKept(const platform_object &Object);
+  void take(flow_report Report);
+  void forgetSilent();
+  zone_flows zone() const;
+  void write();
+  void onWritten(const platform_reply &Reply);
+  void rest(const std::string &Reason);
+  platform_callback then(void (impl::*Step)(const platform_reply &));
+
+  timer_service &Timers;
+  platform_api Store;
+  object_key Key;
+  hooks Hooks;
+  bool InCharge = false;
+  /// What the store holds as version Version was taken in.
+  bool IsKnown = false;
+  std::uint64_t Version = 0;
+  bool Busy = false;
+  instant NextCall;
+  bool Changed = false;
+  std::map<std::string, reporter> Reporters;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+platform_callback
+flow_collector::impl::then(void (impl::*Step)(const platform_reply &)) {
+  Busy = true;
+  return [this, Step, Alive = Alive](const platform_reply &Reply) {
+    if (!*Alive)
+      return;
+    Busy = false;
+    (this->*Step)(Reply);
+  };
+}
+
+void flow_collector::impl::step() {
+  const std::map<std::string, endpoint> Agents = Hooks.Agents();
+  InCharge = !Agents.empty();
+  if (!InCharge) {
+    Reporters.clear();
+    IsKnown = false;
+    return;
+  }
+  ask(Agents);
+  forgetSilent();
+  if (Busy || Timers.now() < NextCall)
+    return;
+  if (!IsKnown)
+    read();
+  else if (Changed)
+    write();
+}
+
+void flow_collector::impl::ask(const std::map<std::string, endpoint> &Agents) {
+  for (const auto &[Name, Agent] : Agents) {
+    const auto Known = Reporters.find(Name);
+    flow_question Question;
+    if (Known != Reporters.end() && Known->second.isWhole())
+      Question.Sequence = Known->second.Sequence;
+    Hooks.Send(Agent, encodeFlowQuestion(Question));
+  }
+}
+
+void flow_collector::impl::read() { Store.Read(Key, then(&impl::onRead)); }
+
+void flow_collector::impl::onRead(const platform_reply &Reply) {
+  const bool IsThere = Reply.Outcome == platform_outcome::Ok;
+  if (!IsThere && Reply.Outcome != platform_outcome::NotFound)
+    return rest(Reply.Reason);
+  IsKnown = true;
+  Version = IsThere ? Reply.Object.Version : 0;
+  if (IsThere)
+    takeKept(Reply.Object);
+}
+
+/// What the store holds of agents that have not reported yet goes on being
+/// kept: their VMs may be dark, and ask for it when they are back.
+void flow_collector::impl::takeKept(const platform_object &Object) {
+  const auto Failure = failureOf([&]() -> result<void> {
+    BOOST_LEAF_AUTO(Zone, decodeFlows(Key, Object.Body));
+    for (auto &[Name, Kept] : Zone) {
+      reporter Reporter;
+      Reporter.Run = std::move(Kept.Run);
+      Reporter.Parts = {std::move(Kept.Flows)};
+      Reporter.HeardAt = Timers.now();
+      Reporters.try_emplace(Name, std::move(Reporter));
+    }
+    return {};
+  });
+  if (Failure)
+    Hooks.OnTrouble(toText(*Failure));
+}
+
+void flow_collector::impl::take(flow_report Report) {
+  reporter &Reporter = Reporters[Report.Name];
+  // Held up on its way, or of an agent that was restarted with its target.
+  if (Report.Run.Born < Reporter.Run.Born)
+    return;
+  if (Report.Run != Reporter.Run)
+    Reporter.Parts.clear();
+  if (Report.Run != Reporter.Run || Report.Sequence != Reporter.Sequence)
+    Reporter.Came = 0;
+  Reporter.Run = std::move(Report.Run);
+  Reporter.Sequence = Report.Sequence;
+  Reporter.HeardAt = Timers.now();
+  Reporter.Parts.resize(Report.Parts);
+  Reporter.Parts[Report.Part] = std::move(Report.Flows);
+  Reporter.Came |= 1U << Report.Part;
+  Changed = true;
+}
+
+void flow_collector::impl::forgetSilent() {
+  const instant Now = Timers.now();
+  const auto Forgotten = std::erase_if(Reporters, [&](const auto &Item) {
+    return Now - Item.second.HeardAt > ForgetAfter;
+  });
+  Changed |= Forgotten > 0;
+}
+
+zone_flows flow_collector::impl::zone() const {
+  const std::size_t Share =
+      MostFlows / std::max<std::size_t>(Reporters.size(), 1);
+  zone_flows Zone;
+  for (const auto &[Name, Reporter] : Reporters) {
+    kept_flows &Kept = Zone[Name];
+    Kept.Run = Reporter.Run;
+    for (const std::vector<open_flow> &Part : Reporter.Parts)
+      Kept.Flows.insert(Kept.Flows.end(), Part.begin(), Part.end());
+    if (Kept.Flows.size() > Share)
+      Kept.Flows.resize(Share);
+  }
+  return Zone;
+}
+
+void flow_collector::impl::write() {
+  platform_write Write;
+  Write.Object.Key = Key;
+  Write.Object.Body = encodeFlows(zone());
+  Write.Expected = Version;
+  const auto Bytes = static_cast<std::int64_t>(Write.Object.Body.size());
+  NextCall = Timers.now() +
+             std::max(WritePeriod,
+                      duration(std::chrono::seconds(1)) * Bytes / BytesASecond);
+  Changed = false;
+  Store.Write(Write, then(&impl::onWritten));
+}
+
+void flow_collector::impl::onWritten(const platform_reply &Reply) {
+  if (Reply.Outcome == platform_outcome::Ok) {
+    Version = Reply.Object.Version;
+    return;
+  }
+  Changed = true;
+  // Another version stands, or nobody knows which.
+  if (Reply.Outcome != platform_outcome::Unavailable)
+    IsKnown = false;
+  rest(Reply.Reason);
+}
+
+void flow_collector::impl::rest(const std::string &Reason) {
+  NextCall = Timers.now() + Pause;
+  Hooks.OnTrouble(Reason);
+}
+
+flow_collector::flow_collector(timer_service &Timers, platform_api Store,
+                               object_key Key, hooks Hooks)
+    : Impl(std::make_unique<impl>(Timers, std::move(Store), std::move(Key),
+                                  std::move(Hooks))) {}
+
+flow_collector::~flow_collector() { *Impl->Alive = false; }
+
+void flow_collector::start() {
+  Impl->Timers.every(AskPeriod, [Core = Impl.get(), Alive = Impl->Alive] {
+    if (*Alive)
+      Core->step();
+  });
+}
+
+void flow_collector::input(std::span<const std::uint8_t> Bytes) {
+  auto Report = decodeFlowReport(Bytes);
+  if (Report && Impl->InCharge)
+    Impl->take(std::move(*Report));
+}
+
+} // namespace marjoramrail
--- /dev/null
+++ b/src/flowstore/flow_reporter.cpp
@@ -0,0 +1,191 @@
+#include "marjoramrail/flowstore.h"
+
+#include <algorithm>
+
+namespace marjoramrail {
+
+/// A reset within 76,800 of the caller's last acknowledgement counts; reported
+/// anew at half of that, as the flow goes on until the next report.
+static constexpr std::uint32_t MostDrift = 38'400;
+/// With the names this fits a datagram of 1,300 bytes.
+static constexpr std::size_t FlowsADatagram = 64;
+/// What one answer may cost; the oldest flows go first, as callers who have
+/// kept a flow for long keep it on.
+static constexpr std::size_t MostDatagrams = 4;
+/// A store that refuses is not asked more often than it takes to answer slowly.
+static constexpr duration ReadRetry = std::chrono::seconds(1);
+/// Callers of flows that were lost longer ago have asked by themselves.
+static constexpr duration ReadFor = std::chrono::seconds(15);
+
+struct flow_reporter::impl {
+  impl(timer_service &Timers, platform_api Store, settings Settings,
+       hooks Hooks)
+      : Timers(Timers), Store(std::move(Store)), Settings(std::move(Settings)),
+        Hooks(std::move(Hooks)) {}
+
+  void read();
+  void onRead(const platform_reply &Reply);
+  void takeFormer(const platform_object &Object);
+  void tellLost();
+  void refresh();
+  bool isReported(const std::vector<open_flow> &Flows) const;
+  void answer(const endpoint &To);
+
+  timer_service &Timers;
+  platform_api Store;
+  settings Settings;
+  hooks Hooks;
+  instant StartedAt;
+  /// What the process before this one reported is known, or given up.
+  bool IsReady = false;
+  /// Of a run before the present one, until its callers are told.
+  std::optional<kept_flows> Former;
+  std::optional<target_run> Run;
+  /// When the target last said that this run goes on. A flow that was opened
+  /// later may belong to the next run already.
+  instant ConfirmedAt;
+  bool HasLeft = false;
+  /// Unlike that of a process before this one, as it starts with the clock.
+  std::uint64_t Sequence = 0;
+  target_run ReportedRun;
+  std::map<flow_key, std::uint32_t> Reported;
+  std::vector<open_flow> Flows;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+void flow_reporter::impl::read() {
+  Store.Read(keptFlowsKey(Settings.Zone),
+             [this, Alive = Alive](const platform_reply &Reply) {
+               if (*Alive)
+                 onRead(Reply);
+             });
+}
+
+void flow_reporter::impl::onRead(const platform_reply &Reply) {
+  const bool IsKnown = Reply.Outcome == platform_outcome::Ok ||
+                       Reply.Outcome == platform_outcome::NotFound;
+  if (!IsKnown && Timers.now() - StartedAt < ReadFor) {
+    Hooks.OnTrouble(Reply.Reason);
+    Timers.after(ReadRetry, [this, Alive = Alive] {
+      if (*Alive)
+        read();
+    });
+    return;
+  }
+  if (!IsKnown)
+    Hooks.OnTrouble("what was kept is given up: " + Reply.Reason);
+  IsReady = true;
+  if (Reply.Outcome == platform_outcome::Ok)
+    takeFormer(Reply.Object);
+}
+
+void flow_reporter::impl::takeFormer(const platform_object &Object) {
+  const auto Failure = failureOf([&]() -> result<void> {
+    BOOST_LEAF_AUTO(Zone,
+                    decodeFlows(keptFlowsKey(Settings.Zone), Object.Body));
+    if (const auto Own = Zone.find(Settings.Name); Own != Zone.end())
+      Former = std::move(Own->second);
+    return {};
+  });
+  if (Failure)
+    Hooks.OnTrouble(toText(*Failure));
+  tellLost();
+}
+
+/// Only a run that began later proves that the one before is over. A report
+/// that was held up names an earlier one, and the target that is there may
+/// still hold the flows.
+void flow_reporter::impl::tellLost() {
+  if (!Former || !Run || Run->Born <= Former->Run.Born)
+    return;
+  const kept_flows Lost = *std::exchange(Former, std::nullopt);
+  Hooks.OnLost(Lost.Flows);
+}
+
+/// Flows that have ended do no harm where they are kept; they stay until
+/// something else has to be reported.
+bool flow_reporter::impl::isReported(
+    const std::vector<open_flow> &Current) const {
+  if (ReportedRun != *Run)
+    return false;
+  return std::all_of(Current.begin(), Current.end(),
+                     [&](const open_flow &Open) {
+                       const auto Found = Reported.find(Open.Flow);
+                       return Found != Reported.end() &&
+                              Open.Acknowledged - Found->second <= MostDrift;
+                     });
+}
+
+void flow_reporter::impl::refresh() {
+  std::vector<open_flow> Current;
+  if (!HasLeft)
+    Current = Hooks.OpenFlows(ConfirmedAt);
+  constexpr std::size_t MostFlows = FlowsADatagram * MostDatagrams;
+  if (Current.size() > MostFlows)
+    Current.resize(MostFlows);
+  const bool HasEnded = Current.empty() && !Flows.empty();
+  if (isReported(Current) && !HasEnded)
+    return;
+  ++Sequence;
+  ReportedRun = *Run;
+  Flows = std::move(Current);
+  Reported.clear();
+  for (const open_flow &Open : Flows)
+    Reported[Open.Flow] = Open.Acknowledged;
+}
+
+void flow_reporter::impl::answer(const endpoint &To) {
+  flow_report Report{Settings.Name, ReportedRun, Sequence, 0, 1, {}};
+  const std::size_t Parts =
+      (Flows.size() + FlowsADatagram - 1) / FlowsADatagram;
+  Report.Parts = static_cast<std::uint8_t>(std::max<std::size_t>(Parts, 1));
+  for (; Report.Part < Report.Parts; ++Report.Part) {
+    const auto Begin = Flows.begin() + std::ptrdiff_t{Report.Part} *
+                                           std::ptrdiff_t{FlowsADatagram};
+    const auto Left = static_cast<std::size_t>(Flows.end() - Begin);
+    Report.Flows.assign(Begin, Begin + static_cast<std::ptrdiff_t>(
+                                           std::min(Left, FlowsADatagram)));
+    Hooks.Send(To, encodeFlowReport(Report));
+  }
+}
+
+flow_reporter::flow_reporter(timer_service &Timers, platform_api Store,
+                             settings Settings, hooks Hooks)
+    : Impl(std::make_unique<impl>(Timers, std::move(Store), std::move(Settings),
+                                  std::move(Hooks))) {}
+
+flow_reporter::~flow_reporter() { *Impl->Alive = false; }
+
+void flow_reporter::start(bool HasFormer) {
+  Impl->StartedAt = Impl->Timers.now();
+  Impl->Sequence =
+      static_cast<std::uint64_t>(Impl->StartedAt.time_since_epoch().count());
+  if (HasFormer)
+    Impl->read();
+  else
+    Impl->IsReady = true;
+}
+
+void flow_reporter::onRun(const target_run &Run) {
+  Impl->Run = Run;
+  Impl->ConfirmedAt = Impl->Timers.now();
+  Impl->HasLeft = false;
+  Impl->tellLost();
+}
+
+void flow_reporter::leave() { Impl->HasLeft = true; }
+
+bool flow_reporter::input(const endpoint &From,
+                          std::span<const std::uint8_t> Bytes) {
+  const auto Question = decodeFlowQuestion(Bytes);
+  if (!Question)
+    return false;
+  if (!Impl->IsReady || !Impl->Run)
+    return true;
+  Impl->refresh();
+  if (Question->Sequence != Impl->Sequence)
+    Impl->answer(From);
+  return true;
+}
+
+} // namespace marjoramrail
--- /dev/null
+++ b/src/flowstore/kept_flows.cpp
@@ -0,0 +1,112 @@
+#include "marjoramrail/flowstore.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace marjoramrail {
+
+using json = nlohmann::json;
+
+/// A flow's caller and acknowledgement in hexadecimal digits: address, port,
+/// number.
+static constexpr std::size_t AddressDigits = 8;
+static constexpr std::size_t PortDigits = 4;
+static constexpr std::size_t NumberDigits = 8;
+static constexpr std::size_t FlowDigits =
+    AddressDigits + PortDigits + NumberDigits;
+
+object_key keptFlowsKey(const std::string &Zone) {
+  return {KeptFlowsKind, "zone." + Zone};
+}
+
+static void addDigits(std::string &Text, std::uint32_t Value,
+                      std::size_t Digits) {
+  static constexpr const char *Hex = "0123456789abcdef";
+  static constexpr std::size_t BitsADigit = 4;
+  for (std::size_t Left = Digits; Left > 0; --Left)
+    Text += Hex[Value >> ((Left - 1) * BitsADigit) & 0xf];
+}
+
+/// The flows by the service's address, a string of digits each: most targets
+/// have one or two, and callers differ.
+static json encodeByAddress(const std::vector<open_flow> &Flows) {
+  std::map<std::string, std::string> ByAddress;
+  for (const open_flow &Open : Flows) {
+    std::string &Digits = ByAddress[toText(Open.Flow.Service)];
+    addDigits(Digits, Open.Flow.Caller.Address, AddressDigits);
+    addDigits(Digits, Open.Flow.Caller.Port, PortDigits);
+    addDigits(Digits, Open.Acknowledged, NumberDigits);
+  }
+  return ByAddress;
+}
+
+std::string encodeFlows(const zone_flows &Zone) {
+  json Targets = json::object();
+  for (const auto &[Name, Kept] : Zone)
+    Targets[Name] = {{"run", Kept.Run.Id},
+                     {"born", Kept.Run.Born},
+                     {"flows", encodeByAddress(Kept.Flows)}};
+  return json{{"targets", Targets}}.dump();
+}
+
+/// Takes \p Digits digits off the front of \p Text.
+static std::optional<std::uint32_t> takeDigits(std::string_view &Text,
+                                               std::size_t Digits) {
+  static constexpr int Hexadecimal = 16;
+  std::uint32_t Value = 0;
+  const char *End = Text.data() + Digits;
+  const auto Read = std::from_chars(Text.data(), End, Value, Hexadecimal);
+  if (Read.ec != std::errc() || Read.ptr != End)
+    return std::nullopt;
+  Text.remove_prefix(Digits);
+  return Value;
+}
+
+static result<void> decodeDigits(const object_key &Key, const endpoint &Service,
+                                 std::string_view Text,
+                                 std::vector<open_flow> &Flows) {
+  if (Text.size() % FlowDigits != 0)
+    return fail(step::ValidateObject, Key.Name, "a flow is cut off");
+  while (!Text.empty()) {
+    const auto Address = takeDigits(Text, AddressDigits);
+    const auto Port = Address ? takeDigits(Text, PortDigits) : std::nullopt;
+    const auto Number = Port ? takeDigits(Text, NumberDigits) : std::nullopt;
+    if (!Number)
+      return fail(step::ValidateObject, Key.Name, "a flow has no digits");
+    const endpoint Caller{*Address, static_cast<std::uint16_t>(*Port)};
+    Flows.push_back({{Caller, Service}, *Number});
+  }
+  return {};
+}
+
+static result<kept_flows> decodeKept(const object_key &Key, const json &Item) {
+  if (!Item.is_object() || !Item.contains("run") || !Item["run"].is_string() ||
+      !Item.contains("born") || !Item["born"].is_number_integer() ||
+      !Item.contains("flows") || !Item["flows"].is_object())
+    return fail(step::ValidateObject, Key.Name, "these are no kept flows");
+  kept_flows Kept;
+  Kept.Run = {Item["run"].get<std::string>(), Item["born"].get<std::int64_t>()};
+  for (const auto &[Address, Digits] : Item["flows"].items()) {
+    const auto Service = parseEndpoint(Address);
+    if (!Service || !Digits.is_string())
+      return fail(step::ValidateObject, Key.Name, "a flow has no address");
+    BOOST_LEAF_CHECK(decodeDigits(
+        Key, *Service, Digits.get_ref<const std::string &>(), Kept.Flows));
+  }
+  return Kept;
+}
+
+result<zone_flows> decodeFlows(const object_key &Key, const std::string &Body) {
+  const json Json = json::parse(Body, nullptr, /*allow_exceptions=*/false);
+  if (!Json.is_object() || !Json.contains("targets") ||
+      !Json["targets"].is_object())
+    return fail(step::ValidateObject, Key.Name, "these are no zone's flows");
+  zone_flows Zone;
+  for (const auto &[Name, Item] : Json["targets"].items()) {
+    BOOST_LEAF_AUTO(Kept, decodeKept(Key, Item));
+    Zone[Name] = std::move(Kept);
+  }
+  return Zone;
+}
+
+} // namespace marjoramrail
--- a/src/forward/agent_roster.h
+++ b/src/forward/agent_roster.h
@@ -48,8 +48,6 @@
   /// The first packet sent since the last report.
   std::optional<instant> SentSince;
   std::optional<instant> AskedAt;
-  /// When it was told how many agents there are.
-  std::optional<instant> SizeToldAt;
   std::uint32_t Placed = 0;
   bool Suspect = false;
   /// Since when it has been suspect.
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -1,5 +1,6 @@
 #include "forward/forward_agent_impl.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace marjoramrail {
@@ -96,14 +97,18 @@
     tell(event_kind::FlowReset, Why, Open.Flow, {});
 }
 
-std::vector<open_flow> forward_agent::openFlows(duration Age,
-                                                instant Now) const {
-  std::vector<open_flow> Flows;
+std::vector<open_flow> forward_agent::openFlows(instant Moment) const {
+  std::vector<std::pair<instant, open_flow>> Found;
   Impl->Load.forEachOpen([&](const flow_key &Key, const watched_flow &Flow) {
     if (!Flow.CallerEnded && Flow.CallerAcknowledged != 0 &&
-        Now - Flow.OpenedAt >= Age)
-      Flows.push_back({Key, Flow.CallerAcknowledged});
+        Flow.OpenedAt <= Moment)
+      Found.push_back({Flow.OpenedAt, {Key, Flow.CallerAcknowledged}});
   });
+  std::sort(Found.begin(), Found.end(),
+            [](const auto &A, const auto &B) { return A.first < B.first; });
+  std::vector<open_flow> Flows;
+  for (const auto &[OpenedAt, Open] : Found)
+    Flows.push_back(Open);
   return Flows;
 }
 
@@ -152,11 +157,6 @@
       Impl->Hooks.Found();
     return agent_outcome::Delivered;
   }
-  if (std::uint32_t Agents = 0; decodeSiteSize(Bytes, Agents)) {
-    if (Impl->Hooks.OnSiteSize)
-      Impl->Hooks.OnSiteSize(Agents);
-    return agent_outcome::Delivered;
-  }
   if (isLoadQuestion(Bytes)) {
     Impl->Balancers[From] = Now;
     Impl->sendReport(From, Now);
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -21,10 +21,6 @@
 /// caller send for some seconds more.
 constexpr duration LostSlack = std::chrono::seconds(10);
 
-/// Sites grow and shrink slowly. From 700 balancers of a zone these are 36
-/// bytes each, 0.4 KB/s to every agent.
-constexpr duration SizeEvery = std::chrono::minutes(1);
-
 } // namespace
 
 bool forward_balancer::impl::isSure(instant Now) const {
@@ -206,12 +202,6 @@
     return tellUnlisted(Report.Agent, Now);
   if (!Report.Admitting)
     tellListed(*Agent, Now);
-  if (Agent->SizeToldAt && Now - *Agent->SizeToldAt < SizeEvery)
-    return;
-  Agent->SizeToldAt = Now;
-  std::array<std::uint8_t, SiteSizeBytes> Notice;
-  encodeSiteSize(static_cast<std::uint32_t>(Roster.size()), Notice);
-  Hooks.SendToAgent(Agent->Agent, Notice);
 }
 
 /// Finds those that do not answer any more, and asks those that were not heard.
--- a/src/forward/load_report.cpp
+++ b/src/forward/load_report.cpp
@@ -13,11 +13,10 @@
 static constexpr std::uint16_t UnlistedMagic = 0x4d55;
 static constexpr std::uint16_t ListedMagic = 0x4d4b;
 static constexpr std::uint16_t FoundMagic = 0x4d46;
-static constexpr std::uint16_t SiteSizeMagic = 0x4d4e;
 /// Of a message that is a magic number and another number.
 static constexpr std::size_t NumberBytes = 8;
 static_assert(ListedNoticeBytes == NumberBytes &&
-              FoundNoticeBytes == NumberBytes && SiteSizeBytes == NumberBytes);
+              FoundNoticeBytes == NumberBytes);
 static constexpr std::uint8_t Format = 1;
 static constexpr std::uint8_t AdmittingBit = 1;
 static constexpr std::uint8_t AnsweringBit = 2;
@@ -153,16 +152,4 @@
   return decodeService(Bytes, FoundMagic, Service);
 }
 
-std::size_t encodeSiteSize(std::uint32_t Agents,
-                           std::span<std::uint8_t> Buffer) {
-  return encodeNumber(SiteSizeMagic, Agents, Buffer);
-}
-
-bool decodeSiteSize(bytes_view Bytes, std::uint32_t &Agents) {
-  const auto Number = decodeNumber(Bytes, SiteSizeMagic);
-  if (Number)
-    Agents = *Number;
-  return Number.has_value();
-}
-
 } // namespace marjoramrail
--- /dev/null
+++ b/test/flowstore/flow_zone.h
@@ -0,0 +1,147 @@
+//===- flow_zone.h - A zone whose flows are kept ----------------*- C++ -*-===//
+///
+/// \file
+/// Reporters and collectors over one store, on a hand-turned clock. Datagrams
+/// arrive at once, unless they are lost.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_TEST_FLOWSTORE_FLOW_ZONE_H
+#define MARJORAMRAIL_TEST_FLOWSTORE_FLOW_ZONE_H
+
+#include "directory/site_store.h"
+#include "marjoramrail/flowstore.h"
+
+namespace marjoramrail::testing {
+
+/// One process of an agent.
+struct reporter_process {
+  reporter_process(timer_service &Timers, fake_platform &Store,
+                   const std::string &Name, const endpoint &Self,
+                   std::vector<open_flow> Open)
+      : Self(Self), Open(std::move(Open)),
+        Reporter(Timers, siteStore(Store, Faults, KeptFlowsKind),
+                 {Name, "brugge"}, hooks()) {
+    Reporter.start(/*HasFormer=*/true);
+  }
+
+  flow_reporter::hooks hooks() {
+    flow_reporter::hooks Hooks;
+    Hooks.OpenFlows = [this](instant) { return Open; };
+    Hooks.OnLost = [this](const std::vector<open_flow> &Flows) {
+      Lost.insert(Lost.end(), Flows.begin(), Flows.end());
+    };
+    Hooks.Send = [this](const endpoint &, std::span<const std::uint8_t> Bytes) {
+      Sent.emplace_back(Bytes.begin(), Bytes.end());
+    };
+    Hooks.OnTrouble = [](const std::string &) {};
+    return Hooks;
+  }
+
+  endpoint Self;
+  store_faults Faults;
+  std::vector<open_flow> Open;
+  std::vector<open_flow> Lost;
+  /// Datagrams on their way to a collector.
+  std::vector<std::vector<std::uint8_t>> Sent;
+  flow_reporter Reporter;
+};
+
+/// Agents by the names of their entries.
+using reporters = std::map<std::string, std::unique_ptr<reporter_process>>;
+
+/// One process of a balancer.
+struct collector_process {
+  collector_process(timer_service &Timers, fake_platform &Store,
+                    reporters &Agents)
+      : Agents(Agents),
+        Collector(Timers, siteStore(Store, Faults, KeptFlowsKind),
+                  keptFlowsKey("brugge"), hooks()) {
+    Collector.start();
+  }
+
+  flow_collector::hooks hooks() {
+    flow_collector::hooks Hooks;
+    Hooks.Agents = [this] {
+      std::map<std::string, endpoint> Known;
+      for (const auto &[Name, Agent] : Agents)
+        if (InCharge)
+          Known[Name] = Agent->Self;
+      return Known;
+    };
+    Hooks.Send = [this](const endpoint &To,
+                        std::span<const std::uint8_t> Bytes) {
+      for (auto &[Name, Agent] : Agents)
+        if (Agent->Self == To && !Cut)
+          exchange(*Agent, Bytes);
+    };
+    Hooks.OnTrouble = [](const std::string &) {};
+    return Hooks;
+  }
+
+  void exchange(reporter_process &Agent, std::span<const std::uint8_t> Bytes) {
+    Agent.Reporter.input({0x0a000101, 7720}, Bytes);
+    for (const auto &Datagram : std::exchange(Agent.Sent, {})) {
+      Received += Datagram.size();
+      Collector.input(Datagram);
+    }
+  }
+
+  reporters &Agents;
+  store_faults Faults;
+  bool InCharge = true;
+  /// No datagram comes or goes.
+  bool Cut = false;
+  /// Bytes of agents' reports.
+  std::size_t Received = 0;
+  flow_collector Collector;
+};
+
+struct flow_zone {
+  timer_service Timers;
+  fake_platform Store{Timers};
+  reporters Agents;
+  std::vector<open_flow> Two{{{{0x64400001, 1001}, FirstAddress}, 7},
+                             {{{0x64400002, 1002}, FirstAddress}, 8}};
+
+  flow_zone() { pass(std::chrono::seconds(1)); }
+
+  void pass(duration Time) { Timers.advance(Timers.now() + Time); }
+
+  std::unique_ptr<collector_process> startCollector() {
+    return std::make_unique<collector_process>(Timers, Store, Agents);
+  }
+
+  /// A process of the agent of \p Name; the one before it is gone.
+  reporter_process &startAgent(const std::string &Name,
+                               std::vector<open_flow> Open = {}) {
+    const endpoint Self{0x0a000200 + static_cast<std::uint32_t>(
+                                         std::hash<std::string>()(Name) % 1000),
+                        8172};
+    Agents.erase(Name);
+    Agents[Name] = std::make_unique<reporter_process>(Timers, Store, Name, Self,
+                                                      std::move(Open));
+    return *Agents[Name];
+  }
+
+  /// An agent whose target runs as \p Run.
+  reporter_process &runAgent(const std::string &Name, const target_run &Run,
+                             std::vector<open_flow> Open = {}) {
+    reporter_process &Agent = startAgent(Name, std::move(Open));
+    Agent.Reporter.onRun(Run);
+    return Agent;
+  }
+
+  /// What the store keeps of \p Name.
+  kept_flows kept(const std::string &Name) const {
+    const object_key Key = keptFlowsKey("brugge");
+    const auto Zone = decodeFlows(Key, Store.get(Key.Kind, Key.Name).Body);
+    if (!Zone || !Zone->contains(Name))
+      return {};
+    return Zone->at(Name);
+  }
+};
+
+} // namespace marjoramrail::testing
+
+#endif // MARJORAMRAIL_TEST_FLOWSTORE_FLOW_ZONE_H
