Leave a zone on what a few targets elsewhere say now

A balancer hears of loads only where it sends, so targets elsewhere look as idle as when they were last heard, and each balancer found that out with a flow to each of 130 targets. Such flows cross zones for as long as they live. Beside that the zone was left because of the shortest queue of all elsewhere, and the flow went to one of two others.

Shown without a network: five zones of 32 targets, all with a queue, loads elsewhere not heard for a while: of 500 flows 405 left -> 4 at most; where three targets elsewhere have just emptied, 483 of 500 went to full ones -> none.

Change: three targets elsewhere that have reported just now tell how full their zones are; with fewer, others are tried. A flow leaves only for a target whose own queue is shorter by more than the way.

Also tests of whom new balancers ask (peer_ring).

--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -155,6 +155,8 @@
   bool OwnZone = false;
   /// It has reported since it came into the list.
   bool Reported = true;
+  /// Its last report is of now, not of some seconds ago.
+  bool Fresh = true;
   bool Admitting = true;
   /// It does not answer, or does not confirm what is sent to it.
   bool Suspect = false;
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -4,6 +4,10 @@
 
 using namespace internal;
 
+/// Agents report every 200 ms while they are sent something, and then for some
+/// seconds not at all.
+static constexpr duration FreshFor = std::chrono::milliseconds(500);
+
 placing_view forward_balancer::impl::viewOf(const agent_state &Agent,
                                             std::optional<endpoint> Avoid,
                                             instant Now) const {
@@ -14,6 +18,7 @@
            !Settings.Without.has(mechanism::Suspicion);
   };
   View.Reported = Agent.ReportedAt && !IsSilentFor(agent_roster::DoubtAfter);
+  View.Fresh = View.Reported && Now - *Agent.ReportedAt <= FreshFor;
   View.Admitting = Agent.Report.Admitting && !Agent.Draining;
   View.Suspect =
       (Agent.Suspect && !Settings.Without.has(mechanism::Suspicion)) ||
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -44,9 +44,12 @@
 /// makes a caller wait as long as a request takes, several times the way to
 /// another zone,
 constexpr double FullZone = 1.0;
-/// and another zone's queue is shorter by this.
+/// and the queue that it would get in another zone is shorter by this.
 constexpr double WorthTheWay = 0.75;
 
+/// So many targets of other zones tell how full these are.
+constexpr std::size_t EnoughToTell = 3;
+
 /// A target counts as failing if it fails this much more often than the median
 /// of its service, in thousandths: two failures of its own among some twenty
 /// answers are chance, three are not. Measured against the median, a service
@@ -110,6 +113,8 @@
   double shortestQueue(const std::vector<std::size_t> &Positions) const;
   std::size_t lessLoaded(const std::vector<std::size_t> &Positions) const;
   std::size_t withinZones(const candidate_set &Set) const;
+  std::vector<std::size_t>
+  knownLoads(const std::vector<std::size_t> &Positions) const;
 
   const std::vector<placing_view> &Targets;
   const std::vector<std::size_t> &Order;
@@ -231,11 +236,28 @@
 std::size_t flow_choice::withinZones(const candidate_set &Set) const {
   if (Set.OwnZone.empty())
     return lessLoaded(Set.OtherZones);
+  const std::size_t Home = lessLoaded(Set.OwnZone);
+  const std::vector<std::size_t> Others = knownLoads(Set.OtherZones);
+  if (Others.empty() || Without.has(mechanism::ZoneOverflow))
+    return Home;
   const double Own = shortestQueue(Set.OwnZone);
-  const bool IsFull = Own >= FullZone &&
-                      shortestQueue(Set.OtherZones) + WorthTheWay <= Own &&
-                      !Without.has(mechanism::ZoneOverflow);
-  return lessLoaded(IsFull ? Set.OtherZones : Set.OwnZone);
+  const bool IsFull =
+      Own >= FullZone && shortestQueue(Others) + WorthTheWay <= Own;
+  const std::size_t Away = lessLoaded(Others);
+  const double Gain = queueOf(Targets[Home]) - queueOf(Targets[Away]);
+  return IsFull && Gain >= WorthTheWay ? Away : Home;
+}
+
+/// Those that have reported just now, if they are enough to tell how full their
+/// zones are. The others were idle when they were last heard, and would have to
+/// be found full one by one.
+std::vector<std::size_t>
+flow_choice::knownLoads(const std::vector<std::size_t> &Positions) const {
+  std::vector<std::size_t> Known;
+  for (const std::size_t Position : Positions)
+    if (Targets[Position].Fresh)
+      Known.push_back(Position);
+  return Known.size() >= EnoughToTell ? Known : Positions;
 }
 
 std::optional<std::size_t> flow_choice::choose() const {
--- a/test/directory/peer_ring_test.cpp
+++ b/test/directory/peer_ring_test.cpp
@@ -63,3 +63,51 @@
   CHECK(Ring.rank(Now) == 2);
   CHECK(Ring.rank(Now + 10s) == 0);
 }
+
+TEST_CASE("who takes itself for the first asks those ahead") {
+  // After a start a balancer has heard three of ninety. Until it meets one that
+  // goes before it by chance, it would do the others' duties.
+  const instant Now(10s);
+  peer_ring Ring(balancer(50), 1, 50);
+  for (std::uint32_t Number = 1; Number <= 90; ++Number)
+    Ring.know(balancer(Number), 1);
+  CHECK(Ring.rank(Now) == 0);
+  int Rounds = 0;
+  for (; Ring.rankIn(1, Now) < peer_ring::FirstInZone && Rounds < 10; ++Rounds)
+    for (const endpoint &Peer : Ring.round(Now))
+      Ring.heard(Peer, 1, Now);
+
+  CHECK(Rounds <= 2);
+}
+
+TEST_CASE("one ahead that is dead is asked twice only") {
+  // VMs that were replaced stay in the list for a while.
+  instant Now(10s);
+  peer_ring Ring(balancer(50), 1, 50);
+  Ring.know(balancer(1), 1);
+  for (std::uint32_t Number = 60; Number <= 90; ++Number)
+    Ring.heard(balancer(Number), 1, Now);
+  int Asked = 0;
+  for (int Round = 0; Round < 10; ++Round)
+    for (const endpoint &Peer : Ring.round(Now))
+      Asked += Peer == balancer(1);
+
+  // Two turns of silent peers come in ten rounds as well.
+  CHECK(Asked >= peer_ring::TriesAhead);
+  CHECK(Asked <= peer_ring::TriesAhead + 2);
+}
+
+TEST_CASE("who needs news asks a watcher and the first of its zone") {
+  const instant Now(10s);
+  peer_ring Ring(balancer(80), 2, 80);
+  for (std::uint32_t Number = 1; Number <= 90; ++Number)
+    Ring.heard(balancer(Number), 1 + Number / 46, Now);
+  for (int Round = 0; Round < 20; ++Round) {
+    const std::vector<endpoint> Asked = Ring.round(Now, /*NeedsNews=*/true);
+    REQUIRE(Asked.size() == 2);
+    const auto Ahead = std::minmax(Asked[0], Asked[1]);
+    CHECK(Ahead.first <= balancer(3));
+    CHECK(Ahead.second >= balancer(46));
+    CHECK(Ahead.second <= balancer(47));
+  }
+}
--- a/test/forward/placement_test.cpp
+++ b/test/forward/placement_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <numeric>
 #include <random>
 
 using namespace marjoramrail;
@@ -135,6 +136,79 @@
   CHECK(*placement().choose(Targets, {0, 1, 2, 3}) <= 1);
 }
 
+namespace {
+
+/// A balancer of one of five zones whose targets all have a queue.
+struct full_site {
+  static constexpr std::size_t OfZone = 32;
+  static constexpr std::size_t Zones = 5;
+  static constexpr std::uint16_t Queue = 8;
+
+  std::vector<placing_view> Targets{OfZone * Zones};
+  std::minstd_rand Random{7};
+
+  full_site() {
+    for (std::size_t I = 0; I < Targets.size(); ++I) {
+      Targets[I].Slots = 2;
+      Targets[I].OwnZone = I < OfZone;
+      Targets[I].Active = Queue;
+    }
+  }
+
+  std::size_t place() {
+    std::vector<std::size_t> Order(Targets.size());
+    std::iota(Order.begin(), Order.end(), std::size_t{0});
+    std::shuffle(Order.begin(), Order.end(), Random);
+    return *placement().choose(Targets, Order);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(full_site, "a few tell that other zones are as full") {
+  // All power is back, and everyone asks at once. A balancer has not heard of
+  // the load of targets elsewhere since they were idle. Were it to find out
+  // target by target, every balancer of a large site would send a flow to each,
+  // and these would cross zones for as long as they live.
+  for (std::size_t I = OfZone; I < Targets.size(); ++I) {
+    Targets[I].Active = 0;
+    Targets[I].Fresh = false;
+  }
+  int Left = 0;
+  for (int Flow = 0; Flow < 500; ++Flow) {
+    const std::size_t Chosen = place();
+    if (Targets[Chosen].OwnZone)
+      continue;
+    ++Left;
+    Targets[Chosen].Active = Queue;
+    Targets[Chosen].Fresh = true;
+  }
+
+  CHECK(Left >= 1);
+  CHECK(Left <= 4);
+}
+
+TEST_CASE_FIXTURE(full_site, "a flow that leaves its zone waits less") {
+  // Zones are full, and a few targets elsewhere have just emptied. A flow that
+  // gets none of those two to choose from stays at home.
+  for (std::size_t I = OfZone; I < OfZone + 3; ++I)
+    Targets[I].Active = 0;
+  for (int Flow = 0; Flow < 500; ++Flow) {
+    const placing_view &Chosen = Targets[place()];
+    CHECK((Chosen.OwnZone || Chosen.Active == 0));
+  }
+}
+
+TEST_CASE_FIXTURE(full_site, "a zone that was idle when last heard is tried") {
+  // A burst fills one zone, and nothing has been sent elsewhere for a while.
+  for (std::size_t I = OfZone; I < Targets.size(); ++I) {
+    Targets[I].Active = 0;
+    Targets[I].Fresh = false;
+  }
+
+  CHECK_FALSE(Targets[place()].OwnZone);
+}
+
 TEST_CASE("suspects come last, those that do not admit never") {
   std::vector<placing_view> Targets(3);
   Targets[0].Admitting = false;
