Pass over balancers that the store refuses; try in its outage on behalf of all

Cause: the first three in rank watch the store for all. Refused by it they stayed first, every other balancer's knowledge grew old, and each watched by itself; and in an outage every balancer tried at its own pace, though each call is paid for.

Ruled out: longer waits for the watchers themselves (the return would be noticed later).

Change: a greeting says whether the store answers its sender (format 4; programs of format 3 do not read it and keep to their own); ranks count those alone, unless it answers nobody. Who is not a watcher tries every three seconds.

--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -35,6 +35,9 @@
 /// A balancer whose knowledge is older watches by itself: the watchers may be
 /// cut off from the store, or it from them.
 constexpr duration TrustPeersFor = std::chrono::milliseconds(1200);
+/// The rest of the time it waits between two tries while the store is away:
+/// every call is paid for, also one that is refused.
+constexpr duration PatientRetry = std::chrono::seconds(3);
 constexpr duration RecordPeriod = std::chrono::milliseconds(200);
 
 } // namespace
@@ -100,6 +103,11 @@
   const bool IsFresh = Feed.asOf() && Now - *Feed.asOf() <= TrustPeersFor;
   if (IsFresh && (Rank >= Watchers || !hasMet(FirstPeersMetAfter, Now)))
     return std::nullopt;
+  // The watchers try on behalf of all.
+  const bool HasTried =
+      Feed.failedAt() && Now - *Feed.failedAt() < PatientRetry;
+  if (Rank >= Watchers && HasTried)
+    return std::nullopt;
   if (Rank >= Watchers || Peers.live(Now) == 0)
     return LoneWatch;
   if (Rank == 0)
--- a/src/directory/directory_peers.cpp
+++ b/src/directory/directory_peers.cpp
@@ -31,6 +31,7 @@
   Greeting.Self = Settings.Self;
   Greeting.Zone = ZoneNumber;
   Greeting.AskedUs = Timers.now().time_since_epoch().count();
+  Greeting.IsServed = Site.answering();
   Greeting.Routes = knowledgeOf(Routes);
   Greeting.Site = knowledgeOf(Site);
   return Greeting;
@@ -50,7 +51,7 @@
   auto Greeting = decodeGreeting(Bytes);
   if (!Greeting)
     return;
-  Peers.heard(Greeting->Self, Greeting->Zone, Timers.now());
+  Peers.heard(Greeting->Self, Greeting->Zone, Timers.now(), Greeting->IsServed);
   if (!Greeting->IsReply) {
     const measured_turn Turn(Hooks.OnTurn, turn_kind::AnswerGreeting);
     peer_greeting Reply = greeting();
--- a/src/directory/object_feed.cpp
+++ b/src/directory/object_feed.cpp
@@ -210,6 +210,8 @@
 void object_feed::contact(bool Answers, const std::string &Reason) {
   if (Answers)
     Failures = 0;
+  else
+    FailedAt = Timers.now();
   if (std::exchange(Answering, Answers) != Answers)
     Hooks.OnContact(Answers, Reason);
 }
--- a/src/directory/object_feed.h
+++ b/src/directory/object_feed.h
@@ -46,6 +46,10 @@
   std::uint64_t version() const { return Version; }
   /// Nothing accepted before this moment is missing.
   std::optional<instant> asOf() const { return AsOf; }
+  /// The store answered the last call.
+  bool answering() const { return Answering; }
+  /// When it last did not.
+  std::optional<instant> failedAt() const { return FailedAt; }
   const std::map<std::string, platform_object> &objects() const {
     return Objects;
   }
@@ -94,6 +98,7 @@
   std::uint64_t GoneSince = 0;
   bool Known = false;
   bool Answering = true;
+  std::optional<instant> FailedAt;
   int Failures = 0;
   std::uint64_t Version = 0;
   std::uint64_t LastChange = 0;
--- a/src/directory/peer_greeting.cpp
+++ b/src/directory/peer_greeting.cpp
@@ -10,12 +10,14 @@
 
 using json = nlohmann::json;
 
-/// u16 magic | u8 format | u8 reply | i64 asked | u32, u16 self | u32 zone |
+/// u16 magic | u8 format | u8 flags | i64 asked | u32, u16 self | u32 zone |
 /// 2 x (u64 version, u64 change, i64 age) | u64 changes since | u64 up to |
 /// changes as CBOR, [[name, version, body or null for deleted], ...], or
 /// nothing
 static constexpr std::uint16_t GreetingMagic = 0x4d47;
-static constexpr std::uint8_t GreetingFormat = 3;
+static constexpr std::uint8_t GreetingFormat = 4;
+static constexpr std::uint8_t ReplyBit = 1;
+static constexpr std::uint8_t ServedBit = 2;
 static constexpr std::size_t FixedBytes = 2 + 1 + 1 + 8 + 6 + 4 + 2 * 24 + 16;
 
 static std::vector<std::uint8_t>
@@ -78,7 +80,8 @@
   byte_writer Writer(Bytes.data());
   Writer.put(GreetingMagic);
   Writer.put(GreetingFormat);
-  Writer.put(static_cast<std::uint8_t>(Greeting.IsReply));
+  Writer.put(static_cast<std::uint8_t>((Greeting.IsReply ? ReplyBit : 0) |
+                                       (Greeting.IsServed ? ServedBit : 0)));
   Writer.put(static_cast<std::uint64_t>(Greeting.AskedUs));
   Writer.put(Greeting.Self);
   Writer.put(Greeting.Zone);
@@ -107,7 +110,9 @@
   if (Reader.take<std::uint8_t>() != GreetingFormat)
     return std::nullopt;
   peer_greeting Greeting;
-  Greeting.IsReply = Reader.take<std::uint8_t>() != 0;
+  const auto Flags = Reader.take<std::uint8_t>();
+  Greeting.IsReply = (Flags & ReplyBit) != 0;
+  Greeting.IsServed = (Flags & ServedBit) != 0;
   Greeting.AskedUs = static_cast<std::int64_t>(Reader.take<std::uint64_t>());
   Greeting.Self = Reader.takeEndpoint();
   Greeting.Zone = Reader.take<std::uint32_t>();
--- a/src/directory/peer_greeting.h
+++ b/src/directory/peer_greeting.h
@@ -38,6 +38,8 @@
   /// A number for the balancer's zone, equal for all in it.
   std::uint32_t Zone = 0;
   bool IsReply = false;
+  /// The store answers this balancer.
+  bool IsServed = true;
   /// The asker's clock when it asked, microseconds; unchanged in the reply.
   std::int64_t AskedUs = 0;
   kind_knowledge Routes;
--- a/src/directory/peer_ring.cpp
+++ b/src/directory/peer_ring.cpp
@@ -10,9 +10,10 @@
     State.Zone = Zone;
 }
 
-void peer_ring::heard(const endpoint &Peer, std::uint32_t Zone, instant Now) {
+void peer_ring::heard(const endpoint &Peer, std::uint32_t Zone, instant Now,
+                      bool IsServed) {
   if (Peer != Self)
-    Peers[Peer] = {Now, Zone, 0, Now};
+    Peers[Peer] = {Now, Zone, IsServed, 0, Now};
 }
 
 std::size_t peer_ring::live(instant Now) const {
@@ -21,23 +22,35 @@
                     [&](const auto &Peer) { return Peer.second.isLive(Now); }));
 }
 
-std::size_t peer_ring::rank(instant Now) const {
+bool peer_ring::anyServed(instant Now) const {
+  return std::any_of(Peers.begin(), Peers.end(), [&](const auto &Peer) {
+    return Peer.second.IsServed && Peer.second.isLive(Now);
+  });
+}
+
+std::size_t
+peer_ring::countAhead(instant Now,
+                      const std::function<bool(const peer &)> &Counts) const {
+  const bool AnyServed = anyServed(Now);
   return static_cast<std::size_t>(
-      std::count_if(Peers.begin(), Peers.end(), [&](const auto &Peer) {
-        return Peer.first < Self && Peer.second.isLive(Now);
+      std::count_if(Peers.begin(), Peers.end(), [&](const auto &Item) {
+        const auto &[Peer, State] = Item;
+        const bool TakesDuties = State.IsServed || !AnyServed;
+        return Peer < Self && State.isLive(Now) && TakesDuties && Counts(State);
       }));
 }
 
+std::size_t peer_ring::rank(instant Now) const {
+  return countAhead(Now, [](const peer &) { return true; });
+}
+
 std::size_t peer_ring::watchers(instant Now) const {
   return std::max(FirstInRank, live(Now) / BalancersAWatcher);
 }
 
 std::size_t peer_ring::rankIn(std::uint32_t Zone, instant Now) const {
-  return static_cast<std::size_t>(
-      std::count_if(Peers.begin(), Peers.end(), [&](const auto &Peer) {
-        return Peer.first < Self && Peer.second.isLive(Now) &&
-               Peer.second.Zone == Zone;
-      }));
+  return countAhead(Now,
+                    [Zone](const peer &State) { return State.Zone == Zone; });
 }
 
 std::size_t peer_ring::liveIn(std::uint32_t Zone, instant Now) const {
@@ -89,6 +102,7 @@
   std::vector<endpoint> Silent;
   std::vector<endpoint> Watchers;
   std::vector<endpoint> FirstOfZone;
+  const bool AnyServed = anyServed(Now);
   const std::size_t ZoneWanted =
       std::max(FirstInZone, liveIn(Zone, Now) / BalancersAWatcher);
   // Watchers greet the very first of them, so that all know the same soon.
@@ -100,6 +114,8 @@
       continue;
     }
     Live.push_back(Peer);
+    if (!State.IsServed && AnyServed)
+      continue;
     if (Watchers.size() < Wanted)
       Watchers.push_back(Peer);
     if (State.Zone == Zone && FirstOfZone.size() < ZoneWanted)
--- a/src/directory/peer_ring.h
+++ b/src/directory/peer_ring.h
@@ -14,6 +14,8 @@
 
 #include "marjoramrail/base.h"
 
+#include <functional>
+#include <map>
 #include <random>
 
 namespace marjoramrail::internal {
@@ -41,7 +43,9 @@
   /// \p Peer may be a balancer, of \p Zone if that is not 0: from the settings
   /// or from the store.
   void know(const endpoint &Peer, std::uint32_t Zone = 0);
-  void heard(const endpoint &Peer, std::uint32_t Zone, instant Now);
+  /// \p IsServed: the store answers it.
+  void heard(const endpoint &Peer, std::uint32_t Zone, instant Now,
+             bool IsServed = true);
   std::size_t live(instant Now) const;
   /// How many watch for all and are greeted by rank, at least,
   static constexpr std::size_t FirstInRank = 3;
@@ -54,8 +58,9 @@
   /// The number of those watchers among the live balancers.
   std::size_t watchers(instant Now) const;
 
-  /// The number of live peers whose address is below this balancer's: an order
-  /// in which duties are taken without asking anyone.
+  /// The number of live peers that the store answers and whose address is below
+  /// this balancer's: an order in which duties are taken without asking anyone.
+  /// One that the store refuses can do none of them.
   std::size_t rank(instant Now) const;
   /// The same among the peers of \p Zone.
   std::size_t rankIn(std::uint32_t Zone, instant Now) const;
@@ -68,18 +73,10 @@
   std::vector<endpoint> round(instant Now, bool NeedsNews = false);
 
 private:
-  /// A balancer that takes itself for one of the first, of its zone or of all,
-  /// asks those before it whom it has not heard: after a start it would take
-  /// duties that are others' until it has met them by chance.
-  std::optional<endpoint> unheardAhead(bool OfZone, instant Now) const;
-  std::size_t liveIn(std::uint32_t Zone, instant Now) const;
-  /// Adds one of \p Peers to those chosen for a round, if there is room.
-  void chooseOneOf(const std::vector<endpoint> &Peers,
-                   std::vector<endpoint> &Chosen);
-
   struct peer {
     std::optional<instant> HeardAt;
     std::uint32_t Zone = 0;
+    bool IsServed = true;
     /// Greetings since it was heard, and the first of them.
     int Unanswered = 0;
     instant UnansweredSince;
@@ -89,6 +86,20 @@
     }
   };
 
+  /// A balancer that takes itself for one of the first, of its zone or of all,
+  /// asks those before it whom it has not heard: after a start it would take
+  /// duties that are others' until it has met them by chance.
+  std::optional<endpoint> unheardAhead(bool OfZone, instant Now) const;
+  std::size_t liveIn(std::uint32_t Zone, instant Now) const;
+  bool anyServed(instant Now) const;
+  /// Live peers that go before this balancer and for which \p Counts. Those
+  /// that the store refuses do not count, unless it refuses all.
+  std::size_t countAhead(instant Now,
+                         const std::function<bool(const peer &)> &Counts) const;
+  /// Adds one of \p Peers to those chosen for a round, if there is room.
+  void chooseOneOf(const std::vector<endpoint> &Peers,
+                   std::vector<endpoint> &Chosen);
+
   endpoint Self;
   std::uint32_t Zone;
   std::map<endpoint, peer> Peers;
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -315,10 +315,46 @@
   CHECK(Store.Calls - Before < 10 * 12);
 }
 
+TEST_CASE_FIXTURE(large_site, "first balancers that are refused are replaced") {
+  // The store refuses the very balancers that watch it for all. Were they
+  // waited for, every other one would find its knowledge too old and watch by
+  // itself.
+  startAll();
+  pass(10s);
+  for (unsigned Number = 1; Number <= 3; ++Number)
+    Balancers.at(Number).Faults->Link.Cut = true;
+  pass(3s);
+  const std::uint64_t Before = Store.Calls;
+  const double Sure = sureFor(10s);
+
+  CHECK(Sure > 0.95);
+  // As on a calm day, and the tries of those three.
+  CHECK(Store.Calls - Before < 10 * 12 + 10 * 6 * 2);
+}
+
+TEST_CASE_FIXTURE(large_site, "an outage of the store costs few calls") {
+  // Every call is paid for, also one that is refused. The first balancers try
+  // on behalf of all, and the others are told when one gets through.
+  startAll();
+  pass(10s);
+  Store.Down = true;
+  pass(2s);
+  const std::uint64_t Before = Store.Calls;
+  pass(10s);
+  CHECK(Store.Calls - Before < 10 * Count);
+
+  Store.Down = false;
+  addTarget("one");
+  pass(2s);
+  for (auto &[Number, Balancer] : Balancers)
+    CHECK(Balancer.Directory->targets().size() == 1);
+  CHECK(sureFor(1s) > 0.95);
+}
+
 TEST_CASE_FIXTURE(large_site, "a site that starts asks little") {
   // All balancers start within 0.3 s, agents announce two hundred targets
-  // meanwhile, and nobody has heard a peer yet. Each piece of news answers every
-  // watch.
+  // meanwhile, and nobody has heard a peer yet. Each piece of news answers
+  // every watch.
   startAll();
   for (int Target = 0; Target < 200; ++Target) {
     addTarget("number-" + std::to_string(Target));
