One walk at a time goes through all zones for a flow that nobody holds

Each caller of a lost flow sends again every few hundred milliseconds, and each copy walked through 163 targets.

Change: within 600 ms of a walk other packets of the same unknown flow are shown to the targets of the own zone alone, where an owner most likely is. A walk whose packet was lost is followed by another.

Shown without a network: 140 targets in two zones, two copies of a lost flow's packet: 142 hops each -> 64 at most; the reset comes with the first, as before.

--- a/src/forward/flow_walk.cpp
+++ b/src/forward/flow_walk.cpp
@@ -18,6 +18,9 @@
   collectHolders(Route);
   if (Holders.empty() && !Remembered)
     return forward_outcome::Unsure;
+  const bool IsFarAsked = !Remembered && hasFarHolders();
+  if (IsFarAsked && !Walks.begin(Flow, Now))
+    return sendNearby(Route, Flow, Bytes, Now);
   // A flow whose holder is remembered needs no order of its own behind it,
   // unless the walk may take several lists, which must agree.
   const bool TakesSeveral = Holders.size() > ownersThatFit(Bytes.size());
@@ -26,6 +29,31 @@
   return Remembered ? forward_outcome::SentByMemory : forward_outcome::Sent;
 }
 
+bool forward_balancer::impl::hasFarHolders() const {
+  return std::any_of(Holders.begin(), Holders.end(), [&](std::size_t Index) {
+    return !Roster.at(Index).isOwnZone();
+  });
+}
+
+/// Shows a packet of a flow that is being looked for to the targets of the own
+/// zone. What they decline proves nothing.
+forward_outcome forward_balancer::impl::sendNearby(const route_state &Route,
+                                                   const flow_key &Flow,
+                                                   bytes_view Bytes,
+                                                   instant Now) {
+  std::erase_if(Holders, [&](std::size_t Index) {
+    const agent_state &Agent = Roster.at(Index);
+    return !Agent.isOwnZone() || Agent.Suspect;
+  });
+  if (Holders.empty())
+    return forward_outcome::Unsure;
+  Order.sortForWalk(Holders, Flow, /*OwnOrder=*/true);
+  holder_list List(Bytes.size());
+  Order.list(/*Named=*/0, std::nullopt, List);
+  send(List, Route.Holders.front(), {}, 0, Bytes, Now);
+  return forward_outcome::Sent;
+}
+
 /// Everyone who may hold a flow of \p Route.
 void forward_balancer::impl::collectHolders(const route_state &Route) {
   Holders.clear();
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -222,6 +222,7 @@
 
 void forward_balancer::tick(instant Now) {
   Impl->review(Now);
+  Impl->Walks.forgetOld(Now);
   if (++Impl->Ticks % TicksPerSweep != 0)
     return;
   Impl->Memory.forgetOld(Now);
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -12,6 +12,7 @@
 
 #include "forward/flow_memory.h"
 #include "forward/holder_list.h"
+#include "forward/recent_walks.h"
 
 namespace marjoramrail {
 
@@ -62,6 +63,10 @@
   void sendToHolders(const internal::route_state &Route,
                      const std::optional<endpoint> &First, std::size_t Named,
                      bool Sure, bytes_view Bytes, instant Now);
+  forward_outcome sendNearby(const internal::route_state &Route,
+                             const flow_key &Flow, bytes_view Bytes,
+                             instant Now);
+  bool hasFarHolders() const;
   void continueWalk(const routed_packet &Routed, instant Now);
   forward_outcome refuse(const segment &Segment, forward_outcome Outcome,
                          std::string_view Why, instant Now);
@@ -80,6 +85,7 @@
   internal::agent_roster Roster;
   internal::holder_order Order{Roster};
   internal::flow_memory Memory;
+  internal::recent_walks Walks;
   /// Scratch space of one packet's decision.
   std::vector<placing_view> Views;
   std::vector<std::size_t> Holders;
--- a/test/forward/flows_test.cpp
+++ b/test/forward/flows_test.cpp
@@ -341,6 +341,29 @@
   CHECK(asked() == Targets);
 }
 
+TEST_CASE_FIXTURE(large_service, "copies of a lost flow's packet stay near") {
+  // All power was lost, and callers send what was not answered again and again.
+  // A walk for each copy, through all zones, would keep everyone busy with
+  // flows that nobody holds.
+  const flow_key Flow = flowOf(1001);
+  const std::uint32_t Ack = openAndLose(Flow);
+  Hops = 0;
+  packet(2, data(Flow, Ack));
+  CHECK(Hops > Targets);
+  for (int Copy = 0; Copy < 2; ++Copy) {
+    pass(200ms);
+    Hops = 0;
+    packet(2, data(Flow, Ack));
+    CHECK(Hops <= MaxRoutedOwners);
+  }
+  CHECK(resets() == 1);
+
+  // The caller may have missed the word, or the walk have lost its packet.
+  pass(200ms);
+  packet(2, data(Flow, Ack));
+  CHECK(resets() == 2);
+}
+
 TEST_CASE_FIXTURE(large_service, "a list that has changed proves nothing") {
   // A target joins or leaves while a packet walks through a long list: the rest
   // is counted from another beginning, and the owner may be the one left out.
