Name the owner alone in packets of known flows; leave a zone on reports alone

A balancer counts what it has placed at home since the last reports, and nothing of what others have placed elsewhere, so every other zone looks idle whenever all are asked at once. And each packet of such a flow carries 64 addresses, 384 bytes, though its owner is known.

Change: zones are compared by what targets reported; the single flow still leaves only for a queue that is shorter with one's own placements counted.

--- a/src/forward/flow_walk.cpp
+++ b/src/forward/flow_walk.cpp
@@ -4,6 +4,10 @@
 
 using namespace internal;
 
+/// Of so many targets all are named behind a known owner: coming back to the
+/// balancer would cost more than their few bytes.
+static constexpr std::size_t ShortWalk = 8;
+
 forward_outcome forward_balancer::impl::follow(const route_state &Route,
                                                const segment &Segment,
                                                bytes_view Bytes, instant Now) {
@@ -21,14 +25,35 @@
   const bool IsFarAsked = !Remembered && hasFarHolders();
   if (IsFarAsked && !Walks.begin(Flow, Now))
     return sendNearby(Route, Flow, Bytes, Now);
-  // A flow whose holder is remembered needs no order of its own behind it,
-  // unless the walk may take several lists, which must agree.
-  const bool TakesSeveral = Holders.size() > ownersThatFit(Bytes.size());
-  Order.sortForWalk(Holders, Flow, !Remembered || TakesSeveral);
+  if (Remembered && Holders.size() > ShortWalk &&
+      !Settings.Without.has(mechanism::WalkContinuation)) {
+    sendToOwner(Route, *Remembered, isSure(Now), Bytes, Now);
+    return forward_outcome::SentByMemory;
+  }
+  // A flow whose holder is remembered needs no order of its own behind it.
+  Order.sortForWalk(Holders, Flow, /*OwnOrder=*/!Remembered);
   sendToHolders(Route, Remembered, /*Named=*/0, isSure(Now), Bytes, Now);
   return Remembered ? forward_outcome::SentByMemory : forward_outcome::Sent;
 }
 
+/// To the owner alone. If it has lost the flow, the packet comes back and walks
+/// through all of them. Almost all packets are of flows whose owner is known;
+/// with everyone in their list they would be several times as long.
+void forward_balancer::impl::sendToOwner(const route_state &Route,
+                                         const endpoint &Owner, bool Sure,
+                                         bytes_view Bytes, instant Now) {
+  holder_list List(Bytes.size());
+  List.add(Owner);
+  const service_id Service =
+      Route.Holders.empty() ? service_id{} : Route.Holders.front();
+  const std::uint64_t Begin = encodeCursor(Order.beginning());
+  if (Sure)
+    send(List, Service, {routed_flag::Continues, routed_flag::WholeSoFar},
+         Begin, Bytes, Now);
+  else
+    send(List, Service, {routed_flag::Continues}, Begin, Bytes, Now);
+}
+
 bool forward_balancer::impl::hasFarHolders() const {
   return std::any_of(Holders.begin(), Holders.end(), [&](std::size_t Index) {
     return !Roster.at(Index).isOwnZone();
@@ -103,9 +128,15 @@
   if (Found == Routes.end())
     return;
   ++Counters.WalksContinued;
-  collectHolders(Found->second);
-  Order.sortForWalk(Holders, Segment.Head.Flow, /*OwnOrder=*/true);
+  const flow_key &Flow = Segment.Head.Flow;
   const walk_cursor Cursor = decodeCursor(Routed.Version);
+  collectHolders(Found->second);
+  const bool Begins = Cursor.Named == 0 && hasFarHolders();
+  if (Begins && !Walks.begin(Flow, Now)) {
+    sendNearby(Found->second, Flow, Routed.Packet, Now);
+    return;
+  }
+  Order.sortForWalk(Holders, Flow, /*OwnOrder=*/true);
   const bool Sure = Routed.has(routed_flag::WholeSoFar) && isSure(Now) &&
                     Order.beginsAs(Cursor);
   sendToHolders(Found->second, std::nullopt, Cursor.Named, Sure, Routed.Packet,
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -67,6 +67,8 @@
                              const flow_key &Flow, bytes_view Bytes,
                              instant Now);
   bool hasFarHolders() const;
+  void sendToOwner(const internal::route_state &Route, const endpoint &Owner,
+                   bool Sure, bytes_view Bytes, instant Now);
   void continueWalk(const routed_packet &Routed, instant Now);
   forward_outcome refuse(const segment &Segment, forward_outcome Outcome,
                          std::string_view Why, instant Now);
--- a/src/forward/holder_list.h
+++ b/src/forward/holder_list.h
@@ -68,6 +68,8 @@
   std::optional<walk_cursor> list(std::size_t Named,
                                   const std::optional<endpoint> &First,
                                   holder_list &List) const;
+  /// Where a walk begins that has asked nobody of any order.
+  walk_cursor beginning() const { return {0, fingerprint(0)}; }
   /// Whether that order begins as it did when \p Cursor was written.
   bool beginsAs(const walk_cursor &Cursor) const;
 
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -60,9 +60,14 @@
   return std::max<std::uint32_t>(Target.Slots, 1);
 }
 
-/// Requests that wait for a slot, for each slot.
+/// Requests that wait for a slot, for each slot, as the target last said.
+static double reportedQueueOf(const placing_view &Target) {
+  return (Target.Active - slotsOf(Target)) / slotsOf(Target);
+}
+
+/// With what this balancer has placed there since.
 static double queueOf(const placing_view &Target) {
-  return (Target.Active + Target.Placed - slotsOf(Target)) / slotsOf(Target);
+  return reportedQueueOf(Target) + Target.Placed / slotsOf(Target);
 }
 
 namespace {
@@ -210,11 +215,15 @@
   return Set;
 }
 
+/// As reported, for a comparison of zones: a balancer knows what it has placed
+/// at home since the reports, but not what others have placed elsewhere, which
+/// is about as much. Were only its own counted, it would take every zone but
+/// its own for idle whenever all are asked at once.
 double
 flow_choice::shortestQueue(const std::vector<std::size_t> &Positions) const {
   double Least = std::numeric_limits<double>::infinity();
   for (const std::size_t Position : Positions)
-    Least = std::min(Least, queueOf(Targets[Position]));
+    Least = std::min(Least, reportedQueueOf(Targets[Position]));
   return Least;
 }
 
@@ -237,15 +246,16 @@
   if (Set.OwnZone.empty())
     return lessLoaded(Set.OtherZones);
   const std::size_t Home = lessLoaded(Set.OwnZone);
-  const std::vector<std::size_t> Others = knownLoads(Set.OtherZones);
-  if (Others.empty() || Without.has(mechanism::ZoneOverflow))
-    return Home;
   const double Own = shortestQueue(Set.OwnZone);
-  const bool IsFull =
-      Own >= FullZone && shortestQueue(Others) + WorthTheWay <= Own;
+  if (Own < FullZone || Set.OtherZones.empty() ||
+      Without.has(mechanism::ZoneOverflow))
+    return Home;
+  const std::vector<std::size_t> Others = knownLoads(Set.OtherZones);
   const std::size_t Away = lessLoaded(Others);
   const double Gain = queueOf(Targets[Home]) - queueOf(Targets[Away]);
-  return IsFull && Gain >= WorthTheWay ? Away : Home;
+  const bool IsWorth =
+      shortestQueue(Others) + WorthTheWay <= Own && Gain >= WorthTheWay;
+  return IsWorth ? Away : Home;
 }
 
 /// Those that have reported just now, if they are enough to tell how full their
--- a/test/forward/flows_test.cpp
+++ b/test/forward/flows_test.cpp
@@ -341,6 +341,39 @@
   CHECK(asked() == Targets);
 }
 
+TEST_CASE_FIXTURE(large_service, "packets of a known flow carry a short list") {
+  // Most packets are of flows whose owner is known. With everyone in their list
+  // a packet without data is eight times as long, on every link that it takes.
+  const flow_key Flow = flowOf(1001);
+  const std::uint32_t Ack = open(1, Flow);
+  SentBytes = 0;
+  Received.clear();
+  packet(1, data(Flow, Ack));
+
+  CHECK(answers() == 1);
+  CHECK(SentBytes < 200);
+
+  // The list goes on behind the owner when it has lost the flow.
+  const unsigned Owner = ownerOf(Flow);
+  Hosts[Owner].Target = {};
+  startAgent(Owner);
+  Received.clear();
+  packet(1, data(Flow, Ack));
+  CHECK(resets() == 1);
+  CHECK(asked() == Targets);
+}
+
+TEST_CASE_FIXTURE(large_service, "copies stay near behind a known owner too") {
+  // One VM has lost power, and the balancers remember its flows.
+  const flow_key Flow = flowOf(1001);
+  const std::uint32_t Ack = openAndLose(Flow);
+  packet(1, data(Flow, Ack));
+  CHECK(resets() == 1);
+  Hops = 0;
+  packet(1, data(Flow, Ack));
+  CHECK(Hops <= MaxRoutedOwners + 2);
+}
+
 TEST_CASE_FIXTURE(large_service, "copies of a lost flow's packet stay near") {
   // All power was lost, and callers send what was not answered again and again.
   // A walk for each copy, through all zones, would keep everyone busy with
--- a/test/forward/forward_world.h
+++ b/test/forward/forward_world.h
@@ -144,6 +144,8 @@
   std::function<void()> BeforeBalancer;
   /// Datagrams between processes, for the price of a walk.
   std::uint64_t Hops = 0;
+  /// Their bytes.
+  std::size_t SentBytes = 0;
 
   void addHost(unsigned Number, const std::string &Service = "ledger",
                const std::string &Zone = "brugge") {
@@ -320,6 +322,7 @@
 
   void send(const endpoint &From, const endpoint &To, bytes_view Bytes) {
     ++Hops;
+    SentBytes += Bytes.size();
     for (const auto &[Number, Host] : Hosts)
       if (agentAt(Number) == From && Host.Cut)
         return;
