--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -60,14 +60,9 @@
   return std::max<std::uint32_t>(Target.Slots, 1);
 }
 
-/// Requests that wait for a slot, for each slot, as the target last said.
-static double reportedQueueOf(const placing_view &Target) {
-  return (Target.Active - slotsOf(Target)) / slotsOf(Target);
-}
-
-/// With what this balancer has placed there since.
+/// Requests that wait for a slot, for each slot.
 static double queueOf(const placing_view &Target) {
-  return reportedQueueOf(Target) + Target.Placed / slotsOf(Target);
+  return (Target.Active + Target.Placed - slotsOf(Target)) / slotsOf(Target);
 }
 
 namespace {
@@ -215,15 +210,11 @@
   return Set;
 }
 
-/// As reported, for a comparison of zones: a balancer knows what it has placed
-/// at home since the reports, but not what others have placed elsewhere, which
-/// is about as much. Were only its own counted, it would take every zone but
-/// its own for idle whenever all are asked at once.
 double
 flow_choice::shortestQueue(const std::vector<std::size_t> &Positions) const {
   double Least = std::numeric_limits<double>::infinity();
   for (const std::size_t Position : Positions)
-    Least = std::min(Least, reportedQueueOf(Targets[Position]));
+    Least = std::min(Least, queueOf(Targets[Position]));
   return Least;
 }
 
