Report what the process before knew of the present run

An agent that is restarted beside a living target saw only flows with packets since, and its report replaced what its former process had reported: idle flows were not kept any more. What was read at the start is reported on for the life of a flow. Test: one flow of three was kept, now three, and all are told after a loss of power.

--- a/src/flowstore/flow_reporter.cpp
+++ b/src/flowstore/flow_reporter.cpp
@@ -1,6 +1,7 @@
 #include "marjoramrail/flowstore.h"
 
 #include <algorithm>
+#include <set>
 
 namespace marjoramrail {
 
@@ -16,6 +17,8 @@
 static constexpr duration ReadRetry = std::chrono::seconds(1);
 /// Callers of flows that were lost longer ago have asked by themselves.
 static constexpr duration ReadFor = std::chrono::seconds(15);
+/// The longest life of a flow.
+static constexpr duration KeepFormerFor = std::chrono::minutes(1);
 
 struct flow_reporter::impl {
   impl(timer_service &Timers, platform_api Store, settings Settings,
@@ -27,6 +30,7 @@
   void onRead(const platform_reply &Reply);
   void takeFormer(const platform_object &Object);
   void tellLost();
+  std::vector<open_flow> current() const;
   void refresh();
   bool isReported(const std::vector<open_flow> &Flows) const;
   void answer(const endpoint &To);
@@ -116,10 +120,27 @@
                      });
 }
 
+/// The flows of the present run that a process of this agent has seen open.
+/// What the process before reported may be idle, and not have been seen since.
+std::vector<open_flow> flow_reporter::impl::current() const {
+  if (HasLeft)
+    return {};
+  std::vector<open_flow> Flows = Hooks.OpenFlows(ConfirmedAt);
+  const bool GoesOn =
+      Former && Former->Run == *Run && Timers.now() - StartedAt < KeepFormerFor;
+  if (!GoesOn)
+    return Flows;
+  std::set<flow_key> Seen;
+  for (const open_flow &Open : Flows)
+    Seen.insert(Open.Flow);
+  for (const open_flow &Open : Former->Flows)
+    if (!Seen.contains(Open.Flow))
+      Flows.push_back(Open);
+  return Flows;
+}
+
 void flow_reporter::impl::refresh() {
-  std::vector<open_flow> Current;
-  if (!HasLeft)
-    Current = Hooks.OpenFlows(ConfirmedAt);
+  std::vector<open_flow> Current = current();
   constexpr std::size_t MostFlows = FlowsADatagram * MostDatagrams;
   if (Current.size() > MostFlows)
     Current.resize(MostFlows);
--- a/test/flowstore/kept_flows_test.cpp
+++ b/test/flowstore/kept_flows_test.cpp
@@ -71,6 +71,21 @@
   CHECK(Agent.Lost.empty());
 }
 
+TEST_CASE_FIXTURE(kept_fixture, "an agent's restart loses none of the flows") {
+  // The agent is restarted while its target lives, and sees no packet of an
+  // idle flow until its caller asks again. Then the VM loses power.
+  runAgent(Web, FirstRun, Two);
+  pass(4s);
+  runAgent(Web, FirstRun, {{{{0x64400003, 1003}, FirstAddress}, 9}});
+  pass(4s);
+  CHECK(kept(Web).Flows.size() == 3);
+  reporter_process &Agent = runAgent(Web, SecondRun);
+  pass(100ms);
+  CHECK(Agent.Lost.size() == 3);
+  pass(4s);
+  CHECK(kept(Web) == kept_flows{SecondRun, {}});
+}
+
 TEST_CASE_FIXTURE(kept_fixture, "a late word of an earlier run resets none") {
   // A report that was held up arrives after a restart of the agent.
   keepAndDie();
