--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -107,6 +107,7 @@
   std::sort(Found.begin(), Found.end(),
             [](const auto &A, const auto &B) { return A.first < B.first; });
   std::vector<open_flow> Flows;
+  Flows.reserve(Found.size());
   for (const auto &[OpenedAt, Open] : Found)
     Flows.push_back(Open);
   return Flows;
