--- /dev/null
+++ b/test/directory/directory_world.h
@@ -0,0 +1,142 @@
+//===- directory_world.h - Directories of many balancers --------*- C++ -*-===//
+
+#ifndef MARJORAMRAIL_TEST_DIRECTORY_DIRECTORY_WORLD_H
+#define MARJORAMRAIL_TEST_DIRECTORY_DIRECTORY_WORLD_H
+
+#include "directory/site_store.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marjoramrail::testing {
+
+/// {"version": 3, "services": ["ledger"]} is a table of one route.
+inline result<route_table> decodeTable(const platform_object &Object) {
+  const auto Json = nlohmann::json::parse(Object.Body, nullptr, false);
+  if (!Json.is_object())
+    return fail(step::ValidateObject, Object.Key.Name, "no object");
+  return tableOf(Json["version"],
+                 Json["services"].get<std::vector<std::string>>());
+}
+
+inline std::string tableBody(std::uint64_t Version,
+                             const std::vector<std::string> &Services) {
+  return nlohmann::json{{"version", Version}, {"services", Services}}.dump();
+}
+
+inline endpoint addressOf(unsigned Number) {
+  return {0x0a000200 + Number, 7000};
+}
+
+/// Some balancers' directories, one store, and datagrams that take 2 ms.
+class directory_world {
+public:
+  struct balancer {
+    std::unique_ptr<store_faults> Faults = std::make_unique<store_faults>();
+    std::unique_ptr<directory> Directory;
+    bool Cut = false;
+  };
+
+  timer_service Timers;
+  fake_platform Store{Timers};
+  std::map<unsigned, balancer> Balancers;
+  /// Whole kinds copied from peers.
+  int Copies = 0;
+  /// How often each balancer compared the record of services.
+  std::map<unsigned, int> Compared;
+
+  void start(unsigned Number, const std::vector<endpoint> &Seeds = {},
+             const std::string &Zone = "brugge") {
+    balancer &Self = Balancers[Number];
+    directory_settings Settings;
+    Settings.Name = "balancer-" + std::to_string(Number);
+    Settings.Zone = Zone;
+    Settings.Self = addressOf(Number);
+    Settings.Seeds = Seeds;
+    directory_hooks Hooks;
+    Hooks.ReadRoutes = [](const platform_object &Object) {
+      return readerOf(decodeTable, Object);
+    };
+    Hooks.Yield = [this](const std::function<void()> &Task) {
+      Timers.after(std::chrono::milliseconds(1), Task);
+    };
+    Hooks.OnRules = [](const rule_changes &) {};
+    Hooks.OnTargets = [] {};
+    Hooks.OnTurn = [this, Number](const turn_done &Turn) {
+      Compared[Number] += Turn.What == turn_kind::CompareRecord;
+    };
+    Hooks.OnEvent = [](event_kind, const std::string &) {};
+    Hooks.Send = [this, Number](const endpoint &To,
+                                std::span<const std::uint8_t> Bytes) {
+      send(Number, To, {Bytes.begin(), Bytes.end()});
+    };
+    Hooks.ListFromPeer = [this](const endpoint &Peer, const std::string &Kind,
+                                const platform_callback &Done) {
+      list(Peer, Kind, Done);
+    };
+    Self.Directory = std::make_unique<directory>(
+        Timers,
+        directory_platform{siteStore(Store, *Self.Faults, Settings.RoutesKind),
+                           siteStore(Store, *Self.Faults, Settings.SiteKind)},
+        Settings, Hooks);
+    Self.Directory->start();
+  }
+
+  /// Calls under way still pass by the balancer's faults.
+  void stop(unsigned Number) {
+    Former.push_back(std::move(Balancers.at(Number).Faults));
+    Balancers.erase(Number);
+  }
+
+  directory &at(unsigned Number) { return *Balancers.at(Number).Directory; }
+
+  void pass(duration Time) { Timers.advance(Timers.now() + Time); }
+
+  void configure(std::uint64_t Version,
+                 const std::vector<std::string> &Services) {
+    Store.put("config", "main", tableBody(Version, Services));
+  }
+
+  void addTarget(const std::string &Name) {
+    const target_entry Target{Name,     "ledger", {0x0a000301, 700},
+                              "brugge", 4,        false};
+    Store.put("marjoramrail", "target." + Name, encodeTarget(Target));
+  }
+
+private:
+  std::vector<std::unique_ptr<store_faults>> Former;
+
+  unsigned numberOf(const endpoint &Address) {
+    return Address.Address - addressOf(0).Address;
+  }
+
+  void send(unsigned From, const endpoint &To,
+            std::vector<std::uint8_t> Bytes) {
+    Timers.after(std::chrono::milliseconds(2),
+                 [this, From, To, Bytes = std::move(Bytes)] {
+                   const auto Peer = Balancers.find(numberOf(To));
+                   const auto Sender = Balancers.find(From);
+                   if (Peer == Balancers.end() || Peer->second.Cut ||
+                       Sender == Balancers.end() || Sender->second.Cut)
+                     return;
+                   Peer->second.Directory->input(addressOf(From), Bytes);
+                 });
+  }
+
+  void list(const endpoint &Peer, const std::string &Kind,
+            const platform_callback &Done) {
+    ++Copies;
+    Timers.after(std::chrono::milliseconds(5), [this, Peer, Kind, Done] {
+      platform_reply Reply;
+      const auto Found = Balancers.find(numberOf(Peer));
+      if (Found != Balancers.end())
+        if (const auto Text = Found->second.Directory->serve(Kind))
+          if (decodeObjectList(*Text, Reply))
+            Reply.Outcome = platform_outcome::Ok;
+      Done(Reply);
+    });
+  }
+};
+
+} // namespace marjoramrail::testing
+
+#endif // MARJORAMRAIL_TEST_DIRECTORY_DIRECTORY_WORLD_H
