--- a/src/flowstore/flow_collector.cpp
+++ b/src/flowstore/flow_collector.cpp
@@ -99,10 +99,11 @@
 void flow_collector::impl::ask(const std::map<std::string, endpoint> &Agents) {
   for (const auto &[Name, Agent] : Agents) {
     const auto Known = Reporters.find(Name);
-    const bool IsKnown = Known != Reporters.end() && Known->second.isWhole() &&
-                         Timers.now() - Known->second.HeardAt < AskAnywayAfter;
+    const bool HasReport =
+        Known != Reporters.end() && Known->second.isWhole() &&
+        Timers.now() - Known->second.HeardAt < AskAnywayAfter;
     flow_question Question;
-    if (IsKnown)
+    if (HasReport)
       Question.Sequence = Known->second.Sequence;
     Hooks.Send(Agent, encodeFlowQuestion(Question));
   }
