Encode each change of a greeting once

Traced by perf: a reply that does not fit was encoded anew for each change left out, so a balancer that is two hundred changes behind cost 200 encodings of up to 200 changes, in one turn. Change: each change is encoded once, the oldest that fit are kept.

The tests' store looks for changes only where there is news.

--- a/src/directory/peer_greeting.cpp
+++ b/src/directory/peer_greeting.cpp
@@ -20,12 +20,16 @@
 static constexpr std::uint8_t ServedBit = 2;
 static constexpr std::size_t FixedBytes = 2 + 1 + 1 + 8 + 6 + 4 + 2 * 24 + 16;
 
+static json changeAsJson(const platform_object &Object) {
+  return {Object.Key.Name, Object.Version,
+          Object.Deleted ? json() : json(Object.Body)};
+}
+
 static std::vector<std::uint8_t>
 encodeChanges(const std::vector<platform_object> &Changes) {
   json List = json::array();
   for (const platform_object &Object : Changes)
-    List.push_back({Object.Key.Name, Object.Version,
-                    Object.Deleted ? json() : json(Object.Body)});
+    List.push_back(changeAsJson(Object));
   return json::to_cbor(List);
 }
 
@@ -51,6 +55,8 @@
   return Changes;
 }
 
+/// Each change is encoded once: a balancer that is far behind asks for hundreds
+/// of them, several times a second, and the answer holds packets up.
 void fitChanges(peer_greeting &Greeting) {
   if (!Greeting.Changes)
     return;
@@ -59,15 +65,25 @@
             [](const platform_object &A, const platform_object &B) {
               return A.Version < B.Version;
             });
-  while (!Changes.empty() &&
-         FixedBytes + encodeChanges(Changes).size() > MaxGreetingBytes) {
-    // Changes of one version go together: deletions that a list has shown.
-    const std::uint64_t Newest = Changes.back().Version;
+  // The head of a CBOR array is at most three bytes here.
+  constexpr std::size_t ListHeadBytes = 3;
+  std::size_t Bytes = FixedBytes + ListHeadBytes;
+  std::size_t Fitting = 0;
+  for (; Fitting < Changes.size(); ++Fitting) {
+    Bytes += json::to_cbor(changeAsJson(Changes[Fitting])).size();
+    if (Bytes > MaxGreetingBytes)
+      break;
+  }
+  if (Fitting == Changes.size() && Fitting > 0)
+    return;
+  // Changes of one version go together: deletions that a list has shown.
+  if (Fitting < Changes.size()) {
+    const std::uint64_t TooMuch = Changes[Fitting].Version;
     std::erase_if(Changes, [&](const platform_object &Object) {
-      return Object.Version == Newest;
+      return Object.Version >= TooMuch;
     });
-    Greeting.ChangesUpTo = Changes.empty() ? 0 : Changes.back().Version;
   }
+  Greeting.ChangesUpTo = Changes.empty() ? 0 : Changes.back().Version;
   if (Changes.empty())
     Greeting.Changes.reset();
 }
--- a/test/fleet/fake_platform.h
+++ b/test/fleet/fake_platform.h
@@ -217,9 +217,10 @@
     const bool Behind = ServeOlder || ListOlder;
     Reply.StoreVersion = Behind ? OlderVersion : StoreVersion;
     std::map<std::uint64_t, platform_object> Ordered;
-    for (const auto &[Key, Object] : Behind ? Older : Objects)
-      if (Object.Version > Since)
-        Ordered[Object.Version] = Object;
+    if (Reply.StoreVersion > Since)
+      for (const auto &[Key, Object] : Behind ? Older : Objects)
+        if (Object.Version > Since)
+          Ordered[Object.Version] = Object;
     for (const auto &[Version, Object] : Ordered)
       Reply.Objects.push_back(Object);
     if (Down || (Link != nullptr && Link->Cut)) {
