--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -12,9 +12,8 @@
 /// these; 120 bytes each, two in a round.
 constexpr duration GreetingPeriod = std::chrono::milliseconds(200);
 /// How often the first in rank lets a watch run out, which dates what all
-/// balancers know, at a rate of calls that does not grow with the fleet. With
-/// the way that the word takes among ninety balancers their knowledge stays
-/// younger than SettleTime.
+/// balancers know, at a rate of calls that does not grow with the fleet. The
+/// rest of SettleTime is for the word's way from balancer to balancer.
 constexpr duration WatchSpacing = std::chrono::milliseconds(550);
 /// The first of a zone watch the configuration for its changes alone; how old
 /// their knowledge is, the watchers of the whole site tell them.
--- a/src/flowstore/flow_collector.cpp
+++ b/src/flowstore/flow_collector.cpp
@@ -4,12 +4,12 @@
 
 namespace marjoramrail {
 
-/// How old a flow is on average before its agent has reported it.
+/// How long the news of an agent waits for the next question, at most.
 static constexpr duration AskPeriod = std::chrono::milliseconds(500);
 /// The least time between two writes: a call a second for each zone.
 static constexpr duration WritePeriod = std::chrono::seconds(1);
-/// A large object is written the less often. One balancer of a zone bears this
-/// for all of it.
+/// Bounds what writing costs the one balancer that does it for its zone: the
+/// larger the object, the longer the pause before the next write.
 static constexpr std::int64_t BytesASecond = 32 * 1024;
 /// After a failed call, or when another balancer has written: that one keeps
 /// the zone's flows until it falls silent.
