--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -66,6 +66,10 @@
   FlowRefused,
   /// The target does not hold a flow any more that it held.
   FlowLost,
+  /// A balancer that does not know who holds a flow sends a packet to look.
+  FlowSought,
+  /// An agent whose target does not hold the flow gives a packet on.
+  FlowPassedOn,
   /// The first bytes of a request have reached the agent of its target.
   RequestSeen,
   /// The first bytes of its answer have left: plainly, late for this target, or
@@ -106,7 +110,7 @@
   LinesLeftOut,
 };
 
-inline constexpr name_table<event_kind, 52> EventKindNames = {{
+inline constexpr name_table<event_kind, 54> EventKindNames = {{
     {event_kind::ProcessStarted, "process-started"},
     {event_kind::ProcessStopping, "process-stopping"},
     {event_kind::ViewTaken, "view-taken"},
@@ -133,6 +137,8 @@
     {event_kind::FaultInjected, "fault-injected"},
     {event_kind::FlowRefused, "flow-refused"},
     {event_kind::FlowLost, "flow-lost"},
+    {event_kind::FlowSought, "flow-sought"},
+    {event_kind::FlowPassedOn, "flow-passed-on"},
     {event_kind::RequestSeen, "request-seen"},
     {event_kind::RequestAnswered, "request-answered"},
     {event_kind::RequestSlow, "request-slow"},
--- a/src/forward/agent_roster.cpp
+++ b/src/forward/agent_roster.cpp
@@ -54,6 +54,11 @@
   return Found == ByEndpoint.end() ? nullptr : &Agents[Found->second];
 }
 
+const agent_state *agent_roster::find(const endpoint &Agent) const {
+  const auto Found = ByEndpoint.find(Agent);
+  return Found == ByEndpoint.end() ? nullptr : &Agents[Found->second];
+}
+
 const std::vector<std::size_t> &
 agent_roster::ofService(service_id Service) const {
   static const std::vector<std::size_t> None;
--- a/src/forward/agent_roster.h
+++ b/src/forward/agent_roster.h
@@ -69,6 +69,8 @@
   /// Agents of the own zone are asked when they have not reported for so long:
   /// idle ones report nothing by themselves.
   static constexpr duration AskAfter = std::chrono::seconds(1);
+  /// An agent that answered a question within this time is taken to be there.
+  static constexpr duration HeardLately = std::chrono::seconds(2);
   /// Questions in one round: bounds the control traffic of a zone of thousands.
   static constexpr std::size_t QuestionsPerRound = 16;
 
@@ -79,6 +81,7 @@
 
   void set(const std::vector<target_entry> &Targets, instant Now);
   agent_state *find(const endpoint &Agent);
+  const agent_state *find(const endpoint &Agent) const;
   const std::vector<std::size_t> &ofService(service_id Service) const;
   agent_state &at(std::size_t Index) { return Agents[Index]; }
   const agent_state &at(std::size_t Index) const { return Agents[Index]; }
--- a/src/forward/flow_walk.cpp
+++ b/src/forward/flow_walk.cpp
@@ -32,7 +32,7 @@
   }
   // A flow whose holder is remembered needs no order of its own behind it.
   Order.sortForWalk(Holders, Flow, /*OwnOrder=*/!Remembered);
-  sendToHolders(Route, Remembered, /*Named=*/0, isSure(Now), Bytes, Now);
+  sendToHolders(Route, Flow, Remembered, /*Named=*/0, isSure(Now), Bytes, Now);
   return Remembered ? forward_outcome::SentByMemory : forward_outcome::Sent;
 }
 
@@ -75,10 +75,29 @@
   Order.sortForWalk(Holders, Flow, /*OwnOrder=*/true);
   holder_list List(Bytes.size());
   Order.list(/*Named=*/0, std::nullopt, List);
+  tellSought("in the own zone, as a walk has just begun", Flow, List, Now);
   send(List, Route.Holders.front(), {}, 0, Bytes, Now);
   return forward_outcome::Sent;
 }
 
+bool forward_balancer::impl::areHeard(const holder_list &List,
+                                      instant Now) const {
+  return std::all_of(List.begin(), List.end(), [&](const endpoint &Agent) {
+    const agent_state *State = Roster.find(Agent);
+    return State && State->ReportedAt &&
+           Now - *State->ReportedAt <= agent_roster::HeardLately;
+  });
+}
+
+/// Figure of the event: agents named. The first of them says where the hops
+/// begin, which the agents' own lines tell from there on.
+void forward_balancer::impl::tellSought(std::string_view Where,
+                                        const flow_key &Flow,
+                                        const holder_list &List, instant Now) {
+  tell(event_kind::FlowSought, Where, Flow, List.front(), Now,
+       static_cast<double>(List.size()));
+}
+
 /// Everyone who may hold a flow of \p Route.
 void forward_balancer::impl::collectHolders(const route_state &Route) {
   Holders.clear();
@@ -91,6 +110,7 @@
 /// Sends to those of Order that come after \p Named. \p Sure: nobody was left
 /// out up to there, and what is known now is fresh.
 void forward_balancer::impl::sendToHolders(const route_state &Route,
+                                           const flow_key &Flow,
                                            const std::optional<endpoint> &First,
                                            std::size_t Named, bool Sure,
                                            bytes_view Bytes, instant Now) {
@@ -98,6 +118,12 @@
   const auto Rest = Order.list(Named, First, List);
   if (List.empty())
     return;
+  if (!First)
+    tellSought(
+        areHeard(List, Now)
+            ? "in all zones"
+            : "in all zones, by way of agents that were not heard lately",
+        Flow, List, Now);
   const service_id Service =
       Route.Holders.empty() ? service_id{} : Route.Holders.front();
   const bool GoesOn =
@@ -139,8 +165,8 @@
   Order.sortForWalk(Holders, Flow, /*OwnOrder=*/true);
   const bool Sure = Routed.has(routed_flag::WholeSoFar) && isSure(Now) &&
                     Order.beginsAs(Cursor);
-  sendToHolders(Found->second, std::nullopt, Cursor.Named, Sure, Routed.Packet,
-                Now);
+  sendToHolders(Found->second, Flow, std::nullopt, Cursor.Named, Sure,
+                Routed.Packet, Now);
 }
 
 void forward_balancer::impl::send(const holder_list &List, service_id Service,
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -60,13 +60,16 @@
             std::initializer_list<routed_flag> Flags, std::uint64_t Version,
             bytes_view Bytes, instant Now);
   void collectHolders(const internal::route_state &Route);
-  void sendToHolders(const internal::route_state &Route,
+  void sendToHolders(const internal::route_state &Route, const flow_key &Flow,
                      const std::optional<endpoint> &First, std::size_t Named,
                      bool Sure, bytes_view Bytes, instant Now);
+  bool areHeard(const internal::holder_list &List, instant Now) const;
   forward_outcome sendNearby(const internal::route_state &Route,
                              const flow_key &Flow, bytes_view Bytes,
                              instant Now);
   bool hasFarHolders() const;
+  void tellSought(std::string_view Where, const flow_key &Flow,
+                  const internal::holder_list &List, instant Now);
   void sendToOwner(const internal::route_state &Route, const endpoint &Owner,
                    bool Sure, bytes_view Bytes, instant Now);
   void continueWalk(const routed_packet &Routed, instant Now);
