--- /dev/null
+++ b/test/forward/silent_hops_test.cpp
@@ -0,0 +1,129 @@
+#include "forward/agent_roster.h"
+#include "forward/forward_world.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+using namespace marjoramrail::internal;
+using namespace marjoramrail::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Callers send what was not answered again after this time, and their requests
+/// are given up soon after.
+constexpr duration FirstCopy = 200ms;
+/// The copy after it.
+constexpr duration SecondCopy = 400ms;
+
+/// Two targets in each of three zones.
+struct three_zones : forward_world {
+  static constexpr unsigned Targets = 6;
+
+  three_zones() {
+    const char *Zones[] = {"brugge", "oostende", "zeebrugge"};
+    for (unsigned Number = 1; Number <= Targets; ++Number)
+      addHost(Number, "ledger", Zones[(Number - 1) / 2]);
+    for (unsigned Zone = 0; Zone < 3; ++Zone)
+      addBalancer(Zone + 1, Zones[Zone]);
+    pass(1s);
+    tellBalancers();
+  }
+
+  /// A VM is gone without a word; its entry stays in the store.
+  void loseVm(unsigned Number) { Hosts[Number].Cut = true; }
+
+  struct opened {
+    flow_key Flow;
+    std::uint32_t Ack = 0;
+  };
+
+  /// Flows through the balancers of all zones, none of them held by \p Gone.
+  std::vector<opened> openFlows(const std::set<unsigned> &Gone) {
+    std::vector<opened> Flows;
+    for (std::uint16_t Port = 1001; Port < 1061; ++Port) {
+      const std::uint32_t Ack = open(Port % 3 + 1, flowOf(Port));
+      if (!Gone.contains(ownerOf(flowOf(Port))))
+        Flows.push_back({flowOf(Port), Ack});
+    }
+    REQUIRE(Flows.size() > 20);
+    return Flows;
+  }
+
+  /// The balancer was started a moment ago and has seen no packet yet.
+  unsigned startBalancer() {
+    const unsigned Number = NextBalancer++;
+    addBalancer(Number, "brugge");
+    pass(1s);
+    tellBalancers();
+    return Number;
+  }
+
+  /// Whether a caller gets an answer to its packet or the first copy of it.
+  bool isAnsweredInTime(unsigned Through, const opened &Opened) {
+    Received.clear();
+    packet(Through, data(Opened.Flow, Opened.Ack));
+    pass(FirstCopy);
+    if (answers() == 0)
+      packet(Through, data(Opened.Flow, Opened.Ack));
+    return answers() > 0;
+  }
+
+  std::size_t unanswered(const std::set<unsigned> &Gone) {
+    const std::vector<opened> Flows = openFlows(Gone);
+    for (const unsigned Number : Gone)
+      loseVm(Number);
+    std::size_t Count = 0;
+    for (const opened &Opened : Flows)
+      Count += !isAnsweredInTime(startBalancer(), Opened);
+    return Count;
+  }
+
+private:
+  unsigned NextBalancer = 10;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(three_zones, "a VM that is gone hides no owner behind it" *
+                                   doctest::should_fail()) {
+  // A target's VM is gone without a word and still stands in the store. A
+  // balancer that was started since looks for a flow, and its packets end at
+  // the VM that is gone, copy after copy, although the flow's owner is well.
+  CHECK(unanswered({3}) == 0);
+}
+
+TEST_CASE_FIXTURE(three_zones, "two VMs that are gone hide no owner" *
+                                   doctest::should_fail()) {
+  // The owner stands between them, so that a walk meets one of them from either
+  // end.
+  CHECK(unanswered({1, 3}) == 0);
+}
+
+TEST_CASE_FIXTURE(three_zones, "a VM that gets no packets is found gone" *
+                                   doctest::should_fail()) {
+  // A target's VM is gone before a balancer of its zone has started: no flow is
+  // placed there, so nothing is sent there first. Its entry would stand in
+  // every list for ever.
+  loseVm(2);
+  const unsigned Balancer = startBalancer();
+  pass(FlowLife + 25s);
+  CHECK(Balancers[Balancer]->counters().Suspicions == 1);
+  CHECK(std::count(Lost.begin(), Lost.end(), agentAt(2)) > 0);
+}
+
+TEST_CASE("an agent that answers no question is suspected" *
+          doctest::should_fail()) {
+  agent_roster Roster("brugge", 17);
+  const endpoint Agent = agentAt(1);
+  instant Now{10s};
+  Roster.set({{"target.1", "ledger", Agent, "brugge", 4, false}}, Now);
+  std::vector<endpoint> Suspected;
+  for (int Round = 0; Round < 5; ++Round, Now += 200ms) {
+    std::vector<endpoint> Asked;
+    Roster.review(Now, Asked, [&](const agent_state &State) {
+      Suspected.push_back(State.Agent);
+    });
+  }
+  CHECK(Suspected == std::vector<endpoint>{Agent});
+}
