Ask agents that a walk names whether they are there

What callers saw: packets of idle flows went to targets of the balancer's own zone, were declined there, and never reached the flow's own target (FLOW). Cause: a walk ends at a VM that is gone, and a balancer learned that an agent is silent only from packets sent there first. An agent in the middle of a list was never found; questions without an answer counted for nothing; each copy took the same way. A balancer that had just started knew of no silent agent. A walk through a few targets is waited for 100 ms and 2.5 ms a target instead of 600 ms, so that the caller's next packet walks as well.

--- a/src/forward/agent_roster.cpp
+++ b/src/forward/agent_roster.cpp
@@ -54,11 +54,6 @@
   return Found == ByEndpoint.end() ? nullptr : &Agents[Found->second];
 }
 
-const agent_state *agent_roster::find(const endpoint &Agent) const {
-  const auto Found = ByEndpoint.find(Agent);
-  return Found == ByEndpoint.end() ? nullptr : &Agents[Found->second];
-}
-
 const std::vector<std::size_t> &
 agent_roster::ofService(service_id Service) const {
   static const std::vector<std::size_t> None;
@@ -72,12 +67,19 @@
       State->SentSince = Now;
 }
 
+void agent_roster::noteAsked(agent_state &State, instant Now) {
+  State.AskedAt = Now;
+  if (!State.AskedSince)
+    State.AskedSince = Now;
+}
+
 void agent_roster::take(agent_state &State, const load_report &Report,
                         instant Now) {
   State.Report = Report;
   State.ReportedAt = Now;
   State.SentSince.reset();
   State.AskedAt.reset();
+  State.AskedSince.reset();
   State.Placed = 0;
   State.Suspect = false;
 }
@@ -107,8 +109,7 @@
     const std::function<void(const agent_state &)> &OnSuspicion) {
   bool Changed = false;
   for (agent_state &State : Agents) {
-    if (State.Suspect || !State.SentSince ||
-        Now - *State.SentSince < SuspectAfter)
+    if (State.Suspect || !State.isSilentFor(SuspectAfter, Now))
       continue;
     State.Suspect = true;
     State.SuspectSince = Now;
@@ -120,11 +121,11 @@
     const bool IsQuiet =
         !State.ReportedAt || Now - *State.ReportedAt > AskAfter;
     const bool IsDue = !State.AskedAt || Now - *State.AskedAt > AskAfter;
-    const bool Wanted =
-        State.Suspect || (State.isOwnZone() && IsQuiet && IsDue);
-    if (!Wanted)
+    // A datagram may have been lost.
+    const bool IsUnanswered = State.Suspect || State.AskedSince;
+    if (!IsUnanswered && !(State.isOwnZone() && IsQuiet && IsDue))
       continue;
-    State.AskedAt = Now;
+    noteAsked(State, Now);
     Ask.push_back(State.Agent);
     if (Ask.size() == QuestionsPerRound) {
       NextAsked = (NextAsked + I + 1) % Agents.size();
--- a/src/forward/agent_roster.h
+++ b/src/forward/agent_roster.h
@@ -6,8 +6,15 @@
 ///
 /// A VM that dies or is cut off says nothing; packets sent there vanish, and a
 /// list that is walked through it ends there. Agents therefore report as long
-/// as packets come. One that got packets and has not reported for SuspectAfter
-/// goes to the end of every list and gets no new flows until it reports again.
+/// as packets come. One that got packets, or a question, and has not reported
+/// for SuspectAfter goes to the end of every list and gets no new flows until
+/// it reports again.
+///
+/// A list names agents that were sent nothing for long. Whether those are there
+/// is asked when a walk begins; who has not answered by the caller's next
+/// packet stands behind the others in the next walk. Without the question a VM
+/// that is gone would swallow every packet of a flow whose owner stands behind
+/// it.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -47,16 +54,33 @@
   std::optional<instant> ReportedAt;
   /// The first packet sent since the last report.
   std::optional<instant> SentSince;
+  /// The last question, and the first one since the last report.
   std::optional<instant> AskedAt;
+  std::optional<instant> AskedSince;
   std::uint32_t Placed = 0;
   bool Suspect = false;
   /// Since when it has been suspect.
   instant SuspectSince;
 
+  /// A question is answered within this time, the way to another zone and back
+  /// included; less than a caller waits before it sends again.
+  static constexpr duration AnswerTime = std::chrono::milliseconds(100);
+  /// An agent that has reported within this time is taken to be there.
+  static constexpr duration HeardLately = std::chrono::seconds(2);
+
   bool isOwnZone() const { return ZoneOrder == 0; }
-  /// Packets were sent there for \p Time, and no report has come since.
+  bool isHeardLately(instant Now) const {
+    return ReportedAt && Now - *ReportedAt <= HeardLately;
+  }
+  /// Packets were sent there for \p Time, or a question that long ago, and no
+  /// report has come since.
   bool isSilentFor(duration Time, instant Now) const {
-    return SentSince && Now - *SentSince > Time;
+    return (SentSince && Now - *SentSince > Time) ||
+           (AskedSince && Now - *AskedSince > Time);
+  }
+  /// It may be gone: a walk that goes there may end there.
+  bool isDoubtful(instant Now) const {
+    return Suspect || (AskedSince && Now - *AskedSince > AnswerTime);
   }
 };
 
@@ -69,8 +93,6 @@
   /// Agents of the own zone are asked when they have not reported for so long:
   /// idle ones report nothing by themselves.
   static constexpr duration AskAfter = std::chrono::seconds(1);
-  /// An agent that answered a question within this time is taken to be there.
-  static constexpr duration HeardLately = std::chrono::seconds(2);
   /// Questions in one round: bounds the control traffic of a zone of thousands.
   static constexpr std::size_t QuestionsPerRound = 16;
 
@@ -81,13 +103,13 @@
 
   void set(const std::vector<target_entry> &Targets, instant Now);
   agent_state *find(const endpoint &Agent);
-  const agent_state *find(const endpoint &Agent) const;
   const std::vector<std::size_t> &ofService(service_id Service) const;
   agent_state &at(std::size_t Index) { return Agents[Index]; }
   const agent_state &at(std::size_t Index) const { return Agents[Index]; }
   std::size_t size() const { return Agents.size(); }
 
   void noteSent(const endpoint &Agent, instant Now);
+  static void noteAsked(agent_state &State, instant Now);
   /// Returns the agent that reports, or null if the list does not name it for
   /// its service.
   agent_state *noteReport(const load_report &Report, instant Now);
--- a/src/forward/flow_walk.cpp
+++ b/src/forward/flow_walk.cpp
@@ -23,7 +23,7 @@
   if (Holders.empty() && !Remembered)
     return forward_outcome::Unsure;
   const bool IsFarAsked = !Remembered && hasFarHolders();
-  if (IsFarAsked && !Walks.begin(Flow, Now))
+  if (IsFarAsked && !Walks.begin(Flow, Holders.size(), Now))
     return sendNearby(Route, Flow, Bytes, Now);
   if (Remembered && Holders.size() > ShortWalk &&
       !Settings.Without.has(mechanism::WalkContinuation)) {
@@ -31,7 +31,7 @@
     return forward_outcome::SentByMemory;
   }
   // A flow whose holder is remembered needs no order of its own behind it.
-  Order.sortForWalk(Holders, Flow, /*OwnOrder=*/!Remembered);
+  Order.sortForWalk(Holders, Flow, /*OwnOrder=*/!Remembered, Now);
   sendToHolders(Route, Flow, Remembered, /*Named=*/0, isSure(Now), Bytes, Now);
   return Remembered ? forward_outcome::SentByMemory : forward_outcome::Sent;
 }
@@ -68,11 +68,11 @@
                                                    instant Now) {
   std::erase_if(Holders, [&](std::size_t Index) {
     const agent_state &Agent = Roster.at(Index);
-    return !Agent.isOwnZone() || Agent.Suspect;
+    return !Agent.isOwnZone() || Agent.isDoubtful(Now);
   });
   if (Holders.empty())
     return forward_outcome::Unsure;
-  Order.sortForWalk(Holders, Flow, /*OwnOrder=*/true);
+  Order.sortForWalk(Holders, Flow, /*OwnOrder=*/true, Now);
   holder_list List(Bytes.size());
   Order.list(/*Named=*/0, std::nullopt, List);
   tellSought("in the own zone, as a walk has just begun", Flow, List, Now);
@@ -80,13 +80,19 @@
   return forward_outcome::Sent;
 }
 
-bool forward_balancer::impl::areHeard(const holder_list &List,
-                                      instant Now) const {
-  return std::all_of(List.begin(), List.end(), [&](const endpoint &Agent) {
-    const agent_state *State = Roster.find(Agent);
-    return State && State->ReportedAt &&
-           Now - *State->ReportedAt <= agent_roster::HeardLately;
-  });
+/// Asks those of \p List whether they are there that were not heard lately: a
+/// walk ends at the first VM that is gone. True if there were any.
+bool forward_balancer::impl::askUnheard(const holder_list &List, instant Now) {
+  bool AnyUnheard = false;
+  for (const endpoint &Agent : List) {
+    agent_state *State = Roster.find(Agent);
+    if (!State || State->isHeardLately(Now))
+      continue;
+    AnyUnheard = true;
+    if (!State->AskedSince)
+      ask(*State, Now);
+  }
+  return AnyUnheard;
 }
 
 /// Figure of the event: agents named. The first of them says where the hops
@@ -119,11 +125,10 @@
   if (List.empty())
     return;
   if (!First)
-    tellSought(
-        areHeard(List, Now)
-            ? "in all zones"
-            : "in all zones, by way of agents that were not heard lately",
-        Flow, List, Now);
+    tellSought(askUnheard(List, Now)
+                   ? "in all zones, by way of agents that were not heard lately"
+                   : "in all zones",
+               Flow, List, Now);
   const service_id Service =
       Route.Holders.empty() ? service_id{} : Route.Holders.front();
   const bool GoesOn =
@@ -158,11 +163,11 @@
   const walk_cursor Cursor = decodeCursor(Routed.Version);
   collectHolders(Found->second);
   const bool Begins = Cursor.Named == 0 && hasFarHolders();
-  if (Begins && !Walks.begin(Flow, Now)) {
+  if (Begins && !Walks.begin(Flow, Holders.size(), Now)) {
     sendNearby(Found->second, Flow, Routed.Packet, Now);
     return;
   }
-  Order.sortForWalk(Holders, Flow, /*OwnOrder=*/true);
+  Order.sortForWalk(Holders, Flow, /*OwnOrder=*/true, Now);
   const bool Sure = Routed.has(routed_flag::WholeSoFar) && isSure(Now) &&
                     Order.beginsAs(Cursor);
   sendToHolders(Found->second, Flow, std::nullopt, Cursor.Named, Sure,
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -208,12 +208,20 @@
     tell(event_kind::AgentSuspected, "no report since a packet was sent", {},
          Agent.Agent, Now);
   });
+  for (const endpoint &Agent : Ask)
+    sendQuestion(Agent);
+}
+
+void forward_balancer::impl::sendQuestion(const endpoint &Agent) {
   std::array<std::uint8_t, LoadQuestionBytes> Question;
   encodeLoadQuestion(Question);
-  for (const endpoint &Agent : Ask) {
-    ++Counters.Questions;
-    Hooks.SendToAgent(Agent, Question);
-  }
+  ++Counters.Questions;
+  Hooks.SendToAgent(Agent, Question);
+}
+
+void forward_balancer::impl::ask(agent_state &Agent, instant Now) {
+  agent_roster::noteAsked(Agent, Now);
+  sendQuestion(Agent.Agent);
 }
 
 void forward_balancer::tick(instant Now) {
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -63,7 +63,9 @@
   void sendToHolders(const internal::route_state &Route, const flow_key &Flow,
                      const std::optional<endpoint> &First, std::size_t Named,
                      bool Sure, bytes_view Bytes, instant Now);
-  bool areHeard(const internal::holder_list &List, instant Now) const;
+  bool askUnheard(const internal::holder_list &List, instant Now);
+  void ask(internal::agent_state &Agent, instant Now);
+  void sendQuestion(const endpoint &Agent);
   forward_outcome sendNearby(const internal::route_state &Route,
                              const flow_key &Flow, bytes_view Bytes,
                              instant Now);
--- a/src/forward/holder_list.cpp
+++ b/src/forward/holder_list.cpp
@@ -20,19 +20,20 @@
 
 /// The rank of an agent in every list: its zone, and behind all zones the same
 /// for agents that do not answer.
-static std::uint64_t rankOf(const agent_state &Agent) {
+static std::uint64_t rankOf(const agent_state &Agent, instant Now) {
   constexpr std::uint64_t BehindAllZones = std::uint64_t{1} << 32;
-  return Agent.ZoneOrder + (Agent.Suspect ? BehindAllZones : 0);
+  return Agent.ZoneOrder + (Agent.isDoubtful(Now) ? BehindAllZones : 0);
 }
 
 void holder_order::sortForWalk(const std::vector<std::size_t> &Agents,
-                               const flow_key &Flow, bool OwnOrder) {
+                               const flow_key &Flow, bool OwnOrder,
+                               instant Now) {
   Scores.clear();
   for (const std::size_t Index : Agents) {
     const agent_state &Agent = Roster.at(Index);
     const std::uint64_t Own =
         OwnOrder ? hashOf(Flow, endpoint_hash()(Agent.Agent)) >> 33 : 0;
-    Scores.push_back({rankOf(Agent) << 31 | Own, Index});
+    Scores.push_back({rankOf(Agent, Now) << 31 | Own, Index});
   }
   std::sort(Scores.begin(), Scores.end(),
             [](const scored &A, const scored &B) { return A.Score < B.Score; });
--- a/src/forward/holder_list.h
+++ b/src/forward/holder_list.h
@@ -61,7 +61,7 @@
   /// walk that they swallow has already asked everyone else. \p OwnOrder: in
   /// the flow's own order within each zone.
   void sortForWalk(const std::vector<std::size_t> &Agents, const flow_key &Flow,
-                   bool OwnOrder);
+                   bool OwnOrder, instant Now);
   /// Of that order, those who come after \p Named, as many as fit; \p First
   /// (if any) in front. Returns where the next list begins, or nothing if it
   /// names everyone.
--- a/src/forward/recent_walks.h
+++ b/src/forward/recent_walks.h
@@ -9,6 +9,10 @@
 /// zones for a flow; other packets are only shown to the targets of the own
 /// zone, where an owner most likely is.
 ///
+/// How long that is depends on how many are asked. A walk through a few targets
+/// is over before the caller sends again; if it does, the walk has lost its
+/// packet, and the copy has to walk as well, or its request is given up.
+///
 //===----------------------------------------------------------------------===//
 
 #ifndef MARJORAMRAIL_FORWARD_RECENT_WALKS_H
@@ -16,20 +20,30 @@
 
 #include "marjoramrail/base.h"
 
+#include <algorithm>
 #include <unordered_map>
 
 namespace marjoramrail::internal {
 
 class recent_walks {
 public:
-  /// A walk that has not ended by then has lost its packet at one of its many
-  /// hops.
-  static constexpr duration Spacing = std::chrono::milliseconds(600);
+  /// No walk is waited for longer.
+  static constexpr duration LongestWait = std::chrono::milliseconds(500);
+
+  /// A walk through so many targets that has not ended by then has lost its
+  /// packet at one of its hops.
+  static constexpr duration longestWalk(std::size_t Targets) {
+    constexpr duration Way = std::chrono::milliseconds(100);
+    constexpr duration Hop = std::chrono::microseconds(2500);
+    return std::min(Way + Hop * static_cast<duration::rep>(Targets),
+                    LongestWait);
+  }
 
-  /// True if no walk for \p Flow has begun within Spacing; then one begins.
-  bool begin(const flow_key &Flow, instant Now) {
+  /// True if no walk for \p Flow, through so many targets, is under way; then
+  /// one begins.
+  bool begin(const flow_key &Flow, std::size_t Targets, instant Now) {
     const auto [Place, IsNew] = BeganAt.try_emplace(Flow, Now);
-    if (IsNew || Now - Place->second < Spacing)
+    if (IsNew || Now - Place->second < longestWalk(Targets))
       return IsNew;
     Place->second = Now;
     return true;
@@ -37,7 +51,7 @@
 
   void forgetOld(instant Now) {
     std::erase_if(BeganAt, [&](const auto &Item) {
-      return Now - Item.second >= Spacing;
+      return Now - Item.second >= LongestWait;
     });
   }
 
--- a/test/forward/silent_hops_test.cpp
+++ b/test/forward/silent_hops_test.cpp
@@ -85,23 +85,20 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(three_zones, "a VM that is gone hides no owner behind it" *
-                                   doctest::should_fail()) {
+TEST_CASE_FIXTURE(three_zones, "a VM that is gone hides no owner behind it") {
   // A target's VM is gone without a word and still stands in the store. A
   // balancer that was started since looks for a flow, and its packets end at
   // the VM that is gone, copy after copy, although the flow's owner is well.
   CHECK(unanswered({3}) == 0);
 }
 
-TEST_CASE_FIXTURE(three_zones, "two VMs that are gone hide no owner" *
-                                   doctest::should_fail()) {
+TEST_CASE_FIXTURE(three_zones, "two VMs that are gone hide no owner") {
   // The owner stands between them, so that a walk meets one of them from either
   // end.
   CHECK(unanswered({1, 3}) == 0);
 }
 
-TEST_CASE_FIXTURE(three_zones, "a VM that gets no packets is found gone" *
-                                   doctest::should_fail()) {
+TEST_CASE_FIXTURE(three_zones, "a VM that gets no packets is found gone") {
   // A target's VM is gone before a balancer of its zone has started: no flow is
   // placed there, so nothing is sent there first. Its entry would stand in
   // every list for ever.
@@ -112,8 +109,7 @@
   CHECK(std::count(Lost.begin(), Lost.end(), agentAt(2)) > 0);
 }
 
-TEST_CASE("an agent that answers no question is suspected" *
-          doctest::should_fail()) {
+TEST_CASE("an agent that answers no question is suspected") {
   agent_roster Roster("brugge", 17);
   const endpoint Agent = agentAt(1);
   instant Now{10s};
