Look into the store when no balancer calls for a minute

The same class elsewhere, found by reading: an agent that was cut off for longer than its entry stands hears that it is not listed only from the last balancer it knew. If that VM is gone too, nobody asks what is not in the list, and a target that is well gets no flow for the rest of its life. Now the agent reads its entry when it has heard no balancer for a minute. Test: an agent that nobody calls looks for itself (there was no such call before).

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -85,6 +85,7 @@
   };
   Hooks.OnEvent = [this](const flow_event &Event) { recordFlow(Event); };
   Hooks.Unlisted = [this] { announceAgain(); };
+  Hooks.Unheard = [this] { announceAgain(); };
   Hooks.Witness = [this](std::uint64_t Clock) { Log.witness(Clock); };
   return Hooks;
 }
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -325,6 +325,10 @@
   /// A balancer says that the store does not hold this agent's entry; may be
   /// empty.
   std::function<void()> Unlisted;
+  /// No balancer has sent or asked anything for a minute, and the last one
+  /// known may be gone: only the store can say whether the entry still stands.
+  /// May be empty.
+  std::function<void()> Unheard;
   /// A balancer says that this agent's entry has been known for SettleTime; may
   /// be empty.
   std::function<void()> Listed;
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -15,6 +15,10 @@
 /// A report to the last balancer known, when none has been heard: rare enough
 /// to cost nothing, often enough for an agent that comes back after a long cut.
 constexpr duration CallOutPeriod = std::chrono::seconds(5);
+/// A look at the store when nobody calls at all: as long as the entry of a VM
+/// that is cut off stands, so that thousands of idle agents cost the store
+/// little.
+constexpr duration LookPeriod = std::chrono::minutes(1);
 
 } // namespace
 
@@ -206,9 +210,25 @@
     Impl->LastBalancer = {Impl->Balancers.begin()->first, Now};
   else
     Impl->callOut(Now);
+  Impl->lookForCallers(Now);
   reportNow(Now);
 }
 
+/// The entry may have been taken out while this agent was cut off, and the last
+/// balancer known be gone as well: then nobody would ever ask or tell, and a
+/// target that is well would get no flow for the rest of its life.
+void forward_agent::impl::lookForCallers(instant Now) {
+  if (!Balancers.empty() || !HeardOrLookedAt) {
+    HeardOrLookedAt = Now;
+    return;
+  }
+  if (Now - *HeardOrLookedAt < LookPeriod)
+    return;
+  HeardOrLookedAt = Now;
+  if (Hooks.Unheard)
+    Hooks.Unheard();
+}
+
 /// Nobody sends or asks: calm, or this agent was cut off and taken out of the
 /// list meanwhile. The last balancer known says which.
 void forward_agent::impl::callOut(instant Now) {
--- a/src/forward/forward_agent_impl.h
+++ b/src/forward/forward_agent_impl.h
@@ -49,6 +49,7 @@
   void resetAll(instant Now);
   void resetOpen(const open_flow &Open, std::string_view Why);
   void callOut(instant Now);
+  void lookForCallers(instant Now);
   void sendReport(const endpoint &Balancer, instant Now);
   void reportNow(instant Now);
   load_report report(instant Now) const;
@@ -63,6 +64,8 @@
   std::map<endpoint, instant> Balancers;
   /// The last balancer heard, and when it was heard or called last.
   std::optional<std::pair<endpoint, instant>> LastBalancer;
+  /// When a balancer was heard last, or the store asked in its place.
+  std::optional<instant> HeardOrLookedAt;
   bool Admitting = false;
   bool TargetGone = false;
   /// The target has not answered the last thing put to it.
--- a/test/forward/forward_world.h
+++ b/test/forward/forward_world.h
@@ -125,6 +125,8 @@
     bool LookedAt = false;
     /// Times that a balancer said that the list lacks it.
     int Unlisted = 0;
+    /// Times that it had not heard any balancer for long.
+    int Unheard = 0;
     /// Times that a balancer said that the list has held it for long.
     int Listed = 0;
     /// Times that a balancer said that it found the entry at its start.
@@ -172,6 +174,7 @@
       Received.push_back({frameOf(Bytes).Segment, frameOf(Bytes).Body});
     };
     Hooks.Unlisted = [&Host] { ++Host.Unlisted; };
+    Hooks.Unheard = [&Host] { ++Host.Unheard; };
     Hooks.Listed = [&Host] { ++Host.Listed; };
     Hooks.Found = [&Host] { ++Host.Found; };
     Hooks.TargetSilent = [&Host] { Host.LookedAt = true; };
--- a/test/forward/silent_hops_test.cpp
+++ b/test/forward/silent_hops_test.cpp
@@ -204,3 +204,17 @@
   }
   CHECK(Refused == 0);
 }
+
+TEST_CASE_FIXTURE(three_zones, "an agent that nobody calls looks for itself") {
+  // An agent was cut off until its entry was taken out, and the one balancer
+  // that it knows is gone meanwhile. Nobody asks what is not in the list: its
+  // target, which is well, would never get a flow again.
+  CHECK(Hosts[6].Unheard == 0);
+  Balancers.clear();
+  pass(59s);
+  CHECK(Hosts[6].Unheard == 0);
+  pass(4s);
+  CHECK(Hosts[6].Unheard == 1);
+  pass(30s);
+  CHECK(Hosts[6].Unheard == 1);
+}
