Note silence for every entry of an address

Two entries of different services may stand for one address after a VM was replaced. A packet or question marked the first one alone, so that the walks for the other one's flows went on to end at a VM that was gone. Test (failed before, by reading: the second entry was never marked): a silent address is silent for every entry of it. The agent's bench names its hooks.

--- a/bench/forward/main.cpp
+++ b/bench/forward/main.cpp
@@ -113,11 +113,13 @@
 }
 
 static void measureAgent() {
+  forward_agent_hooks Hooks;
+  Hooks.SendToTarget = [](bytes_view) {};
+  Hooks.SendToPeer = [](const endpoint &, bytes_view) {};
+  Hooks.SendToCaller = [](const endpoint &, bytes_view) {};
+  Hooks.TargetSilent = [] {};
   forward_agent Agent({serviceNumber("ledger"), {0x0a000100, 700}},
-                      users_platform::packetCodec(),
-                      {[](bytes_view) {}, [](const endpoint &, bytes_view) {},
-                       [](const endpoint &, bytes_view) {}, [] {}, nullptr,
-                       nullptr, nullptr, nullptr, nullptr, nullptr, nullptr});
+                      users_platform::packetCodec(), Hooks);
   Agent.setAdmitting(true);
   const instant Now(std::chrono::seconds(1));
   std::vector<std::vector<std::uint8_t>> In;
--- a/src/forward/agent_roster.cpp
+++ b/src/forward/agent_roster.cpp
@@ -61,16 +61,32 @@
   return Found == ByService.end() ? None : Found->second;
 }
 
+/// Without a pass over all agents: those of a large zone report tens of
+/// thousands of times a second.
+template <typename Function>
+void agent_roster::forEachAt(const endpoint &Agent, const Function &Each) {
+  const auto First = ByEndpoint.find(Agent);
+  if (First == ByEndpoint.end())
+    return;
+  Each(Agents[First->second]);
+  const auto [Begin, End] = MoreByEndpoint.equal_range(Agent);
+  for (auto Place = Begin; Place != End; ++Place)
+    Each(Agents[Place->second]);
+}
+
 void agent_roster::noteSent(const endpoint &Agent, instant Now) {
-  if (agent_state *State = find(Agent))
-    if (!State->SentSince)
-      State->SentSince = Now;
+  forEachAt(Agent, [Now](agent_state &State) {
+    if (!State.SentSince)
+      State.SentSince = Now;
+  });
 }
 
-void agent_roster::noteAsked(agent_state &State, instant Now) {
-  State.AskedAt = Now;
-  if (!State.AskedSince)
-    State.AskedSince = Now;
+void agent_roster::noteAsked(const endpoint &Agent, instant Now) {
+  forEachAt(Agent, [Now](agent_state &State) {
+    State.AskedAt = Now;
+    if (!State.AskedSince)
+      State.AskedSince = Now;
+  });
 }
 
 void agent_roster::take(agent_state &State, const load_report &Report,
@@ -84,23 +100,13 @@
   State.Suspect = false;
 }
 
-/// Without a pass over all agents: those of a large zone report tens of
-/// thousands of times a second.
 agent_state *agent_roster::noteReport(const load_report &Report, instant Now) {
   agent_state *Named = nullptr;
-  const auto TakeAt = [&](std::size_t Index) {
-    agent_state &State = Agents[Index];
+  forEachAt(Report.Agent, [&](agent_state &State) {
     take(State, Report, Now);
     if (State.Service == Report.Service)
       Named = &State;
-  };
-  const auto First = ByEndpoint.find(Report.Agent);
-  if (First == ByEndpoint.end())
-    return nullptr;
-  TakeAt(First->second);
-  const auto [Begin, End] = MoreByEndpoint.equal_range(Report.Agent);
-  for (auto Place = Begin; Place != End; ++Place)
-    TakeAt(Place->second);
+  });
   return Named;
 }
 
@@ -125,7 +131,7 @@
     const bool IsUnanswered = State.Suspect || State.AskedSince;
     if (!IsUnanswered && !(State.isOwnZone() && IsQuiet && IsDue))
       continue;
-    noteAsked(State, Now);
+    noteAsked(State.Agent, Now);
     Ask.push_back(State.Agent);
     if (Ask.size() == QuestionsPerRound) {
       NextAsked = (NextAsked + I + 1) % Agents.size();
--- a/src/forward/agent_roster.h
+++ b/src/forward/agent_roster.h
@@ -110,7 +110,8 @@
   std::size_t size() const { return Agents.size(); }
 
   void noteSent(const endpoint &Agent, instant Now);
-  static void noteAsked(agent_state &State, instant Now);
+  /// A question was sent there.
+  void noteAsked(const endpoint &Agent, instant Now);
   /// Returns the agent that reports, or null if the list does not name it for
   /// its service.
   agent_state *noteReport(const load_report &Report, instant Now);
@@ -120,6 +121,9 @@
 
 private:
   static void take(agent_state &State, const load_report &Report, instant Now);
+  /// Calls \p Each for every entry of the address.
+  template <typename Function>
+  void forEachAt(const endpoint &Agent, const Function &Each);
 
   std::string Zone;
   std::uint64_t Seed;
--- a/src/forward/flow_walk.cpp
+++ b/src/forward/flow_walk.cpp
@@ -13,7 +13,7 @@
   const auto Place = Memory.find(Flow, Now);
   if (!Place)
     return std::nullopt;
-  agent_state *Agent = Roster.find(Place->Agent);
+  const agent_state *Agent = Roster.find(Place->Agent);
   // An agent that has left the store's list took its flows along; one that has
   // not got there yet may still name itself to a balancer that is behind.
   if (!Agent && isSure(Now)) {
@@ -29,7 +29,7 @@
   if (Agent->isHeardLately(Now))
     Memory.confirm(Flow);
   else if (!Agent->AskedSince)
-    ask(*Agent, Now);
+    ask(Place->Agent, Now);
   return Place->Agent;
 }
 
@@ -104,12 +104,12 @@
 bool forward_balancer::impl::askUnheard(const holder_list &List, instant Now) {
   bool AnyUnheard = false;
   for (const endpoint &Agent : List) {
-    agent_state *State = Roster.find(Agent);
+    const agent_state *State = Roster.find(Agent);
     if (!State || State->isHeardLately(Now))
       continue;
     AnyUnheard = true;
     if (!State->AskedSince)
-      ask(*State, Now);
+      ask(Agent, Now);
   }
   return AnyUnheard;
 }
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -219,9 +219,9 @@
   Hooks.SendToAgent(Agent, Question);
 }
 
-void forward_balancer::impl::ask(agent_state &Agent, instant Now) {
-  agent_roster::noteAsked(Agent, Now);
-  sendQuestion(Agent.Agent);
+void forward_balancer::impl::ask(const endpoint &Agent, instant Now) {
+  Roster.noteAsked(Agent, Now);
+  sendQuestion(Agent);
 }
 
 void forward_balancer::tick(instant Now) {
--- a/test/forward/agent_roster_test.cpp
+++ b/test/forward/agent_roster_test.cpp
@@ -70,6 +70,30 @@
   CHECK(!Roster.at(4).ReportedAt);
 }
 
+TEST_CASE("a silent address is silent for every entry of it") {
+  // Two entries of different services stand for one address, and its VM is
+  // gone. With only one of them found silent, the walks for the other one's
+  // flows go on to end there.
+  instant Now{10s};
+  std::vector<target_entry> Targets = zoneOfAgents();
+  Targets.resize(8);
+  Targets[7].Agent = Targets[3].Agent;
+  Targets[7].Service = "archive";
+  agent_roster Roster("oostende", 17);
+  Roster.set(Targets, Now);
+  Roster.noteAsked(Targets[3].Agent, Now);
+  Now += 200ms;
+  CHECK(Roster.at(3).isDoubtful(Now));
+  CHECK(Roster.at(7).isDoubtful(Now));
+
+  Roster.noteSent(Targets[3].Agent, Now);
+  Now += 600ms;
+  std::vector<endpoint> Ask;
+  int Suspected = 0;
+  Roster.review(Now, Ask, [&](const agent_state &) { ++Suspected; });
+  CHECK(Suspected == 2);
+}
+
 TEST_CASE("a balancer asks every agent of its zone in turn") {
   agent_roster Roster("brugge", 17);
   Roster.set(zoneOfAgents(), instant(10s));
