Bound the questions of walks by a budget

So it is the questions: after a loss of all power each walk asked all whom its list names. Now 64 at once and 80 a second a balancer, those first that were not heard for longest: the agents that an earlier walk came by have reported since, so the one that is gone comes first. Tests: a storm of walks asks few questions (failed before), a VM that is gone hides no owner in a long walk (fails without questions). The log's budget uses the same bucket.

--- a/include/marjoramrail/base.h
+++ b/include/marjoramrail/base.h
@@ -3,8 +3,8 @@
 /// \file
 /// What every other library of marjoramrail stands on: the clock that cores
 /// are driven by, endpoints and flows, errors that carry the step and the peer
-/// at which they arose, tables of names for enumerations, and the timer
-/// service.
+/// at which they arose, tables of names for enumerations, budgets of actions
+/// and the timer service.
 ///
 /// Usage:
 /// \code
@@ -195,6 +195,31 @@
 
 enum class timer_id : std::uint64_t {};
 
+/// Admits so many actions a second on average, and so many at once after a
+/// pause. It starts full.
+class token_bucket {
+public:
+  token_bucket(double PerSecond, double AtOnce)
+      : PerSecond(PerSecond), AtOnce(AtOnce), Tokens(AtOnce) {}
+
+  /// Whether one more action may be taken now; if so, it counts as taken.
+  bool take(instant Now) {
+    const double Passed = std::chrono::duration<double>(Now - FilledAt).count();
+    FilledAt = Now;
+    Tokens = std::min(Tokens + Passed * PerSecond, AtOnce);
+    if (Tokens < 1)
+      return false;
+    Tokens -= 1;
+    return true;
+  }
+
+private:
+  double PerSecond;
+  double AtOnce;
+  double Tokens;
+  instant FilledAt;
+};
+
 /// The timers of one process. Parts subscribe; whoever owns the loop calls
 /// advance(). Not thread-safe: one loop on one thread.
 class timer_service {
--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -216,15 +216,13 @@
   std::uint64_t leftOut(event_kind Kind, instant Now);
 
 private:
-  struct bucket {
-    double Tokens = 0;
-    instant FilledAt;
-    bool Used = false;
+  struct kind_state {
+    std::optional<token_bucket> Lines;
     std::uint64_t LeftOut = 0;
     instant ToldAt;
   };
 
-  std::array<bucket, EventKindNames.size()> Buckets{};
+  std::array<kind_state, EventKindNames.size()> Kinds{};
 };
 
 /// The recorder of one process. Keeps the last events for the status page.
--- a/src/forward/flow_walk.cpp
+++ b/src/forward/flow_walk.cpp
@@ -101,17 +101,25 @@
 
 /// Asks those of \p List whether they are there that were not heard lately: a
 /// walk ends at the first VM that is gone. True if there were any.
+///
+/// Those first that were not heard for longest: an earlier walk has come by the
+/// agents before the one that is gone, and they have reported since. After a
+/// loss of power every balancer looks for thousands of flows; without a budget
+/// of questions all would ask all, several times a second.
 bool forward_balancer::impl::askUnheard(const holder_list &List, instant Now) {
-  bool AnyUnheard = false;
-  for (const endpoint &Agent : List) {
-    const agent_state *State = Roster.find(Agent);
-    if (!State || State->isHeardLately(Now))
-      continue;
-    AnyUnheard = true;
-    if (!State->AskedSince)
-      ask(Agent, Now);
-  }
-  return AnyUnheard;
+  Unheard.clear();
+  for (const endpoint &Agent : List)
+    if (const agent_state *State = Roster.find(Agent);
+        State && !State->isHeardLately(Now))
+      Unheard.push_back(State);
+  std::stable_sort(Unheard.begin(), Unheard.end(),
+                   [](const agent_state *A, const agent_state *B) {
+                     return A->ReportedAt < B->ReportedAt;
+                   });
+  for (const agent_state *State : Unheard)
+    if (!State->AskedSince && WalkQuestions.take(Now))
+      ask(State->Agent, Now);
+  return !Unheard.empty();
 }
 
 /// Figure of the event: agents named. The first of them says where the hops
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -98,9 +98,13 @@
   /// Scratch space of one packet's decision.
   std::vector<placing_view> Views;
   std::vector<std::size_t> Holders;
+  std::vector<const internal::agent_state *> Unheard;
   placement Placement{Settings.Without};
   std::map<endpoint, internal::route_state> Routes;
   std::optional<instant> KnownAsOf;
+  /// A whole list after a pause; in a storm of walks as many a second as tick()
+  /// asks.
+  token_bucket WalkQuestions{80, MaxRoutedOwners};
   forward_balancer_counters Counters;
   int Ticks = 0;
 };
--- a/test/forward/long_walks_test.cpp
+++ b/test/forward/long_walks_test.cpp
@@ -226,3 +226,47 @@
   CHECK(Balancers[3]->counters().Reports - Answered <= Targets);
   CHECK(Balancers[3]->counters().Suspicions == 0);
 }
+
+TEST_CASE_FIXTURE(large_service, "a storm of walks asks few questions") {
+  // All power was lost, and a balancer looks for thousands of flows. Were each
+  // walk to ask all whom it names, every balancer would ask every agent several
+  // times a second.
+  for (std::uint16_t Port = 1001; Port < 1201; ++Port)
+    openAndLose(flowOf(Port));
+  addBalancer(3, "zeebrugge");
+  pass(1s);
+  const std::uint64_t Before = Balancers[3]->counters().Questions;
+  for (std::uint16_t Port = 1001; Port < 1201; ++Port) {
+    packet(3, data(flowOf(Port), 1));
+    if (Port % 20 == 0)
+      pass(400ms);
+  }
+  // Four seconds at eighty a second, and one list at once.
+  CHECK(Balancers[3]->counters().Questions - Before <= 4 * 80 + 64);
+}
+
+TEST_CASE_FIXTURE(large_service, "a VM that is gone hides no owner in a long "
+                                 "walk") {
+  // One of 140 targets is gone without a word. Callers send again 200, 600 and
+  // 1,400 ms after the first packet; the last of them finds each owner, though
+  // not all can be asked at once.
+  constexpr unsigned Gone = 3;
+  std::map<std::uint16_t, std::uint32_t> Acks;
+  for (std::uint16_t Port = 1001; Port < 1031; ++Port)
+    Acks[Port] = open(1, flowOf(Port));
+  Hosts[Gone].Cut = true;
+  unsigned Balancer = 10;
+  for (const auto &[Port, Ack] : Acks) {
+    if (ownerOf(flowOf(Port)) == Gone)
+      continue;
+    addBalancer(++Balancer, "zeebrugge");
+    tellBalancers();
+    Received.clear();
+    for (const duration Pause : {200ms, 400ms, 800ms, 0ms}) {
+      packet(Balancer, data(flowOf(Port), Ack));
+      pass(Pause);
+    }
+    CHECK(answers() > 0);
+    Balancers.erase(Balancer);
+  }
+}
