--- a/src/forward/agent_roster.cpp
+++ b/src/forward/agent_roster.cpp
@@ -66,8 +66,8 @@
       Agents.begin(), Agents.end(), [&](const agent_state &State) {
         return State.isBehind(Order) != State.isDoubtful(Now);
       });
-  const bool IsStorm = Changes > CalmChanges;
-  if (Changes == 0 || (IsStorm && Now - RenewedAt < StormRenewal))
+  const bool AreMany = Changes > FewChanges;
+  if (Changes == 0 || (AreMany && Now - RenewedAt < CrowdedRenewal))
     return;
   RenewedAt = Now;
   Order = Order == walk_order::Even ? walk_order::Odd : walk_order::Even;
--- a/src/forward/agent_roster.h
+++ b/src/forward/agent_roster.h
@@ -107,10 +107,11 @@
   static constexpr std::size_t QuestionsPerRound = 16;
   /// And to others, where only those are asked again that have not answered.
   static constexpr std::size_t FarQuestionsPerRound = 4;
-  /// Some VMs that are gone, or back; more at once is a storm,
-  static constexpr std::ptrdiff_t CalmChanges = 4;
-  /// in which a walk through hundreds of targets takes most of this time.
-  static constexpr duration StormRenewal = std::chrono::seconds(1);
+  /// Agents that went or came back since the order was renewed. With more of
+  /// them, as after a loss of power, the order is renewed seldom:
+  static constexpr std::ptrdiff_t FewChanges = 4;
+  /// a walk through hundreds of targets then takes most of this time.
+  static constexpr duration CrowdedRenewal = std::chrono::seconds(1);
 
   /// \p Seed: unlike that of other balancers, which would otherwise all ask
   /// the same agents first, while the others of a large zone wait for minutes.
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -205,8 +205,8 @@
   std::vector<endpoint> Ask;
   Roster.review(Now, Ask, [&](const agent_state &Agent) {
     ++Counters.Suspicions;
-    tell(event_kind::AgentSuspected, "no report since a packet was sent", {},
-         Agent.Agent, Now);
+    tell(event_kind::AgentSuspected, "no report since it was sent something",
+         {}, Agent.Agent, Now);
   });
   for (const endpoint &Agent : Ask)
     sendQuestion(Agent, spanFor(Agent));
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -105,9 +105,9 @@
   placement Placement{Settings.Without};
   std::map<endpoint, internal::route_state> Routes;
   std::optional<instant> KnownAsOf;
-  /// A small site whole.
+  /// Questions a second, and at once: those of a small site.
   token_bucket FirstWalkQuestions{8, 16};
-  /// A whole list.
+  /// And those of a whole list.
   token_bucket RepeatedWalkQuestions{40, MaxRoutedOwners};
   forward_balancer_counters Counters;
   int Ticks = 0;
