--- a/bench/forward/main.cpp
+++ b/bench/forward/main.cpp
@@ -96,7 +96,8 @@
       {{0x0a000001, 7000}, "zone-0"}, users_platform::packetCodec(),
       {[](const endpoint &, bytes_view) {}, [](const endpoint &, bytes_view) {},
        nullptr, nullptr, nullptr});
-  Balancer.setRoutes({{RouteAddress, {{"ledger", 1}}, {"ledger"}}});
+  Balancer.setRoutes({{RouteAddress, {{"ledger", 1}}, {"ledger"}, {}}},
+                     instant());
   Balancer.setTargets(targets(), instant());
   const instant Now(std::chrono::seconds(1));
   Balancer.setKnownAsOf(Now);
--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -30,7 +30,8 @@
                       Calls)),
       Core({.Service = serviceNumber(Settings.Service),
             .Self = Settings.RoutedListen,
-            .DisabledMechanisms = Settings.DisabledMechanisms},
+            .DisabledMechanisms = Settings.DisabledMechanisms,
+            .Warmup = Settings.Warmup},
            Adapter.Codec, coreHooks()),
       Reports(Settings.Service),
       Registrar(Loop.timers(), Store.api(), directory_settings().SiteKind,
@@ -112,7 +113,7 @@
     const instant Now = Loop.timers().now();
     Admission.onStored(/*Existed=*/true, Now);
     Reports.restore(Entry.Draining, Entry.Slots, Now);
-    Core.setTarget(Entry.Slots, duration::zero(), Now);
+    Core.restoreSlots(Entry.Slots);
     updateAdmission("the store holds this target");
   };
   Hooks.OnFirstRead = [this](bool Existed) {
@@ -201,6 +202,11 @@
   Metrics.counterOf("marjoramrail_target_timeouts", [this] {
     return static_cast<double>(Core.counters().TimedOut);
   });
+  showOutcomes(Metrics, FlowRefusalNames, Core.counters().Refusals,
+               "marjoramrail_flows_not_offered_");
+  Metrics.gauge("marjoramrail_zone_evacuated", [this] {
+    return Core.report(Loop.timers().now()).Evacuated ? 1.0 : 0.0;
+  });
   Metrics.gauge("marjoramrail_target_flows", [this] {
     return static_cast<double>(Core.report(Loop.timers().now()).Flows);
   });
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -58,7 +58,8 @@
 
 directory_platform storeApis(platform_client &Store) {
   const directory_settings Kinds;
-  return {Store.apiFor(Kinds.RoutesKind), Store.apiFor(Kinds.SiteKind)};
+  return {Store.apiFor(Kinds.RoutesKind), Store.apiFor(Kinds.SiteKind),
+          Store.apiFor(Kinds.EvacuationsKind)};
 }
 
 } // namespace
@@ -80,7 +81,8 @@
       Core({.Self = Settings.PeersListen,
             .Zone = Settings.Zone,
             .FlowLife = Settings.FlowLife,
-            .DisabledMechanisms = Settings.DisabledMechanisms},
+            .DisabledMechanisms = Settings.DisabledMechanisms,
+            .Regions = Settings.Regions},
            Adapter.Codec, coreHooks()),
       Directory(Loop.timers(), storeApis(Store), directorySettings(Settings),
                 directoryHooks()),
@@ -122,9 +124,14 @@
   Hooks.OnRules = [this](const rule_changes &Changes) {
     const callback_timer Taking(OnCallback, callback_kind::TakeRules,
                                 Changes.Changed.size());
-    Core.changeRoutes(Changes);
+    Core.changeRoutes(Changes, Loop.timers().now());
+    Core.setWarmupRates(Directory.warmupRates(),
+                        Directory.newestRoutesVersion());
   };
   Hooks.OnTargets = [this] { takeTargets(); };
+  Hooks.OnEvacuations = [this] {
+    Core.setEvacuations(Directory.evacuatedZones());
+  };
   Hooks.Send = [this](const endpoint &To, std::span<const std::uint8_t> Bytes) {
     Peers.send(To, Bytes);
   };
@@ -203,6 +210,15 @@
   Metrics.counterOf("marjoramrail_walks_continued", [this] {
     return static_cast<double>(Core.counters().LookupsContinued);
   });
+  Metrics.counterOf("marjoramrail_policy_notices", [this] {
+    return static_cast<double>(Core.counters().PolicyNotices);
+  });
+  Metrics.gauge("marjoramrail_evacuated_zones", [this] {
+    return static_cast<double>(Directory.evacuatedZones().Zones.size());
+  });
+  Metrics.gauge("marjoramrail_evacuations_version", [this] {
+    return static_cast<double>(Directory.evacuatedZones().Version);
+  });
   Metrics.counterOf("marjoramrail_agent_suspicions", [this] {
     return static_cast<double>(Core.counters().Suspicions);
   });
@@ -280,8 +296,11 @@
 void forward_balancer_process::reload(
     const balancer_program_settings &Changed) {
   Settings.Grace = Changed.Grace;
+  Settings.Regions = Changed.Regions;
+  Core.setRegions(Settings.Regions);
   Directory.addPeers(peersOf(Changed));
-  Log.record(event_kind::SettingsReloaded, "applied grace and seeds");
+  Log.record(event_kind::SettingsReloaded,
+             "applied grace, seeds and the regions of zones");
 }
 
 void forward_balancer_process::shutDown() {
--- a/daemons/forwarder/forwarder_settings.cpp
+++ b/daemons/forwarder/forwarder_settings.cpp
@@ -23,6 +23,34 @@
   return DisabledMechanisms;
 }
 
+/// Reads the list {"zone": ..., "region": ...} of all zones.
+static zone_regions readRegions(settings_reader &Reader) {
+  zone_regions Regions;
+  for (settings_reader &Entry : Reader.objects("zones", /*Required=*/false)) {
+    const std::string Zone = Entry.text("zone");
+    Regions[Zone] = Entry.text("region");
+    const auto Failure = failureOf([&] { return Entry.finish(); });
+    if (Failure)
+      Reader.refuse("zones", Failure->Reason);
+  }
+  return Regions;
+}
+
+/// The limit for targets that are warming up is stated by both fields or by
+/// none.
+static std::optional<warmup_limit::settings>
+readWarmup(settings_reader &Reader) {
+  constexpr double MostOvershoot = 1000;
+  constexpr double MostSlack = 1'000'000;
+  if (!Reader.has("warmup_overshoot") && !Reader.has("warmup_slack"))
+    return std::nullopt;
+  warmup_limit::settings Limit;
+  Limit.Overshoot =
+      Reader.decimal("warmup_overshoot", std::nullopt, 0, MostOvershoot);
+  Limit.Slack = Reader.decimal("warmup_slack", std::nullopt, 0, MostSlack);
+  return Limit;
+}
+
 result<balancer_program_settings>
 readBalancerSettings(const std::string &Path) {
   BOOST_LEAF_AUTO(Reader, settings_reader::fromFile(Path));
@@ -37,6 +65,7 @@
   Settings.Seeds = Reader.addresses("seeds", /*Required=*/false);
   Settings.FlowLife = seconds(Reader, "flow_life_seconds", 60);
   Settings.Grace = seconds(Reader, "grace_seconds", 6);
+  Settings.Regions = readRegions(Reader);
   Settings.DisabledMechanisms = readDisabledMechanisms(Reader);
   if (auto Finished = Reader.finish(); !Finished)
     return Finished.error();
@@ -62,6 +91,7 @@
   for (const endpoint &Seed : Reader.addresses("seeds", /*Required=*/false))
     Settings.Balancers.push_back({Seed.Address, PeersPort});
   Settings.KeepFlows = Reader.flag("keep_flows", false);
+  Settings.Warmup = readWarmup(Reader);
   Settings.DisabledMechanisms = readDisabledMechanisms(Reader);
   if (auto Finished = Reader.finish(); !Finished)
     return Finished.error();
--- a/daemons/forwarder/forwarder_settings.h
+++ b/daemons/forwarder/forwarder_settings.h
@@ -11,6 +11,7 @@
 
 #include "marjoramrail/base.h"
 #include "marjoramrail/mechanism.h"
+#include "marjoramrail/places.h"
 
 #include <string>
 #include <vector>
@@ -36,6 +37,8 @@
   duration FlowLife;
   /// Time from the stop signal to the forced end.
   duration Grace;
+  /// The region of each zone, for routes that are restricted to regions.
+  zone_regions Regions;
   mechanism_set DisabledMechanisms;
 };
 
@@ -61,6 +64,9 @@
   /// Checkpoints open flows in the store, so that they can be reset after the
   /// VM has lost power.
   bool KeepFlows = false;
+  /// By how much a target that is warming up may exceed its rate of new flows;
+  /// nothing if the site states no limit.
+  std::optional<warmup_limit::settings> Warmup;
   mechanism_set DisabledMechanisms;
 
   /// Name of the target's objects in the store.
--- a/daemons/forwarder/process_pages.h
+++ b/daemons/forwarder/process_pages.h
@@ -12,6 +12,8 @@
 #include "event_log.h"
 #include "site_adapter.h"
 
+#include <algorithm>
+
 namespace marjoramrail::daemons {
 
 /// Answers readiness probes with 200 while \p Ready returns true and with 503
@@ -27,13 +29,18 @@
 void showProcess(metrics &Metrics, const platform_client &Store,
                  const event_log &Log);
 
-/// Exports one counter for each enumerator of \p Names.
+/// Exports one counter for each enumerator of \p Names, called \p Prefix and
+/// the enumerator's name.
 template <typename Enum, std::size_t Size>
 void showOutcomes(metrics &Metrics, const name_table<Enum, Size> &Names,
-                  const std::array<std::uint64_t, Size> &Counts) {
-  for (std::size_t I = 0; I < Size; ++I)
-    Metrics.counterOf("marjoramrail_packets_" + std::string(Names[I].second),
+                  const std::array<std::uint64_t, Size> &Counts,
+                  const std::string &Prefix = "marjoramrail_packets_") {
+  for (std::size_t I = 0; I < Size; ++I) {
+    std::string Name = Prefix + std::string(Names[I].second);
+    std::replace(Name.begin(), Name.end(), ' ', '_');
+    Metrics.counterOf(Name,
                       [&Counts, I] { return static_cast<double>(Counts[I]); });
+  }
 }
 
 } // namespace marjoramrail::daemons
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -13,7 +13,7 @@
 ///   Store.apiFor("site")},
 ///                       {.Name = "balancer-1", ...},
 ///                       {.OnRules = [&](const rule_changes &Changes) {
-///                          Core.changeRoutes(Changes);
+///                          Core.changeRoutes(Changes, Timers.now());
 ///                        },
 ///                        .OnTargets = [&] {
 ///                          Core.setTargets(Directory.targets(), Timers.now());
@@ -31,6 +31,7 @@
 
 #include "marjoramrail/base.h"
 #include "marjoramrail/mechanism.h"
+#include "marjoramrail/places.h"
 #include "marjoramrail/platform.h"
 #include "marjoramrail/timeline.h"
 
@@ -63,10 +64,22 @@
 struct route {
   endpoint Address;
   std::vector<service_share> Shares;
+  /// The regions that flows of the route may be sent to.
+  allowed_regions Regions = {};
 
   bool operator==(const route &) const = default;
 };
 
+/// How many new flows a second a target of a service bears while it is warming
+/// up.
+struct service_warmup {
+  std::string Service;
+  /// In flows per 1,000 seconds.
+  std::uint32_t Rate = 0;
+
+  bool operator==(const service_warmup &) const = default;
+};
+
 /// One accepted configuration.
 struct route_table {
   /// Increases with each accepted configuration.
@@ -75,6 +88,8 @@
   /// Idle timeout: state of a flow without packets for longer than this may be
   /// dropped.
   duration IdleFlow = std::chrono::minutes(5);
+  /// Services with a limit for targets that are warming up.
+  std::vector<service_warmup> Warmups;
 
   bool operator==(const route_table &) const = default;
 };
@@ -95,6 +110,11 @@
   /// All services that may own flows of this address: current, upcoming and
   /// previous ones.
   std::vector<std::string> OwnerServices;
+  /// The regions that new flows of this address may be sent to.
+  allowed_regions Regions = {};
+  /// The regions in which flows of this address may have their owner: those of
+  /// the current and of an upcoming configuration.
+  allowed_regions OwnerRegions = {};
 
   bool operator==(const route_rule &) const = default;
 };
@@ -288,6 +308,8 @@
   /// The kind and name of the configuration object.
   std::string RoutesKind = "config";
   std::string RoutesName = "main";
+  /// The kind of the operators' evacuations, one object for each zone.
+  std::string EvacuationsKind = "evacuations";
   /// The kind of marjoramrail's own objects: targets, balancers, services of
   /// routes.
   std::string SiteKind = "marjoramrail";
@@ -299,10 +321,11 @@
 };
 
 struct directory_platform {
-  /// Store clients for RoutesKind and SiteKind, with watches limited to that
-  /// kind.
+  /// Store clients for RoutesKind, SiteKind and EvacuationsKind, with watches
+  /// limited to that kind.
   platform_api Routes;
   platform_api Site;
+  platform_api Evacuations;
 };
 
 struct directory_hooks {
@@ -318,6 +341,8 @@
   std::function<void(const rule_changes &)> OnRules;
   /// The set of targets, or one of their entries, has changed.
   std::function<void()> OnTargets;
+  /// The set of evacuated zones has changed.
+  std::function<void()> OnEvacuations;
   /// Sends a datagram to a peer's directory_settings::Self address.
   std::function<void(const endpoint &To, std::span<const std::uint8_t>)> Send;
   /// Fetches the list of \p Kind from a peer; see directory::serve().
@@ -357,8 +382,14 @@
   bool ready() const;
   std::vector<route_rule> rules() const;
   std::vector<target_entry> targets() const;
+  /// The zones whose targets must not get new flows.
+  const evacuations &evacuatedZones() const;
   /// The version of the configuration that is in effect.
   std::uint64_t routesVersion() const;
+  /// The warm-up limits of the newest configuration, and its version; 0 if none
+  /// is known.
+  std::vector<service_warmup> warmupRates() const;
+  std::uint64_t newestRoutesVersion() const;
   /// Every change that the store accepted before this moment is known here.
   std::optional<instant> knownAsOf() const;
   /// Removes the store entries of an agent that has failed permanently. Only
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -28,7 +28,7 @@
 /// Usage:
 /// \code
 ///   forward_balancer Balancer(Settings, Codec, {.SendToAgent = ...});
-///   Balancer.changeRoutes(Changes);
+///   Balancer.changeRoutes(Changes, Timers.now());
 ///   Balancer.setTargets(Directory.targets(), Timers.now());
 ///   Balancer.onCallerPacket(Bytes, Timers.now());
 ///
@@ -42,6 +42,7 @@
 #ifndef MARJORAMRAIL_FORWARD_H
 #define MARJORAMRAIL_FORWARD_H
 
+#include "marjoramrail/agent_messages.h"
 #include "marjoramrail/directory.h"
 #include "marjoramrail/flowstore.h"
 #include "marjoramrail/mechanism.h"
@@ -86,80 +87,6 @@
       WriteReset;
 };
 
-//===----------------------------------------------------------------------===//
-// Messages between agents and balancers
-//===----------------------------------------------------------------------===//
-
-/// Load and state of an agent's target, sent to the balancers that send packets
-/// to the agent.
-struct load_report {
-  service_id Service{};
-  endpoint Agent;
-  /// New flows are accepted: the target is running, its registration is known
-  /// to the balancers, and it is not being drained.
-  bool Admitting = false;
-  /// The target responds to packets that are offered to it and accepts new
-  /// flows.
-  bool Answering = true;
-  /// Requests at the target now, and how many it can process at once.
-  std::uint16_t Active = 0;
-  std::uint16_t Slots = 1;
-  /// Number of open flows.
-  std::uint32_t Flows = 0;
-  /// Share of the slots in use, smoothed over about one second, in thousandths.
-  std::uint16_t Busy = 0;
-  /// Smoothed time to the first byte of an answer.
-  duration Latency = duration::zero();
-  /// Remaining time for which the target is slower because it has just started.
-  duration Warmup = duration::zero();
-  /// Share of failures among the target's recent answers, in thousandths.
-  std::uint16_t Failing = 0;
-
-  bool operator==(const load_report &) const = default;
-};
-
-inline constexpr std::size_t LoadReportBytes = 40;
-
-/// Returns the size written, or 0 if \p Buffer is too small.
-std::size_t encodeLoadReport(const load_report &Report,
-                             std::span<std::uint8_t> Buffer);
-bool isLoadReport(bytes_view Bytes);
-bool decodeLoadReport(bytes_view Bytes, load_report &Report);
-
-/// For how long an agent reports after a request for a load_report. An agent of
-/// an older version that does not know Once treats it as Continued.
-enum class report_span : std::uint8_t { Continued = 0, Once = 1 };
-
-/// Requests a load_report from an agent.
-inline constexpr std::size_t LoadReportRequestBytes = 4;
-std::size_t encodeLoadReportRequest(report_span Span,
-                                    std::span<std::uint8_t> Buffer);
-std::optional<report_span> decodeLoadReportRequest(bytes_view Bytes);
-
-/// Informs an agent that it is not in the store's registry. Its entry was
-/// removed while the agent was unreachable, and the agent has to register
-/// again.
-inline constexpr std::size_t UnregisteredNoticeBytes = 4;
-std::size_t encodeUnregisteredNotice(std::span<std::uint8_t> Buffer);
-bool isUnregisteredNotice(bytes_view Bytes);
-
-/// Informs an agent that does not admit flows that its registration for this
-/// service has been known for SettleTime, so it need not wait for confirmation
-/// by the store.
-inline constexpr std::size_t RegisteredNoticeBytes = 8;
-std::size_t encodeRegisteredNotice(service_id Service,
-                                   std::span<std::uint8_t> Buffer);
-bool decodeRegisteredNotice(bytes_view Bytes, service_id &Service);
-
-/// Informs an agent that does not admit flows that its registration for this
-/// service was in the first registry this balancer read after its start. The
-/// entry was written earlier, by this run of the agent or a previous one, so
-/// all balancers know it.
-inline constexpr std::size_t RegistrationFoundNoticeBytes = 8;
-std::size_t encodeRegistrationFoundNotice(service_id Service,
-                                          std::span<std::uint8_t> Buffer);
-bool decodeRegistrationFoundNotice(bytes_view Bytes, service_id &Service);
-
 //===----------------------------------------------------------------------===//
 // Placement of new flows
 //===----------------------------------------------------------------------===//
@@ -256,6 +183,8 @@
   duration FlowLife = std::chrono::minutes(1);
   /// Mechanisms that are disabled for an experiment.
   mechanism_set DisabledMechanisms = {};
+  /// The region of each zone, for routes that are restricted to regions.
+  zone_regions Regions = {};
 };
 
 struct forward_balancer_hooks {
@@ -279,6 +208,7 @@
   std::uint64_t Notices = 0;
   std::uint64_t Reports = 0;
   std::uint64_t ReportRequests = 0;
+  std::uint64_t PolicyNotices = 0;
   std::uint64_t Suspicions = 0;
   /// Lists sent after the first one for the same packet.
   std::uint64_t LookupsContinued = 0;
@@ -295,10 +225,17 @@
   forward_balancer &operator=(const forward_balancer &) = delete;
 
   /// Replaces all routes.
-  void setRoutes(const std::vector<route_rule> &Routes);
+  void setRoutes(const std::vector<route_rule> &Routes, instant Now);
   /// Applies \p Changes; all other routes stay as they are.
-  void changeRoutes(const rule_changes &Changes);
+  void changeRoutes(const rule_changes &Changes, instant Now);
   void setTargets(const std::vector<target_entry> &Targets, instant Now);
+  /// Sets the zones whose targets get no new flows.
+  void setEvacuations(const evacuations &Table);
+  /// Sets how many new flows a second the targets of each service bear while
+  /// they warm up, as of the configuration \p RoutesVersion.
+  void setWarmupRates(const std::vector<service_warmup> &Rates,
+                      std::uint64_t RoutesVersion);
+  void setRegions(const zone_regions &Regions);
   /// Sets the time up to which routes and targets include every change.
   void setKnownAsOf(std::optional<instant> Moment);
 
@@ -328,6 +265,9 @@
   endpoint Self;
   /// Mechanisms that are disabled for an experiment.
   mechanism_set DisabledMechanisms = {};
+  /// By how much a target that is warming up may exceed its rate of new flows;
+  /// nothing if the platform states no limit.
+  std::optional<warmup_limit::settings> Warmup = {};
 };
 
 struct forward_agent_hooks {
@@ -387,8 +327,26 @@
     {agent_outcome::Malformed, "malformed"},
 }};
 
+/// Why an agent did not offer a new flow to its target.
+enum class flow_refusal {
+  AnotherService,
+  NotAdmitting,
+  TargetStopped,
+  ZoneEvacuated,
+  WarmingUp,
+};
+
+inline constexpr name_table<flow_refusal, 5> FlowRefusalNames = {{
+    {flow_refusal::AnotherService, "another service"},
+    {flow_refusal::NotAdmitting, "not admitting"},
+    {flow_refusal::TargetStopped, "target gone"},
+    {flow_refusal::ZoneEvacuated, "zone evacuated"},
+    {flow_refusal::WarmingUp, "warming up"},
+}};
+
 struct forward_agent_counters {
   std::array<std::uint64_t, AgentOutcomeNames.size()> Outcomes{};
+  std::array<std::uint64_t, FlowRefusalNames.size()> Refusals{};
   std::uint64_t Declined = 0;
   std::uint64_t TimedOut = 0;
   std::uint64_t Requests = 0;
@@ -413,9 +371,11 @@
   /// flow, and every packet counts as declined.
   void setTargetStopped(bool Stopped, instant Now);
   bool targetStopped() const;
-  /// Sets how many requests the target processes at once and for how long it is
-  /// slower after its start.
+  /// The target has reported how many requests it processes at once and for how
+  /// long it is slower after its start.
   void setTarget(std::uint32_t Slots, duration Warmup, instant Now);
+  /// Sets what the target's entry in the store says, until its first report.
+  void restoreSlots(std::uint32_t Slots);
   /// The target has answered a request on \p Flow. \p Failed is true if the
   /// answer was an error.
   void noteAnswer(const flow_key &Flow, bool Failed, instant Now);
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -376,6 +376,11 @@
   std::int64_t number(const std::string &Field,
                       std::optional<std::int64_t> Default, std::int64_t Low,
                       std::int64_t High);
+  /// Like number(), for a value that may have a fraction.
+  double decimal(const std::string &Field, std::optional<double> Default,
+                 double Low, double High);
+  /// Whether the object has \p Field; does not count as reading it.
+  bool has(const std::string &Field) const;
   std::string text(const std::string &Field,
                    const std::optional<std::string> &Default = std::nullopt);
   bool flag(const std::string &Field, std::optional<bool> Default);
--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -103,6 +103,8 @@
   RoutesRefused,
   ObjectRefused,
   CopiedFromPeer,
+  /// The set of evacuated zones, as this process knows it, has changed.
+  EvacuationsChanged,
   SettingsReloaded,
   /// A call to the store or a peer failed, was slow or returned a large amount
   /// of data.
@@ -116,7 +118,7 @@
   LinesDropped,
 };
 
-inline constexpr name_table<event_kind, 54> EventKindNames = {{
+inline constexpr name_table<event_kind, 55> EventKindNames = {{
     {event_kind::ProcessStarted, "process-started"},
     {event_kind::ProcessStopping, "process-stopping"},
     {event_kind::ViewTaken, "view-taken"},
@@ -166,6 +168,7 @@
     {event_kind::RoutesRefused, "routes-refused"},
     {event_kind::ObjectRefused, "object-refused"},
     {event_kind::CopiedFromPeer, "copied-from-peer"},
+    {event_kind::EvacuationsChanged, "evacuations-changed"},
     {event_kind::SettingsReloaded, "settings-reloaded"},
     {event_kind::CallEnded, "call-ended"},
     {event_kind::StoreCalls, "store-calls"},
--- /dev/null
+++ b/src/agent_messages/load_report.cpp
@@ -0,0 +1,89 @@
+#include "agent_messages/message_format.h"
+
+#include <algorithm>
+
+namespace marjoramrail {
+
+using namespace internal;
+
+/// Layout of a load report:
+/// u16 magic | u8 format | u8 flags | u32 service | u32, u16 agent |
+/// u16 active | u16 slots | u32 flows | u16 busy | u32 latency us |
+/// u32 warm-up us | u16 failing | u32 warm-up rate | padding
+static constexpr std::uint16_t ReportMagic = 0x4d4c;
+static constexpr std::uint16_t ReportRequestMagic = 0x4d51;
+static constexpr std::uint8_t AdmittingBit = 1;
+static constexpr std::uint8_t AnsweringBit = 2;
+static constexpr std::uint8_t EvacuatedBit = 4;
+
+static std::uint32_t cappedCount(duration Time) {
+  return static_cast<std::uint32_t>(
+      std::clamp<duration::rep>(Time.count(), 0, UINT32_MAX));
+}
+
+std::size_t encodeLoadReport(const load_report &Report,
+                             std::span<std::uint8_t> Buffer) {
+  if (Buffer.size() < LoadReportBytes)
+    return 0;
+  std::fill_n(Buffer.begin(), LoadReportBytes, std::uint8_t{0});
+  byte_writer Writer(Buffer.data());
+  Writer.put(ReportMagic);
+  Writer.put(MessageFormat);
+  Writer.put(static_cast<std::uint8_t>((Report.Admitting ? AdmittingBit : 0) |
+                                       (Report.Answering ? AnsweringBit : 0) |
+                                       (Report.Evacuated ? EvacuatedBit : 0)));
+  Writer.put(static_cast<std::uint32_t>(Report.Service));
+  Writer.put(Report.Agent);
+  Writer.put(Report.Active);
+  Writer.put(Report.Slots);
+  Writer.put(Report.Flows);
+  Writer.put(Report.Busy);
+  Writer.put(cappedCount(Report.Latency));
+  Writer.put(cappedCount(Report.Warmup));
+  Writer.put(Report.Failing);
+  Writer.put(Report.WarmupRate);
+  return LoadReportBytes;
+}
+
+bool isLoadReport(bytes_view Bytes) {
+  return Bytes.size() == LoadReportBytes && hasMagic(Bytes, ReportMagic);
+}
+
+bool decodeLoadReport(bytes_view Bytes, load_report &Report) {
+  if (!isLoadReport(Bytes))
+    return false;
+  byte_reader Reader(Bytes.data() + sizeof(ReportMagic) +
+                     sizeof(MessageFormat));
+  const auto Flags = Reader.take<std::uint8_t>();
+  Report.Admitting = (Flags & AdmittingBit) != 0;
+  Report.Answering = (Flags & AnsweringBit) != 0;
+  Report.Evacuated = (Flags & EvacuatedBit) != 0;
+  Report.Service = service_id(Reader.take<std::uint32_t>());
+  Report.Agent = Reader.takeEndpoint();
+  Report.Active = Reader.take<std::uint16_t>();
+  Report.Slots = std::max<std::uint16_t>(Reader.take<std::uint16_t>(), 1);
+  Report.Flows = Reader.take<std::uint32_t>();
+  Report.Busy = Reader.take<std::uint16_t>();
+  Report.Latency = duration(Reader.take<std::uint32_t>());
+  Report.Warmup = duration(Reader.take<std::uint32_t>());
+  Report.Failing = Reader.take<std::uint16_t>();
+  Report.WarmupRate = Reader.take<std::uint32_t>();
+  return true;
+}
+
+std::size_t encodeLoadReportRequest(report_span Span,
+                                    std::span<std::uint8_t> Buffer) {
+  return encodeBare(ReportRequestMagic, static_cast<std::uint8_t>(Span),
+                    Buffer);
+}
+
+std::optional<report_span> decodeLoadReportRequest(bytes_view Bytes) {
+  if (Bytes.size() != LoadReportRequestBytes ||
+      !hasMagic(Bytes, ReportRequestMagic))
+    return std::nullopt;
+  const bool IsOnce =
+      Bytes.back() == static_cast<std::uint8_t>(report_span::Once);
+  return IsOnce ? report_span::Once : report_span::Continued;
+}
+
+} // namespace marjoramrail
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -39,6 +39,11 @@
 /// How long a balancer that is not a watcher waits between two attempts while
 /// the store is unavailable: every call is charged for, including refused ones.
 constexpr duration BackgroundRetryInterval = std::chrono::seconds(3);
+/// The number of balancers that watch for evacuations on behalf of all, and how
+/// long each watch waits. If a connection no longer responds, only the end of
+/// the watch shows it, and evacuations have to be known within seconds.
+constexpr std::size_t EvacuationWatchers = 2;
+constexpr duration EvacuationWatchWait = std::chrono::seconds(5);
 constexpr duration RecordCheckPeriod = std::chrono::milliseconds(200);
 
 } // namespace
@@ -58,6 +63,8 @@
       Site(Timers, this->Platform.Site, this->Settings.SiteKind,
            feedHooks(this->Settings.SiteKind, &impl::onSiteObject,
                      &impl::siteWait)),
+      Evacuations(Timers, this->Platform.Evacuations,
+                  this->Settings.EvacuationsKind, evacuationHooks()),
       Loader(loaderHooks()), ZoneNumber(static_cast<std::uint32_t>(
                                  serviceNumber(this->Settings.Zone))) {
   for (const endpoint &Seed : this->Settings.Seeds)
@@ -92,6 +99,41 @@
 
 std::optional<duration> directory::impl::siteWait() { return nextWait(Site); }
 
+std::optional<duration> directory::impl::evacuationsWait() {
+  const instant Now = Timers.now();
+  const bool IsWatcher =
+      hasRunFor(PeerDiscoveryTime, Now) && Peers.rank(Now) < EvacuationWatchers;
+  return IsWatcher ? std::optional(EvacuationWatchWait) : std::nullopt;
+}
+
+evacuation_watch::hooks directory::impl::evacuationHooks() {
+  evacuation_watch::hooks Watch;
+  Watch.Wait = [this] { return evacuationsWait(); };
+  Watch.OnChange = [this](const std::string &Source) {
+    onEvacuationsChanged(Source);
+  };
+  Watch.OnAvailability = [this](bool Answers, const std::string &Reason) {
+    Hooks.OnEvent(Answers ? event_kind::StoreRecovered : event_kind::StoreLost,
+                  Settings.EvacuationsKind + ": " + Reason);
+  };
+  return Watch;
+}
+
+/// Sends sync messages at once instead of in the next round: each balancer that
+/// learns of a change passes it on, so that it reaches a fleet of thousands
+/// within a second.
+void directory::impl::onEvacuationsChanged(const std::string &Source) {
+  const evacuations &Table = Evacuations.table();
+  std::string Zones;
+  for (const std::string &Zone : Table.Zones)
+    Zones += (Zones.empty() ? "" : " ") + Zone;
+  Hooks.OnEvent(event_kind::EvacuationsChanged,
+                (Zones.empty() ? "none" : Zones) + ", version " +
+                    std::to_string(Table.Version) + ", from " + Source);
+  Hooks.OnEvacuations();
+  sendSyncMessages();
+}
+
 bool directory::impl::hasRunFor(duration After, instant Now) const {
   return StartedAt && Now - *StartedAt >= After;
 }
@@ -290,6 +332,7 @@
   Impl->StartedAt = Impl->Timers.now();
   Impl->Routes.start();
   Impl->Site.start();
+  Impl->Evacuations.start();
   Impl->sendSyncMessages();
   Impl->Timers.every(SyncPeriod,
                      Impl->guarded([this] { Impl->sendSyncMessages(); }));
@@ -349,10 +392,24 @@
   return All;
 }
 
+const evacuations &directory::evacuatedZones() const {
+  return Impl->Evacuations.table();
+}
+
 std::uint64_t directory::routesVersion() const {
   return Impl->Activation.activeVersion();
 }
 
+std::vector<service_warmup> directory::warmupRates() const {
+  const route_table *Newest = Impl->Activation.newest();
+  return Newest ? Newest->Warmups : std::vector<service_warmup>();
+}
+
+std::uint64_t directory::newestRoutesVersion() const {
+  const route_table *Newest = Impl->Activation.newest();
+  return Newest ? Newest->Version : 0;
+}
+
 std::optional<instant> directory::knownAsOf() const {
   return Impl->knownAsOf();
 }
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -12,6 +12,7 @@
 
 #include "marjoramrail/directory.h"
 
+#include "directory/evacuation_watch.h"
 #include "directory/object_feed.h"
 #include "directory/peer_selector.h"
 #include "directory/route_activation.h"
@@ -40,6 +41,9 @@
                                std::optional<duration> (impl::*Wait)());
   std::optional<duration> routesWait();
   std::optional<duration> siteWait();
+  std::optional<duration> evacuationsWait();
+  evacuation_watch::hooks evacuationHooks();
+  void onEvacuationsChanged(const std::string &Source);
   std::optional<duration> nextWait(const object_feed &Feed);
   /// Whether this balancer has been running for at least \p After.
   bool hasRunFor(duration After, instant Now) const;
@@ -100,6 +104,7 @@
   route_activation Activation;
   object_feed Routes;
   object_feed Site;
+  evacuation_watch Evacuations;
   route_loader Loader;
   /// While the loader is busy: the time up to which data was complete when
   /// loading began.
--- a/src/directory/directory_peers.cpp
+++ b/src/directory/directory_peers.cpp
@@ -36,6 +36,7 @@
   Message.IsServed = Site.answering();
   Message.Routes = replicationStateOf(Routes);
   Message.Site = replicationStateOf(Site);
+  Message.Evacuations = Evacuations.table();
   return Message;
 }
 
@@ -55,6 +56,7 @@
     return;
   Peers.recordMessage(Message->Self, Message->Zone, Timers.now(),
                       Message->IsServed);
+  Evacuations.takeFromPeer(Message->Evacuations, Message->Self);
   if (!Message->IsReply) {
     const callback_timer Turn(Hooks.OnCallback,
                               callback_kind::AnswerSyncMessage);
--- a/src/directory/object_feed.cpp
+++ b/src/directory/object_feed.cpp
@@ -37,6 +37,11 @@
 
 void object_feed::start() { list(); }
 
+void object_feed::startOnDemand() {
+  ListsOnDemand = true;
+  follow();
+}
+
 void object_feed::list() {
   Store.List(Kind, guarded([this, RequestedAt = Timers.now()](
                                const platform_reply &Reply) {
@@ -46,7 +51,8 @@
 
 void object_feed::listed(const platform_reply &Reply, instant RequestedAt) {
   if (Reply.Outcome != platform_outcome::Ok)
-    return retry(Reply, &object_feed::list);
+    return retry(Reply,
+                 ListsOnDemand ? &object_feed::follow : &object_feed::list);
   setAnswering(true, "");
   if (Reply.StoreVersion >= Version) {
     applyList(Reply);
@@ -58,7 +64,7 @@
 
 void object_feed::follow() {
   if (const auto Wait = Hooks.Wait())
-    return watch(*Wait);
+    return Known ? watch(*Wait) : list();
   Timers.after(IdlePeriod, [this, Alive = Alive] {
     if (*Alive)
       follow();
--- a/src/directory/object_feed.h
+++ b/src/directory/object_feed.h
@@ -40,6 +40,9 @@
   object_feed &operator=(const object_feed &) = delete;
 
   void start();
+  /// Starts without a list; the first one is requested when hooks::Wait first
+  /// returns a value.
+  void startOnDemand();
 
   /// True once a complete list was received, from the store or from a peer.
   bool known() const { return Known; }
@@ -101,6 +104,8 @@
   std::map<std::string, std::uint64_t> Deletions;
   std::uint64_t DeletionsSince = 0;
   bool Known = false;
+  /// Lists are only requested while hooks::Wait returns a value.
+  bool ListsOnDemand = false;
   bool Answering = true;
   std::optional<instant> FailedAt;
   int Failures = 0;
--- a/src/directory/route_activation.cpp
+++ b/src/directory/route_activation.cpp
@@ -28,7 +28,8 @@
       Due = Now + SettleTime;
     return true;
   }
-  if (Active->Services.containsAll(Newest->Services)) {
+  if (Active->Services.containsAll(Newest->Services) &&
+      !widensRegions(Active->Table, Newest->Table)) {
     Active = Newest;
     if (Withheld.empty())
       Due.reset();
@@ -41,6 +42,24 @@
   return true;
 }
 
+/// Whether flows of a route in \p To may be sent to a region that \p From does
+/// not permit. As for a new service, balancers that do not know it yet would
+/// look for the owners of these flows in the previous regions only.
+bool route_activation::widensRegions(const route_table &From,
+                                     const route_table &To) {
+  auto Before = From.Routes.begin();
+  for (const route &Route : To.Routes) {
+    while (Before != From.Routes.end() && Before->Address < Route.Address)
+      ++Before;
+    if (Before == From.Routes.end())
+      return false;
+    if (Before->Address == Route.Address &&
+        unionOf(Before->Regions, Route.Regions) != Before->Regions)
+      return true;
+  }
+  return false;
+}
+
 bool route_activation::advance(instant Now) {
   if (!Due || Now < *Due)
     return false;
@@ -68,7 +87,8 @@
   const std::vector<route> &UpcomingRoutes =
       Newest && Newest != Active ? Newest->Table.Routes : None;
   const route_services &Recorded = Record.all();
-  std::vector<rule_part> Parts;
+  rule_view Rule;
+  std::vector<rule_part> &Parts = Rule.Parts;
   const auto Add = [&](std::string_view Name, service_id Service) {
     const bool Named =
         std::any_of(Parts.begin(), Parts.end(), [&](const rule_part &Part) {
@@ -86,6 +106,13 @@
     if (Next != UpcomingRoutes.end())
       Address = std::min(Address, Next->Address);
     Parts.clear();
+    Rule.Address = Address;
+    const bool IsActive = Now != ActiveRoutes.end() && Now->Address == Address;
+    const bool IsUpcoming =
+        Next != UpcomingRoutes.end() && Next->Address == Address;
+    Rule.Regions = IsActive ? Now->Regions : Next->Regions;
+    Rule.OwnerRegions =
+        IsUpcoming ? unionOf(Rule.Regions, Next->Regions) : Rule.Regions;
     for (; Now != ActiveRoutes.end() && Now->Address == Address; ++Now)
       for (const service_share &Share : Now->Shares) {
         const service_id Service = serviceNumber(Share.Service);
@@ -99,15 +126,16 @@
       ++Previous;
     for (; Previous != PreviousEnd && Previous->Address == Address; ++Previous)
       Add(Recorded.nameOf(Previous->Service), Previous->Service);
-    Take(Address, Parts);
+    Take(Rule);
   }
 }
 
-route_rule route_activation::ruleOf(const endpoint &Address,
-                                    const std::vector<rule_part> &Parts) {
+route_rule route_activation::ruleOf(const rule_view &View) {
   route_rule Rule;
-  Rule.Address = Address;
-  for (const rule_part &Part : Parts) {
+  Rule.Address = View.Address;
+  Rule.Regions = View.Regions;
+  Rule.OwnerRegions = View.OwnerRegions;
+  for (const rule_part &Part : View.Parts) {
     std::string Name(Part.Name);
     if (Part.TakesNew)
       Rule.Shares.push_back({Name, Part.Weight});
@@ -118,9 +146,21 @@
   return Rule;
 }
 
-std::uint64_t route_activation::hashOf(const std::vector<rule_part> &Parts) {
-  std::uint64_t Hash = Parts.size();
-  for (const rule_part &Part : Parts) {
+static std::uint64_t hashOf(const allowed_regions &Regions,
+                            std::uint64_t Seed) {
+  if (!Regions.isRestricted())
+    return Seed;
+  std::uint64_t Hash = XXH3_64bits_withSeed(nullptr, 0, Seed);
+  for (const std::string &Region : *Regions.regions())
+    Hash = XXH3_64bits_withSeed(Region.data(), Region.size(), Hash);
+  return Hash;
+}
+
+std::uint64_t route_activation::hashOf(const rule_view &View) {
+  std::uint64_t Hash = View.Parts.size();
+  Hash = internal::hashOf(View.Regions, Hash);
+  Hash = internal::hashOf(View.OwnerRegions, Hash);
+  for (const rule_part &Part : View.Parts) {
     const std::uint32_t Fields[] = {static_cast<std::uint32_t>(Part.Service),
                                     Part.Weight,
                                     static_cast<std::uint32_t>(Part.TakesNew)};
@@ -132,10 +172,8 @@
 std::vector<route_rule>
 route_activation::rules(const route_record &Record) const {
   std::vector<route_rule> All;
-  forEachRule(Record, [&](const endpoint &Address,
-                          const std::vector<rule_part> &Parts) {
-    All.push_back(ruleOf(Address, Parts));
-  });
+  forEachRule(Record,
+              [&](const rule_view &Rule) { All.push_back(ruleOf(Rule)); });
   return All;
 }
 
@@ -148,14 +186,13 @@
     for (; Before != ReportedRules.end() && Before->Address < Address; ++Before)
       Changes.Removed.push_back(Before->Address);
   };
-  forEachRule(Record, [&](const endpoint &Address,
-                          const std::vector<rule_part> &Parts) {
-    SkipTo(Address);
+  forEachRule(Record, [&](const rule_view &Rule) {
+    SkipTo(Rule.Address);
     const bool Known =
-        Before != ReportedRules.end() && Before->Address == Address;
-    Fingerprints.push_back({Address, hashOf(Parts)});
+        Before != ReportedRules.end() && Before->Address == Rule.Address;
+    Fingerprints.push_back({Rule.Address, hashOf(Rule)});
     if (!Known || Before->Hash != Fingerprints.back().Hash)
-      Changes.Changed.push_back(ruleOf(Address, Parts));
+      Changes.Changed.push_back(ruleOf(Rule));
     if (Known)
       ++Before;
   });
--- a/src/directory/route_activation.h
+++ b/src/directory/route_activation.h
@@ -68,12 +68,20 @@
     std::uint64_t Hash = 0;
   };
 
+  /// The rule of one address, without copies.
+  struct rule_view {
+    endpoint Address;
+    std::vector<rule_part> Parts;
+    allowed_regions Regions;
+    allowed_regions OwnerRegions;
+  };
+
   template <typename Callable>
   void forEachRule(const route_record &Record, const Callable &Take) const;
+  static bool widensRegions(const route_table &From, const route_table &To);
   bool isWithheld(const route_service &Entry) const;
-  static route_rule ruleOf(const endpoint &Address,
-                           const std::vector<rule_part> &Parts);
-  static std::uint64_t hashOf(const std::vector<rule_part> &Parts);
+  static route_rule ruleOf(const rule_view &View);
+  static std::uint64_t hashOf(const rule_view &View);
 
   std::shared_ptr<const sorted_table> Active =
       std::make_shared<const sorted_table>(route_table());
--- a/src/directory/route_table_codec.cpp
+++ b/src/directory/route_table_codec.cpp
@@ -12,26 +12,32 @@
 /// Every encoded table starts with this text; the fields have a fixed order.
 static constexpr std::string_view FormatPrefix = "{\"marjoramrail_routes\":";
 
-/// Routes with the same shares.
+/// Routes with the same shares and regions.
 struct route_group {
   std::vector<service_share> Shares;
+  allowed_regions Regions;
   std::vector<endpoint> Addresses;
+
+  bool isOf(const route &Route) const {
+    return Shares == Route.Shares && Regions == Route.Regions;
+  }
 };
 
 static std::vector<route_group> groupsOf(const route_table &Table) {
-  std::map<std::vector<std::pair<std::string, std::uint32_t>>, std::size_t>
-      Numbers;
+  using share_list = std::vector<std::pair<std::string, std::uint32_t>>;
+  std::map<std::pair<share_list, allowed_regions>, std::size_t> Numbers;
   std::vector<route_group> Groups;
   std::size_t Last = 0;
   for (const route &Route : Table.Routes) {
-    // MaxRoutes routes have the same shares as the previous one.
-    if (Groups.empty() || Groups[Last].Shares != Route.Shares) {
-      std::vector<std::pair<std::string, std::uint32_t>> Key;
+    // Most routes have the same shares as the previous one.
+    if (Groups.empty() || !Groups[Last].isOf(Route)) {
+      share_list Shares;
       for (const service_share &Share : Route.Shares)
-        Key.emplace_back(Share.Service, Share.Weight);
-      Last = Numbers.try_emplace(Key, Groups.size()).first->second;
+        Shares.emplace_back(Share.Service, Share.Weight);
+      Last = Numbers.try_emplace({Shares, Route.Regions}, Groups.size())
+                 .first->second;
       if (Last == Groups.size())
-        Groups.push_back({Route.Shares, {}});
+        Groups.push_back({Route.Shares, Route.Regions, {}});
     }
     Groups[Last].Addresses.push_back(Route.Address);
   }
@@ -47,15 +53,21 @@
 
 std::string encodeRouteTable(const route_table &Table) {
   ordered_json List = ordered_json::array();
-  for (route_group &Group : groupsOf(Table))
-    List.push_back(
-        {{"shares", encodeShares(Group.Shares)},
-         {"addresses", encodeAddresses(std::move(Group.Addresses))}});
-  return ordered_json{{"marjoramrail_routes", Format},
-                      {"version", Table.Version},
-                      {"idle_us", Table.IdleFlow.count()},
-                      {"groups", List}}
-      .dump();
+  for (route_group &Group : groupsOf(Table)) {
+    ordered_json Item = {
+        {"shares", encodeShares(Group.Shares)},
+        {"addresses", encodeAddresses(std::move(Group.Addresses))}};
+    if (Group.Regions.isRestricted())
+      Item["regions"] = *Group.Regions.regions();
+    List.push_back(std::move(Item));
+  }
+  ordered_json Encoded = {{"marjoramrail_routes", Format},
+                          {"version", Table.Version},
+                          {"idle_us", Table.IdleFlow.count()},
+                          {"groups", List}};
+  for (const service_warmup &Warmup : Table.Warmups)
+    Encoded["warmups"][Warmup.Service] = Warmup.Rate;
+  return Encoded.dump();
 }
 
 bool isEncodedRouteTable(std::string_view Body) {
@@ -76,6 +88,19 @@
   return Shares;
 }
 
+/// The regions of a group; nothing if \p Json is malformed.
+static std::optional<allowed_regions> regionsOf(const json &Json) {
+  if (!Json.is_array())
+    return std::nullopt;
+  std::vector<std::string> Regions;
+  for (const json &Region : Json) {
+    if (!Region.is_string())
+      return std::nullopt;
+    Regions.push_back(Region.get<std::string>());
+  }
+  return allowed_regions(std::move(Regions));
+}
+
 /// An encoded table that is being read. The first step parses the text; the
 /// following steps create the routes.
 class encoded_table {
@@ -112,9 +137,21 @@
       return refuse("idle_us: expected a whole number");
     Table.Version = Version.get<std::uint64_t>();
     Table.IdleFlow = duration(Idle.get<duration::rep>());
+    BOOST_LEAF_CHECK(openWarmups(Json.value("warmups", json::object()), Table));
     return openGroups(Json.value("groups", json()), Table);
   }
 
+  result<void> openWarmups(const json &List, route_table &Table) {
+    if (!List.is_object())
+      return refuse("warmups: expected an object");
+    for (const auto &[Service, Rate] : List.items()) {
+      if (!Rate.is_number_unsigned())
+        return refuse("warmups: expected whole numbers");
+      Table.Warmups.push_back({Service, Rate.get<std::uint32_t>()});
+    }
+    return {};
+  }
+
   result<void> openGroups(const json &List, route_table &Table) {
     if (!List.is_array())
       return refuse("groups: expected a list");
@@ -127,9 +164,15 @@
       auto Addresses = decodeAddresses(Item["addresses"]);
       if (!Shares || !Addresses)
         return refuse("groups: expected shares and addresses");
+      auto Regions = Item.contains("regions")
+                         ? regionsOf(Item["regions"])
+                         : std::optional(allowed_regions());
+      if (!Regions)
+        return refuse("groups: expected a list of regions");
       Count += Addresses->size();
       if (!Addresses->empty())
-        Groups.push_back({std::move(*Shares), std::move(*Addresses)});
+        Groups.push_back(
+            {std::move(*Shares), std::move(*Regions), std::move(*Addresses)});
     }
     Table.Routes.reserve(Count);
     return {};
@@ -137,7 +180,7 @@
 
   void takeNext(route_table &Table) {
     const route_group &From = Groups[Group];
-    Table.Routes.push_back({From.Addresses[Next], From.Shares});
+    Table.Routes.push_back({From.Addresses[Next], From.Shares, From.Regions});
     if (++Next < From.Addresses.size())
       return;
     Next = 0;
--- a/src/directory/sync_message.cpp
+++ b/src/directory/sync_message.cpp
@@ -12,10 +12,11 @@
 
 /// The encoded message: u16 magic | u8 format | u8 flags | i64 requested at |
 /// u32, u16 self | u32 zone | 2 x (u64 version, u64 change, i64 age) |
-/// u64 changes since | u64 up to | changes as CBOR, [[name, version, body or
-/// null for deleted], ...], or nothing
+/// u64 changes since | u64 up to | evacuations (see appendEvacuations()) |
+/// changes as CBOR, [[name, version, body or null for deleted], ...], or
+/// nothing
 static constexpr std::uint16_t SyncMessageMagic = 0x4d47;
-static constexpr std::uint8_t SyncMessageFormat = 4;
+static constexpr std::uint8_t SyncMessageFormat = 5;
 static constexpr std::uint8_t ReplyBit = 1;
 static constexpr std::uint8_t ServedBit = 2;
 static constexpr std::size_t FixedBytes = 2 + 1 + 1 + 8 + 6 + 4 + 2 * 24 + 16;
@@ -68,7 +69,9 @@
             });
   // The header of a CBOR array takes at most three bytes here.
   constexpr std::size_t ListHeadBytes = 3;
-  std::size_t Bytes = FixedBytes + ListHeadBytes;
+  std::vector<std::uint8_t> Evacuations;
+  appendEvacuations(Message.Evacuations, Evacuations);
+  std::size_t Bytes = FixedBytes + Evacuations.size() + ListHeadBytes;
   std::size_t Fitting = 0;
   for (; Fitting < Changes.size(); ++Fitting) {
     Bytes += json::to_cbor(changeAsJson(Changes[Fitting])).size();
@@ -91,10 +94,7 @@
 }
 
 std::vector<std::uint8_t> encodeSyncMessage(const sync_message &Message) {
-  std::vector<std::uint8_t> Changes;
-  if (Message.Changes)
-    Changes = encodeChanges(*Message.Changes);
-  std::vector<std::uint8_t> Bytes(FixedBytes + Changes.size());
+  std::vector<std::uint8_t> Bytes(FixedBytes);
   byte_writer Writer(Bytes.data());
   Writer.put(SyncMessageMagic);
   Writer.put(SyncMessageFormat);
@@ -110,7 +110,11 @@
   }
   Writer.put(Message.ChangesSince);
   Writer.put(Message.ChangesUpTo);
-  std::copy(Changes.begin(), Changes.end(), Writer.position());
+  appendEvacuations(Message.Evacuations, Bytes);
+  if (Message.Changes) {
+    const std::vector<std::uint8_t> Changes = encodeChanges(*Message.Changes);
+    Bytes.insert(Bytes.end(), Changes.begin(), Changes.end());
+  }
   return Bytes;
 }
 
@@ -142,7 +146,11 @@
   }
   Message.ChangesSince = Reader.take<std::uint64_t>();
   Message.ChangesUpTo = Reader.take<std::uint64_t>();
-  const auto Tail = Bytes.subspan(FixedBytes);
+  auto Tail = Bytes.subspan(FixedBytes);
+  auto Evacuations = takeEvacuations(Tail);
+  if (!Evacuations)
+    return std::nullopt;
+  Message.Evacuations = std::move(*Evacuations);
   if (Tail.empty())
     return Message;
   Message.Changes = decodeChanges(Tail);
--- a/src/directory/sync_message.h
+++ b/src/directory/sync_message.h
@@ -2,18 +2,20 @@
 ///
 /// \file
 /// A datagram of about 100 bytes in which a balancer states up to which version
-/// it knows the store's objects. A reply also contains the changes since the
-/// version that the requester knows. A changed object thus costs its own size
-/// once per balancer, instead of one store call by each. Changes that do not
-/// fit are sent in reply to the next request. The reply returns the request's
-/// own timestamp, so that the age of the peer's data is measured by the
-/// requester's clock and network delays only make it look older.
+/// it knows the store's objects, and which zones are evacuated. A reply also
+/// contains the changes since the version that the requester knows. A changed
+/// object thus costs its own size once per balancer, instead of one store call
+/// by each. Changes that do not fit are sent in reply to the next request. The
+/// reply returns the request's own timestamp, so that the age of the peer's
+/// data is measured by the requester's clock and network delays only make it
+/// look older.
 ///
 //===----------------------------------------------------------------------===//
 
 #ifndef MARJORAMRAIL_DIRECTORY_SYNC_MESSAGE_H
 #define MARJORAMRAIL_DIRECTORY_SYNC_MESSAGE_H
 
+#include "marjoramrail/places.h"
 #include "marjoramrail/platform.h"
 
 #include <optional>
@@ -45,6 +47,9 @@
   std::int64_t RequestedAtUs = 0;
   replication_state Routes;
   replication_state Site;
+  /// The evacuated zones, complete in every message: they are few and have to
+  /// be known everywhere within seconds.
+  evacuations Evacuations;
   /// In a reply: the requester's Site.Version, and all changes of that kind
   /// from there up to ChangesUpTo, ordered by version.
   std::uint64_t ChangesSince = 0;
--- a/src/forward/agent_table.cpp
+++ b/src/forward/agent_table.cpp
@@ -4,10 +4,38 @@
 
 namespace marjoramrail::internal {
 
-static std::uint32_t orderOf(const std::set<std::string> &Zones,
-                             const std::string &Zone) {
-  return static_cast<std::uint32_t>(
-      std::distance(Zones.begin(), Zones.find(Zone)));
+void agent_table::setZones(const std::vector<target_entry> &Targets) {
+  std::set<std::string> Others;
+  for (const target_entry &Target : Targets)
+    if (Target.Zone != Zones.front().Name)
+      Others.insert(Target.Zone);
+  Zones.resize(1);
+  for (const std::string &Zone : Others)
+    Zones.push_back({Zone, std::string(regionOf(Regions, Zone)),
+                     Evacuations.contains(Zone)});
+}
+
+std::uint32_t agent_table::zoneOrderOf(const std::string &Zone) const {
+  if (Zone == Zones.front().Name)
+    return 0;
+  const auto Place =
+      std::lower_bound(Zones.begin() + 1, Zones.end(), Zone,
+                       [](const zone_state &State, const std::string &Name) {
+                         return State.Name < Name;
+                       });
+  return static_cast<std::uint32_t>(std::distance(Zones.begin(), Place));
+}
+
+void agent_table::setEvacuations(const evacuations &Table) {
+  Evacuations = Table;
+  for (zone_state &Zone : Zones)
+    Zone.Evacuated = Evacuations.contains(Zone.Name);
+}
+
+void agent_table::setRegions(zone_regions Changed) {
+  Regions = std::move(Changed);
+  for (zone_state &Zone : Zones)
+    Zone.Region = regionOf(Regions, Zone.Name);
 }
 
 void agent_table::set(const std::vector<target_entry> &Targets, instant Now) {
@@ -18,9 +46,7 @@
   ByService.clear();
   MoreByEndpoint.clear();
   const auto Places = std::exchange(ByEndpoint, {});
-  std::set<std::string> Zones;
-  for (const target_entry &Target : Targets)
-    Zones.insert(Target.Zone);
+  setZones(Targets);
   for (const target_entry &Target : Targets) {
     agent_state State;
     const auto Known = Places.find(Target.Agent);
@@ -33,7 +59,7 @@
     }
     State.Agent = Target.Agent;
     State.Service = Service;
-    State.ZoneOrder = Target.Zone == Zone ? 0 : orderOf(Zones, Target.Zone) + 1;
+    State.ZoneOrder = zoneOrderOf(Target.Zone);
     State.Draining = Target.Draining;
     if (!State.ReportedAt) {
       State.Report.Slots = static_cast<std::uint16_t>(
--- a/src/forward/agent_table.h
+++ b/src/forward/agent_table.h
@@ -39,6 +39,15 @@
   }
 };
 
+/// What a balancer knows of a zone.
+struct zone_state {
+  std::string Name;
+  /// "" if the settings do not name it.
+  std::string Region;
+  /// The zone's targets must not get new flows.
+  bool Evacuated = false;
+};
+
 struct agent_state {
   endpoint Agent;
   service_id Service{};
@@ -52,8 +61,6 @@
   /// The agent was in the first registry that this balancer read, and the entry
   /// was written by the agent itself, not by a balancer on its behalf.
   bool FoundAtStart = false;
-  /// The agent is in the store's registry.
-  bool Registered = true;
   load_report Report;
   std::optional<instant> ReportedAt;
   /// When the first packet since the last report was sent.
@@ -124,10 +131,21 @@
   /// \p Seed has to differ between balancers. Otherwise all of them would start
   /// with the same agents, and the other agents of a large zone would wait for
   /// minutes.
-  agent_table(std::string Zone, std::uint64_t Seed)
-      : Zone(std::move(Zone)), Seed(Seed) {}
+  agent_table(const std::string &Zone, std::uint64_t Seed)
+      : Seed(Seed), Zones{{Zone, "", false}} {}
 
   void set(const std::vector<target_entry> &Targets, instant Now);
+  void setEvacuations(const evacuations &Table);
+  void setRegions(zone_regions Changed);
+  const zone_state &zoneOf(const agent_state &Agent) const {
+    return Zones[Agent.ZoneOrder];
+  }
+  /// Whether the agent's target must not get new flows because of its zone, as
+  /// far as this balancer or the agent knows. The agent may know it earlier: a
+  /// balancer that was just started has no table of evacuations yet.
+  bool isEvacuated(const agent_state &Agent) const {
+    return zoneOf(Agent).Evacuated || Agent.Report.Evacuated;
+  }
   agent_state *find(const endpoint &Agent);
   const std::vector<std::size_t> &ofService(service_id Service) const;
   agent_state &at(std::size_t Index) { return Agents[Index]; }
@@ -169,8 +187,15 @@
   template <typename Function>
   void forEachAt(const endpoint &Agent, const Function &Each);
 
-  std::string Zone;
+  void setZones(const std::vector<target_entry> &Targets);
+  std::uint32_t zoneOrderOf(const std::string &Zone) const;
+
   std::uint64_t Seed;
+  zone_regions Regions;
+  evacuations Evacuations;
+  /// The balancer's own zone, then the other zones that have agents, sorted.
+  /// agent_state::ZoneOrder is a position in it.
+  std::vector<zone_state> Zones;
   std::vector<agent_state> Agents;
   /// The first entry of each address; if several entries have the same address,
   /// MoreByEndpoint holds the others.
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -44,7 +44,8 @@
   const bool Declining =
       Declines.isDeclining() &&
       !Settings.DisabledMechanisms.has(mechanism::DeclineWatch);
-  Report.Answering = !TargetUnresponsive && !Declining;
+  const bool Exhausted = isWarmingUp(Now) && WarmupLimit.isExhausted(Now);
+  Report.Answering = !TargetUnresponsive && !Declining && !Exhausted;
   Report.Active = Load.active();
   Report.Slots = static_cast<std::uint16_t>(std::min(Slots, 65535U));
   Report.Flows = Load.open();
@@ -53,6 +54,10 @@
   Report.Failing = Failures.thousandths();
   if (WarmUntil > Now)
     Report.Warmup = WarmUntil - Now;
+  Report.Evacuated = Policy.Evacuated;
+  if (Settings.Warmup)
+    Report.WarmupRate =
+        Policy.RoutesVersion == 0 ? UnknownWarmupRate : Policy.WarmupRate;
   return Report;
 }
 
@@ -82,6 +87,8 @@
 void forward_agent::setTargetStopped(bool Stopped, instant Now) {
   if (Stopped && !Impl->TargetStopped)
     Impl->resetAll(Now);
+  if (!Stopped && Impl->TargetStopped)
+    Impl->IsWarmupUnknown = true;
   Impl->TargetStopped = Stopped;
 }
 
@@ -131,9 +138,14 @@
 void forward_agent::setTarget(std::uint32_t Slots, duration Warmup,
                               instant Now) {
   Impl->Declines.onReady();
+  restoreSlots(Slots);
+  Impl->WarmUntil = Now + Warmup;
+  Impl->IsWarmupUnknown = false;
+}
+
+void forward_agent::restoreSlots(std::uint32_t Slots) {
   Impl->Slots = std::max(Slots, 1U);
   Impl->Load.setSlots(Impl->Slots);
-  Impl->WarmUntil = Now + Warmup;
 }
 
 void forward_agent::noteAnswer(const flow_key &Flow, bool Failed, instant Now) {
@@ -173,6 +185,10 @@
     Impl->sendReport(From, Now);
     return agent_outcome::Delivered;
   }
+  if (const auto Policy = decodeFlowPolicy(Bytes)) {
+    Impl->applyPolicy(*Policy, Now);
+    return agent_outcome::Delivered;
+  }
   routed_packet Routed;
   if (decodeRouted(Bytes, Routed) != packet_fault::None)
     return count(Impl->Counters, agent_outcome::Malformed);
@@ -208,6 +224,7 @@
   Impl->Load.tick(Now);
   Impl->Declines.tick(Now);
   Impl->Failures.tick(Now);
+  Impl->ReportedExhausted &= Impl->WarmupLimit.isExhausted(Now);
   Impl->logFailureState({});
   std::erase_if(Impl->Balancers, [&](const auto &Item) {
     return Now - Item.second > ReportDuration;
--- a/src/forward/forward_agent_impl.h
+++ b/src/forward/forward_agent_impl.h
@@ -23,11 +23,17 @@
 struct forward_agent::impl {
   impl(const forward_agent_settings &Settings, segment_codec Codec,
        forward_agent_hooks Hooks)
-      : Settings(Settings), Codec(std::move(Codec)), Hooks(std::move(Hooks)) {}
+      : Settings(Settings), Codec(std::move(Codec)), Hooks(std::move(Hooks)),
+        WarmupLimit(Settings.Warmup) {}
 
   agent_outcome onRouted(const routed_packet &Routed, instant Now);
   agent_outcome onNewFlow(const routed_packet &Routed, const segment &Segment,
                           instant Now);
+  std::optional<flow_refusal> refusalOf(const routed_packet &Routed,
+                                        const flow_key &Flow, instant Now);
+  void applyPolicy(const flow_policy &Policy, instant Now);
+  bool isWarmingUp(instant Now) const;
+  void reportExhaustion(instant Now);
   agent_outcome onFlowPacket(const routed_packet &Routed,
                              const segment &Segment, instant Now);
   agent_outcome deliver(const routed_packet &Routed, const segment &Segment,
@@ -90,6 +96,13 @@
   internal::failure_watch Failures;
   std::uint32_t Slots = 1;
   instant WarmUntil;
+  /// The target may have become cold without having reported it yet.
+  bool IsWarmupUnknown = true;
+  warmup_limit WarmupLimit;
+  /// The last report said that the target takes no more new flows for now.
+  bool ReportedExhausted = false;
+  /// What balancers have told of the operators' configuration.
+  flow_policy Policy;
   forward_agent_counters Counters;
 };
 
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -39,6 +39,26 @@
   Hooks.SendToAgent(Agent, Notice);
 }
 
+/// Tells an agent what it does not know of the operators' configuration. A
+/// balancer without knowledge of its own sends nothing, and the agent ignores
+/// what is older than its own knowledge.
+void forward_balancer::impl::sendPolicy(const agent_state &Agent) {
+  flow_policy Policy;
+  Policy.Service = Agent.Service;
+  Policy.EvacuationsVersion = EvacuationsVersion;
+  Policy.Evacuated = AgentTable.zoneOf(Agent).Evacuated;
+  Policy.RoutesVersion = RoutesVersion;
+  const auto Rate = WarmupRates.find(Agent.Service);
+  if (Rate != WarmupRates.end())
+    Policy.WarmupRate = Rate->second;
+  if (!differsFrom(Policy, Agent.Report))
+    return;
+  std::array<std::uint8_t, FlowPolicyBytes> Notice;
+  encodeFlowPolicy(Policy, Notice);
+  ++Counters.PolicyNotices;
+  Hooks.SendToAgent(Agent.Agent, Notice);
+}
+
 /// An agent that is restarted while the store is unavailable cannot read its
 /// own registration, and does not admit flows before it knows that all
 /// balancers have it. A balancer that has had the registration for SettleTime
@@ -131,13 +151,16 @@
 
 forward_balancer::~forward_balancer() = default;
 
-void forward_balancer::setRoutes(const std::vector<route_rule> &Rules) {
+void forward_balancer::setRoutes(const std::vector<route_rule> &Rules,
+                                 instant Now) {
   Impl->Routes.clear();
-  changeRoutes({Rules, {}});
+  changeRoutes({Rules, {}}, Now);
 }
 
 static route_state stateOf(const route_rule &Rule) {
   route_state State;
+  State.Regions = Rule.Regions;
+  State.OwnerRegions = Rule.OwnerRegions;
   for (const service_share &Share : Rule.Shares) {
     State.Shares.push_back({serviceNumber(Share.Service), Share.Weight});
     State.TotalWeight += Share.Weight;
@@ -147,11 +170,16 @@
   return State;
 }
 
-void forward_balancer::changeRoutes(const rule_changes &Changes) {
+void forward_balancer::changeRoutes(const rule_changes &Changes, instant Now) {
   for (const endpoint &Address : Changes.Removed)
     Impl->Routes.erase(Address);
-  for (const route_rule &Rule : Changes.Changed)
-    Impl->Routes[Rule.Address] = stateOf(Rule);
+  for (const route_rule &Rule : Changes.Changed) {
+    route_state &Held = Impl->Routes[Rule.Address];
+    route_state State = stateOf(Rule);
+    State.RegionsChangedAt =
+        State.OwnerRegions == Held.OwnerRegions ? Held.RegionsChangedAt : Now;
+    Held = std::move(State);
+  }
 }
 
 void forward_balancer::setTargets(const std::vector<target_entry> &Targets,
@@ -164,6 +192,23 @@
     Impl->review(Now);
 }
 
+void forward_balancer::setEvacuations(const evacuations &Table) {
+  Impl->EvacuationsVersion = Table.Version;
+  Impl->AgentTable.setEvacuations(Table);
+}
+
+void forward_balancer::setWarmupRates(const std::vector<service_warmup> &Rates,
+                                      std::uint64_t RoutesVersion) {
+  Impl->RoutesVersion = RoutesVersion;
+  Impl->WarmupRates.clear();
+  for (const service_warmup &Warmup : Rates)
+    Impl->WarmupRates[serviceNumber(Warmup.Service)] = Warmup.Rate;
+}
+
+void forward_balancer::setRegions(const zone_regions &Regions) {
+  Impl->AgentTable.setRegions(Regions);
+}
+
 void forward_balancer::setKnownAsOf(std::optional<instant> Moment) {
   Impl->KnownAsOf = Moment;
 }
@@ -203,6 +248,7 @@
   agent_state *Agent = AgentTable.noteReport(Report, Now);
   if (!Agent)
     return notifyUnregistered(Report.Agent, Now);
+  sendPolicy(*Agent);
   if (!Report.Admitting)
     notifyRegistered(*Agent, Now);
 }
@@ -267,6 +313,8 @@
     Agents.push_back({{"agent", toText(Agent.Agent)},
                       {"admitting", Agent.Report.Admitting},
                       {"suspect", Agent.Suspect},
+                      {"zone", Impl->AgentTable.zoneOf(Agent).Name},
+                      {"evacuated", Agent.Report.Evacuated},
                       {"flows", Agent.Report.Flows},
                       {"busy", Agent.Report.Busy}});
   }
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -28,6 +28,12 @@
   std::uint64_t TotalWeight = 0;
   /// Every service whose targets may still own flows of the route.
   std::vector<service_id> OwnerServices;
+  /// The regions of new flows and of owner lookups, see route_rule.
+  allowed_regions Regions;
+  allowed_regions OwnerRegions;
+  /// When OwnerRegions was last changed; nothing if lookups have never been
+  /// restricted since the route became known.
+  std::optional<instant> RegionsChangedAt;
 };
 
 } // namespace internal
@@ -37,7 +43,9 @@
        forward_balancer_hooks Hooks)
       : Settings(Settings), Codec(std::move(Codec)), Hooks(std::move(Hooks)),
         AgentTable(Settings.Zone, internal::endpoint_hash()(Settings.Self)),
-        FlowCache(Settings.MaxFlows) {}
+        FlowCache(Settings.MaxFlows) {
+    AgentTable.setRegions(Settings.Regions);
+  }
 
   forward_outcome route(const segment &Segment, bytes_view Bytes, instant Now);
   forward_outcome open(const internal::route_state &Route,
@@ -48,22 +56,25 @@
   std::optional<std::size_t> place(const internal::route_state &Route,
                                    const segment &Segment,
                                    std::optional<endpoint> Avoid, instant Now);
-  std::optional<std::size_t> placeAt(service_id Service, const flow_key &Flow,
+  std::optional<std::size_t> placeAt(const internal::route_state &Route,
+                                     service_id Service, const flow_key &Flow,
                                      std::optional<endpoint> Avoid,
                                      instant Now);
   std::vector<service_id>
   servicesByPreference(const internal::route_state &Route,
                        const flow_key &Flow) const;
-  placement_candidate viewOf(const internal::agent_state &Agent,
+  placement_candidate viewOf(const internal::route_state &Route,
+                             const internal::agent_state &Agent,
                              std::optional<endpoint> Avoid, instant Now) const;
-  void addSubstitutes(const internal::agent_state &Chosen, const flow_key &Flow,
+  void addSubstitutes(const internal::route_state &Route,
+                      const internal::agent_state &Chosen, const flow_key &Flow,
                       internal::candidate_list &List);
   void send(const internal::candidate_list &List, service_id Service,
             std::initializer_list<routed_flag> Flags, std::uint64_t Version,
             bytes_view Bytes, instant Now);
   void sortFromCursor(const internal::lookup_cursor &Cursor,
                       const flow_key &Flow, bytes_view Bytes, instant Now);
-  void collectCandidates(const internal::route_state &Route);
+  bool collectCandidates(const internal::route_state &Route, instant Now);
   void sendToCandidates(const internal::route_state &Route,
                         const flow_key &Flow,
                         const std::optional<endpoint> &First,
@@ -90,6 +101,12 @@
   bool isKnowledgeCurrent(instant Now) const;
   void onReport(const load_report &Report, instant Now);
   void review(instant Now);
+  void sendPolicy(const internal::agent_state &Agent);
+  bool mayPlaceAt(const internal::route_state &Route,
+                  const internal::agent_state &Agent) const;
+  bool isPermitted(const allowed_regions &Regions,
+                   const internal::agent_state &Agent) const;
+  std::string_view refusalReason(const internal::route_state &Route) const;
   void notifyUnregistered(const endpoint &Agent, instant Now);
   void notifyRegistered(const internal::agent_state &Agent, instant Now);
   void reportLostAgents(instant Now);
@@ -109,6 +126,9 @@
   placement Placement{Settings.DisabledMechanisms};
   std::map<endpoint, internal::route_state> Routes;
   std::optional<instant> KnownAsOf;
+  std::uint64_t EvacuationsVersion = 0;
+  std::uint64_t RoutesVersion = 0;
+  std::map<service_id, std::uint32_t> WarmupRates;
   /// Report requests of first lookups: requests per second, and the largest
   /// burst, which covers a small site.
   token_bucket FirstLookupRequests{8, 16};
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -8,10 +8,24 @@
 /// reports can be seconds apart.
 static constexpr duration FreshReportAge = std::chrono::milliseconds(500);
 
-placement_candidate
-forward_balancer::impl::viewOf(const agent_state &Agent,
-                               std::optional<endpoint> Avoid,
-                               instant Now) const {
+static constexpr std::string_view NoTargetAdmits = "no target admits";
+
+/// Whether the operators' configuration lets the agent's target have new flows.
+bool forward_balancer::impl::mayPlaceAt(const route_state &Route,
+                                        const agent_state &Agent) const {
+  return !Agent.Draining && !AgentTable.isEvacuated(Agent) &&
+         isPermitted(Route.Regions, Agent);
+}
+
+bool forward_balancer::impl::isPermitted(const allowed_regions &Regions,
+                                         const agent_state &Agent) const {
+  return !Regions.isRestricted() ||
+         Regions.permits(AgentTable.zoneOf(Agent).Region);
+}
+
+placement_candidate forward_balancer::impl::viewOf(
+    const route_state &Route, const agent_state &Agent,
+    std::optional<endpoint> Avoid, instant Now) const {
   placement_candidate View;
   View.OwnZone = Agent.isOwnZone();
   const auto IsUnresponsiveFor = [&](duration Time) {
@@ -21,7 +35,7 @@
   View.Reported =
       Agent.ReportedAt && !IsUnresponsiveFor(agent_table::UnverifiedAfter);
   View.Fresh = View.Reported && Now - *Agent.ReportedAt <= FreshReportAge;
-  View.Admitting = Agent.Report.Admitting && !Agent.Draining;
+  View.Admitting = Agent.Report.Admitting && mayPlaceAt(Route, Agent);
   View.Suspect = (Agent.Suspect &&
                   !Settings.DisabledMechanisms.has(mechanism::Suspicion)) ||
                  IsUnresponsiveFor(agent_table::SuspectAfter) ||
@@ -38,12 +52,13 @@
 }
 
 std::optional<std::size_t>
-forward_balancer::impl::placeAt(service_id Service, const flow_key &Flow,
+forward_balancer::impl::placeAt(const route_state &Route, service_id Service,
+                                const flow_key &Flow,
                                 std::optional<endpoint> Avoid, instant Now) {
   const std::vector<std::size_t> &Agents = AgentTable.ofService(Service);
   Views.clear();
   for (const std::size_t Index : Agents)
-    Views.push_back(viewOf(AgentTable.at(Index), Avoid, Now));
+    Views.push_back(viewOf(Route, AgentTable.at(Index), Avoid, Now));
   const auto Chosen = Placement.choose(Views, Order.forFlow(Agents, Flow));
   if (!Chosen)
     return std::nullopt;
@@ -79,7 +94,8 @@
                               std::optional<endpoint> Avoid, instant Now) {
   for (const service_id Service :
        servicesByPreference(Route, Segment.Head.Flow))
-    if (const auto Chosen = placeAt(Service, Segment.Head.Flow, Avoid, Now))
+    if (const auto Chosen =
+            placeAt(Route, Service, Segment.Head.Flow, Avoid, Now))
       return Chosen;
   return std::nullopt;
 }
@@ -92,6 +108,29 @@
   return Place->Agent;
 }
 
+/// Returns why no target of the route takes a new flow. If the operators'
+/// configuration excludes all targets that would take it, the caller need not
+/// wait until this balancer's knowledge is current: retransmitting the first
+/// packet would not help.
+std::string_view
+forward_balancer::impl::refusalReason(const route_state &Route) const {
+  bool AnyEvacuated = false;
+  bool AnyOutside = false;
+  for (const weighted_service &Share : Route.Shares)
+    for (const std::size_t Index : AgentTable.ofService(Share.Service)) {
+      const agent_state &Agent = AgentTable.at(Index);
+      if (!Agent.Report.Admitting || Agent.Draining)
+        continue;
+      AnyOutside |= !isPermitted(Route.Regions, Agent);
+      AnyEvacuated |= AgentTable.isEvacuated(Agent);
+    }
+  if (AnyEvacuated)
+    return "the zones of all targets are evacuated";
+  if (AnyOutside)
+    return "no target in the regions of the route";
+  return NoTargetAdmits;
+}
+
 forward_outcome forward_balancer::impl::open(const route_state &Route,
                                              const segment &Segment,
                                              bytes_view Bytes, instant Now) {
@@ -101,16 +140,18 @@
   const auto Before = previousPlacement(Flow, Now);
   const auto Chosen = place(Route, Segment, Before, Now);
   if (!Chosen) {
-    if (Route.Shares.empty() || !isKnowledgeCurrent(Now))
+    const std::string_view Reason = refusalReason(Route);
+    const bool IsByOrder = Reason != NoTargetAdmits;
+    if (Route.Shares.empty() || (!IsByOrder && !isKnowledgeCurrent(Now)))
       return forward_outcome::Indeterminate;
-    return refuse(Segment, forward_outcome::NoTarget, "no target admits", Now);
+    return refuse(Segment, forward_outcome::NoTarget, Reason, Now);
   }
   agent_state &Agent = AgentTable.at(*Chosen);
   ++Agent.Placed;
   FlowCache.store(Flow, {Agent.Agent, /*IsConfirmed=*/false}, Now);
   candidate_list List(Bytes.size());
   List.add(Agent.Agent);
-  addSubstitutes(Agent, Flow, List);
+  addSubstitutes(Route, Agent, Flow, List);
   logEvent(event_kind::FlowRouted, Before ? "again" : "new", Flow, Agent.Agent,
            Now, static_cast<double>(Agent.Report.Flows + Agent.Placed));
   send(List, Agent.Service, {}, Hooks.Clock ? Hooks.Clock() : 0, Bytes, Now);
@@ -121,7 +162,8 @@
 /// same zone first, in the flow's own order, and last the agents whose target
 /// accepts nothing. If the order were the same for all flows, everything that a
 /// full target declines would go to the same next target.
-void forward_balancer::impl::addSubstitutes(const agent_state &Chosen,
+void forward_balancer::impl::addSubstitutes(const route_state &Route,
+                                            const agent_state &Chosen,
                                             const flow_key &Flow,
                                             candidate_list &List) {
   const auto &Agents = AgentTable.ofService(Chosen.Service);
@@ -132,8 +174,9 @@
         substitute_group::NotAnswering})
     for (const std::size_t Position : Positions) {
       const agent_state &Other = AgentTable.at(Agents[Position]);
-      const bool IsUsable = Other.Report.Admitting && !Other.Draining &&
-                            !Other.Suspect && Other.Agent != Chosen.Agent;
+      const bool IsUsable = Other.Report.Admitting &&
+                            mayPlaceAt(Route, Other) && !Other.Suspect &&
+                            Other.Agent != Chosen.Agent;
       const substitute_group OwnGroup =
           !Other.Report.Answering               ? substitute_group::NotAnswering
           : Other.ZoneOrder == Chosen.ZoneOrder ? substitute_group::SameZone
--- a/src/forward/owner_lookup.cpp
+++ b/src/forward/owner_lookup.cpp
@@ -42,7 +42,7 @@
                                         bytes_view Bytes, instant Now) {
   const flow_key &Flow = Segment.Head.Flow;
   const auto CachedOwner = cachedOwner(Flow, Now);
-  collectCandidates(Route);
+  const bool HasAll = collectCandidates(Route, Now);
   if (Candidates.empty() && !CachedOwner)
     return forward_outcome::Indeterminate;
   const bool IsRemoteLookup = !CachedOwner && hasRemoteCandidates();
@@ -50,7 +50,8 @@
     return sendWithinZone(Route, Flow, Bytes, Now);
   if (CachedOwner && Candidates.size() > ShortLookupTargets &&
       !Settings.DisabledMechanisms.has(mechanism::LookupContinuation)) {
-    sendToOwner(Route, *CachedOwner, isKnowledgeCurrent(Now), Bytes, Now);
+    sendToOwner(Route, *CachedOwner, HasAll && isKnowledgeCurrent(Now), Bytes,
+                Now);
     return forward_outcome::SentFromCache;
   }
   // Behind a cached owner, the flow's own order is not needed.
@@ -59,7 +60,7 @@
   else
     sortFromCursor(Order.initialCursor(), Flow, Bytes, Now);
   sendToCandidates(Route, Flow, CachedOwner, /*Listed=*/0,
-                   isKnowledgeCurrent(Now), Bytes, Now);
+                   HasAll && isKnowledgeCurrent(Now), Bytes, Now);
   return CachedOwner ? forward_outcome::SentFromCache : forward_outcome::Sent;
 }
 
@@ -164,13 +165,26 @@
            static_cast<double>(List.size()));
 }
 
-/// Collects all agents whose targets may own a flow of \p Route.
-void forward_balancer::impl::collectCandidates(const route_state &Route) {
+/// Collects the agents whose targets may own a flow of \p Route and that are in
+/// the route's regions. Returns false if an agent outside may own one: flows
+/// that were opened before the regions were restricted stay at their targets,
+/// so a lookup within the regions does not prove that nobody owns them.
+bool forward_balancer::impl::collectCandidates(const route_state &Route,
+                                               instant Now) {
   Candidates.clear();
+  bool AnyOutside = false;
   for (const service_id Service : Route.OwnerServices) {
     const auto &Members = AgentTable.ofService(Service);
-    Candidates.insert(Candidates.end(), Members.begin(), Members.end());
+    const std::size_t Before = Candidates.size();
+    std::copy_if(Members.begin(), Members.end(), std::back_inserter(Candidates),
+                 [&](std::size_t Index) {
+                   return isPermitted(Route.OwnerRegions, AgentTable.at(Index));
+                 });
+    AnyOutside |= Candidates.size() - Before < Members.size();
   }
+  const bool MayBeOutside = Route.RegionsChangedAt &&
+                            Now - *Route.RegionsChangedAt < Settings.FlowLife;
+  return !AnyOutside || !MayBeOutside;
 }
 
 /// Sends the packet to the agents of Order after the first \p Listed. \p
@@ -220,14 +234,14 @@
   ++Counters.LookupsContinued;
   const flow_key &Flow = Segment.Head.Flow;
   const lookup_cursor Cursor = decodeCursor(Routed.Version);
-  collectCandidates(Found->second);
+  const bool HasAll = collectCandidates(Found->second, Now);
   const bool Begins = Cursor.Listed == 0 && hasRemoteCandidates();
   if (Begins && !RecentLookups.begin(Flow, Candidates.size(), Now)) {
     sendWithinZone(Found->second, Flow, Routed.Packet, Now);
     return;
   }
   sortFromCursor(Cursor, Flow, Routed.Packet, Now);
-  const bool IsCurrent = Routed.has(routed_flag::CompleteSoFar) &&
+  const bool IsCurrent = Routed.has(routed_flag::CompleteSoFar) && HasAll &&
                          isKnowledgeCurrent(Now) && Order.hasSamePrefix(Cursor);
   sendToCandidates(Found->second, Flow, std::nullopt, Cursor.Listed, IsCurrent,
                    Routed.Packet, Now);
--- a/src/forward/routed_packets.cpp
+++ b/src/forward/routed_packets.cpp
@@ -36,15 +36,32 @@
                                              instant Now) {
   if (Hooks.ObserveClock && Routed.Version != 0)
     Hooks.ObserveClock(Routed.Version);
+  const auto Refusal = refusalOf(Routed, Segment.Head.Flow, Now);
+  if (!Refusal)
+    return deliver(Routed, Segment, /*NeedsAnswer=*/true, Now);
+  ++Counters.Refusals[static_cast<std::size_t>(*Refusal)];
+  if (Refusal == flow_refusal::WarmingUp)
+    reportExhaustion(Now);
+  return passToNext(Routed, Segment.Head, nameOf(FlowRefusalNames, *Refusal));
+}
+
+/// Returns why a new flow is not offered to the target, if it is not.
+std::optional<flow_refusal>
+forward_agent::impl::refusalOf(const routed_packet &Routed,
+                               const flow_key &Flow, instant Now) {
   // Addresses are reused by other services, and the balancer's list may be
   // older than the change.
   if (Routed.Service != Settings.Service)
-    return passToNext(Routed, Segment.Head, "another service");
+    return flow_refusal::AnotherService;
   if (!Admitting)
-    return passToNext(Routed, Segment.Head, "not admitting");
+    return flow_refusal::NotAdmitting;
   if (TargetStopped)
-    return passToNext(Routed, Segment.Head, "target gone");
-  return deliver(Routed, Segment, /*NeedsAnswer=*/true, Now);
+    return flow_refusal::TargetStopped;
+  if (Policy.Evacuated)
+    return flow_refusal::ZoneEvacuated;
+  if (isWarmingUp(Now) && !WarmupLimit.admits(Flow, Now))
+    return flow_refusal::WarmingUp;
+  return std::nullopt;
 }
 
 agent_outcome forward_agent::impl::onFlowPacket(const routed_packet &Routed,
--- a/src/runtime/settings_reader.cpp
+++ b/src/runtime/settings_reader.cpp
@@ -131,6 +131,24 @@
   return Number;
 }
 
+double settings_reader::decimal(const std::string &Field,
+                                std::optional<double> Default, double Low,
+                                double High) {
+  const json *Value = Impl->find(Field, !Default);
+  if (!Value)
+    return Default.value_or(Low);
+  const double Number = Value->is_number() ? Value->get<double>() : Low - 1;
+  if (Number >= Low && Number <= High)
+    return Number;
+  Impl->fault(Field, "expected a number from " + json(Low).dump() + " to " +
+                         json(High).dump());
+  return Low;
+}
+
+bool settings_reader::has(const std::string &Field) const {
+  return Impl->Object.contains(Field);
+}
+
 std::string settings_reader::text(const std::string &Field,
                                   const std::optional<std::string> &Default) {
   const json *Value = Impl->find(Field, !Default);
--- a/test/forward/load_report_test.cpp
+++ b/test/agent_messages/load_report_test.cpp
@@ -1,4 +1,4 @@
-#include "marjoramrail/forward.h"
+#include "marjoramrail/agent_messages.h"
 
 #include <doctest/doctest.h>
 
@@ -7,7 +7,7 @@
 
 TEST_CASE("a load report with all fields is decoded as it was encoded") {
   load_report Report;
-  Report.Service = serviceNumber("ledger");
+  Report.Service = service_id(17);
   Report.Agent = {0x0a000101, 700};
   Report.Admitting = true;
   Report.Answering = false;
@@ -18,6 +18,8 @@
   Report.Latency = 17ms;
   Report.Warmup = 1500ms;
   Report.Failing = 412;
+  Report.Evacuated = true;
+  Report.WarmupRate = 2500;
 
   std::array<std::uint8_t, LoadReportBytes> Buffer{};
   REQUIRE(encodeLoadReport(Report, Buffer) == LoadReportBytes);
--- a/test/directory/directory_cluster.h
+++ b/test/directory/directory_cluster.h
@@ -44,6 +44,8 @@
   int Copies = 0;
   /// The number of times that each balancer compared the record of services.
   std::map<unsigned, int> Compared;
+  /// How often each balancer's set of evacuated zones changed.
+  std::map<unsigned, int> EvacuationChanges;
 
   void start(unsigned Number, const std::vector<endpoint> &Seeds = {},
              const std::string &Zone = "brugge") {
@@ -62,6 +64,7 @@
     };
     Hooks.OnRules = [](const rule_changes &) {};
     Hooks.OnTargets = [] {};
+    Hooks.OnEvacuations = [this, Number] { ++EvacuationChanges[Number]; };
     Hooks.OnCallback = [this, Number](const callback_timing &Turn) {
       Compared[Number] += Turn.What == callback_kind::CompareRecord;
     };
@@ -76,8 +79,10 @@
     };
     Self.Directory = std::make_unique<directory>(
         Timers,
-        directory_platform{siteStore(Store, *Self.Faults, Settings.RoutesKind),
-                           siteStore(Store, *Self.Faults, Settings.SiteKind)},
+        directory_platform{
+            siteStore(Store, *Self.Faults, Settings.RoutesKind),
+            siteStore(Store, *Self.Faults, Settings.SiteKind),
+            siteStore(Store, *Self.Faults, Settings.EvacuationsKind)},
         Settings, Hooks);
     Self.Directory->start();
   }
@@ -97,6 +102,22 @@
     Store.put("config", "main", tableBody(Version, Services));
   }
 
+  void evacuate(const std::string &Zone) {
+    Store.put("evacuations", Zone, "{}");
+  }
+
+  void endEvacuation(const std::string &Zone) {
+    Store.erase("evacuations", Zone);
+  }
+
+  /// The number of balancers that have \p Zone on record as evacuated.
+  std::size_t evacuatedOn(const std::string &Zone) const {
+    return static_cast<std::size_t>(std::count_if(
+        Balancers.begin(), Balancers.end(), [&](const auto &Balancer) {
+          return Balancer.second.Directory->evacuatedZones().contains(Zone);
+        }));
+  }
+
   void addTarget(const std::string &Name) {
     const target_entry Target{Name,     "ledger", {0x0a000301, 700},
                               "brugge", 4,        false};
--- /dev/null
+++ b/test/directory/evacuations_test.cpp
@@ -0,0 +1,184 @@
+#include "directory/directory_cluster.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+using namespace marjoramrail::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct running_site : directory_cluster {
+  void startAll(unsigned Count) {
+    configure(1, {"ledger"});
+    for (unsigned Number = 1; Number <= Count; ++Number)
+      start(Number, {addressOf(1), addressOf(2)});
+    pass(10s);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(running_site,
+                  "an evacuation is known to all balancers within a second") {
+  for (const unsigned Count : {8U, 90U}) {
+    running_site Site;
+    Site.startAll(Count);
+    Site.evacuate("brugge");
+    Site.pass(1s);
+    CHECK(Site.evacuatedOn("brugge") == Count);
+
+    Site.endEvacuation("brugge");
+    Site.pass(1s);
+    CHECK(Site.evacuatedOn("brugge") == 0);
+  }
+}
+
+TEST_CASE_FIXTURE(running_site, "evacuations cost calls of two watchers only") {
+  startAll(90);
+  std::uint64_t Watches = 0;
+  for (auto &[Number, Balancer] : Balancers)
+    Watches -= Balancer.Faults->Watches;
+  pass(20s);
+  for (auto &[Number, Balancer] : Balancers)
+    Watches += Balancer.Faults->Watches;
+
+  // As without evacuations, 12 a second, and two watchers with one every five
+  // seconds.
+  CHECK(Watches < 20 * 12 + 2 * 5);
+}
+
+TEST_CASE_FIXTURE(running_site,
+                  "an evacuation that ends and begins again is in effect") {
+  startAll(8);
+  evacuate("brugge");
+  pass(100ms);
+  endEvacuation("brugge");
+  pass(60ms);
+  evacuate("brugge");
+  pass(1s);
+
+  CHECK(evacuatedOn("brugge") == 8);
+}
+
+TEST_CASE_FIXTURE(running_site, "two zones can be evacuated at once") {
+  startAll(8);
+  evacuate("brugge");
+  evacuate("oostende");
+  pass(1s);
+  CHECK(evacuatedOn("brugge") == 8);
+  CHECK(evacuatedOn("oostende") == 8);
+
+  endEvacuation("brugge");
+  pass(1s);
+  CHECK(evacuatedOn("brugge") == 0);
+  CHECK(evacuatedOn("oostende") == 8);
+}
+
+TEST_CASE_FIXTURE(running_site, "the content of an evacuation is not read") {
+  // Another writer may have created the entry; its name says what to do.
+  startAll(3);
+  Store.put("evacuations", "brugge", "[not json");
+  Store.put("evacuations", "nowhere", "17");
+  pass(1s);
+
+  CHECK(evacuatedOn("brugge") == 3);
+}
+
+TEST_CASE_FIXTURE(running_site,
+                  "a balancer that starts learns evacuations from its peers") {
+  startAll(8);
+  evacuate("brugge");
+  pass(1s);
+  start(9, {addressOf(1), addressOf(2)});
+  pass(500ms);
+
+  CHECK(at(9).evacuatedZones().contains("brugge"));
+}
+
+TEST_CASE_FIXTURE(running_site,
+                  "evacuations are known again after a restart of all") {
+  // All processes were killed, so that no peer knows any table.
+  startAll(8);
+  evacuate("brugge");
+  pass(1s);
+  for (unsigned Number = 1; Number <= 8; ++Number)
+    stop(Number);
+  for (unsigned Number = 1; Number <= 8; ++Number)
+    start(Number, {addressOf(1), addressOf(2)});
+  pass(1s);
+
+  CHECK(evacuatedOn("brugge") == 8);
+}
+
+TEST_CASE_FIXTURE(running_site,
+                  "an evacuation that ended during a restart stays ended") {
+  startAll(8);
+  evacuate("brugge");
+  pass(1s);
+  for (unsigned Number = 1; Number <= 8; ++Number)
+    stop(Number);
+  endEvacuation("brugge");
+  for (unsigned Number = 1; Number <= 8; ++Number)
+    start(Number, {addressOf(1), addressOf(2)});
+  pass(3s);
+
+  CHECK(evacuatedOn("brugge") == 0);
+}
+
+TEST_CASE_FIXTURE(
+    running_site,
+    "a balancer that was cut off does not bring back what ended") {
+  // It still has the old table, and sends it with its first messages.
+  startAll(8);
+  evacuate("brugge");
+  pass(1s);
+  Balancers.at(5).Cut = true;
+  Balancers.at(5).Faults->Link.Cut = true;
+  pass(1s);
+  endEvacuation("brugge");
+  pass(1s);
+  const int Changes = EvacuationChanges[1];
+  Balancers.at(5).Cut = false;
+  pass(2s);
+
+  CHECK(evacuatedOn("brugge") == 0);
+  CHECK(EvacuationChanges[1] == Changes);
+}
+
+TEST_CASE_FIXTURE(running_site,
+                  "evacuations go on if the store refuses their watchers") {
+  startAll(8);
+  for (unsigned Number = 1; Number <= 3; ++Number)
+    Balancers.at(Number).Faults->Link.Cut = true;
+  pass(4s);
+  evacuate("brugge");
+  pass(1s);
+
+  CHECK(evacuatedOn("brugge") == 8);
+}
+
+TEST_CASE_FIXTURE(
+    running_site,
+    "an evacuation is known although the store lost its history") {
+  // The watch is answered with an error in place of the change.
+  startAll(8);
+  for (unsigned Number = 1; Number <= 8; ++Number)
+    Balancers.at(Number).Faults->HistoryGone = true;
+  evacuate("brugge");
+  pass(1s);
+
+  CHECK(evacuatedOn("brugge") == 8);
+}
+
+TEST_CASE_FIXTURE(running_site,
+                  "an evacuation written during an outage is known after it") {
+  startAll(8);
+  Store.Down = true;
+  pass(6s);
+  evacuate("brugge");
+  Store.Down = false;
+  pass(2s);
+
+  CHECK(evacuatedOn("brugge") == 8);
+}
--- a/test/directory/many_routes_test.cpp
+++ b/test/directory/many_routes_test.cpp
@@ -71,6 +71,7 @@
     };
     Hooks.OnRules = [](const rule_changes &) {};
     Hooks.OnTargets = [] {};
+    Hooks.OnEvacuations = [] {};
     Hooks.OnEvent = [](event_kind, const std::string &) {};
     Hooks.Send = [](const endpoint &, std::span<const std::uint8_t>) {};
     Hooks.ListFromPeer = [](const endpoint &, const std::string &,
@@ -81,7 +82,8 @@
     Directory = std::make_unique<directory>(
         Timers,
         directory_platform{siteStore(Store, Faults, Settings.RoutesKind),
-                           siteStore(Store, Faults, Settings.SiteKind)},
+                           siteStore(Store, Faults, Settings.SiteKind),
+                           siteStore(Store, Faults, Settings.EvacuationsKind)},
         Settings, Hooks);
     Directory->start();
     pass(5s);
--- a/test/directory/route_activation_test.cpp
+++ b/test/directory/route_activation_test.cpp
@@ -194,3 +194,35 @@
     REQUIRE(Sum == Activation.rules(Record));
   }
 }
+
+static route_table tableIn(std::uint64_t Version,
+                           std::vector<std::string> Regions) {
+  route_table Table = tableOf(Version, {"ledger"});
+  Table.Routes.front().Regions = allowed_regions(std::move(Regions));
+  return Table;
+}
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "a further region gets flows only after SettleTime") {
+  // A balancer that does not know the new region yet would look for the owner
+  // of a flow in the previous regions only, and reset the flow.
+  Activation.take(tableIn(1, {"be"}), Record, Now);
+  Activation.take(tableIn(2, {"be", "nl"}), Record, Now);
+  const route_rule Waiting = Activation.rules(Record).front();
+  CHECK_FALSE(Waiting.Regions.permits("nl"));
+  CHECK(Waiting.OwnerRegions.permits("nl"));
+
+  Activation.advance(Now + SettleTime);
+  CHECK(Activation.rules(Record).front().Regions.permits("nl"));
+}
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "a region that is no longer permitted is left at once") {
+  Activation.take(tableIn(1, {"be", "nl"}), Record, Now);
+  Activation.changes(Record);
+  Activation.take(tableIn(2, {"be"}), Record, Now);
+
+  const rule_changes Changes = Activation.changes(Record);
+  REQUIRE(Changes.Changed.size() == 1);
+  CHECK_FALSE(Changes.Changed.front().Regions.permits("nl"));
+}
--- a/test/directory/route_table_codec_test.cpp
+++ b/test/directory/route_table_codec_test.cpp
@@ -12,6 +12,10 @@
 
 const object_key Key{"config", "main"};
 
+allowed_regions onlyIn(std::vector<std::string> Regions) {
+  return allowed_regions(std::move(Regions));
+}
+
 route_table someTable() {
   route_table Table;
   Table.Version = 12;
@@ -19,7 +23,10 @@
   Table.Routes = {{{0xc6120001, 443}, {share("ledger", 3), share("archive")}},
                   {{0xc6120001, 8443}, {share("ledger")}},
                   {{0xc6120007, 443}, {share("ledger", 3), share("archive")}},
-                  {{0xc6120009, 80}, {share("ledger", 0)}}};
+                  {{0xc6120009, 80}, {share("ledger", 0)}},
+                  {{0xc612000a, 80}, {share("ledger")}, onlyIn({"be", "nl"})},
+                  {{0xc612000b, 80}, {share("ledger")}, onlyIn({})}};
+  Table.Warmups = {{"archive", 500}, {"ledger", 2500}};
   return Table;
 }
 
--- a/test/directory/sync_message_test.cpp
+++ b/test/directory/sync_message_test.cpp
@@ -14,6 +14,7 @@
   Message.RequestedAtUs = 123456789;
   Message.Routes = {5, 4, 1000};
   Message.Site = {9, 8, -1};
+  Message.Evacuations = {9, {"brugge"}};
   Message.ChangesSince = 6;
   platform_object Object;
   Object.Key = {"site", "target.one"};
@@ -33,6 +34,7 @@
   CHECK(Back->RequestedAtUs == 123456789);
   CHECK(Back->Routes.Version == 5);
   CHECK(Back->Site.AgeUs == -1);
+  CHECK(Back->Evacuations == sample().Evacuations);
   CHECK(Back->ChangesSince == 6);
   REQUIRE(Back->Changes);
   CHECK(Back->Changes->front().Key.Name == "target.one");
--- a/test/forward/flows_test.cpp
+++ b/test/forward/flows_test.cpp
@@ -227,7 +227,7 @@
   const flow_key Flow = flowOf(1001);
   const std::uint32_t Ack = open(1, Flow);
   addHost(8, "archive");
-  setRoutes({{RouteAddress, {{"archive", 1}}, {"archive", "ledger"}}});
+  setRoutes({{RouteAddress, {{"archive", 1}}, {"archive", "ledger"}, {}}});
   Received.clear();
   packet(2, data(Flow, Ack));
   CHECK(answers() == 1);
--- a/test/forward/forward_world.h
+++ b/test/forward/forward_world.h
@@ -131,6 +131,9 @@
     /// Number of notices from balancers that they found the registration at
     /// their start.
     int RegistrationFound = 0;
+    /// By how much the target may exceed its rate of new flows while it warms
+    /// up, if the site states a limit.
+    std::optional<warmup_limit::settings> Warmup;
   };
 
   static constexpr duration FlowLife = std::chrono::seconds(20);
@@ -182,10 +185,27 @@
       Events.push_back(Event);
     };
     Host.Agent = std::make_unique<forward_agent>(
-        forward_agent_settings{serviceNumber(Host.Service), agentAt(Number)},
+        forward_agent_settings{serviceNumber(Host.Service), agentAt(Number),
+                               mechanism_set(), Host.Warmup},
         testCodec(), Hooks);
   }
 
+  /// Makes \p Zones the evacuated zones on balancer \p Number, as of the store
+  /// version \p Version.
+  void evacuateOn(unsigned Number, std::uint64_t Version,
+                  const std::vector<std::string> &Zones) {
+    Balancers.at(Number)->setEvacuations({Version, Zones});
+  }
+
+  /// The number of first packets that the targets of \p Zone were offered.
+  std::uint64_t offeredIn(const std::string &Zone) const {
+    std::uint64_t Offered = 0;
+    for (const auto &[Number, Host] : Hosts)
+      if (Host.Zone == Zone)
+        Offered += Host.Target.Offered;
+    return Offered;
+  }
+
   void addBalancer(unsigned Number, const std::string &Zone = "brugge") {
     forward_balancer_hooks Hooks;
     Hooks.SendToAgent = [this, Number](const endpoint &To, bytes_view Bytes) {
@@ -203,13 +223,14 @@
     Balancers[Number] = std::make_unique<forward_balancer>(
         forward_balancer_settings{balancerAt(Number), Zone, 1000, FlowLife},
         testCodec(), Hooks);
-    Balancers[Number]->setRoutes({{RouteAddress, {{"ledger", 1}}, {"ledger"}}});
+    Balancers[Number]->setRoutes(
+        {{RouteAddress, {{"ledger", 1}}, {"ledger"}, {}}}, Now);
     updateBalancers();
   }
 
   void setRoutes(const std::vector<route_rule> &Rules) {
     for (auto &[Number, Balancer] : Balancers)
-      Balancer->setRoutes(Rules);
+      Balancer->setRoutes(Rules, Now);
   }
 
   void updateBalancers() {
--- /dev/null
+++ b/test/places/regions_test.cpp
@@ -0,0 +1,50 @@
+#include "marjoramrail/places.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoramrail;
+
+static allowed_regions only(std::vector<std::string> Regions) {
+  return allowed_regions(std::move(Regions));
+}
+
+TEST_CASE("without a restriction every region is permitted") {
+  CHECK(allowed_regions().permits("be-west"));
+  CHECK(allowed_regions().permits(""));
+}
+
+TEST_CASE("a restriction permits its regions and no unknown one") {
+  const allowed_regions Allowed = only({"be-west", "be-east"});
+
+  CHECK(Allowed.permits("be-west"));
+  CHECK_FALSE(Allowed.permits("nl-south"));
+  CHECK_FALSE(Allowed.permits(""));
+}
+
+TEST_CASE("two restrictions permit what both permit") {
+  const allowed_regions Both =
+      intersectionOf(only({"be-west", "be-east"}), only({"nl", "be-east"}));
+
+  CHECK(Both == only({"be-east"}));
+  CHECK(intersectionOf(allowed_regions(), only({"nl"})) == only({"nl"}));
+}
+
+TEST_CASE("restrictions without a common region permit nothing") {
+  const allowed_regions None = intersectionOf(only({"nl"}), only({"be-west"}));
+
+  CHECK(None.isRestricted());
+  CHECK_FALSE(None.permits("nl"));
+  CHECK_FALSE(None.permits("be-west"));
+}
+
+TEST_CASE("a union permits what either permits") {
+  CHECK(unionOf(only({"nl"}), only({"be"})) == only({"be", "nl"}));
+  CHECK_FALSE(unionOf(only({"nl"}), allowed_regions()).isRestricted());
+}
+
+TEST_CASE("the region of an unknown zone is empty") {
+  const zone_regions Regions = {{"brugge", "be-west"}};
+
+  CHECK(regionOf(Regions, "brugge") == "be-west");
+  CHECK(regionOf(Regions, "gent").empty());
+}
