--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -130,7 +130,7 @@
   };
   Hooks.OnTargets = [this] { takeTargets(); };
   Hooks.OnEvacuations = [this] {
-    Core.setEvacuations(Directory.evacuatedZones());
+    Core.setEvacuations(Directory.evacuatedZones(), Loop.timers().now());
   };
   Hooks.Send = [this](const endpoint &To, std::span<const std::uint8_t> Bytes) {
     Peers.send(To, Bytes);
--- a/daemons/marjoramctl/verb.h
+++ b/daemons/marjoramctl/verb.h
@@ -84,6 +84,10 @@
                const finish &Done);
 void runDrain(ctl_context &Context, const ctl_options &Options,
               const finish &Done);
+void runEvacuate(ctl_context &Context, const ctl_options &Options,
+                 const finish &Done);
+void runEvacuations(ctl_context &Context, const ctl_options &Options,
+                    const finish &Done);
 void runStatus(ctl_context &Context, const ctl_options &Options,
                const finish &Done);
 void runTimeline(ctl_context &Context, const ctl_options &Options,
--- a/daemons/marjoramctl/verbs.cpp
+++ b/daemons/marjoramctl/verbs.cpp
@@ -60,6 +60,24 @@
        "--undo deletes the drain.\n",
        {"reason", "wait", "undo", "for_seconds", "if_version"},
        runDrain},
+      {"evacuate",
+       "let no new flow go to a zone",
+       "ZONE",
+       "Writes the entry that evacuates the zone and shows how far it has "
+       "come.\n"
+       "Open flows stay until their owners end them. With --wait it ends with\n"
+       "code 0 when all balancers and all agents of the zone obey, and with 1\n"
+       "if --for_seconds elapse first. --undo ends the evacuation.\n",
+       {"reason", "wait", "undo", "for_seconds"},
+       runEvacuate},
+      {"evacuations",
+       "show evacuated zones and how far they have come",
+       "",
+       "Prints for each evacuated zone which balancers and agents obey, how "
+       "many\n"
+       "flows are still open there, and for how long it has lasted.\n",
+       {},
+       runEvacuations},
       {"status",
        "show what is in force, and where not",
        "[SERVICE]",
@@ -103,7 +121,7 @@
   std::string Text = "marjoramctl VERB [ARGUMENTS] [FLAGS]\n\n";
   for (const verb_entry &Verb : verbs()) {
     std::string Line = "  " + std::string(Verb.Name);
-    Line.resize(12, ' ');
+    Line.resize(14, ' ');
     Text += Line + std::string(Verb.Summary) + "\n";
   }
   return Text + "\nmarjoramctl VERB --help tells more.\n" + Codes;
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -230,7 +230,7 @@
   void changeRoutes(const rule_changes &Changes, instant Now);
   void setTargets(const std::vector<target_entry> &Targets, instant Now);
   /// Sets the zones whose targets get no new flows.
-  void setEvacuations(const evacuations &Table);
+  void setEvacuations(const evacuations &Table, instant Now);
   /// Sets how many new flows a second the targets of each service bear while
   /// they warm up, as of the configuration \p RoutesVersion.
   void setWarmupRates(const std::vector<service_warmup> &Rates,
--- a/src/forward/agent_table.cpp
+++ b/src/forward/agent_table.cpp
@@ -4,15 +4,24 @@
 
 namespace marjoramrail::internal {
 
-void agent_table::setZones(const std::vector<target_entry> &Targets) {
+void agent_table::setZones(const std::vector<target_entry> &Targets,
+                           instant Now) {
   std::set<std::string> Others;
   for (const target_entry &Target : Targets)
     if (Target.Zone != Zones.front().Name)
       Others.insert(Target.Zone);
+  std::map<std::string, zone_state> Before;
+  for (zone_state &Zone : Zones)
+    Before[Zone.Name] = Zone;
   Zones.resize(1);
-  for (const std::string &Zone : Others)
-    Zones.push_back({Zone, std::string(regionOf(Regions, Zone)),
-                     Evacuations.contains(Zone)});
+  for (const std::string &Zone : Others) {
+    const auto Known = Before.find(Zone);
+    Zones.push_back(Known != Before.end()
+                        ? Known->second
+                        : zone_state{Zone, std::string(regionOf(Regions, Zone)),
+                                     std::nullopt});
+  }
+  setEvacuations(evacuations(Evacuations), Now);
 }
 
 std::uint32_t agent_table::zoneOrderOf(const std::string &Zone) const {
@@ -26,10 +35,14 @@
   return static_cast<std::uint32_t>(std::distance(Zones.begin(), Place));
 }
 
-void agent_table::setEvacuations(const evacuations &Table) {
+void agent_table::setEvacuations(const evacuations &Table, instant Now) {
   Evacuations = Table;
-  for (zone_state &Zone : Zones)
-    Zone.Evacuated = Evacuations.contains(Zone.Name);
+  for (zone_state &Zone : Zones) {
+    if (!Evacuations.contains(Zone.Name))
+      Zone.EvacuatedSince.reset();
+    else if (!Zone.EvacuatedSince)
+      Zone.EvacuatedSince = Now;
+  }
 }
 
 void agent_table::setRegions(zone_regions Changed) {
@@ -46,7 +59,7 @@
   ByService.clear();
   MoreByEndpoint.clear();
   const auto Places = std::exchange(ByEndpoint, {});
-  setZones(Targets);
+  setZones(Targets, Now);
   for (const target_entry &Target : Targets) {
     agent_state State;
     const auto Known = Places.find(Target.Agent);
--- a/src/forward/agent_table.h
+++ b/src/forward/agent_table.h
@@ -44,8 +44,8 @@
   std::string Name;
   /// "" if the settings do not name it.
   std::string Region;
-  /// The zone's targets must not get new flows.
-  bool Evacuated = false;
+  /// Since when the zone's targets must not get new flows, if so.
+  std::optional<instant> EvacuatedSince;
 };
 
 struct agent_state {
@@ -132,11 +132,12 @@
   /// with the same agents, and the other agents of a large zone would wait for
   /// minutes.
   agent_table(const std::string &Zone, std::uint64_t Seed)
-      : Seed(Seed), Zones{{Zone, "", false}} {}
+      : Seed(Seed), Zones{{Zone, "", std::nullopt}} {}
 
   void set(const std::vector<target_entry> &Targets, instant Now);
-  void setEvacuations(const evacuations &Table);
+  void setEvacuations(const evacuations &Table, instant Now);
   void setRegions(zone_regions Changed);
+  const std::vector<zone_state> &zones() const { return Zones; }
   const zone_state &zoneOf(const agent_state &Agent) const {
     return Zones[Agent.ZoneOrder];
   }
@@ -144,7 +145,7 @@
   /// far as this balancer or the agent knows. The agent may know it earlier: a
   /// balancer that was just started has no table of evacuations yet.
   bool isEvacuated(const agent_state &Agent) const {
-    return zoneOf(Agent).Evacuated || Agent.Report.Evacuated;
+    return zoneOf(Agent).EvacuatedSince || Agent.Report.Evacuated;
   }
   agent_state *find(const endpoint &Agent);
   const std::vector<std::size_t> &ofService(service_id Service) const;
@@ -187,7 +188,7 @@
   template <typename Function>
   void forEachAt(const endpoint &Agent, const Function &Each);
 
-  void setZones(const std::vector<target_entry> &Targets);
+  void setZones(const std::vector<target_entry> &Targets, instant Now);
   std::uint32_t zoneOrderOf(const std::string &Zone) const;
 
   std::uint64_t Seed;
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -46,7 +46,7 @@
   flow_policy Policy;
   Policy.Service = Agent.Service;
   Policy.EvacuationsVersion = EvacuationsVersion;
-  Policy.Evacuated = AgentTable.zoneOf(Agent).Evacuated;
+  Policy.Evacuated = AgentTable.zoneOf(Agent).EvacuatedSince.has_value();
   Policy.RoutesVersion = RoutesVersion;
   const auto Rate = WarmupRates.find(Agent.Service);
   if (Rate != WarmupRates.end())
@@ -192,9 +192,9 @@
     Impl->review(Now);
 }
 
-void forward_balancer::setEvacuations(const evacuations &Table) {
+void forward_balancer::setEvacuations(const evacuations &Table, instant Now) {
   Impl->EvacuationsVersion = Table.Version;
-  Impl->AgentTable.setEvacuations(Table);
+  Impl->AgentTable.setEvacuations(Table, Now);
 }
 
 void forward_balancer::setWarmupRates(const std::vector<service_warmup> &Rates,
@@ -307,6 +307,12 @@
 std::size_t forward_balancer::flows() const { return Impl->FlowCache.size(); }
 
 std::string forward_balancer::statusJson(instant Now) const {
+  // The zones that have targets and are evacuated, and for how long.
+  nlohmann::json Evacuated = nlohmann::json::object();
+  for (const zone_state &Zone : Impl->AgentTable.zones())
+    if (Zone.EvacuatedSince)
+      Evacuated[Zone.Name] =
+          std::chrono::duration<double>(Now - *Zone.EvacuatedSince).count();
   nlohmann::json Agents = nlohmann::json::array();
   for (std::size_t I = 0; I < Impl->AgentTable.size(); ++I) {
     const agent_state &Agent = Impl->AgentTable.at(I);
@@ -320,7 +326,9 @@
   }
   return nlohmann::json{{"sure", Impl->isKnowledgeCurrent(Now)},
                         {"routes", Impl->Routes.size()},
-                        {"agents", Agents}}
+                        {"agents", Agents},
+                        {"evacuated_zones", Evacuated},
+                        {"evacuations_version", Impl->EvacuationsVersion}}
       .dump();
 }
 
--- a/test/forward/forward_world.h
+++ b/test/forward/forward_world.h
@@ -194,7 +194,7 @@
   /// version \p Version.
   void evacuateOn(unsigned Number, std::uint64_t Version,
                   const std::vector<std::string> &Zones) {
-    Balancers.at(Number)->setEvacuations({Version, Zones});
+    Balancers.at(Number)->setEvacuations({Version, Zones}, Now);
   }
 
   /// The number of first packets that the targets of \p Zone were offered.
--- a/test/forward/warming_targets_test.cpp
+++ b/test/forward/warming_targets_test.cpp
@@ -86,11 +86,11 @@
   // They may have been restarted while the zone was empty, and their next
   // report can be a second away.
   for (auto &[Number, Balancer] : Balancers)
-    Balancer->setEvacuations({10, {"brugge"}});
+    Balancer->setEvacuations({10, {"brugge"}}, Now);
   pass(2s);
   updateBalancers();
   for (auto &[Number, Balancer] : Balancers)
-    Balancer->setEvacuations({20, {}});
+    Balancer->setEvacuations({20, {}}, Now);
   pass(1200ms);
   updateBalancers();
 
