Fleet: list again when the platform has dropped its history

Cause: platform_feed listed again on Invalid only and repeated the same watch on HistoryGone, which the client reports for a lost history: the node would never see another change. Failing first: platform_feed_test, 0 lists in a minute. Ruled out: Invalid for it alone (the native platform answers 400 for a version that it has not reached). After: the test passes.

--- a/src/fleet/platform_feed.cpp
+++ b/src/fleet/platform_feed.cpp
@@ -122,8 +122,9 @@
 }
 
 void platform_feed::watched(const platform_reply &Reply) {
-  if (Reply.Outcome == platform_outcome::Invalid) {
-    // The platform no longer has the changes since then.
+  // The platform no longer has the changes since then, or never had them.
+  if (Reply.Outcome == platform_outcome::HistoryGone ||
+      Reply.Outcome == platform_outcome::Invalid) {
     restart();
     return;
   }
