Work: a claim that its runner returned outranks an unknown outcome

Cause: the comment of rankWithinAttempt says so, the code ranked Unknown (4) above Released (3). A runner returns a claim only if the request has not run, so the code kept a key unknown for its lifetime although it was certainly not run. Failing first: key_claims_test, verdict Unknown in place of Run. Ruled out: that the comment is wrong; Unknown is set by a replica that counts a runner as lost, without knowledge of the run. After: passes, with all random histories.

--- a/src/work/key_replica.cpp
+++ b/src/work/key_replica.cpp
@@ -44,12 +44,21 @@
   return 2;
 }
 
-/// Rank of states of the same attempt: done, returned by its runner, unknown,
-/// claimed.
+/// Rank of states of the same attempt. A claim that its runner has returned was
+/// certainly not run, also if the runner counts as lost and a replica has
+/// therefore marked the outcome as unknown.
 int rankWithinAttempt(key_state State) {
-  return State == key_state::Released
-             ? rankAcrossAttempts(key_state::Unknown) + 1
-             : rankAcrossAttempts(State) * 2;
+  switch (State) {
+  case key_state::Done:
+    return 3;
+  case key_state::Released:
+    return 2;
+  case key_state::Unknown:
+    return 1;
+  case key_state::Claimed:
+    return 0;
+  }
+  return 1;
 }
 
 /// Merges the stored record \p Known with another replica's record \p Other.
--- a/test/work/key_claims_test.cpp
+++ b/test/work/key_claims_test.cpp
@@ -156,3 +156,20 @@
   CHECK(Hosts.ask(1, "first").Verdict == key_verdict::RunningElsewhere);
   CHECK(Hosts.Replicas[0]->records() == 2);
 }
+
+TEST_CASE("a key that its lost runner returns is free again") {
+  // An agent that was out of contact counts as lost, so that the outcome of its
+  // attempt is unknown. It is alive, and then returns the claim because the
+  // request was never run: the caller need not wait for the key's lifetime.
+  pair_of_hosts Hosts;
+  Hosts.ask(0, "amendment");
+  Hosts.View.Hosts[0].Down = true;
+  Hosts.pass(Hosts.Replicas[1]->applyView(Hosts.View, Hosts.Now));
+  Hosts.pass(Hosts.Claims[1]->applyView(Hosts.View, Hosts.Now));
+  REQUIRE(Hosts.ask(1, "amendment").Verdict == key_verdict::Unknown);
+
+  Hosts.pass(
+      Hosts.Claims[0]->settle("amendment", key_state::Released, "", Hosts.Now));
+
+  CHECK(Hosts.ask(1, "amendment").Verdict == key_verdict::Run);
+}
