Routes: a service added while another waits has its own wait

Cause: a configuration that arrived while another one waited was activated at the first one's time, so that its service could get flows before SettleTime had passed for it; a balancer that had not heard of it would reset them. Failing first: two tests of route_activation. Change: the table that waits keeps its time, the newest follows with its own; tables that add nothing to what waits replace it, so that quick successions take effect as before. Ruled out: to withhold the younger services only (a route that moved would have no service for up to SettleTime).

--- a/src/directory/route_activation.cpp
+++ b/src/directory/route_activation.cpp
@@ -1,6 +1,7 @@
 #include "directory/route_activation.h"
 
 #include <algorithm>
+#include <utility>
 #include <xxhash.h>
 
 namespace marjoramrail::internal {
@@ -19,29 +20,45 @@
     return false;
   const bool IsFirst = !Newest;
   Newest = std::make_shared<const sorted_table>(std::move(Table));
+  NewestTakenAt = Now;
   if (IsFirst) {
     // Services that were on record before this process started are known to
     // every process that may receive packets of their flows.
     Active = Newest;
     Withheld = Newest->Services.without(Record.all());
-    if (!Withheld.empty())
-      Due = Now + SettleTime;
+    WithheldUntil = Now + SettleTime;
     return true;
   }
-  if (Active->Services.containsAll(Newest->Services) &&
-      !widensRegions(Active->Table, Newest->Table)) {
+  if (!addsToActive(*Newest)) {
     Active = Newest;
-    if (Withheld.empty())
-      Due.reset();
-    return true;
+    Waiting.reset();
+  } else if (!Waiting) {
+    Waiting = Newest;
+    WaitsUntil = Now + SettleTime;
+  } else if (!addsToWaiting(*Newest)) {
+    Waiting = Newest;
   }
-  // A change that arrives while another one waits does not extend the wait:
-  // otherwise changes in quick succession would never take effect.
-  if (!Due)
-    Due = Now + SettleTime;
   return true;
 }
 
+/// Whether \p Table has services or regions that are not in effect.
+bool route_activation::addsToActive(const sorted_table &Table) const {
+  return !Active->Services.containsAll(Table.Services) ||
+         widensRegions(Active->Table, Table.Table);
+}
+
+/// Whether \p Table has services or regions that neither are in effect nor wait
+/// already.
+bool route_activation::addsToWaiting(const sorted_table &Table) const {
+  const std::vector<route_service> New =
+      Table.Services.without(Active->Services);
+  const bool AddsServices =
+      !std::all_of(New.begin(), New.end(), [&](const route_service &Service) {
+        return Waiting->Services.contains(Service);
+      });
+  return AddsServices || widensRegions(Waiting->Table, Table.Table);
+}
+
 /// Whether flows of a route in \p To may be sent to a region that \p From does
 /// not permit. As for a new service, balancers that do not know it yet would
 /// look for the owners of these flows in the previous regions only.
@@ -61,75 +78,141 @@
 }
 
 bool route_activation::advance(instant Now) {
-  if (!Due || Now < *Due)
-    return false;
-  Due.reset();
-  Withheld.clear();
-  Active = Newest;
-  return true;
+  bool Changed = false;
+  if (!Withheld.empty() && Now >= WithheldUntil) {
+    Withheld.clear();
+    Changed = true;
+  }
+  if (Waiting && Now >= WaitsUntil) {
+    Active = std::exchange(Waiting, nullptr);
+    if (!addsToActive(*Newest)) {
+      Active = Newest;
+    } else {
+      Waiting = Newest;
+      WaitsUntil = NewestTakenAt + SettleTime;
+    }
+    Changed = true;
+  }
+  return Changed;
 }
 
-std::optional<instant> route_activation::nextChange() const { return Due; }
+std::optional<instant> route_activation::nextChange() const {
+  std::optional<instant> Next;
+  if (!Withheld.empty())
+    Next = WithheldUntil;
+  if (Waiting)
+    Next = std::min(Next.value_or(WaitsUntil), WaitsUntil);
+  return Next;
+}
+
+std::vector<const route_table *> route_activation::upcoming() const {
+  std::vector<const route_table *> Tables;
+  if (Waiting)
+    Tables.push_back(&Waiting->Table);
+  if (Newest && Newest != Active && Newest != Waiting)
+    Tables.push_back(&Newest->Table);
+  return Tables;
+}
 
 bool route_activation::isWithheld(const route_service &Entry) const {
   return std::binary_search(Withheld.begin(), Withheld.end(), Entry);
 }
 
-/// Iterates over the active routes, the newest ones and the record in parallel,
-/// in order of address, and calls \p Take with each address and the parts of
-/// its rule: active services in the order of their shares, then upcoming ones,
-/// then previous ones.
+/// The routes of one table that have not been visited yet.
+struct route_cursor {
+  std::vector<route>::const_iterator Next;
+  std::vector<route>::const_iterator End;
+
+  explicit route_cursor(const route_table &Table)
+      : Next(Table.Routes.begin()), End(Table.Routes.end()) {}
+  bool isAt(const endpoint &Address) const {
+    return Next != End && Next->Address == Address;
+  }
+  /// Calls \p Take with each route at \p Address and moves on.
+  template <typename Callable>
+  void takeAt(const endpoint &Address, const Callable &Take) {
+    for (; isAt(Address); ++Next)
+      Take(*Next);
+  }
+};
+
+/// Returns the lowest address that any of the cursors is at, if any.
+static std::optional<endpoint>
+lowestAddress(const std::vector<route_cursor> &Cursors) {
+  std::optional<endpoint> Lowest;
+  for (const route_cursor &Cursor : Cursors)
+    if (Cursor.Next != Cursor.End)
+      Lowest =
+          std::min(Lowest.value_or(Cursor.Next->Address), Cursor.Next->Address);
+  return Lowest;
+}
+
+/// Iterates over the active routes, the upcoming ones and the record in
+/// parallel, in order of address, and calls \p Take with each rule: active
+/// services in the order of their shares, then upcoming ones, then previous
+/// ones.
 template <typename Callable>
 void route_activation::forEachRule(const route_record &Record,
                                    const Callable &Take) const {
-  const std::vector<route> &ActiveRoutes = Active->Table.Routes;
-  static const std::vector<route> None;
-  const std::vector<route> &UpcomingRoutes =
-      Newest && Newest != Active ? Newest->Table.Routes : None;
+  std::vector<route_cursor> Cursors = {route_cursor(Active->Table)};
+  for (const route_table *Table : upcoming())
+    Cursors.emplace_back(*Table);
   const route_services &Recorded = Record.all();
-  rule_view Rule;
-  std::vector<rule_part> &Parts = Rule.Parts;
-  const auto Add = [&](std::string_view Name, service_id Service) {
-    const bool Named =
-        std::any_of(Parts.begin(), Parts.end(), [&](const rule_part &Part) {
-          return Part.Service == Service;
-        });
-    if (!Named)
-      Parts.push_back({Name, Service});
-  };
-  auto Now = ActiveRoutes.begin();
-  auto Next = UpcomingRoutes.begin();
   auto Previous = Recorded.entries().begin();
   const auto PreviousEnd = Recorded.entries().end();
-  while (Now != ActiveRoutes.end() || Next != UpcomingRoutes.end()) {
-    endpoint Address = Now != ActiveRoutes.end() ? Now->Address : Next->Address;
-    if (Next != UpcomingRoutes.end())
-      Address = std::min(Address, Next->Address);
-    Parts.clear();
-    Rule.Address = Address;
-    const bool IsActive = Now != ActiveRoutes.end() && Now->Address == Address;
-    const bool IsUpcoming =
-        Next != UpcomingRoutes.end() && Next->Address == Address;
-    Rule.Regions = IsActive ? Now->Regions : Next->Regions;
-    Rule.OwnerRegions =
-        IsUpcoming ? unionOf(Rule.Regions, Next->Regions) : Rule.Regions;
-    for (; Now != ActiveRoutes.end() && Now->Address == Address; ++Now)
-      for (const service_share &Share : Now->Shares) {
+  rule_view Rule;
+  while (const auto Address = lowestAddress(Cursors)) {
+    Rule.begin(*Address);
+    const bool IsActive = Cursors.front().isAt(*Address);
+    Cursors.front().takeAt(*Address, [&](const route &Route) {
+      Rule.addRegions(Route.Regions, /*IsActive=*/true);
+      for (const service_share &Share : Route.Shares) {
         const service_id Service = serviceNumber(Share.Service);
-        Parts.push_back({Share.Service, Service, Share.Weight,
-                         Withheld.empty() || !isWithheld({Address, Service})});
+        Rule.Parts.push_back(
+            {Share.Service, Service, Share.Weight,
+             Withheld.empty() || !isWithheld({*Address, Service})});
       }
-    for (; Next != UpcomingRoutes.end() && Next->Address == Address; ++Next)
-      for (const service_share &Share : Next->Shares)
-        Add(Share.Service, serviceNumber(Share.Service));
-    while (Previous != PreviousEnd && Previous->Address < Address)
+    });
+    for (std::size_t I = 1; I < Cursors.size(); ++I)
+      Cursors[I].takeAt(*Address, [&](const route &Route) {
+        Rule.addRegions(Route.Regions, /*IsActive=*/!IsActive);
+        for (const service_share &Share : Route.Shares)
+          Rule.addOwner(Share.Service, serviceNumber(Share.Service));
+      });
+    while (Previous != PreviousEnd && Previous->Address < *Address)
       ++Previous;
-    for (; Previous != PreviousEnd && Previous->Address == Address; ++Previous)
-      Add(Recorded.nameOf(Previous->Service), Previous->Service);
+    for (; Previous != PreviousEnd && Previous->Address == *Address; ++Previous)
+      Rule.addOwner(Recorded.nameOf(Previous->Service), Previous->Service);
     Take(Rule);
   }
 }
 
+void route_activation::rule_view::begin(const endpoint &At) {
+  Address = At;
+  Parts.clear();
+  HasRegions = false;
+}
+
+void route_activation::rule_view::addOwner(std::string_view Name,
+                                           service_id Service) {
+  const bool IsKnown =
+      std::any_of(Parts.begin(), Parts.end(), [&](const rule_part &Part) {
+        return Part.Service == Service;
+      });
+  if (!IsKnown)
+    Parts.push_back({Name, Service});
+}
+
+void route_activation::rule_view::addRegions(const allowed_regions &Allowed,
+                                             bool IsActive) {
+  if (!HasRegions)
+    Regions = OwnerRegions = Allowed;
+  else if (IsActive)
+    Regions = Allowed;
+  OwnerRegions = unionOf(OwnerRegions, Allowed);
+  HasRegions = true;
+}
+
 route_rule route_activation::ruleOf(const rule_view &View) {
   route_rule Rule;
   Rule.Address = View.Address;
--- a/src/directory/route_activation.h
+++ b/src/directory/route_activation.h
@@ -8,6 +8,10 @@
 /// reset them. A configuration that only removes services or changes weights
 /// takes effect at once.
 ///
+/// A configuration that arrives while another one waits does not extend that
+/// wait, otherwise changes in quick succession would never take effect. It has
+/// a wait of its own, which begins when it arrives.
+///
 /// A version never replaces a newer one, in whatever order updates arrive.
 ///
 //===----------------------------------------------------------------------===//
@@ -23,8 +27,7 @@
 public:
   /// Accepts a newer table; false if it is not newer than the newest one known.
   bool take(route_table Table, const route_record &Record, instant Now);
-  /// Activates the newest configuration if its wait is over; true if something
-  /// changed.
+  /// Activates what has waited long enough; true if something changed.
   bool advance(instant Now);
   /// When advance() has to be called next, if at all.
   std::optional<instant> nextChange() const;
@@ -74,22 +77,37 @@
     std::vector<rule_part> Parts;
     allowed_regions Regions;
     allowed_regions OwnerRegions;
+    bool HasRegions = false;
+
+    void begin(const endpoint &At);
+    void addOwner(std::string_view Name, service_id Service);
+    /// Adds the regions of one table's route.
+    void addRegions(const allowed_regions &Allowed, bool IsActive);
   };
 
+  /// The tables that are not active yet, in the order of their activation.
+  std::vector<const route_table *> upcoming() const;
   template <typename Callable>
   void forEachRule(const route_record &Record, const Callable &Take) const;
   static bool widensRegions(const route_table &From, const route_table &To);
+  bool addsToActive(const sorted_table &Table) const;
+  bool addsToWaiting(const sorted_table &Table) const;
   bool isWithheld(const route_service &Entry) const;
   static route_rule ruleOf(const rule_view &View);
   static std::uint64_t hashOf(const rule_view &View);
 
   std::shared_ptr<const sorted_table> Active =
       std::make_shared<const sorted_table>(route_table());
+  /// The table that is activated next, at WaitsUntil; null if none waits.
+  std::shared_ptr<const sorted_table> Waiting;
+  instant WaitsUntil;
+  /// The newest table; may be Active or Waiting.
   std::shared_ptr<const sorted_table> Newest;
-  std::optional<instant> Due;
+  instant NewestTakenAt;
   /// Services of the first table that were not on record and get no new flows
-  /// until Due. Sorted.
+  /// until WithheldUntil. Sorted.
   std::vector<route_service> Withheld;
+  instant WithheldUntil;
   /// The rules that changes() last returned, sorted by address.
   std::vector<rule_fingerprint> ReportedRules;
 };
--- a/test/directory/route_activation_test.cpp
+++ b/test/directory/route_activation_test.cpp
@@ -226,3 +226,53 @@
   REQUIRE(Changes.Changed.size() == 1);
   CHECK_FALSE(Changes.Changed.front().Regions.permits("nl"));
 }
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "a service added while another waits has its own wait") {
+  // Two configurations follow each other within SettleTime. If the second one's
+  // service got flows when the wait of the first is over, a balancer that has
+  // not heard of the second one yet would reset them.
+  Activation.take(tableOf(1, {"ledger"}), Record, Now);
+  Activation.take(tableOf(2, {"archive"}), Record, Now);
+  const instant Later = Now + SettleTime / 2;
+  Activation.take(tableOf(3, {"vault"}), Record, Later);
+
+  CHECK(ownerServicesNow() == names{"ledger", "archive", "vault"});
+  CHECK(Activation.advance(Now + SettleTime));
+  CHECK(sharesNow() == names{"archive"});
+  CHECK(ownerServicesNow() == names{"archive", "vault", "ledger"});
+  CHECK_FALSE(Activation.advance(Later + SettleTime - 1ms));
+  CHECK(Activation.advance(Later + SettleTime));
+  CHECK(sharesNow() == names{"vault"});
+}
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "configurations in quick succession take effect") {
+  // Each of them adds a service and arrives before the previous one's wait is
+  // over.
+  Activation.take(tableOf(1, {"ledger"}), Record, Now);
+  std::uint64_t Version = 1;
+  for (int Step = 0; Step < 100; ++Step) {
+    Now += SettleTime / 4;
+    ++Version;
+    Activation.take(tableOf(Version, {"service-" + std::to_string(Version)}),
+                    Record, Now);
+    Activation.advance(Now);
+  }
+
+  CHECK(Activation.activeVersion() > Version - 10);
+}
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "a service of the second configuration waits after a start") {
+  // The first configuration after the start has a service that is not on record
+  // either, so that a wait is under way when the second one arrives.
+  Activation.take(tableOf(1, {"vault"}), Record, Now);
+  const instant Later = Now + SettleTime / 2;
+  Activation.take(tableOf(2, {"vault", "archive"}), Record, Later);
+  Activation.advance(Now + SettleTime);
+  CHECK(sharesNow() == names{"vault"});
+
+  Activation.advance(Later + SettleTime);
+  CHECK(sharesNow() == names{"vault", "archive"});
+}
