Directory: check whether the store answers again

Peers passed over it in their ranks, it did not, and two collectors wrote the flow checkpoint of a zone in turns, each conflict costing three seconds: flows up to 4 s old were not kept. Failing first: directory_test, a balancer whose link was cut for 1.7 s said 'refused' 3 s later. Change: while refused and supplied by peers, a watch of 50 ms a second.

--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -44,6 +44,10 @@
 /// the watch shows it, and evacuations have to be known within seconds.
 constexpr std::size_t EvacuationWatchers = 2;
 constexpr duration EvacuationWatchWait = std::chrono::seconds(5);
+/// How often a balancer that the store refuses, and that gets its data from
+/// peers, checks whether the store answers again, and the wait of that watch.
+constexpr duration AvailabilityCheckInterval = std::chrono::seconds(1);
+constexpr duration AvailabilityCheckWait = std::chrono::milliseconds(50);
 constexpr duration RecordCheckPeriod = std::chrono::milliseconds(200);
 
 } // namespace
@@ -97,7 +101,22 @@
              : Wait;
 }
 
-std::optional<duration> directory::impl::siteWait() { return nextWait(Site); }
+static bool isFresh(const object_feed &Feed, instant Now) {
+  return Feed.asOf() && Now - *Feed.asOf() <= PeerStateMaxAge;
+}
+
+/// Peers pass over a balancer that the store refuses. One that gets its data
+/// from peers makes no calls that would show that the store answers it again,
+/// so it checks now and then. Otherwise it would be passed over for good, and
+/// its peers would do tasks that it goes on doing itself.
+std::optional<duration> directory::impl::siteWait() {
+  const auto Wait = nextWait(Site);
+  if (Wait || Site.answering() || !isFresh(Site, Timers.now()))
+    return Wait;
+  const bool IsCheckDue =
+      Timers.now() - *Site.failedAt() >= AvailabilityCheckInterval;
+  return IsCheckDue ? std::optional(AvailabilityCheckWait) : std::nullopt;
+}
 
 std::optional<duration> directory::impl::evacuationsWait() {
   const instant Now = Timers.now();
@@ -146,8 +165,8 @@
   const instant Now = Timers.now();
   const std::size_t Rank = Peers.rank(Now);
   const std::size_t Watchers = Peers.watchers(Now);
-  const bool IsFresh = Feed.asOf() && Now - *Feed.asOf() <= PeerStateMaxAge;
-  if (IsFresh && (Rank >= Watchers || !hasRunFor(PeerDiscoveryTime, Now)))
+  if (isFresh(Feed, Now) &&
+      (Rank >= Watchers || !hasRunFor(PeerDiscoveryTime, Now)))
     return std::nullopt;
   // The watchers retry on behalf of all balancers.
   const bool HasTried =
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -1,4 +1,5 @@
 #include "directory/directory_cluster.h"
+#include "directory/sync_message.h"
 
 #include <doctest/doctest.h>
 
@@ -239,3 +240,112 @@
   CHECK(at(3).routesVersion() == 2);
   CHECK(Compared[2] == 1);
 }
+
+namespace {
+
+/// One balancer whose data is kept current by the replies of a peer, so that it
+/// has no reason to call the store itself.
+struct supplied_balancer {
+  timer_service Timers;
+  fake_platform Store{Timers};
+  /// The calls for marjoramrail's own objects, and all others.
+  store_faults Faults;
+  store_faults OtherFaults;
+  std::unique_ptr<directory> Directory;
+  bool PeerAnswers = true;
+  /// What the balancer's last message said of the store.
+  bool IsServed = true;
+
+  supplied_balancer() {
+    Store.put("config", "main", tableBody(1, {"ledger"}));
+    directory_settings Settings;
+    Settings.Name = "balancer-9";
+    Settings.Self = addressOf(9);
+    for (unsigned Peer = 1; Peer <= 6; ++Peer)
+      Settings.Seeds.push_back(addressOf(Peer));
+    directory_hooks Hooks;
+    Hooks.ReadRoutes = [](const platform_object &Object) {
+      return readerOf(decodeTable, Object);
+    };
+    Hooks.Yield = [this](const std::function<void()> &Task) {
+      Timers.after(1ms, Task);
+    };
+    Hooks.OnRules = [](const rule_changes &) {};
+    Hooks.OnTargets = [] {};
+    Hooks.OnEvacuations = [] {};
+    Hooks.OnEvent = [](event_kind, const std::string &) {};
+    Hooks.Send = [this](const endpoint &To,
+                        std::span<const std::uint8_t> Bytes) {
+      onSent(To, Bytes);
+    };
+    Hooks.ListFromPeer = [](const endpoint &, const std::string &,
+                            const platform_callback &) {};
+    Directory = std::make_unique<directory>(
+        Timers,
+        directory_platform{
+            siteStore(Store, OtherFaults, Settings.RoutesKind),
+            siteStore(Store, Faults, Settings.SiteKind),
+            siteStore(Store, OtherFaults, Settings.EvacuationsKind)},
+        Settings, Hooks);
+    Directory->start();
+  }
+
+  void pass(duration Time) { Timers.advance(Timers.now() + Time); }
+
+  void onSent(const endpoint &To, std::span<const std::uint8_t> Bytes) {
+    const auto Request = internal::decodeSyncMessage(Bytes);
+    if (!Request || Request->IsReply)
+      return;
+    IsServed = Request->IsServed;
+    if (!PeerAnswers)
+      return;
+    internal::sync_message Reply;
+    Reply.Self = To;
+    Reply.IsReply = true;
+    Reply.RequestedAtUs = Request->RequestedAtUs;
+    Reply.Routes = Request->Routes;
+    Reply.Site = Request->Site;
+    Reply.Routes.AgeUs = Reply.Site.AgeUs = 0;
+    Timers.after(2ms, [this, To, Bytes = encodeSyncMessage(Reply)] {
+      Directory->input(To, Bytes);
+    });
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(supplied_balancer,
+                  "a balancer that the store answers again says so") {
+  // It was cut off and its last call failed; now it gets its data from peers
+  // and has no reason to call. If it went on to say that the store refuses it,
+  // the next balancer would take over its tasks while it goes on with them: two
+  // collectors would write the zone's flow checkpoint in turns, each undoing
+  // the other's version.
+  pass(5s);
+  REQUIRE(IsServed);
+  PeerAnswers = false;
+  Faults.Link.Cut = true;
+  pass(1700ms);
+  REQUIRE_FALSE(IsServed);
+  PeerAnswers = true;
+  Faults.Link.Cut = false;
+  pass(3s);
+
+  CHECK(IsServed);
+}
+
+TEST_CASE_FIXTURE(supplied_balancer,
+                  "a balancer that the store refuses makes few calls") {
+  // Every call is charged for, including refused ones.
+  pass(5s);
+  PeerAnswers = false;
+  Faults.Link.Cut = true;
+  pass(1700ms);
+  PeerAnswers = true;
+  pass(3s);
+  Faults.Watches = 0;
+  pass(12s);
+
+  CHECK_FALSE(IsServed);
+  CHECK(Faults.Watches <= 12);
+}
--- a/test/forward/flows_test.cpp
+++ b/test/forward/flows_test.cpp
@@ -42,6 +42,33 @@
   CHECK(Hops <= 1);
 }
 
+TEST_CASE_FIXTURE(small_site, "each owner is looked up once by a balancer") {
+  // Balancers were restarted. The owner of many flows is the first agent of the
+  // list that a lookup carries; if it did not tell the balancer, every packet of
+  // these flows would start another lookup.
+  for (std::uint16_t Port = 1001; Port < 1041; ++Port) {
+    const std::uint32_t Ack = open(1, flowOf(Port));
+    packet(2, data(flowOf(Port), Ack));
+    CHECK_MESSAGE(packet(2, data(flowOf(Port), Ack)) ==
+                      forward_outcome::SentFromCache,
+                  "port ", Port, ": expected the owner to be known");
+  }
+}
+
+TEST_CASE_FIXTURE(small_site,
+                  "an owner that a balancer knows sends it no notices") {
+  const flow_key Flow = flowOf(1001);
+  const std::uint32_t Ack = open(1, Flow);
+  packet(2, data(Flow, Ack));
+  const std::uint64_t Before = Balancers.at(2)->counters().Notices;
+  for (int Repeat = 0; Repeat < 10; ++Repeat) {
+    pass(200ms);
+    packet(2, data(Flow, Ack));
+  }
+
+  CHECK(Balancers.at(2)->counters().Notices == Before);
+}
+
 TEST_CASE_FIXTURE(small_site,
                   "a packet of a flow without owner is reset at once") {
   // A target crashed and was restarted, so its flows are lost. Without a reset
