Forward: the owner tells a balancer that does not know it, also if first

Failing first: flows_test, 40 flows. Change: a flag in the packet's header says that the balancer does not know the owner. Ruled out: a notice for every packet at the first place (one datagram a packet). Old agents ignore the flag, old balancers never set it.

--- a/include/marjoramrail/wire.h
+++ b/include/marjoramrail/wire.h
@@ -34,6 +34,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <initializer_list>
 #include <span>
 
 namespace marjoramrail {
@@ -130,8 +131,21 @@
   Continues = 32,
   /// With Continues: no owner candidate was omitted up to the end of this list.
   CompleteSoFar = 64,
+  /// The balancer does not know the owner, so that the owner sends it a notice
+  /// also if it is the first in the list.
+  OwnerUnknown = 128,
 };
 
+/// A set of flags, as routed_packet::Flags holds it.
+using routed_flags = std::uint8_t;
+
+constexpr routed_flags flagsOf(std::initializer_list<routed_flag> List) {
+  unsigned Flags = 0;
+  for (const routed_flag Flag : List)
+    Flags |= static_cast<routed_flags>(Flag);
+  return static_cast<routed_flags>(Flags);
+}
+
 /// How many owners fit in front of a packet of \p PacketBytes into one datagram
 /// that a link with an MTU of 1,500 bytes carries without fragmentation. A
 /// fragmented datagram is lost if any of its fragments is lost.
@@ -178,7 +192,8 @@
 /// caches this and may evict it at any time.
 ///
 /// One UDP datagram from the owner's routed socket to routed_packet::Balancer.
-/// It is useful if the packet came through another agent (Position > 0).
+/// It is useful if the packet came through another agent (Position > 0), or if
+/// the balancer does not know the owner (routed_flag::OwnerUnknown).
 /// Integers are in network byte order:
 ///
 ///   u16 magic 0x4d4f | u8 format 1 | u8 zero | u32 service | u64 version |
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -70,8 +70,8 @@
                       const internal::agent_state &Chosen, const flow_key &Flow,
                       internal::candidate_list &List);
   void send(const internal::candidate_list &List, service_id Service,
-            std::initializer_list<routed_flag> Flags, std::uint64_t Version,
-            bytes_view Bytes, instant Now);
+            routed_flags Flags, std::uint64_t Version, bytes_view Bytes,
+            instant Now);
   void sortFromCursor(const internal::lookup_cursor &Cursor,
                       const flow_key &Flow, bytes_view Bytes, instant Now);
   bool collectCandidates(const internal::route_state &Route, instant Now);
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -154,7 +154,8 @@
   addSubstitutes(Route, Agent, Flow, List);
   logEvent(event_kind::FlowRouted, Before ? "again" : "new", Flow, Agent.Agent,
            Now, static_cast<double>(Agent.Report.Flows + Agent.Placed));
-  send(List, Agent.Service, {}, Hooks.Clock ? Hooks.Clock() : 0, Bytes, Now);
+  send(List, Agent.Service, /*Flags=*/0, Hooks.Clock ? Hooks.Clock() : 0, Bytes,
+       Now);
   return forward_outcome::Placed;
 }
 
--- a/src/forward/owner_lookup.cpp
+++ b/src/forward/owner_lookup.cpp
@@ -89,11 +89,10 @@
   const service_id Service =
       Route.OwnerServices.empty() ? service_id{} : Route.OwnerServices.front();
   const std::uint64_t Begin = encodeCursor(Order.initialCursor());
+  routed_flags Flags = flagsOf({routed_flag::Continues});
   if (IsCurrent)
-    send(List, Service, {routed_flag::Continues, routed_flag::CompleteSoFar},
-         Begin, Bytes, Now);
-  else
-    send(List, Service, {routed_flag::Continues}, Begin, Bytes, Now);
+    Flags |= flagsOf({routed_flag::CompleteSoFar});
+  send(List, Service, Flags, Begin, Bytes, Now);
 }
 
 bool forward_balancer::impl::hasRemoteCandidates() const {
@@ -120,7 +119,8 @@
   Order.list(/*Listed=*/0, std::nullopt, List);
   logLookup("in the own zone only, as an owner lookup is in progress", Flow,
             List, Now);
-  send(List, Route.OwnerServices.front(), {}, 0, Bytes, Now);
+  send(List, Route.OwnerServices.front(), flagsOf({routed_flag::OwnerUnknown}),
+       0, Bytes, Now);
   return forward_outcome::Sent;
 }
 
@@ -206,16 +206,14 @@
       Route.OwnerServices.empty() ? service_id{} : Route.OwnerServices.front();
   const bool HasMore =
       Rest && !Settings.DisabledMechanisms.has(mechanism::LookupContinuation);
+  routed_flags Flags = First ? 0 : flagsOf({routed_flag::OwnerUnknown});
+  if (HasMore)
+    Flags |= flagsOf({routed_flag::Continues});
   if (HasMore && IsCurrent)
-    send(List, Service, {routed_flag::Continues, routed_flag::CompleteSoFar},
-         encodeCursor(*Rest), Bytes, Now);
-  else if (HasMore)
-    send(List, Service, {routed_flag::Continues}, encodeCursor(*Rest), Bytes,
-         Now);
-  else if (IsCurrent && !Rest)
-    send(List, Service, {routed_flag::Complete}, 0, Bytes, Now);
-  else
-    send(List, Service, {}, 0, Bytes, Now);
+    Flags |= flagsOf({routed_flag::CompleteSoFar});
+  if (IsCurrent && !Rest)
+    Flags |= flagsOf({routed_flag::Complete});
+  send(List, Service, Flags, HasMore ? encodeCursor(*Rest) : 0, Bytes, Now);
 }
 
 /// Called when all agents in a list that was limited by the size of a datagram
@@ -248,8 +246,7 @@
 }
 
 void forward_balancer::impl::send(const candidate_list &List,
-                                  service_id Service,
-                                  std::initializer_list<routed_flag> Flags,
+                                  service_id Service, routed_flags Flags,
                                   std::uint64_t Version, bytes_view Bytes,
                                   instant Now) {
   routed_packet Routed;
@@ -258,8 +255,7 @@
   Routed.Balancer = Settings.Self;
   Routed.Count = static_cast<std::uint8_t>(List.size());
   std::copy(List.begin(), List.end(), Routed.Owners.begin());
-  for (const routed_flag Flag : Flags)
-    Routed.Flags |= static_cast<std::uint8_t>(Flag);
+  Routed.Flags = Flags;
   Routed.Packet = Bytes;
   std::array<std::uint8_t, MaxRoutedBytes> Buffer;
   const std::size_t Size = encodeRouted(Routed, Buffer);
--- a/src/forward/routed_packets.cpp
+++ b/src/forward/routed_packets.cpp
@@ -99,8 +99,8 @@
 /// flow, the packet has to reach it.
 void forward_agent::impl::passToNextIncomplete(routed_packet Routed,
                                                const tcp_packet &Head) {
-  Routed.Flags &= ~(static_cast<std::uint8_t>(routed_flag::Complete) |
-                    static_cast<std::uint8_t>(routed_flag::CompleteSoFar));
+  Routed.Flags &= static_cast<routed_flags>(
+      ~flagsOf({routed_flag::Complete, routed_flag::CompleteSoFar}));
   passToNext(Routed, Head, "target silent");
 }
 
@@ -115,12 +115,16 @@
   return agent_outcome::Delivered;
 }
 
-/// Sends an owner notice if the packet came through other agents first. The
-/// notice informs the balancer which agent's target owns the flow, so that the
-/// balancer sends the next packets here directly.
+/// Sends an owner notice if the packet came through other agents first, or if
+/// its balancer does not know the owner. The notice informs the balancer which
+/// agent's target owns the flow, so that the balancer sends the next packets
+/// here directly. Without it, every packet of a flow whose owner comes first in
+/// the list would start another owner lookup.
 void forward_agent::impl::sendOwnerNotice(const routed_packet &Routed,
                                           const flow_key &Flow, instant Now) {
-  if (Routed.Position == 0 || Routed.Balancer == endpoint())
+  const bool IsNew =
+      Routed.Position > 0 || Routed.has(routed_flag::OwnerUnknown);
+  if (!IsNew || Routed.Balancer == endpoint())
     return;
   watched_flow *Watched = Load.find(Flow);
   if (!Watched || (Watched->NotifiedBalancer == Routed.Balancer &&
