Directory: a balancer that stops hands its tasks over at once

Cause: a stopping balancer kept its ranks until peers had not heard it for three seconds. Change: the process says at SIGTERM that it does no tasks for others. Ruled out: a shorter time until a silent peer counts as dead (lost datagrams).

--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -307,6 +307,7 @@
   Stopping = true;
   StopAskedAt = Loop.timers().now();
   Log.record(event_kind::ProcessStopping, "asked to stop");
+  Directory.leave();
   Loop.timers().every(QuietCheck, [this] { endWhenQuiet(); });
 }
 
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -366,6 +366,10 @@
 
   void start();
 
+  /// The process is about to stop: other balancers take over the tasks of this
+  /// one at once, while it goes on to use and pass on what it knows.
+  void leave();
+
   /// Adds peers, for example after the settings have changed.
   void addPeers(const std::vector<endpoint> &Peers);
 
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -1,5 +1,6 @@
 #include "directory/directory_impl.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace marjoramrail {
@@ -48,6 +49,8 @@
 /// peers, checks whether the store answers again, and the wait of that watch.
 constexpr duration AvailabilityCheckInterval = std::chrono::seconds(1);
 constexpr duration AvailabilityCheckWait = std::chrono::milliseconds(50);
+/// The rank of a balancer that does no tasks for others.
+constexpr std::size_t LastRank = std::numeric_limits<std::size_t>::max();
 constexpr duration RecordCheckPeriod = std::chrono::milliseconds(200);
 
 } // namespace
@@ -92,10 +95,18 @@
   return Feed;
 }
 
+std::size_t directory::impl::rank(instant Now) const {
+  return IsLeaving ? LastRank : Peers.rank(Now);
+}
+
+std::size_t directory::impl::rankInZone(instant Now) const {
+  return IsLeaving ? LastRank : Peers.rankIn(ZoneNumber, Now);
+}
+
 std::optional<duration> directory::impl::routesWait() {
   const instant Now = Timers.now();
   const auto Wait = nextWait(Routes);
-  const bool IsFirst = Peers.rankIn(ZoneNumber, Now) < RoutesWatchersInZone;
+  const bool IsFirst = rankInZone(Now) < RoutesWatchersInZone;
   return !Wait && IsFirst && hasRunFor(ZonePeerDiscoveryTime, Now)
              ? ZoneWatchWait
              : Wait;
@@ -121,7 +132,7 @@
 std::optional<duration> directory::impl::evacuationsWait() {
   const instant Now = Timers.now();
   const bool IsWatcher =
-      hasRunFor(PeerDiscoveryTime, Now) && Peers.rank(Now) < EvacuationWatchers;
+      hasRunFor(PeerDiscoveryTime, Now) && rank(Now) < EvacuationWatchers;
   return IsWatcher ? std::optional(EvacuationWatchWait) : std::nullopt;
 }
 
@@ -163,7 +174,7 @@
 /// of all balancers would become too old in between.
 std::optional<duration> directory::impl::nextWait(const object_feed &Feed) {
   const instant Now = Timers.now();
-  const std::size_t Rank = Peers.rank(Now);
+  const std::size_t Rank = rank(Now);
   const std::size_t Watchers = Peers.watchers(Now);
   if (isFresh(Feed, Now) &&
       (Rank >= Watchers || !hasRunFor(PeerDiscoveryTime, Now)))
@@ -359,6 +370,12 @@
                      Impl->guarded([this] { Impl->maintainRecord(); }));
 }
 
+/// Peers learn of it from the next sync messages, which are sent at once.
+void directory::leave() {
+  Impl->IsLeaving = true;
+  Impl->sendSyncMessages();
+}
+
 void directory::addPeers(const std::vector<endpoint> &Peers) {
   for (const endpoint &Peer : Peers)
     Impl->Peers.add(Peer);
@@ -434,7 +451,7 @@
 }
 
 void directory::removeTarget(const endpoint &Agent) {
-  if (Impl->Peers.rankIn(Impl->ZoneNumber, Impl->Timers.now()) != 0)
+  if (Impl->rankInZone(Impl->Timers.now()) != 0)
     return;
   for (const auto &[Name, Target] : Impl->Targets) {
     if (Target.Agent != Agent)
@@ -454,7 +471,7 @@
   const instant Now = Impl->Timers.now();
   std::vector<target_entry> Zone;
   if (!Impl->hasRunFor(ZonePeerDiscoveryTime, Now) ||
-      Impl->Peers.rankIn(Impl->ZoneNumber, Now) != 0)
+      Impl->rankInZone(Now) != 0)
     return Zone;
   for (const auto &[Name, Target] : Impl->Targets)
     if (Target.Zone == Impl->Settings.Zone)
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -45,6 +45,10 @@
   evacuation_watch::hooks evacuationHooks();
   void onEvacuationsChanged(const std::string &Source);
   std::optional<duration> nextWait(const object_feed &Feed);
+  /// The number of balancers ahead of this one, of the site and of its zone, when
+  /// tasks are assigned.
+  std::size_t rank(instant Now) const;
+  std::size_t rankInZone(instant Now) const;
   /// Whether this balancer has been running for at least \p After.
   bool hasRunFor(duration After, instant Now) const;
 
@@ -111,6 +115,8 @@
   std::optional<instant> KnownBeforeLoading;
   std::uint32_t ZoneNumber;
   std::optional<instant> StartedAt;
+  /// leave() was called.
+  bool IsLeaving = false;
   std::map<std::string, target_entry> Targets;
   /// The newest table, until it is passed to Activation.
   std::optional<route_table> Decoded;
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -54,7 +54,7 @@
 /// finds its entry missing and writes it again.
 void directory::impl::removeDeadPeers() {
   const instant Now = Timers.now();
-  if (Now < NextPeerSweep || !Site.known() || Peers.rank(Now) != 0)
+  if (Now < NextPeerSweep || !Site.known() || rank(Now) != 0)
     return;
   NextPeerSweep = Now + PeerSweepPeriod;
   for (const auto &[Name, Object] : Site.objects()) {
@@ -121,7 +121,7 @@
     return;
   // The comparison is only made after the wait, when the record has usually
   // been written by another balancer.
-  const auto Rank = std::min(Peers.rank(Timers.now()), MaxRanks);
+  const auto Rank = std::min(rank(Timers.now()), MaxRanks);
   if (Timers.now() - *RecordNeededSince <
       RankDelay * static_cast<std::int64_t>(Rank))
     return;
--- a/src/directory/sync_message.h
+++ b/src/directory/sync_message.h
@@ -40,7 +40,8 @@
   /// Numeric id of the balancer's zone.
   std::uint32_t Zone = 0;
   bool IsReply = false;
-  /// The store answers this balancer's calls.
+  /// The store answers this balancer's calls, and it is not about to stop; it
+  /// can do tasks for others.
   bool IsServed = true;
   /// The requester's clock when it sent the request, in microseconds; unchanged
   /// in the reply.
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -349,3 +349,46 @@
   CHECK_FALSE(IsServed);
   CHECK(Faults.Watches <= 12);
 }
+
+TEST_CASE_FIXTURE(directory_cluster,
+                  "a balancer that stops hands its tasks over at once") {
+  // Balancers are restarted one after the other. If the next one only took over
+  // the flow checkpoint and the watches once the previous one has been silent
+  // for seconds, flows opened meanwhile would not be kept, and the data of all
+  // balancers would become too old.
+  configure(1, {"ledger"});
+  for (unsigned Number = 1; Number <= 6; ++Number)
+    start(Number, {addressOf(1), addressOf(2)});
+  addTarget("one");
+  pass(10s);
+  REQUIRE_FALSE(at(1).supervisedTargets().empty());
+  at(1).leave();
+  pass(1s);
+
+  CHECK(at(1).supervisedTargets().empty());
+  CHECK_FALSE(at(2).supervisedTargets().empty());
+  CHECK(at(3).supervisedTargets().empty());
+}
+
+TEST_CASE_FIXTURE(directory_cluster,
+                  "data stays current while the first balancer stops") {
+  configure(1, {"ledger"});
+  for (unsigned Number = 1; Number <= 12; ++Number)
+    start(Number, {addressOf(1), addressOf(2)});
+  pass(10s);
+  at(1).leave();
+  std::size_t Current = 0;
+  std::size_t Checks = 0;
+  for (int Round = 0; Round < 40; ++Round) {
+    pass(100ms);
+    if (Round == 16)
+      stop(1);
+    for (auto &[Number, Balancer] : Balancers) {
+      const auto AsOf = Balancer.Directory->knownAsOf();
+      Current += AsOf && Timers.now() - *AsOf < SettleTime - 100ms;
+      ++Checks;
+    }
+  }
+
+  CHECK(static_cast<double>(Current) / static_cast<double>(Checks) > 0.95);
+}
