--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -12,46 +12,12 @@
 /// A balancer that does not watch the store learns of changes, and confirms the
 /// age of its data, by these messages; 120 bytes each, two per round.
 constexpr duration SyncPeriod = std::chrono::milliseconds(200);
-/// The watch time of the first balancer in rank. Each watch that expires
-/// confirms the data of all balancers, at a rate of calls that does not grow
-/// with the fleet. The rest of SettleTime is left for passing this confirmation
-/// from balancer to balancer.
-constexpr duration FirstWatcherWait = std::chrono::milliseconds(550);
-/// The watchers of a zone watch the configuration for its changes only; the age
-/// of their data is confirmed by the watchers of the whole site.
-constexpr duration ZoneWatchWait = std::chrono::seconds(5);
-/// A balancer that has received no message from peers yet ranks first of all,
-/// and for a little longer first of its zone. Without these delays every
-/// balancer of a starting site would watch the store and be sent a response for
-/// every agent that registers.
-constexpr duration PeerDiscoveryTime = std::chrono::milliseconds(400);
+constexpr duration RecordCheckPeriod = std::chrono::milliseconds(200);
+/// A balancer does the tasks of the first one of its zone only after this time
+/// since its start. Before, it may not have heard of those ahead of it.
 constexpr duration ZonePeerDiscoveryTime = std::chrono::seconds(2);
-/// A balancer without peers confirms its data alone, within SettleTime.
-constexpr duration SoloWatchWait = std::chrono::milliseconds(900);
-/// Longer waits would only delay the detection of a connection that no longer
-/// responds.
-constexpr duration MaxWatchWait = std::chrono::seconds(20);
-/// The number of balancers per zone that watch the configuration. It is too
-/// large for a datagram, and copies within the zone use no link between zones.
-constexpr std::size_t RoutesWatchersInZone = peer_selector::WatchersPerZone;
-/// A balancer whose data is older than this watches the store itself: the
-/// watchers may be cut off from the store, or this balancer from them.
-constexpr duration PeerStateMaxAge = std::chrono::milliseconds(1200);
-/// How long a balancer that is not a watcher waits between two attempts while
-/// the store is unavailable: every call is charged for, including refused ones.
-constexpr duration BackgroundRetryInterval = std::chrono::seconds(3);
-/// The number of balancers that watch for evacuations on behalf of all, and how
-/// long each watch waits. If a connection no longer responds, only the end of
-/// the watch shows it, and evacuations have to be known within seconds.
-constexpr std::size_t EvacuationWatchers = 2;
-constexpr duration EvacuationWatchWait = std::chrono::seconds(5);
-/// How often a balancer that the store refuses, and that gets its data from
-/// peers, checks whether the store answers again, and the wait of that watch.
-constexpr duration AvailabilityCheckInterval = std::chrono::seconds(1);
-constexpr duration AvailabilityCheckWait = std::chrono::milliseconds(50);
 /// The rank of a balancer that does no tasks for others.
 constexpr std::size_t LastRank = std::numeric_limits<std::size_t>::max();
-constexpr duration RecordCheckPeriod = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -65,11 +31,11 @@
             Random()),
       Record(this->Settings.FlowLife),
       Routes(Timers, this->Platform.Routes, this->Settings.RoutesKind,
-             feedHooks(this->Settings.RoutesKind, &impl::onRoutesObject,
-                       &impl::routesWait)),
+             feedHooks(this->Settings.RoutesKind, &impl::onRoutesObject, Routes,
+                       routesWatchWait)),
       Site(Timers, this->Platform.Site, this->Settings.SiteKind,
-           feedHooks(this->Settings.SiteKind, &impl::onSiteObject,
-                     &impl::siteWait)),
+           feedHooks(this->Settings.SiteKind, &impl::onSiteObject, Site,
+                     siteWatchWait)),
       Evacuations(Timers, this->Platform.Evacuations,
                   this->Settings.EvacuationsKind, evacuationHooks()),
       Loader(loaderHooks()), ZoneNumber(static_cast<std::uint32_t>(
@@ -81,13 +47,13 @@
 object_feed::hooks
 directory::impl::feedHooks(const std::string &Kind,
                            void (impl::*OnObject)(const platform_object &),
-                           std::optional<duration> (impl::*Wait)()) {
+                           const object_feed &Own, watch_decision Wait) {
   object_feed::hooks Feed;
   Feed.OnObject = [this, OnObject](const platform_object &Object) {
     (this->*OnObject)(Object);
   };
   Feed.OnBatch = [this] { notifyChanges(); };
-  Feed.Wait = [this, Wait] { return (this->*Wait)(); };
+  Feed.Wait = [this, &Own, Wait] { return Wait(watchStateOf(Own)); };
   Feed.OnAvailability = [this, Kind](bool Answers, const std::string &Reason) {
     Hooks.OnEvent(Answers ? event_kind::StoreRecovered : event_kind::StoreLost,
                   Kind + ": " + Reason);
@@ -103,42 +69,28 @@
   return IsLeaving ? LastRank : Peers.rankIn(ZoneNumber, Now);
 }
 
-std::optional<duration> directory::impl::routesWait() {
+watch_state directory::impl::watchStateOf(const object_feed &Feed) const {
   const instant Now = Timers.now();
-  const auto Wait = nextWait(Routes);
-  const bool IsFirst = rankInZone(Now) < RoutesWatchersInZone;
-  return !Wait && IsFirst && hasRunFor(ZonePeerDiscoveryTime, Now)
-             ? ZoneWatchWait
-             : Wait;
-}
-
-static bool isFresh(const object_feed &Feed, instant Now) {
-  return Feed.asOf() && Now - *Feed.asOf() <= PeerStateMaxAge;
-}
-
-/// Peers pass over a balancer that the store refuses. One that gets its data
-/// from peers makes no calls that would show that the store answers it again,
-/// so it checks now and then. Otherwise it would be passed over for good, and
-/// its peers would do tasks that it goes on doing itself.
-std::optional<duration> directory::impl::siteWait() {
-  const auto Wait = nextWait(Site);
-  if (Wait || Site.answering() || !isFresh(Site, Timers.now()))
-    return Wait;
-  const bool IsCheckDue =
-      Timers.now() - *Site.failedAt() >= AvailabilityCheckInterval;
-  return IsCheckDue ? std::optional(AvailabilityCheckWait) : std::nullopt;
-}
-
-std::optional<duration> directory::impl::evacuationsWait() {
-  const instant Now = Timers.now();
-  const bool IsWatcher =
-      hasRunFor(PeerDiscoveryTime, Now) && rank(Now) < EvacuationWatchers;
-  return IsWatcher ? std::optional(EvacuationWatchWait) : std::nullopt;
+  watch_state State;
+  State.Rank = rank(Now);
+  State.RankInZone = rankInZone(Now);
+  State.Watchers = Peers.watchers(Now);
+  State.LivePeers = Peers.live(Now);
+  if (StartedAt)
+    State.RunTime = Now - *StartedAt;
+  if (const auto AsOf = Feed.asOf())
+    State.DataAge = Now - *AsOf;
+  State.IsAnswering = Feed.answering();
+  if (const auto FailedAt = Feed.failedAt())
+    State.SinceFailure = Now - *FailedAt;
+  return State;
 }
 
 evacuation_watch::hooks directory::impl::evacuationHooks() {
   evacuation_watch::hooks Watch;
-  Watch.Wait = [this] { return evacuationsWait(); };
+  Watch.Wait = [this] {
+    return evacuationsWatchWait(watchStateOf(Evacuations.feed()));
+  };
   Watch.OnChange = [this](const std::string &Source) {
     onEvacuationsChanged(Source);
   };
@@ -168,31 +120,6 @@
   return StartedAt && Now - *StartedAt >= After;
 }
 
-/// The first balancer in rank confirms the age of the data for all. The other
-/// watchers are standbys, which report changes if the first one fails. If all
-/// watchers confirmed in turn, their periods would drift together and the data
-/// of all balancers would become too old in between.
-std::optional<duration> directory::impl::nextWait(const object_feed &Feed) {
-  const instant Now = Timers.now();
-  const std::size_t Rank = rank(Now);
-  const std::size_t Watchers = Peers.watchers(Now);
-  if (isFresh(Feed, Now) &&
-      (Rank >= Watchers || !hasRunFor(PeerDiscoveryTime, Now)))
-    return std::nullopt;
-  // The watchers retry on behalf of all balancers.
-  const bool HasTried =
-      Feed.failedAt() && Now - *Feed.failedAt() < BackgroundRetryInterval;
-  if (Rank >= Watchers && HasTried)
-    return std::nullopt;
-  if (Rank >= Watchers || Peers.live(Now) == 0)
-    return SoloWatchWait;
-  if (Rank == 0)
-    return FirstWatcherWait;
-  const duration Wait = std::min(
-      FirstWatcherWait * static_cast<std::int64_t>(Watchers), MaxWatchWait);
-  return Wait * std::uniform_int_distribution<int>(75, 100)(Random) / 100;
-}
-
 void directory::impl::onRoutesObject(const platform_object &Object) {
   if (Object.Key.Name != Settings.RoutesName || Object.Deleted)
     return;
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -19,6 +19,7 @@
 #include "directory/route_loader.h"
 #include "directory/route_table_codec.h"
 #include "directory/sync_message.h"
+#include "directory/watch_schedule.h"
 
 #include <random>
 
@@ -32,21 +33,20 @@
 inline constexpr const char *RecordName = "routes";
 
 struct directory::impl {
+  using watch_decision = std::optional<duration> (*)(const watch_state &);
+
   impl(timer_service &Timers, directory_platform Platform,
        directory_settings Settings, directory_hooks Hooks);
   ~impl() { *Alive = false; }
 
   object_feed::hooks feedHooks(const std::string &Kind,
                                void (impl::*OnObject)(const platform_object &),
-                               std::optional<duration> (impl::*Wait)());
-  std::optional<duration> routesWait();
-  std::optional<duration> siteWait();
-  std::optional<duration> evacuationsWait();
+                               const object_feed &Own, watch_decision Wait);
+  watch_state watchStateOf(const object_feed &Feed) const;
   evacuation_watch::hooks evacuationHooks();
   void onEvacuationsChanged(const std::string &Source);
-  std::optional<duration> nextWait(const object_feed &Feed);
-  /// The number of balancers ahead of this one, of the site and of its zone, when
-  /// tasks are assigned.
+  /// The number of balancers ahead of this one, of the site and of its zone,
+  /// when tasks are assigned.
   std::size_t rank(instant Now) const;
   std::size_t rankInZone(instant Now) const;
   /// Whether this balancer has been running for at least \p After.
--- a/src/directory/evacuation_watch.h
+++ b/src/directory/evacuation_watch.h
@@ -33,6 +33,7 @@
   /// Uses the table of a peer if it is newer.
   void takeFromPeer(const evacuations &PeerTable, const endpoint &Peer);
   const evacuations &table() const { return Table; }
+  const object_feed &feed() const { return Feed; }
 
 private:
   object_feed::hooks feedHooks();
--- /dev/null
+++ b/src/directory/watch_schedule.h
@@ -0,0 +1,60 @@
+//===- watch_schedule.h - Which balancers watch the store -------*- C++ -*-===//
+///
+/// \file
+/// Decides whether a balancer watches the store itself, and how long the watch
+/// may wait. Every call to the store is charged for, and its rate does not grow
+/// with the fleet; so a few balancers watch and the others learn from their
+/// sync messages. Without any watch, however, the data of all becomes too old
+/// to reset lost flows, and changes are not seen.
+///
+/// The first balancer in rank watches marjoramrail's own objects and the
+/// configuration for all. Each watch that expires confirms the age of the data.
+/// The next ones in rank stand by: they make a call only when the data is older
+/// than the first one lets it become. If all watched in turn, their periods
+/// would drift together and the data would become too old in between.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef MARJORAMRAIL_DIRECTORY_WATCH_SCHEDULE_H
+#define MARJORAMRAIL_DIRECTORY_WATCH_SCHEDULE_H
+
+#include "marjoramrail/base.h"
+
+#include <optional>
+
+namespace marjoramrail::internal {
+
+/// Data older than this is not current any more: the watchers may be cut off
+/// from the store, or this balancer from them.
+inline constexpr duration PeerStateMaxAge = std::chrono::milliseconds(1200);
+
+/// What a balancer knows when it decides about its next watch of one kind.
+struct watch_state {
+  /// The number of balancers ahead of this one, in the site and in its zone,
+  /// and the number of watchers that the site needs.
+  std::size_t Rank = 0;
+  std::size_t RankInZone = 0;
+  std::size_t Watchers = 1;
+  std::size_t LivePeers = 0;
+  /// Time since this balancer started.
+  duration RunTime = duration::zero();
+  /// Age of its data of the kind; nothing if it has none.
+  std::optional<duration> DataAge;
+  /// The last call of the kind was answered; time since the last that was not.
+  bool IsAnswering = true;
+  std::optional<duration> SinceFailure;
+
+  bool isFresh() const { return DataAge && *DataAge <= PeerStateMaxAge; }
+};
+
+/// How long the next watch of marjoramrail's own objects may wait; nothing if
+/// no watch is needed now.
+std::optional<duration> siteWatchWait(const watch_state &State);
+/// The same for the configuration.
+std::optional<duration> routesWatchWait(const watch_state &State);
+/// The same for evacuations.
+std::optional<duration> evacuationsWatchWait(const watch_state &State);
+
+} // namespace marjoramrail::internal
+
+#endif // MARJORAMRAIL_DIRECTORY_WATCH_SCHEDULE_H
