Directory: in an outage one balancer retries, all else follows its answer

Ways: today's; the first balancer alone retries marjoramrail's own objects every 0.3 s, the other kinds and the checkpoint wait until it, or a peer, has an answer (this one).

--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -159,6 +159,7 @@
   Hooks.Send = [this](const endpoint &To, bytes_view Bytes) {
     Peers.send(To, Bytes);
   };
+  Hooks.StoreAnsweredAt = [this] { return Directory.storeAnsweredAt(); };
   Hooks.OnError = [this](const std::string &Reason) {
     Log.record(event_kind::StoreLost, "kept flows: " + Reason);
   };
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -396,6 +396,9 @@
   std::uint64_t newestRoutesVersion() const;
   /// Every change that the store accepted before this moment is known here.
   std::optional<instant> knownAsOf() const;
+  /// The same for marjoramrail's own objects alone: the store answered a call of
+  /// this or another balancer after this moment.
+  std::optional<instant> storeAnsweredAt() const;
   /// Removes the store entries of an agent that has failed permanently. Only
   /// the first balancer of the zone (lowest address) does this; on the others
   /// the call has no effect.
--- a/include/marjoramrail/flowstore.h
+++ b/include/marjoramrail/flowstore.h
@@ -198,6 +198,9 @@
     std::function<std::map<std::string, endpoint>()> Agents;
     /// Sends a datagram to an agent.
     std::function<void(const endpoint &To, std::span<const std::uint8_t>)> Send;
+    /// Returns when the store is last known to have answered a call of this or
+    /// another process, if ever.
+    std::function<std::optional<instant>()> StoreAnsweredAt;
     /// Called when a call to the store or the decoding of a checkpoint has
     /// failed; \p Reason is meant for the log.
     std::function<void(const std::string &Reason)> OnError;
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -12,6 +12,10 @@
 /// A balancer that does not watch the store learns of changes, and confirms the
 /// age of its data, by these messages; 120 bytes each, two per round.
 constexpr duration SyncPeriod = std::chrono::milliseconds(200);
+/// Longest wait of the first balancer between two calls for marjoramrail's own
+/// objects in an outage. It alone retries them, and all others learn from it
+/// that the store answers again.
+constexpr duration SiteRetryInterval = std::chrono::milliseconds(300);
 constexpr duration RecordCheckPeriod = std::chrono::milliseconds(200);
 /// A balancer does the tasks of the first one of its zone only after this time
 /// since its start. Before, it may not have heard of those ahead of it.
@@ -54,6 +58,8 @@
   };
   Feed.OnBatch = [this] { notifyChanges(); };
   Feed.Wait = [this, &Own, Wait] { return Wait(watchStateOf(Own)); };
+  if (&Own == &Site)
+    Feed.MaxRetryInterval = SiteRetryInterval;
   Feed.OnAvailability = [this, Kind](bool Answers, const std::string &Reason) {
     Hooks.OnEvent(Answers ? event_kind::StoreRecovered : event_kind::StoreLost,
                   Kind + ": " + Reason);
@@ -81,6 +87,7 @@
   if (const auto AsOf = Feed.asOf())
     State.DataAge = Now - *AsOf;
   State.IsAnswering = Feed.answering();
+  State.IsStoreLost = &Feed != &Site && !Site.answering();
   if (const auto FailedAt = Feed.failedAt())
     State.SinceFailure = Now - *FailedAt;
   return State;
@@ -377,6 +384,10 @@
   return Impl->knownAsOf();
 }
 
+std::optional<instant> directory::storeAnsweredAt() const {
+  return Impl->Site.asOf();
+}
+
 void directory::removeTarget(const endpoint &Agent) {
   if (Impl->rankInZone(Impl->Timers.now()) != 0)
     return;
--- a/src/directory/object_feed.cpp
+++ b/src/directory/object_feed.cpp
@@ -5,11 +5,14 @@
 
 namespace marjoramrail::internal {
 
-/// Wait after the first failure; doubled up to MaxRetryInterval. Short, because
-/// a balancer cannot work after a restart without data from the store, and one
-/// balancer makes few calls a second.
+/// Wait after the first failure; doubled up to hooks::MaxRetryInterval. Short,
+/// because a balancer cannot work after a restart without data from the store,
+/// and one balancer makes few calls a second.
 static constexpr duration InitialRetryInterval = std::chrono::milliseconds(100);
-static constexpr duration MaxRetryInterval = std::chrono::milliseconds(800);
+/// The same maximum until the first list: all balancers of a site may be
+/// starting, and each retries by itself.
+static constexpr duration MaxStartRetryInterval =
+    std::chrono::milliseconds(800);
 /// After a change the next watch starts with this delay, so that changes in
 /// quick succession (all agents of a site start, configurations follow each
 /// other) are returned by one call instead of one call per change and watcher.
@@ -229,8 +232,9 @@
 void object_feed::retry(const platform_reply &Reply,
                         void (object_feed::*Step)()) {
   setAnswering(false, Reply.Reason);
-  const duration Wait = std::min(
-      InitialRetryInterval * (1 << std::min(Failures++, 3)), MaxRetryInterval);
+  const duration Most = Known ? Hooks.MaxRetryInterval : MaxStartRetryInterval;
+  const duration Wait =
+      std::min(InitialRetryInterval * (1 << std::min(Failures++, 3)), Most);
   Timers.after(Wait, [this, Alive = Alive, Step] {
     if (*Alive)
       (this->*Step)();
--- a/src/directory/object_feed.h
+++ b/src/directory/object_feed.h
@@ -31,6 +31,9 @@
     std::function<std::optional<duration>()> Wait;
     /// The store has started or stopped answering.
     std::function<void(bool Answers, const std::string &Reason)> OnAvailability;
+    /// Longest wait between a failed call and the next one, once a list is
+    /// known.
+    duration MaxRetryInterval = std::chrono::milliseconds(800);
   };
 
   object_feed(timer_service &Timers, platform_api Store, std::string Kind,
--- a/src/directory/watch_schedule.cpp
+++ b/src/directory/watch_schedule.cpp
@@ -35,7 +35,7 @@
 /// every agent that registers.
 static constexpr duration PeerDiscoveryTime = std::chrono::milliseconds(400);
 static constexpr duration ZonePeerDiscoveryTime = std::chrono::seconds(2);
-/// How long a balancer that is not a watcher waits between two attempts while
+/// How long a balancer that is not the first waits between two attempts while
 /// the store is unavailable: every call is charged for, including refused ones.
 static constexpr duration BackgroundRetryInterval = std::chrono::seconds(3);
 /// How often a balancer that the store refuses, and that gets its data from
@@ -51,21 +51,22 @@
   const bool KnowsPeers = State.RunTime >= PeerDiscoveryTime;
   const bool IsFirst = State.Rank == 0 && KnowsPeers;
   const bool IsSecond = State.Rank == 1 && KnowsPeers;
-  if (!IsFirst && !IsSecond && State.DataAge && *State.DataAge <= patienceOf(State))
+  if (!IsFirst && !IsSecond && State.DataAge &&
+      *State.DataAge <= patienceOf(State))
     return std::nullopt;
   if (State.LivePeers == 0)
     return SoloWatchWait;
+  // The first balancer retries on behalf of all.
+  const bool HasTried =
+      State.SinceFailure && *State.SinceFailure < BackgroundRetryInterval;
+  if (!IsFirst && !State.IsAnswering && HasTried)
+    return std::nullopt;
   // The previous first one has stopped: its last confirmation is old already.
   const bool IsOverdue = !State.DataAge || *State.DataAge > FirstWatcherWait;
   if (IsFirst)
     return IsOverdue ? ShortWait : FirstWatcherWait;
   if (IsSecond)
     return State.isFresh() ? SecondWatcherWait : ShortWait;
-  // The watchers retry on behalf of all balancers.
-  const bool HasTried =
-      State.SinceFailure && *State.SinceFailure < BackgroundRetryInterval;
-  if (State.Rank >= State.Watchers && HasTried)
-    return std::nullopt;
   return ShortWait;
 }
 
@@ -83,6 +84,8 @@
 }
 
 std::optional<duration> routesWatchWait(const watch_state &State) {
+  if (State.IsStoreLost)
+    return std::nullopt;
   const auto Wait = dataWatchWait(State);
   const bool IsZoneWatcher = State.RankInZone < RoutesWatchersInZone &&
                              State.RunTime >= ZonePeerDiscoveryTime;
@@ -90,8 +93,9 @@
 }
 
 std::optional<duration> evacuationsWatchWait(const watch_state &State) {
-  const bool IsWatcher =
-      State.Rank < EvacuationWatchers && State.RunTime >= PeerDiscoveryTime;
+  const bool IsWatcher = State.Rank < EvacuationWatchers &&
+                         State.RunTime >= PeerDiscoveryTime &&
+                         !State.IsStoreLost;
   return IsWatcher ? std::optional(EvacuationWatchWait) : std::nullopt;
 }
 
--- a/src/directory/watch_schedule.h
+++ b/src/directory/watch_schedule.h
@@ -44,6 +44,10 @@
   bool IsAnswering = true;
   std::optional<duration> SinceFailure;
 
+  /// The store did not answer this balancer's last call for marjoramrail's own
+  /// objects, which are asked for first after an outage.
+  bool IsStoreLost = false;
+
   bool isFresh() const { return DataAge && *DataAge <= PeerStateMaxAge; }
 };
 
--- a/src/flowstore/flow_collector.cpp
+++ b/src/flowstore/flow_collector.cpp
@@ -14,13 +14,10 @@
 static constexpr std::int64_t WriteBytesPerSecond = 32 * 1024;
 /// Interval of the checks whether a write is due.
 static constexpr duration StepPeriod = std::chrono::milliseconds(100);
-/// Delay after a call that the store did not answer or refused. Short, because
-/// power may be lost soon after an outage of the store, and only what has been
-/// written by then is known afterwards.
-static constexpr duration OutageRetryDelay = std::chrono::milliseconds(300);
-/// Delay after a conflict with a write of another balancer, which then goes on
-/// writing the zone's checkpoint until it stops.
-static constexpr duration ConflictDelay = std::chrono::seconds(3);
+/// Delay after a failed call, or after a conflict with a write of another
+/// balancer. The other balancer then goes on writing the zone's checkpoint
+/// until it stops.
+static constexpr duration RetryDelay = std::chrono::seconds(3);
 /// The flows of an agent that has not reported for longer than this are
 /// removed.
 static constexpr duration ReporterTimeout = std::chrono::seconds(70);
@@ -49,6 +46,7 @@
 
   void step();
   void collect();
+  bool isOutageOver() const;
   void requestReports(const std::map<std::string, endpoint> &Agents);
   void read();
   void onRead(const platform_reply &Reply);
@@ -71,6 +69,8 @@
   std::uint64_t Version = 0;
   bool CallPending = false;
   instant NextCall;
+  /// When the last call failed, if the store did not answer or refused it.
+  std::optional<instant> RefusedAt;
   instant NextRequest;
   bool Changed = false;
   std::map<std::string, reporter> Reporters;
@@ -93,7 +93,9 @@
     NextRequest = Timers.now() + RequestPeriod;
     collect();
   }
-  if (!IsCollecting || CallPending || Timers.now() < NextCall)
+  if (!IsCollecting || CallPending)
+    return;
+  if (Timers.now() < NextCall && !isOutageOver())
     return;
   if (!IsVersionKnown)
     read();
@@ -101,6 +103,14 @@
     write();
 }
 
+/// Power may be lost soon after an outage of the store, and only the flows that
+/// have been written by then are known afterwards. So a write that was refused
+/// is repeated as soon as the store has answered anyone.
+bool flow_collector::impl::isOutageOver() const {
+  const auto AnsweredAt = Hooks.StoreAnsweredAt();
+  return RefusedAt && AnsweredAt && *AnsweredAt > *RefusedAt;
+}
+
 void flow_collector::impl::collect() {
   const std::map<std::string, endpoint> Agents = Hooks.Agents();
   IsCollecting = !Agents.empty();
@@ -133,6 +143,7 @@
   const bool Exists = Reply.Outcome == platform_outcome::Ok;
   if (!Exists && Reply.Outcome != platform_outcome::NotFound)
     return delayNextCall(Reply);
+  RefusedAt.reset();
   IsVersionKnown = true;
   Version = Exists ? Reply.Object.Version : 0;
   if (Exists)
@@ -218,6 +229,7 @@
 void flow_collector::impl::onWritten(const platform_reply &Reply) {
   if (Reply.Outcome == platform_outcome::Ok) {
     Version = Reply.Object.Version;
+    RefusedAt.reset();
     return;
   }
   Changed = true;
@@ -228,9 +240,11 @@
 }
 
 void flow_collector::impl::delayNextCall(const platform_reply &Failed) {
+  const instant Now = Timers.now();
   const bool IsOutage = Failed.Outcome == platform_outcome::Unavailable ||
                         Failed.Outcome == platform_outcome::Unknown;
-  NextCall = Timers.now() + (IsOutage ? OutageRetryDelay : ConflictDelay);
+  NextCall = Now + RetryDelay;
+  RefusedAt = IsOutage ? std::optional(Now) : std::nullopt;
   Hooks.OnError(Failed.Reason);
 }
 
--- a/test/flowstore/flow_zone.h
+++ b/test/flowstore/flow_zone.h
@@ -75,6 +75,7 @@
         if (Agent->Self == To && !DropsDatagrams)
           exchange(*Agent, Bytes);
     };
+    Hooks.StoreAnsweredAt = [this] { return StoreAnsweredAt; };
     Hooks.OnError = [](const std::string &) {};
     return Hooks;
   }
@@ -90,6 +91,7 @@
   reporters &Agents;
   store_faults Faults;
   bool IsCollecting = true;
+  std::optional<instant> StoreAnsweredAt;
   /// All datagrams of this collector are dropped.
   bool DropsDatagrams = false;
   /// Total size of the agents' reports in bytes.
