--- a/src/directory/object_feed.cpp
+++ b/src/directory/object_feed.cpp
@@ -75,15 +75,38 @@
 }
 
 void object_feed::watch(duration Wait) {
+  const pending_watch Watch{++LastWatch, Timers.now(), Wait};
   Store.Watch(Version, Wait,
-              guarded([this, RequestedAt = Timers.now(),
-                       Wait](const platform_reply &Reply) {
-                watched(Reply, RequestedAt, Wait);
+              guarded([this, Watch](const platform_reply &Reply) {
+                if (Watch.Number == LastWatch)
+                  watched(Reply, Watch);
+                else
+                  applyEvents(Reply, Watch);
               }));
+  if (Wait > IdlePeriod)
+    reconsiderLater(Watch);
 }
 
-void object_feed::watched(const platform_reply &Reply, instant RequestedAt,
-                          duration Wait) {
+/// A balancer that only watches for changes lets its watches wait for long.
+/// When it has to confirm the age of the data instead, it cannot wait for the
+/// end of such a watch. A replaced watch stays pending; its changes are still
+/// used.
+void object_feed::reconsiderLater(const pending_watch &Watch) {
+  Timers.after(IdlePeriod, [this, Alive = Alive, Watch] {
+    if (!*Alive || Watch.Number != LastWatch)
+      return;
+    const instant EndsAt = Watch.RequestedAt + Watch.Wait;
+    const auto Wait = Hooks.Wait();
+    if (Wait && *Wait < Watch.Wait && Timers.now() + *Wait < EndsAt)
+      return watch(*Wait);
+    reconsiderLater(Watch);
+  });
+}
+
+void object_feed::watched(const platform_reply &Reply,
+                          const pending_watch &Watch) {
+  // The answer ends this watch, so that it is not replaced any more.
+  ++LastWatch;
   if (Reply.Outcome == platform_outcome::HistoryGone) {
     setAnswering(true, "change history no longer available");
     return list();
@@ -91,6 +114,18 @@
   if (Reply.Outcome != platform_outcome::Ok)
     return retry(Reply, &object_feed::follow);
   setAnswering(true, "");
+  if (!applyEvents(Reply, Watch))
+    return follow();
+  Timers.after(UpdateDelay, [this, Alive = Alive] {
+    if (*Alive)
+      follow();
+  });
+}
+
+bool object_feed::applyEvents(const platform_reply &Reply,
+                              const pending_watch &Watch) {
+  if (Reply.Outcome != platform_outcome::Ok)
+    return false;
   bool Changed = false;
   for (const platform_object &Object : Reply.Objects)
     Changed |= applyObject(Object);
@@ -98,16 +133,12 @@
   // its end; one that ended early only confirms the state at the time of its
   // request.
   const bool WaitedOut =
-      Reply.Objects.empty() && Timers.now() - RequestedAt >= Wait;
+      Reply.Objects.empty() && Timers.now() - Watch.RequestedAt >= Watch.Wait;
   advance(std::max(Reply.StoreVersion, Version),
-          WaitedOut ? RequestedAt + Wait : RequestedAt);
-  if (!Changed)
-    return follow();
-  Hooks.OnBatch();
-  Timers.after(UpdateDelay, [this, Alive = Alive] {
-    if (*Alive)
-      follow();
-  });
+          WaitedOut ? Watch.RequestedAt + Watch.Wait : Watch.RequestedAt);
+  if (Changed)
+    Hooks.OnBatch();
+  return Changed;
 }
 
 void object_feed::applyList(const platform_reply &Reply) {
--- a/src/directory/object_feed.h
+++ b/src/directory/object_feed.h
@@ -88,8 +88,17 @@
   void list();
   void listed(const platform_reply &Reply, instant RequestedAt);
   void follow();
+  struct pending_watch {
+    std::uint64_t Number = 0;
+    instant RequestedAt;
+    duration Wait;
+  };
+
   void watch(duration Wait);
-  void watched(const platform_reply &Reply, instant RequestedAt, duration Wait);
+  void watched(const platform_reply &Reply, const pending_watch &Watch);
+  void reconsiderLater(const pending_watch &Watch);
+  /// Applies the changes that a watch has returned; true if there were any.
+  bool applyEvents(const platform_reply &Reply, const pending_watch &Watch);
   void applyList(const platform_reply &Reply);
   bool applyObject(platform_object Object);
   void advance(std::uint64_t NewVersion, instant Moment);
@@ -112,6 +121,8 @@
   bool Answering = true;
   std::optional<instant> FailedAt;
   int Failures = 0;
+  /// Number of the current watch; earlier ones have ended or were replaced.
+  std::uint64_t LastWatch = 0;
   std::uint64_t Version = 0;
   std::uint64_t LastChange = 0;
   std::optional<instant> AsOf;
--- a/src/directory/watch_schedule.cpp
+++ b/src/directory/watch_schedule.cpp
@@ -1,29 +1,26 @@
 #include "directory/watch_schedule.h"
-#include "directory/peer_selector.h"
 
 namespace marjoramrail::internal {
 
 /// The watch time of the first balancer in rank. The rest of SettleTime is left
 /// for passing its confirmation from balancer to balancer.
 static constexpr duration FirstWatcherWait = std::chrono::milliseconds(550);
-/// The second balancer's watch, which returns changes if the first one fails.
-/// Three times as long, so that it rarely expires.
-static constexpr duration SecondWatcherWait = 3 * FirstWatcherWait;
-/// The age of the data at which the third balancer makes a call: above what the
-/// first watcher's confirmations take to arrive.
-static constexpr duration StandbyAge = std::chrono::milliseconds(1050);
+/// The age of the data at which the first balancer confirms it at once: it has
+/// just become the first, or its last watch was delayed.
+static constexpr duration OverdueAge = std::chrono::milliseconds(800);
+/// The ages at which the second and the third balancer confirm the data, above
+/// what the first one's confirmations take to arrive.
+static constexpr duration SecondAge = std::chrono::milliseconds(950);
+static constexpr duration ThirdAge = std::chrono::milliseconds(1050);
+/// A watch for changes only. If its connection no longer responds, changes
+/// arrive from another balancer; longer waits would delay the detection of
+/// that.
+static constexpr duration LongWatchWait = std::chrono::seconds(20);
 /// The wait of a watch that only confirms the age of the data, or checks
 /// whether the store answers.
 static constexpr duration ShortWait = std::chrono::milliseconds(10);
 /// A balancer without peers confirms its data alone, within SettleTime.
 static constexpr duration SoloWatchWait = std::chrono::milliseconds(900);
-/// The watchers of a zone watch the configuration for its changes only; the age
-/// of their data is confirmed by the first watcher of the site.
-static constexpr duration ZoneWatchWait = std::chrono::seconds(5);
-/// The number of balancers per zone that watch the configuration. It is too
-/// large for a datagram, and copies within the zone use no link between zones.
-static constexpr std::size_t RoutesWatchersInZone =
-    peer_selector::WatchersPerZone;
 /// The number of balancers that watch for evacuations on behalf of all, and how
 /// long each watch waits. If a connection no longer responds, only the end of
 /// the watch shows it, and evacuations have to be known within seconds.
@@ -42,31 +39,34 @@
 /// peers, checks whether the store answers again.
 static constexpr duration AvailabilityCheckInterval = std::chrono::seconds(1);
 
-/// The age of the data at which a balancer of this rank makes a call itself.
+/// The age of the data at which a balancer makes a call to confirm it.
 static duration patienceOf(const watch_state &State) {
-  return State.Rank < State.Watchers ? StandbyAge : PeerStateMaxAge;
+  if (State.RunTime < PeerDiscoveryTime || State.Rank >= State.Watchers)
+    return PeerStateMaxAge;
+  if (State.Rank == 0)
+    return OverdueAge;
+  return State.Rank == 1 ? SecondAge : ThirdAge;
 }
 
-static std::optional<duration> dataWatchWait(const watch_state &State) {
-  const bool KnowsPeers = State.RunTime >= PeerDiscoveryTime;
-  const bool IsFirst = State.Rank == 0 && KnowsPeers;
-  const bool IsSecond = State.Rank == 1 && KnowsPeers;
-  if (!IsFirst && !IsSecond && State.DataAge &&
-      *State.DataAge <= patienceOf(State))
+/// How long a balancer with current data watches for changes.
+static std::optional<duration> changesWatchWait(const watch_state &State) {
+  if (State.RunTime < PeerDiscoveryTime)
     return std::nullopt;
+  if (State.Rank == 0)
+    return FirstWatcherWait;
+  return State.Rank == 1 ? std::optional(LongWatchWait) : std::nullopt;
+}
+
+static std::optional<duration> dataWatchWait(const watch_state &State) {
+  if (State.DataAge && *State.DataAge <= patienceOf(State))
+    return changesWatchWait(State);
   if (State.LivePeers == 0)
     return SoloWatchWait;
   // The first balancer retries on behalf of all.
   const bool HasTried =
       State.SinceFailure && *State.SinceFailure < BackgroundRetryInterval;
-  if (!IsFirst && !State.IsAnswering && HasTried)
+  if (State.Rank > 0 && !State.IsAnswering && HasTried)
     return std::nullopt;
-  // The previous first one has stopped: its last confirmation is old already.
-  const bool IsOverdue = !State.DataAge || *State.DataAge > FirstWatcherWait;
-  if (IsFirst)
-    return IsOverdue ? ShortWait : FirstWatcherWait;
-  if (IsSecond)
-    return State.isFresh() ? SecondWatcherWait : ShortWait;
   return ShortWait;
 }
 
@@ -87,9 +87,11 @@
   if (State.IsStoreLost)
     return std::nullopt;
   const auto Wait = dataWatchWait(State);
-  const bool IsZoneWatcher = State.RankInZone < RoutesWatchersInZone &&
-                             State.RunTime >= ZonePeerDiscoveryTime;
-  return !Wait && IsZoneWatcher ? ZoneWatchWait : Wait;
+  // The configuration is too large for a datagram, and copies within the zone
+  // use no link between zones.
+  const bool IsZoneWatcher =
+      State.RankInZone == 0 && State.RunTime >= ZonePeerDiscoveryTime;
+  return !Wait && IsZoneWatcher ? LongWatchWait : Wait;
 }
 
 std::optional<duration> evacuationsWatchWait(const watch_state &State) {
--- a/test/directory/object_feed_test.cpp
+++ b/test/directory/object_feed_test.cpp
@@ -183,3 +183,51 @@
   pass(8s);
   CHECK(Faults.Watches - Before <= 11);
 }
+
+TEST_CASE_FIXTURE(feed_fixture, "a shorter watch replaces a long one") {
+  // This balancer waits for changes only, until the one that confirms the age of
+  // the data for all fails. If the long watch had to end first, the data of all
+  // balancers would become too old meanwhile.
+  Wait = 20s;
+  Feed.start();
+  pass(2s);
+  Wait = 500ms;
+  pass(1s);
+
+  REQUIRE(Feed.asOf());
+  CHECK(Timers.now() - *Feed.asOf() < 600ms);
+}
+
+TEST_CASE_FIXTURE(feed_fixture, "a replaced watch does not start others") {
+  // Its answer arrives when the shorter watches have long taken over.
+  Wait = 20s;
+  Feed.start();
+  pass(2s);
+  Wait = 1s;
+  pass(30s);
+  Faults.Watches = 0;
+  pass(10s);
+
+  CHECK(Faults.Watches <= 10);
+}
+
+TEST_CASE_FIXTURE(feed_fixture, "a change in a replaced watch is not lost") {
+  Wait = 20s;
+  Feed.start();
+  pass(2s);
+  Wait = 1s;
+  pass(300ms);
+  Faults.WatchesHang = true;
+  Store.put("site", "a", "1");
+  pass(300ms);
+
+  CHECK(Feed.objects().contains("a"));
+}
+
+TEST_CASE_FIXTURE(feed_fixture, "a long watch is not replaced by a long one") {
+  Wait = 20s;
+  Feed.start();
+  pass(15s);
+
+  CHECK(Faults.Watches == 1);
+}
