Registrar: the first read of an entry may be stale

Cause: every agent reads its entry when it starts, 46 at each start of the site, most of them only to find what was written long ago. The store charges a tenth for a read that may be seconds old. A stale 'missing' or an old version shows as a conflict of the first write, and is read again. Ruled out: the same for lists of balancers (a fresh list confirms the age of the data at once; after a loss of power callers of lost flows would wait 0.4 s more for their reset) and for the flow checkpoint (what is seconds old lacks flows).

--- a/include/marjoramrail/platform.h
+++ b/include/marjoramrail/platform.h
@@ -138,6 +138,9 @@
 /// within the call itself.
 struct platform_api {
   std::function<void(const object_key &, platform_callback)> Read;
+  /// Like Read, but the reply may be seconds old, and the call costs less where
+  /// the platform offers that. For callers that find out if it was.
+  std::function<void(const object_key &, platform_callback)> ReadStale;
   std::function<void(const std::string &Kind, platform_callback)> List;
   std::function<void(const platform_write &, platform_callback)> Write;
   std::function<void(const object_key &, std::uint64_t Expected,
@@ -165,6 +168,8 @@
   duration Wait = duration::zero();
   /// For a list: the name to continue after, or "".
   std::string After;
+  /// For a read: the reply may be seconds old.
+  bool AllowStale = false;
 
   bool changes() const {
     return Verb == platform_verb::Write || Verb == platform_verb::Remove;
--- a/src/directory/target_registrar.cpp
+++ b/src/directory/target_registrar.cpp
@@ -67,9 +67,12 @@
     write();
 }
 
+/// The first read may be stale: what it misses shows as a conflict of the first
+/// write, and then the entry is read again.
 void target_registrar::impl::read() {
   IsBusy = true;
-  Store.Read({Kind, Name}, then(&impl::onRead));
+  const auto &Read = HasRead ? Store.Read : Store.ReadStale;
+  Read({Kind, Name}, then(&impl::onRead));
 }
 
 void target_registrar::impl::onRead(const platform_reply &Reply) {
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -357,6 +357,13 @@
     Call.Done = std::move(Done);
     Start(std::move(Call));
   };
+  Api.ReadStale = [Start](const object_key &Key, platform_callback Done) {
+    call Call;
+    Call.Key = Key;
+    Call.AllowStale = true;
+    Call.Done = std::move(Done);
+    Start(std::move(Call));
+  };
   Api.List = [Start](const std::string &Kind, platform_callback Done) {
     call Call;
     Call.Verb = call_verb::List;
--- a/test/directory/object_feed_test.cpp
+++ b/test/directory/object_feed_test.cpp
@@ -185,9 +185,9 @@
 }
 
 TEST_CASE_FIXTURE(feed_fixture, "a shorter watch replaces a long one") {
-  // This balancer waits for changes only, until the one that confirms the age of
-  // the data for all fails. If the long watch had to end first, the data of all
-  // balancers would become too old meanwhile.
+  // This balancer waits for changes only, until the one that confirms the age
+  // of the data for all fails. If the long watch had to end first, the data of
+  // all balancers would become too old meanwhile.
   Wait = 20s;
   Feed.start();
   pass(2s);
--- a/test/directory/target_registrar_test.cpp
+++ b/test/directory/target_registrar_test.cpp
@@ -235,3 +235,54 @@
   CHECK_FALSE(Registrar.knownMissing());
   CHECK_FALSE(Registrar.hasWritten());
 }
+
+TEST_CASE_FIXTURE(registrar_fixture,
+                  "only the first read of an entry may be stale") {
+  // Hundreds of agents start at once, and most of them find what they wrote
+  // long ago.
+  Store.put("site", Entry.Name, encodeTarget(Entry));
+  Registrar.readExisting(Entry.Name);
+  pass(100ms);
+  CHECK(Store.StaleReads == 1);
+  CHECK(Found.size() == 1);
+
+  Registrar.recheck();
+  pass(100ms);
+  CHECK(Store.StaleReads == 1);
+}
+
+TEST_CASE_FIXTURE(registrar_fixture,
+                  "a stale read does not overwrite a newer entry") {
+  // The store answers with data of some seconds ago, when the entry did not
+  // exist yet; meanwhile a balancer has written it.
+  Store.saveOlder();
+  Store.ReadStaleOlder = true;
+  target_entry Newer = Entry;
+  Newer.Slots = 9;
+  Newer.ByPeer = true;
+  Store.put("site", Entry.Name, encodeTarget(Newer));
+  Registrar.readExisting(Entry.Name);
+  pass(100ms);
+  CHECK(Found.empty());
+
+  Registrar.set(Entry);
+  pass(100ms);
+  CHECK(held() == Entry);
+  CHECK(Registrar.settled());
+}
+
+TEST_CASE_FIXTURE(registrar_fixture,
+                  "a stale read of an entry that was removed is corrected") {
+  Store.put("site", Entry.Name, encodeTarget(Entry));
+  Store.saveOlder();
+  Store.ReadStaleOlder = true;
+  Store.erase("site", Entry.Name);
+  Registrar.readExisting(Entry.Name);
+  pass(100ms);
+  target_entry Changed = Entry;
+  Changed.Slots = 9;
+  Registrar.set(Changed);
+  pass(100ms);
+
+  CHECK(held() == Changed);
+}
--- a/test/fleet/fake_platform.h
+++ b/test/fleet/fake_platform.h
@@ -44,7 +44,11 @@
   /// Only lists and watches answer from that state, as from another replica
   /// than reads.
   bool ListOlder = false;
+  /// Stale reads answer from that state.
+  bool ReadStaleOlder = false;
   std::uint64_t Calls = 0;
+  /// Stale reads among Calls.
+  std::uint64_t StaleReads = 0;
   std::uint64_t Writes = 0;
 
   /// Returns the platform as a process reaches it over \p Link.
@@ -54,6 +58,13 @@
       answer(
           Link, [this, Key] { return read(Key); }, std::move(Callback));
     };
+    Api.ReadStale = [this, Link](const object_key &Key,
+                                 platform_callback Callback) {
+      ++StaleReads;
+      answer(
+          Link, [this, Key] { return read(Key, ReadStaleOlder); },
+          std::move(Callback));
+    };
     Api.List = [this, Link](const std::string &Kind,
                             platform_callback Callback) {
       answer(
@@ -107,8 +118,8 @@
   }
 
 private:
-  platform_reply read(const object_key &Key) const {
-    const auto &From = ServeOlder ? Older : Objects;
+  platform_reply read(const object_key &Key, bool FromOlder = false) const {
+    const auto &From = ServeOlder || FromOlder ? Older : Objects;
     const auto Found = From.find(Key);
     platform_reply Reply;
     Reply.Outcome = platform_outcome::NotFound;
