Status pages by libevent's own HTTP server

Cause: a forwarding process took 3.0 ms of processor time from exec to main's end; 1.4 of them load OpenSSL, Oniguruma and libevent_openssl, which libevhtp brings and nothing uses. On 0.038 of a core that is 37 ms more without a balancer after each start. Ways: as it was; static libstdc++ and libgcc, or static libevent, gflags and xxhash (no difference, as glog and simdjson bring the shared ones); evhttp.

--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -315,7 +315,7 @@
 };
 
 /// The HTTP server of a daemon for /metrics, /healthz, /readyz and further
-/// pages, built on libevhtp.
+/// pages, built on the HTTP server of libevent.
 class status_page {
 public:
   struct hooks {
