--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -65,7 +65,7 @@
   endpoint Address;
   std::vector<service_share> Shares;
   /// The regions that flows of the route may be sent to.
-  allowed_regions Regions = {};
+  region_restriction Regions = {};
 
   bool operator==(const route &) const = default;
 };
@@ -111,10 +111,10 @@
   /// previous ones.
   std::vector<std::string> OwnerServices;
   /// The regions that new flows of this address may be sent to.
-  allowed_regions Regions = {};
+  region_restriction Regions = {};
   /// The regions in which flows of this address may have their owner: those of
   /// the current and of an upcoming configuration.
-  allowed_regions OwnerRegions = {};
+  region_restriction OwnerRegions = {};
 
   bool operator==(const route_rule &) const = default;
 };
@@ -396,8 +396,8 @@
   std::uint64_t newestRoutesVersion() const;
   /// Every change that the store accepted before this moment is known here.
   std::optional<instant> knownAsOf() const;
-  /// The same for marjoramrail's own objects alone: the store answered a call of
-  /// this or another balancer after this moment.
+  /// The same for marjoramrail's own objects alone: the store answered a call
+  /// of this or another balancer after this moment.
   std::optional<instant> storeAnsweredAt() const;
   /// Removes the store entries of an agent that has failed permanently. Only
   /// the first balancer of the zone (lowest address) does this; on the others
--- a/test/forward/flows_test.cpp
+++ b/test/forward/flows_test.cpp
@@ -44,8 +44,8 @@
 
 TEST_CASE_FIXTURE(small_site, "each owner is looked up once by a balancer") {
   // Balancers were restarted. The owner of many flows is the first agent of the
-  // list that a lookup carries; if it did not tell the balancer, every packet of
-  // these flows would start another lookup.
+  // list that a lookup carries; if it did not tell the balancer, every packet
+  // of these flows would start another lookup.
   for (std::uint16_t Port = 1001; Port < 1041; ++Port) {
     const std::uint32_t Ack = open(1, flowOf(Port));
     packet(2, data(flowOf(Port), Ack));
