Logging: glog in a library of its own

Cause: forwarding processes write their events as lines of JSON and never call glog, but linked it through the runtime library, which loads it and what it needs at every start. Ruled out: loading it lazily; a library that is not linked needs no code. No behaviour changes.

--- a/daemons/agent/main.cpp
+++ b/daemons/agent/main.cpp
@@ -7,6 +7,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "agent_process.h"
+#include "marjoramrail/logging.h"
 
 #include <glog/logging.h>
 #include <iostream>
@@ -31,6 +32,7 @@
 int main(int Argc, char **Argv) {
   const std::string Path =
       startProgram(Argc, Argv, "Owns the callers' flows of one target host.");
+  startLogging(Argv[0]);
   const auto Failure = failureOf([&] { return serve(Path); });
   if (!Failure)
     return 0;
--- a/daemons/balancer/main.cpp
+++ b/daemons/balancer/main.cpp
@@ -2,6 +2,7 @@
 // sends each to the agents that may own its flow.
 
 #include "balancer_process.h"
+#include "marjoramrail/logging.h"
 
 #include <iostream>
 
@@ -24,6 +25,7 @@
 int main(int Argc, char **Argv) {
   const std::string Path = startProgram(
       Argc, Argv, "Routes callers' packets to the agents beside the targets.");
+  startLogging(Argv[0]);
   const auto Failure = failureOf([&] { return serve(Path); });
   if (!Failure)
     return 0;
--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -403,11 +403,8 @@
   std::unique_ptr<impl> Impl;
 };
 
-/// Initializes glog for a daemon, with its output on standard error.
-void startLogging(const char *Program);
-
-/// Parses the command line with gflags, starts logging and returns the path of
-/// the settings file. Exits if --settings is missing. Handles the flags
+/// Parses the command line with gflags and returns the path of the settings
+/// file. Exits if --settings is missing. Handles the flags
 /// --settings and --check_settings.
 std::string startProgram(int &Argc, char **&Argv, const std::string &Usage);
 
--- a/standins/fabric/main.cpp
+++ b/standins/fabric/main.cpp
@@ -6,6 +6,7 @@
 // balancers, seed, drop_percent, delay_ms, jitter_ms.
 
 #include "control_message.h"
+#include "marjoramrail/logging.h"
 #include "marjoramrail/runtime.h"
 
 #include <glog/logging.h>
@@ -166,6 +167,7 @@
 int main(int Argc, char **Argv) {
   const std::string Path = startProgram(
       Argc, Argv, "Simulates the network between callers and balancers.");
+  startLogging(Argv[0]);
   const auto Failure = failureOf([&] { return serve(Path); });
   if (!Failure)
     return 0;
--- a/standins/load/main.cpp
+++ b/standins/load/main.cpp
@@ -3,6 +3,7 @@
 
 #include "fault_driver.h"
 #include "load_run.h"
+#include "marjoramrail/logging.h"
 
 #include <glog/logging.h>
 #include <iostream>
@@ -46,6 +47,7 @@
 int main(int Argc, char **Argv) {
   const std::string Path = startProgram(
       Argc, Argv, "Opens flows, sends requests and injects faults.");
+  startLogging(Argv[0]);
   const auto Failure = failureOf([&] { return run(Path); });
   if (!Failure)
     return 0;
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -1,4 +1,5 @@
 #include "http_server.h"
+#include "marjoramrail/logging.h"
 #include "marjoramrail/resource.h"
 
 #include <filesystem>
@@ -108,6 +109,7 @@
 
 int main(int Argc, char **Argv) {
   const std::string Path = startProgram(Argc, Argv, Usage);
+  startLogging(Argv[0]);
   const auto Failure = failureOf([&] { return runPlatform(Path); });
   if (!Failure)
     return 0;
--- a/standins/target/main.cpp
+++ b/standins/target/main.cpp
@@ -1,6 +1,7 @@
 // The target stand-in: simulates one back-end host of a service, with cleartext
 // HTTP/2, or as an echo server for services with the protocol tcp.
 
+#include "marjoramrail/logging.h"
 #include "target_server.h"
 
 #include <glog/logging.h>
@@ -100,6 +101,7 @@
 int main(int Argc, char **Argv) {
   const std::string Path =
       startProgram(Argc, Argv, "Simulates one target host of a service.");
+  startLogging(Argv[0]);
   const auto Failure = failureOf([&] { return serve(Path); });
   if (!Failure)
     return 0;
