--- a/daemons/forwarder/forwarder_settings.cpp
+++ b/daemons/forwarder/forwarder_settings.cpp
@@ -40,14 +40,15 @@
 /// none.
 static std::optional<warmup_limit::settings>
 readWarmup(settings_reader &Reader) {
-  constexpr double MostOvershoot = 1000;
-  constexpr double MostSlack = 1'000'000;
-  if (!Reader.has("warmup_overshoot") && !Reader.has("warmup_slack"))
+  constexpr double LargestFactor = 1000;
+  constexpr double LargestExtra = 1'000'000;
+  if (!Reader.has("warmup_burst_factor") && !Reader.has("warmup_burst_extra"))
     return std::nullopt;
   warmup_limit::settings Limit;
-  Limit.Overshoot =
-      Reader.decimal("warmup_overshoot", std::nullopt, 0, MostOvershoot);
-  Limit.Slack = Reader.decimal("warmup_slack", std::nullopt, 0, MostSlack);
+  Limit.BurstFactor =
+      Reader.decimal("warmup_burst_factor", std::nullopt, 0, LargestFactor);
+  Limit.BurstExtra =
+      Reader.decimal("warmup_burst_extra", std::nullopt, 0, LargestExtra);
   return Limit;
 }
 
--- a/include/marjoramrail/places.h
+++ b/include/marjoramrail/places.h
@@ -15,11 +15,11 @@
 ///   if (Current.contains("brugge"))
 ///     ...                          // no new flows in this zone
 ///
-///   allowed_regions Allowed = intersectionOf(RouteRegions, AccountRegions);
+///   region_restriction Allowed = intersectionOf(RouteRegions, AccountRegions);
 ///   if (!Allowed.permits("be-west"))
 ///     ...
 ///
-///   warmup_limit Limit({.Overshoot = 1.5, .Slack = 5});
+///   warmup_limit Limit({.BurstFactor = 1.5, .BurstExtra = 5});
 ///   Limit.setRate(2.0);
 ///   if (!Limit.admits(Flow, Now))
 ///     ...                          // passes the flow to the next target
@@ -85,12 +85,12 @@
 //===----------------------------------------------------------------------===//
 
 /// The regions that flows may be sent to.
-class allowed_regions {
+class region_restriction {
 public:
   /// Permits every region.
-  allowed_regions() = default;
+  region_restriction() = default;
   /// Permits only \p Regions; none if the list is empty.
-  explicit allowed_regions(std::vector<std::string> Regions);
+  explicit region_restriction(std::vector<std::string> Regions);
 
   bool isRestricted() const { return Regions.has_value(); }
   /// A target whose region is unknown ("") is only permitted if there is no
@@ -102,7 +102,7 @@
   }
 
   // NOLINTNEXTLINE(readability-identifier-naming): as for endpoint.
-  auto operator<=>(const allowed_regions &) const = default;
+  auto operator<=>(const region_restriction &) const = default;
 
 private:
   std::optional<std::vector<std::string>> Regions;
@@ -111,11 +111,12 @@
 /// The regions that both \p A and \p B permit. A route and its client account
 /// may each be restricted; if they have no region in common, every flow is
 /// refused.
-allowed_regions intersectionOf(const allowed_regions &A,
-                               const allowed_regions &B);
+region_restriction intersectionOf(const region_restriction &A,
+                                  const region_restriction &B);
 
 /// The regions that \p A or \p B permits.
-allowed_regions unionOf(const allowed_regions &A, const allowed_regions &B);
+region_restriction unionOf(const region_restriction &A,
+                           const region_restriction &B);
 
 /// The region of each zone, by the zone's name.
 using zone_regions = std::map<std::string, std::string, std::less<>>;
@@ -136,9 +137,9 @@
 public:
   struct settings {
     /// How far the number of new flows in one second may exceed the rate: it is
-    /// at most rate x Overshoot + Slack.
-    double Overshoot = 1;
-    double Slack = 0;
+    /// at most rate x BurstFactor + BurstExtra.
+    double BurstFactor = 1;
+    double BurstExtra = 0;
   };
 
   /// Without settings the platform states no limit, and admits() is always
@@ -147,9 +148,9 @@
       : Settings(Settings) {}
 
   /// Sets the number of new flows a second that the target bears while it is
-  /// warming up; 0 means that there is no limit. Until the first call only the
-  /// slack is granted, since a smaller rate than assumed would overload the
-  /// target.
+  /// warming up; 0 means that there is no limit. Until the first call only
+  /// BurstExtra is granted, since a smaller rate than assumed would overload
+  /// the target.
   void setRate(double FlowsPerSecond) { Rate = FlowsPerSecond; }
   /// The rate, or nothing before the first call of setRate().
   std::optional<double> rate() const { return Rate; }
--- a/include/marjoramrail/report.h
+++ b/include/marjoramrail/report.h
@@ -7,7 +7,7 @@
 ///
 /// Usage:
 /// \code
-///   report_builder Builder("Vlaamse Visexport, a quarter", Start);
+///   report_builder Builder("Example deployment, a quarter", Start);
 ///   Builder.attempt({.Kind = "amendment", .End = attempt_outcome::Ok,
 ///                    .Sent = Sent, .Ended = Ended});
 ///   Builder.mark(At, "kill balancer-2");
--- a/src/directory/route_activation.cpp
+++ b/src/directory/route_activation.cpp
@@ -203,7 +203,7 @@
     Parts.push_back({Name, Service});
 }
 
-void route_activation::rule_view::addRegions(const allowed_regions &Allowed,
+void route_activation::rule_view::addRegions(const region_restriction &Allowed,
                                              bool IsActive) {
   if (!HasRegions)
     Regions = OwnerRegions = Allowed;
@@ -229,7 +229,7 @@
   return Rule;
 }
 
-static std::uint64_t hashOf(const allowed_regions &Regions,
+static std::uint64_t hashOf(const region_restriction &Regions,
                             std::uint64_t Seed) {
   if (!Regions.isRestricted())
     return Seed;
--- a/src/directory/route_activation.h
+++ b/src/directory/route_activation.h
@@ -75,14 +75,14 @@
   struct rule_view {
     endpoint Address;
     std::vector<rule_part> Parts;
-    allowed_regions Regions;
-    allowed_regions OwnerRegions;
+    region_restriction Regions;
+    region_restriction OwnerRegions;
     bool HasRegions = false;
 
     void begin(const endpoint &At);
     void addOwner(std::string_view Name, service_id Service);
     /// Adds the regions of one table's route.
-    void addRegions(const allowed_regions &Allowed, bool IsActive);
+    void addRegions(const region_restriction &Allowed, bool IsActive);
   };
 
   /// The tables that are not active yet, in the order of their activation.
--- a/src/directory/route_table_codec.cpp
+++ b/src/directory/route_table_codec.cpp
@@ -15,7 +15,7 @@
 /// Routes with the same shares and regions.
 struct route_group {
   std::vector<service_share> Shares;
-  allowed_regions Regions;
+  region_restriction Regions;
   std::vector<endpoint> Addresses;
 
   bool isOf(const route &Route) const {
@@ -25,7 +25,7 @@
 
 static std::vector<route_group> groupsOf(const route_table &Table) {
   using share_list = std::vector<std::pair<std::string, std::uint32_t>>;
-  std::map<std::pair<share_list, allowed_regions>, std::size_t> Numbers;
+  std::map<std::pair<share_list, region_restriction>, std::size_t> Numbers;
   std::vector<route_group> Groups;
   std::size_t Last = 0;
   for (const route &Route : Table.Routes) {
@@ -89,7 +89,7 @@
 }
 
 /// The regions of a group; nothing if \p Json is malformed.
-static std::optional<allowed_regions> regionsOf(const json &Json) {
+static std::optional<region_restriction> regionsOf(const json &Json) {
   if (!Json.is_array())
     return std::nullopt;
   std::vector<std::string> Regions;
@@ -98,7 +98,7 @@
       return std::nullopt;
     Regions.push_back(Region.get<std::string>());
   }
-  return allowed_regions(std::move(Regions));
+  return region_restriction(std::move(Regions));
 }
 
 /// An encoded table that is being read. The first step parses the text; the
@@ -166,7 +166,7 @@
         return refuse("groups: expected shares and addresses");
       auto Regions = Item.contains("regions")
                          ? regionsOf(Item["regions"])
-                         : std::optional(allowed_regions());
+                         : std::optional(region_restriction());
       if (!Regions)
         return refuse("groups: expected a list of regions");
       Count += Addresses->size();
--- a/src/directory/sync_message.h
+++ b/src/directory/sync_message.h
@@ -7,7 +7,7 @@
 /// object thus costs its own size once per balancer, instead of one store call
 /// by each. Changes that do not fit are sent in reply to the next request. The
 /// reply returns the request's own timestamp, so that the age of the peer's
-/// data is measured by the requester's clock and network delays only make it
+/// data is determined by the requester's clock and network delays only make it
 /// look older.
 ///
 //===----------------------------------------------------------------------===//
--- a/src/directory/watch_schedule.cpp
+++ b/src/directory/watch_schedule.cpp
@@ -12,7 +12,7 @@
 /// what the first one's confirmations take to arrive.
 static constexpr duration SecondAge = std::chrono::milliseconds(950);
 static constexpr duration ThirdAge = std::chrono::milliseconds(1050);
-/// A watch for changes only. If its connection no longer responds, changes
+/// A watch for changes only. If its connection stops responding, changes
 /// arrive from another balancer; longer waits would delay the detection of
 /// that.
 static constexpr duration LongWatchWait = std::chrono::seconds(20);
@@ -22,7 +22,7 @@
 /// A balancer without peers confirms its data alone, within SettleTime.
 static constexpr duration SoloWatchWait = std::chrono::milliseconds(900);
 /// The number of balancers that watch for evacuations on behalf of all, and how
-/// long each watch waits. If a connection no longer responds, only the end of
+/// long each watch waits. If a connection stops responding, only the end of
 /// the watch shows it, and evacuations have to be known within seconds.
 static constexpr std::size_t EvacuationWatchers = 2;
 static constexpr duration EvacuationWatchWait = std::chrono::seconds(5);
--- a/src/fleet/platform_feed.cpp
+++ b/src/fleet/platform_feed.cpp
@@ -122,7 +122,7 @@
 }
 
 void platform_feed::watched(const platform_reply &Reply) {
-  // The platform no longer has the changes since then, or never had them.
+  // The platform has dropped the changes since then, or never had them.
   if (Reply.Outcome == platform_outcome::HistoryGone ||
       Reply.Outcome == platform_outcome::Invalid) {
     restart();
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -29,8 +29,8 @@
   /// Every service whose targets may still own flows of the route.
   std::vector<service_id> OwnerServices;
   /// The regions of new flows and of owner lookups, see route_rule.
-  allowed_regions Regions;
-  allowed_regions OwnerRegions;
+  region_restriction Regions;
+  region_restriction OwnerRegions;
   /// When OwnerRegions was last changed; nothing if lookups have never been
   /// restricted since the route became known.
   std::optional<instant> RegionsChangedAt;
@@ -104,7 +104,7 @@
   void sendPolicy(const internal::agent_state &Agent);
   bool mayPlaceAt(const internal::route_state &Route,
                   const internal::agent_state &Agent) const;
-  bool isPermitted(const allowed_regions &Regions,
+  bool isPermitted(const region_restriction &Regions,
                    const internal::agent_state &Agent) const;
   std::string_view refusalReason(const internal::route_state &Route) const;
   void notifyUnregistered(const endpoint &Agent, instant Now);
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -17,7 +17,7 @@
          isPermitted(Route.Regions, Agent);
 }
 
-bool forward_balancer::impl::isPermitted(const allowed_regions &Regions,
+bool forward_balancer::impl::isPermitted(const region_restriction &Regions,
                                          const agent_state &Agent) const {
   return !Regions.isRestricted() ||
          Regions.permits(AgentTable.zoneOf(Agent).Region);
--- a/src/places/regions.cpp
+++ b/src/places/regions.cpp
@@ -5,19 +5,19 @@
 
 namespace marjoramrail {
 
-allowed_regions::allowed_regions(std::vector<std::string> List) {
+region_restriction::region_restriction(std::vector<std::string> List) {
   std::sort(List.begin(), List.end());
   List.erase(std::unique(List.begin(), List.end()), List.end());
   Regions = std::move(List);
 }
 
-bool allowed_regions::permits(std::string_view Region) const {
+bool region_restriction::permits(std::string_view Region) const {
   return !Regions ||
          std::binary_search(Regions->begin(), Regions->end(), Region);
 }
 
-allowed_regions intersectionOf(const allowed_regions &A,
-                               const allowed_regions &B) {
+region_restriction intersectionOf(const region_restriction &A,
+                                  const region_restriction &B) {
   if (!A.isRestricted())
     return B;
   if (!B.isRestricted())
@@ -26,15 +26,16 @@
   std::set_intersection(A.regions()->begin(), A.regions()->end(),
                         B.regions()->begin(), B.regions()->end(),
                         std::back_inserter(Common));
-  return allowed_regions(std::move(Common));
+  return region_restriction(std::move(Common));
 }
 
-allowed_regions unionOf(const allowed_regions &A, const allowed_regions &B) {
+region_restriction unionOf(const region_restriction &A,
+                           const region_restriction &B) {
   if (!A.isRestricted() || !B.isRestricted())
-    return allowed_regions();
+    return region_restriction();
   std::vector<std::string> All = *A.regions();
   All.insert(All.end(), B.regions()->begin(), B.regions()->end());
-  return allowed_regions(std::move(All));
+  return region_restriction(std::move(All));
 }
 
 std::string_view regionOf(const zone_regions &Regions, std::string_view Zone) {
--- a/src/places/warmup_limit.cpp
+++ b/src/places/warmup_limit.cpp
@@ -12,7 +12,8 @@
 std::optional<std::size_t> warmup_limit::flowsPerWindow() const {
   if (!Settings || Rate == 0.0)
     return std::nullopt;
-  const double Most = Rate.value_or(0) * Settings->Overshoot + Settings->Slack;
+  const double Most =
+      Rate.value_or(0) * Settings->BurstFactor + Settings->BurstExtra;
   return static_cast<std::size_t>(std::max(std::floor(Most), 0.0));
 }
 
--- a/test/directory/route_activation_test.cpp
+++ b/test/directory/route_activation_test.cpp
@@ -198,7 +198,7 @@
 static route_table tableIn(std::uint64_t Version,
                            std::vector<std::string> Regions) {
   route_table Table = tableOf(Version, {"ledger"});
-  Table.Routes.front().Regions = allowed_regions(std::move(Regions));
+  Table.Routes.front().Regions = region_restriction(std::move(Regions));
   return Table;
 }
 
--- a/test/directory/route_table_codec_test.cpp
+++ b/test/directory/route_table_codec_test.cpp
@@ -12,8 +12,8 @@
 
 const object_key Key{"config", "main"};
 
-allowed_regions onlyIn(std::vector<std::string> Regions) {
-  return allowed_regions(std::move(Regions));
+region_restriction onlyIn(std::vector<std::string> Regions) {
+  return region_restriction(std::move(Regions));
 }
 
 route_table someTable() {
--- a/test/forward/regions_test.cpp
+++ b/test/forward/regions_test.cpp
@@ -24,7 +24,7 @@
   }
 
   void restrictTo(const std::vector<std::string> &Regions) {
-    const allowed_regions Allowed(Regions);
+    const region_restriction Allowed(Regions);
     setRoutes({{RouteAddress, {{"ledger", 1}}, {"ledger"}, Allowed, Allowed}});
   }
 };
--- a/test/places/regions_test.cpp
+++ b/test/places/regions_test.cpp
@@ -4,17 +4,17 @@
 
 using namespace marjoramrail;
 
-static allowed_regions only(std::vector<std::string> Regions) {
-  return allowed_regions(std::move(Regions));
+static region_restriction only(std::vector<std::string> Regions) {
+  return region_restriction(std::move(Regions));
 }
 
 TEST_CASE("without a restriction every region is permitted") {
-  CHECK(allowed_regions().permits("be-west"));
-  CHECK(allowed_regions().permits(""));
+  CHECK(region_restriction().permits("be-west"));
+  CHECK(region_restriction().permits(""));
 }
 
 TEST_CASE("a restriction permits its regions and no unknown one") {
-  const allowed_regions Allowed = only({"be-west", "be-east"});
+  const region_restriction Allowed = only({"be-west", "be-east"});
 
   CHECK(Allowed.permits("be-west"));
   CHECK_FALSE(Allowed.permits("nl-south"));
@@ -22,15 +22,16 @@
 }
 
 TEST_CASE("two restrictions permit what both permit") {
-  const allowed_regions Both =
+  const region_restriction Both =
       intersectionOf(only({"be-west", "be-east"}), only({"nl", "be-east"}));
 
   CHECK(Both == only({"be-east"}));
-  CHECK(intersectionOf(allowed_regions(), only({"nl"})) == only({"nl"}));
+  CHECK(intersectionOf(region_restriction(), only({"nl"})) == only({"nl"}));
 }
 
 TEST_CASE("restrictions without a common region permit nothing") {
-  const allowed_regions None = intersectionOf(only({"nl"}), only({"be-west"}));
+  const region_restriction None =
+      intersectionOf(only({"nl"}), only({"be-west"}));
 
   CHECK(None.isRestricted());
   CHECK_FALSE(None.permits("nl"));
@@ -39,7 +40,7 @@
 
 TEST_CASE("a union permits what either permits") {
   CHECK(unionOf(only({"nl"}), only({"be"})) == only({"be", "nl"}));
-  CHECK_FALSE(unionOf(only({"nl"}), allowed_regions()).isRestricted());
+  CHECK_FALSE(unionOf(only({"nl"}), region_restriction()).isRestricted());
 }
 
 TEST_CASE("the region of an unknown zone is empty") {
--- a/test/places/warmup_limit_test.cpp
+++ b/test/places/warmup_limit_test.cpp
@@ -36,13 +36,14 @@
   // A zone returns and all its callers connect at once: each balancer sees an
   // idle target.
   struct row {
-    double Rate, Overshoot, Slack;
+    double Rate, BurstFactor, BurstExtra;
     std::size_t Most;
   };
   for (const row &Row : {row{2, 1.5, 5, 8}, row{0.5, 1.5, 5, 5},
                          row{10, 1, 0, 10}, row{7, 1.2, 1, 9}})
     for (const double Load : {5.0, 50.0, 2000.0}) {
-      warmup_limit Limit(warmup_limit::settings{Row.Overshoot, Row.Slack});
+      warmup_limit Limit(
+          warmup_limit::settings{Row.BurstFactor, Row.BurstExtra});
       Limit.setRate(Row.Rate);
       const std::size_t Most = mostInOneSecond(Limit, Load, 17);
       CHECK_MESSAGE(Most <= Row.Most, "rate ", Row.Rate, ", load ", Load,
