Directory: reading of the store in a file of its own; names

Change: directory_feeds.cpp holds the feeds and what the store's objects say. work.h's struct is agent_load, the notice is handled by handleUnresponsiveNotice, a callback's measurement is a Timer, a newer view is applied (applyView).

--- a/bench/agent/bench_children.cpp
+++ b/bench/agent/bench_children.cpp
@@ -88,7 +88,7 @@
   agent_process Agent(Loop, Settings);
   if (!Agent.open())
     return 1;
-  Agent.takeView(viewOfOne());
+  Agent.applyView(viewOfOne());
   Loop.run();
   return 0;
 }
--- a/daemons/agent/agent_process.h
+++ b/daemons/agent/agent_process.h
@@ -36,7 +36,7 @@
   void terminate();
 
   /// Applies a view of the service. Views arrive in the answers to heartbeats.
-  void takeView(const membership &Next);
+  void applyView(const membership &Next);
 
 private:
   void takeBatch(std::span<const datagram> Batch);
--- a/daemons/agent/agent_view.cpp
+++ b/daemons/agent/agent_view.cpp
@@ -25,7 +25,7 @@
     sendControl(To, Bytes);
   };
   Hooks.Describe = [this] { return describe(); };
-  Hooks.OnView = [this](const membership &Members) { takeView(Members); };
+  Hooks.OnView = [this](const membership &Members) { applyView(Members); };
   Hooks.OnDeclaredDead = [this](std::uint32_t Next) { onDeclaredDead(Next); };
   return Hooks;
 }
@@ -59,7 +59,7 @@
 /// so that agents make no calls to the platform while nothing changes. The
 /// first view is applied only after the rules are read, unless the platform is
 /// down.
-void agent_process::takeView(const membership &Next) {
+void agent_process::applyView(const membership &Next) {
   Members = Next;
   if (Platform && Next.SpecVersion != RequestedRulesVersion)
     readRules(Next.SpecVersion);
@@ -174,7 +174,7 @@
     startOwner(View, View.Targets[*Position].Id);
   if (!Owner)
     return;
-  Owner->takeView(View, Loop.timers().now());
+  Owner->applyView(View, Loop.timers().now());
   Proxy->setKeyView(keyViewOf(View));
   if (Position && View.Targets[*Position].State == target_state::Draining)
     drain("the fleet's view");
@@ -206,12 +206,12 @@
     sendControl(To, encodePeerMessage(Message));
   };
   Hooks.Load = [this] {
-    const load_report Own = Proxy->load();
+    const agent_load Own = Proxy->load();
     return peer_load{Own.Busy, Own.Pressure, Own.Slots, Own.Accepting,
                      Own.Service};
   };
   Hooks.OnReport = [this](const peer_message &Message) {
-    load_report Peer;
+    agent_load Peer;
     Peer.Host = Message.Host;
     Peer.Busy = Message.Load.Busy;
     Peer.Pressure = Message.Load.Pressure;
--- a/daemons/balancer/balancer_process.cpp
+++ b/daemons/balancer/balancer_process.cpp
@@ -15,7 +15,7 @@
       Events(Settings.Name, wallClockMs, [](const std::string &) {}),
       Port(Loop, Settings.Core),
       Fleet(Loop, Settings,
-            [this](const membership &Members) { takeView(Members); }),
+            [this](const membership &Members) { applyView(Members); }),
       Status(Loop, Metrics, pages()) {
   Port.show(Metrics);
   Fleet.show(Metrics);
@@ -54,7 +54,7 @@
   Loop.timers().after(Settings.Grace, [this] { Loop.stop(); });
 }
 
-void balancer_process::takeView(const membership &Members) {
+void balancer_process::applyView(const membership &Members) {
   const service_view &View = Members.View;
   if (Port.core().setView(View) != view_outcome::Applied)
     return;
--- a/daemons/balancer/balancer_process.h
+++ b/daemons/balancer/balancer_process.h
@@ -28,7 +28,7 @@
 
 private:
   status_page::hooks pages();
-  void takeView(const membership &Members);
+  void applyView(const membership &Members);
   void reportFleetContact();
   void record(event_kind What, const std::string &Service, std::string Why);
 
--- a/include/marjoramrail/agent.h
+++ b/include/marjoramrail/agent.h
@@ -19,7 +19,7 @@
 ///                     .Self = RoutedListen, .Incarnation = Incarnation},
 ///                    {.Send = [&](const endpoint &To, const peer_message &M) {
 ///                       Socket.send(To, encodePeerMessage(M)); }});
-///   Owner.takeView(View, Now);
+///   Owner.applyView(View, Now);
 ///   packet_decision What = Owner.decide(Routed, Packet, From, Now);
 ///   switch (What.Action) { ... }       // deliver, pass on, reset
 ///   Owner.noteAnswer(AnswerOfStack, Now);
@@ -233,7 +233,7 @@
   flow_owner &operator=(const flow_owner &) = delete;
 
   /// Applies a view of the service. An older one is ignored.
-  void takeView(const service_view &View, instant Now);
+  void applyView(const service_view &View, instant Now);
   /// A balancer confirmed that the view is still the newest.
   void confirmView(instant Now);
 
--- a/include/marjoramrail/fleet.h
+++ b/include/marjoramrail/fleet.h
@@ -22,7 +22,7 @@
 ///          Socket.send(To, Bytes); },
 ///        .Describe = [&] { return describe(Core); },
 ///        .OnView = [&](const membership &Members) {
-///          Core.takeView(Members.View); },
+///          Core.applyView(Members.View); },
 ///        .OnDeclaredDead = [&](std::uint32_t Incarnation) {
 ///          Core.restart(Incarnation); }});
 ///   // for each datagram:
@@ -37,7 +37,7 @@
 ///                   {.Name = "balancer-1", .Zone = "brugge",
 ///                    .Control = ControlListen, .Seeds = Balancers},
 ///                   {.Send = ..., .OnView = [&](const membership &Members) {
-///                      Core.takeView(Members.View); },
+///                      Core.applyView(Members.View); },
 ///                    .WallClockMs = ...});
 ///   Node.input(From, Bytes);             // each datagram of control_listen
 ///   Node.stop();                         // SIGTERM: release the leases
--- a/include/marjoramrail/proxy.h
+++ b/include/marjoramrail/proxy.h
@@ -197,8 +197,8 @@
   std::size_t keyRecords() const;
 
   /// Returns the load of this agent, to be sent to its peers.
-  load_report load();
-  void updatePeerLoad(const load_report &Peer);
+  agent_load load();
+  void updatePeerLoad(const agent_load &Peer);
   void removePeer(host_id Peer);
 
   /// Number of requests that are waiting, running or relayed.
--- a/include/marjoramrail/work.h
+++ b/include/marjoramrail/work.h
@@ -15,7 +15,7 @@
 ///   relay_choice Peers(Self, relay_settings(), Seed);
 ///   admission Work(admission_settings{.Slots = 4},
 ///                  [&](const work_request &Request, relay_reason Why,
-///                      const load_report &Own, instant Now) {
+///                      const agent_load &Own, instant Now) {
 ///                    return Peers.pick(Request, Why, Own, Now);
 ///                  }, Seed);
 ///   decision First = Work.offer({.Id = Id, .Caller = Hash}, Now);
@@ -152,7 +152,7 @@
 
 /// The load of one agent, sent to its peers a few times a second and with each
 /// answer to a relayed request.
-struct load_report {
+struct agent_load {
   host_id Host{};
   /// Share of its slots in use, smoothed over about a second; may exceed 1.
   double Busy = 0;
@@ -206,7 +206,7 @@
   ~relay_choice();
 
   /// Stores the latest load report of a peer.
-  void report(const load_report &Peer, instant Now);
+  void report(const agent_load &Peer, instant Now);
   /// Removes a peer that has left the service.
   void forget(host_id Peer);
   /// Records that \p Peer relayed a request to this agent.
@@ -219,7 +219,7 @@
   /// queued or refused here. The request is added to the estimated load of the
   /// chosen peer until its next report.
   std::optional<host_id> pick(const work_request &Request, relay_reason Why,
-                              const load_report &Own, instant Now);
+                              const agent_load &Own, instant Now);
 
   /// Share of this agent's requests that is relayed to even out Busy.
   double shiftedShare() const;
@@ -272,7 +272,7 @@
   /// Returns a peer with free capacity, or none. If the function is empty,
   /// nothing is relayed.
   using pick_peer = std::function<std::optional<host_id>(
-      const work_request &, relay_reason, const load_report &Own, instant Now)>;
+      const work_request &, relay_reason, const agent_load &Own, instant Now)>;
 
   admission(const admission_settings &Settings, pick_peer PickPeer,
             std::uint64_t Seed);
@@ -299,7 +299,7 @@
   /// Ends draining.
   void resume();
   /// Returns the load report for peers. The agent has to fill in Host.
-  load_report load(instant Now);
+  agent_load load(instant Now);
 
   std::size_t running() const;
   std::size_t waiting() const;
--- a/src/agent/flow_owner.cpp
+++ b/src/agent/flow_owner.cpp
@@ -24,7 +24,7 @@
 // The view
 //===----------------------------------------------------------------------===//
 
-void flow_owner::impl::takeView(const service_view &Newer, instant Now) {
+void flow_owner::impl::applyView(const service_view &Newer, instant Now) {
   if (View && Newer.Version < View->Version)
     return;
   if (!View)
@@ -41,10 +41,10 @@
   for (const target &Target : Newer.Targets)
     if (Target.Id != Settings.Host && Target.State != target_state::Down)
       Peers.push_back(Target.Agent);
-  Activation.takeView(Newer);
-  Share.takeView(Newer);
+  Activation.applyView(Newer);
+  Share.applyView(Newer);
   Monitor.setPeers(Peers);
-  Ring.takeView(Newer, Settings.Host);
+  Ring.applyView(Newer, Settings.Host);
   // Peers may be waiting for this agent's acknowledgement of a generation, so
   // it does not wait for the next periodic report.
   for (const endpoint &Peer : Peers)
@@ -123,8 +123,8 @@
 
 flow_owner::~flow_owner() = default;
 
-void flow_owner::takeView(const service_view &View, instant Now) {
-  Impl->takeView(View, Now);
+void flow_owner::applyView(const service_view &View, instant Now) {
+  Impl->applyView(View, Now);
 }
 
 void flow_owner::confirmView(instant Now) { Impl->ViewConfirmedAt = Now; }
--- a/src/agent/flow_owner_state.h
+++ b/src/agent/flow_owner_state.h
@@ -68,7 +68,7 @@
       : Settings(Settings), Hooks(std::move(Hooks)), Activation(Settings.Host),
         Share(Settings.Host, Settings.MaxSharePercent) {}
 
-  void takeView(const service_view &Newer, instant Now);
+  void applyView(const service_view &Newer, instant Now);
   bool isViewCurrent(instant Now) const;
   std::uint64_t newestGeneration() const;
   const target *find(const endpoint &Agent) const;
--- a/src/agent/generation_activation.cpp
+++ b/src/agent/generation_activation.cpp
@@ -4,7 +4,7 @@
 
 namespace marjoramrail::internal {
 
-void generation_activation::takeView(const service_view &View) {
+void generation_activation::applyView(const service_view &View) {
   Generations = View.Generations;
   Live.clear();
   for (const target &Target : View.Targets)
--- a/src/agent/generation_activation.h
+++ b/src/agent/generation_activation.h
@@ -32,7 +32,7 @@
 public:
   explicit generation_activation(host_id Self) : Self(Self) {}
 
-  void takeView(const service_view &View);
+  void applyView(const service_view &View);
 
   /// Records that \p Host, in \p Incarnation, knows \p Generation. A restarted
   /// agent has lost its views, so acknowledgements of earlier incarnations do
--- a/src/agent/load_share.cpp
+++ b/src/agent/load_share.cpp
@@ -9,7 +9,7 @@
   return State == target_state::Cold || State == target_state::Ready;
 }
 
-void load_share::takeView(const service_view &View) {
+void load_share::applyView(const service_view &View) {
   Weights.clear();
   if (View.Generations.empty())
     return;
--- a/src/agent/load_share.h
+++ b/src/agent/load_share.h
@@ -38,7 +38,7 @@
       : Self(Self), MaxPercent(MaxPercent) {}
 
   void setMaxPercent(std::uint32_t Percent) { MaxPercent = Percent; }
-  void takeView(const service_view &View);
+  void applyView(const service_view &View);
   void report(host_id Host, std::uint32_t Flows, std::size_t OwnFlows,
               instant Now);
   /// Counts a new flow whose first choice is this agent.
--- a/src/agent/neighbour_ring.cpp
+++ b/src/agent/neighbour_ring.cpp
@@ -2,7 +2,7 @@
 
 namespace marjoramrail::internal {
 
-void neighbour_ring::takeView(const service_view &View, host_id Self) {
+void neighbour_ring::applyView(const service_view &View, host_id Self) {
   const target *Next = nullptr;
   const target *Least = nullptr;
   for (const target &Target : View.Targets) {
--- a/src/agent/neighbour_ring.h
+++ b/src/agent/neighbour_ring.h
@@ -36,7 +36,7 @@
   static constexpr std::size_t MaxBalancers = 16384;
   static constexpr duration NotifyInterval = std::chrono::seconds(1);
 
-  void takeView(const service_view &View, host_id Self);
+  void applyView(const service_view &View, host_id Self);
   const std::optional<endpoint> &neighbour() const { return Neighbour; }
 
   void noteBalancer(const endpoint &Balancer, instant Now);
--- a/src/balancer/balancer_core.cpp
+++ b/src/balancer/balancer_core.cpp
@@ -27,8 +27,8 @@
 
   bool isStale(instant Now) const;
   packet_fault handleOwnerNotice(const endpoint &From, bytes_view Bytes);
-  packet_fault handleSilenceNotice(const endpoint &From, bytes_view Bytes,
-                                   instant Now);
+  packet_fault handleUnresponsiveNotice(const endpoint &From, bytes_view Bytes,
+                                        instant Now);
   packet_fault route(bytes_view Bytes, instant Now);
   packet_fault send(const service_router &Router, const owner_list &Owners,
                     bytes_view Bytes, instant Now);
@@ -69,9 +69,9 @@
 }
 
 /// Accepted only from agents of the service, and only about their peers.
-packet_fault balancer_core::impl::handleSilenceNotice(const endpoint &From,
-                                                      bytes_view Bytes,
-                                                      instant Now) {
+packet_fault balancer_core::impl::handleUnresponsiveNotice(const endpoint &From,
+                                                           bytes_view Bytes,
+                                                           instant Now) {
   unresponsive_notice Notice;
   const packet_fault Fault = decodeUnresponsiveNotice(Bytes, Notice);
   if (Fault != packet_fault::None)
@@ -186,7 +186,7 @@
   if (isOwnerNotice(Bytes))
     Fault = Impl->handleOwnerNotice(From, Bytes);
   else if (isUnresponsiveNotice(Bytes))
-    Fault = Impl->handleSilenceNotice(From, Bytes, Now);
+    Fault = Impl->handleUnresponsiveNotice(From, Bytes, Now);
   else
     Fault = Impl->route(Bytes, Now);
   if (Fault != packet_fault::None)
--- /dev/null
+++ b/src/directory/directory_feeds.cpp
@@ -0,0 +1,188 @@
+// Reads the store: the feeds of the objects, the evacuations, and what the
+// objects say about routes, targets and balancers.
+
+#include "directory/directory_impl.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marjoramrail {
+
+using json = nlohmann::json;
+
+/// Longest wait of the first balancer between two calls for marjoramrail's own
+/// objects in an outage. It alone retries them, and all others learn from it
+/// that the store answers again.
+static constexpr duration SiteRetryInterval = std::chrono::milliseconds(200);
+
+object_feed::hooks
+directory::impl::feedHooks(const std::string &Kind,
+                           void (impl::*OnObject)(const platform_object &),
+                           const object_feed &Own, watch_decision Wait) {
+  object_feed::hooks Feed;
+  Feed.OnObject = [this, OnObject](const platform_object &Object) {
+    (this->*OnObject)(Object);
+  };
+  Feed.OnBatch = [this] { notifyChanges(); };
+  Feed.Wait = [this, &Own, Wait] { return Wait(watchStateOf(Own)); };
+  if (&Own == &Site)
+    Feed.MaxRetryInterval = SiteRetryInterval;
+  Feed.OnAvailability = [this, Kind](bool Answers, const std::string &Reason) {
+    Hooks.OnEvent(Answers ? event_kind::StoreRecovered : event_kind::StoreLost,
+                  Kind + ": " + Reason);
+    if (Answers)
+      tellPeersSoon();
+  };
+  return Feed;
+}
+
+watch_state directory::impl::watchStateOf(const object_feed &Feed) const {
+  const instant Now = Timers.now();
+  watch_state State;
+  State.Rank = rank(Now);
+  State.RankInZone = rankInZone(Now);
+  State.Watchers = Peers.watchers(Now);
+  State.LivePeers = Peers.live(Now);
+  if (StartedAt)
+    State.RunTime = Now - *StartedAt;
+  if (const auto AsOf = Feed.asOf())
+    State.DataAge = Now - *AsOf;
+  State.IsAnswering = Feed.answering();
+  State.IsStoreLost = &Feed != &Site && !Site.answering();
+  if (const auto FailedAt = Feed.failedAt())
+    State.SinceFailure = Now - *FailedAt;
+  return State;
+}
+
+/// After an outage all balancers wait for one whose call the store has
+/// answered. Each that learns of it passes it on at once instead of in the next
+/// round.
+void directory::impl::tellPeersSoon() {
+  Timers.after(duration::zero(), guarded([this] { sendSyncMessages(); }));
+}
+
+evacuation_watch::hooks directory::impl::evacuationHooks() {
+  evacuation_watch::hooks Watch;
+  Watch.Wait = [this] {
+    return evacuationsWatchWait(watchStateOf(Evacuations.feed()));
+  };
+  Watch.OnChange = [this](const std::string &Source) {
+    onEvacuationsChanged(Source);
+  };
+  Watch.OnAvailability = [this](bool Answers, const std::string &Reason) {
+    Hooks.OnEvent(Answers ? event_kind::StoreRecovered : event_kind::StoreLost,
+                  Settings.EvacuationsKind + ": " + Reason);
+  };
+  return Watch;
+}
+
+/// Sends sync messages at once instead of in the next round: each balancer that
+/// learns of a change passes it on, so that it reaches a fleet of thousands
+/// within a second.
+void directory::impl::onEvacuationsChanged(const std::string &Source) {
+  const evacuations &Table = Evacuations.table();
+  std::string Zones;
+  for (const std::string &Zone : Table.Zones)
+    Zones += (Zones.empty() ? "" : " ") + Zone;
+  Hooks.OnEvent(event_kind::EvacuationsChanged,
+                (Zones.empty() ? "none" : Zones) + ", version " +
+                    std::to_string(Table.Version) + ", from " + Source);
+  Hooks.OnEvacuations();
+  sendSyncMessages();
+}
+
+void directory::impl::onRoutesObject(const platform_object &Object) {
+  if (Object.Key.Name != Settings.RoutesName || Object.Deleted)
+    return;
+  if (!Loader.busy())
+    KnownBeforeLoading = Routes.asOf();
+  Loader.take(Object);
+}
+
+route_loader::hooks directory::impl::loaderHooks() {
+  route_loader::hooks Loader;
+  Loader.Read = [this](const platform_object &Object) {
+    return isEncodedRouteTable(Object.Body) ? readEncodedRouteTable(Object)
+                                            : Hooks.ReadRoutes(Object);
+  };
+  Loader.Yield = Hooks.Yield;
+  Loader.OnTable = [this](const platform_object &Object, route_table Table) {
+    onRoutesRead(Object, std::move(Table));
+  };
+  Loader.OnTableReady = [this] { notifyChanges(); };
+  Loader.OnRefused = [this](const std::string &Why) {
+    Hooks.OnEvent(event_kind::RoutesRefused, Why);
+  };
+  Loader.OnCallback = Hooks.OnCallback;
+  return Loader;
+}
+
+void directory::impl::onRoutesRead(const platform_object &Object,
+                                   route_table Table) {
+  Routes.replaceBody(Object, encodeRouteTable(Table));
+  if (DecodedVersion != 0 && Table.Version <= DecodedVersion)
+    return;
+  DecodedVersion = Table.Version;
+  Decoded = std::move(Table);
+}
+
+void directory::impl::onSiteObject(const platform_object &Object) {
+  const std::string &Name = Object.Key.Name;
+  if (Name == RecordName && !Object.Deleted) {
+    Record.load(Object.Body);
+    RulesChanged = true;
+    requestRecordUpdate();
+    return;
+  }
+  if (Name.starts_with(BalancerPrefix))
+    return onBalancer(Object);
+  if (!Name.starts_with(TargetPrefix))
+    return;
+  TargetsChanged = true;
+  if (Object.Deleted) {
+    Targets.erase(Name);
+    return;
+  }
+  boost::leaf::try_handle_all(
+      [&]() -> result<void> {
+        BOOST_LEAF_AUTO(Target, decodeTarget(Name, Object.Body));
+        Targets[Name] = Target;
+        return {};
+      },
+      [&](const failure &Failure) {
+        Hooks.OnEvent(event_kind::ObjectRefused, toText(Failure));
+      },
+      [&] { Hooks.OnEvent(event_kind::ObjectRefused, Name); });
+}
+
+std::optional<endpoint>
+directory::impl::balancerAt(const platform_object &Object) {
+  if (!Object.Key.Name.starts_with(BalancerPrefix))
+    return std::nullopt;
+  const json Body = json::parse(Object.Body, nullptr, false);
+  if (!Body.is_object() || !Body.contains("self") || !Body["self"].is_string())
+    return std::nullopt;
+  const auto Self = parseEndpoint(Body["self"].get<std::string>());
+  return Self ? std::optional(*Self) : std::nullopt;
+}
+
+std::uint32_t directory::impl::zoneOf(const platform_object &Object) {
+  const json Body = json::parse(Object.Body, nullptr, false);
+  if (!Body.is_object() || !Body.contains("zone") || !Body["zone"].is_string())
+    return 0;
+  return static_cast<std::uint32_t>(
+      serviceNumber(Body["zone"].get<std::string>()));
+}
+
+/// Peers whose entry was deleted are not contacted any more, unless a message
+/// from them arrives.
+void directory::impl::onBalancer(const platform_object &Object) {
+  const auto Peer = balancerAt(Object);
+  if (!Peer)
+    return;
+  if (Object.Deleted)
+    Peers.forget(*Peer);
+  else
+    Peers.add(*Peer, zoneOf(Object));
+}
+
+} // namespace marjoramrail
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -2,7 +2,8 @@
 ///
 /// \file
 /// The implementation class of directory. Its functions are grouped by subject:
-/// data from the store in directory.cpp, exchange with peers in
+/// the public functions and the activation of routes in directory.cpp, data
+/// from the store in directory_feeds.cpp, exchange with peers in
 /// directory_peers.cpp, writes to the store in directory_writes.cpp.
 ///
 //===----------------------------------------------------------------------===//
--- a/src/directory/directory_peers.cpp
+++ b/src/directory/directory_peers.cpp
@@ -62,8 +62,8 @@
                       Message->IsServed);
   Evacuations.takeFromPeer(Message->Evacuations, Message->Self);
   if (!Message->IsReply) {
-    const callback_timer Turn(Hooks.OnCallback,
-                              callback_kind::AnswerSyncMessage);
+    const callback_timer Timer(Hooks.OnCallback,
+                               callback_kind::AnswerSyncMessage);
     sync_message Reply = makeSyncMessage();
     Reply.IsReply = true;
     Reply.RequestedAtUs = Message->RequestedAtUs;
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -104,8 +104,8 @@
 
 std::optional<std::string> directory::impl::compareRecord() {
   const route_services &Current = Activation.newestServices();
-  const callback_timer Turn(Hooks.OnCallback, callback_kind::CompareRecord,
-                            Current.entries().size());
+  const callback_timer Timer(Hooks.OnCallback, callback_kind::CompareRecord,
+                             Current.entries().size());
   return Record.update(Current, Timers.now());
 }
 
--- a/src/directory/route_loader.cpp
+++ b/src/directory/route_loader.cpp
@@ -47,11 +47,11 @@
 }
 
 result<void> route_loader::readPart() {
-  callback_timer Turn(Hooks.OnCallback, callback_kind::DecodeRoutes);
+  callback_timer Timer(Hooks.OnCallback, callback_kind::DecodeRoutes);
   const std::size_t Before = Reading->Table.Routes.size();
   BOOST_LEAF_AUTO(Whole, Reading->Read(RoutesPerStep, Reading->Table));
   IsComplete = Whole;
-  Turn.setItems(Reading->Table.Routes.size() - Before);
+  Timer.setItems(Reading->Table.Routes.size() - Before);
   return {};
 }
 
--- a/src/fleet/heartbeat_sender.cpp
+++ b/src/fleet/heartbeat_sender.cpp
@@ -74,14 +74,16 @@
 
   void take(const endpoint &From, const host_ping &) { send(From, describe()); }
 
-  void take(const endpoint &, const view_full &Full) { takeView(Full.Members); }
+  void take(const endpoint &, const view_full &Full) {
+    applyView(Full.Members);
+  }
 
   void take(const endpoint &, const view_delta &Delta) {
     if (const auto Next = applyDelta(View, Delta))
-      takeView(*Next);
+      applyView(*Next);
   }
 
-  void takeView(const membership &Members) {
+  void applyView(const membership &Members) {
     if (Members.View.Name != Settings.Service ||
         Members.View.Version <= View.View.Version)
       return;
--- a/src/fleet/node_impl.cpp
+++ b/src/fleet/node_impl.cpp
@@ -79,7 +79,7 @@
   Counters.DecodeErrors += Failure ? 1 : 0;
 }
 
-void fleet_node::impl::takeView(const membership &Members) {
+void fleet_node::impl::applyView(const membership &Members) {
   const offer Offer = Views.take(Members);
   Counters.StaleIgnored += Offer == offer::Older ? 1 : 0;
   if (Offer != offer::Newer)
--- a/src/fleet/node_impl.h
+++ b/src/fleet/node_impl.h
@@ -87,7 +87,7 @@
     Gossip.take(From, Message);
   }
 
-  void takeView(const membership &Members);
+  void applyView(const membership &Members);
   void takeLease(const shard_lease_update &Update);
   std::vector<shard_lease_update> leasesToSend(bool Fill);
   void peersChanged();
--- a/src/fleet/node_wiring.cpp
+++ b/src/fleet/node_wiring.cpp
@@ -64,7 +64,7 @@
       .Send = [this](const endpoint &To, const message &Message,
                      urgency Urgency) { return send(To, Message, Urgency); },
       .OnPeersChanged = [this] { peersChanged(); },
-      .OnView = [this](const membership &Members) { takeView(Members); },
+      .OnView = [this](const membership &Members) { applyView(Members); },
       .OnLease =
           [this](const shard_lease_update &Update) { takeLease(Update); },
       .ShardLeases = [this](bool Fill) { return leasesToSend(Fill); }};
@@ -111,7 +111,7 @@
           },
       .NewestView =
           [this](const std::string &Service) { return Views.find(Service); },
-      .OnWritten = [this](const membership &Members) { takeView(Members); },
+      .OnWritten = [this](const membership &Members) { applyView(Members); },
       .OnObject = [this](const platform_object &Object) { Feed.wrote(Object); },
       .Probe = [this](const probe_request &Request) { probeOthers(Request); },
       .Balancers = [this] { return Peers.living().size(); },
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -223,8 +223,8 @@
 
 platform_reply platform_client::impl::decode(const call &Call,
                                              const http_answer &Answer) {
-  const callback_timer Turn(Settings.OnCallback, callback_kind::DecodeAnswer,
-                            Answer.Body.size());
+  const callback_timer Timer(Settings.OnCallback, callback_kind::DecodeAnswer,
+                             Answer.Body.size());
   return Settings.Dialect.Reply(Call, Answer);
 }
 
@@ -303,8 +303,8 @@
     return;
   const platform_reply Reply = std::move(Found->second);
   Finished.erase(Found);
-  const callback_timer Turn(Settings.OnCallback, callback_kind::TakeAnswer,
-                            Call->Bytes);
+  const callback_timer Timer(Settings.OnCallback, callback_kind::TakeAnswer,
+                             Call->Bytes);
   if (const platform_callback Done = std::exchange(Call->Done, nullptr))
     Done(Reply);
 }
--- a/src/proxy/request_proxy.cpp
+++ b/src/proxy/request_proxy.cpp
@@ -9,7 +9,7 @@
       Work(
           Settings.Admission,
           [this](const work_request &Request, relay_reason Why,
-                 const load_report &Own,
+                 const agent_load &Own,
                  instant Now) { return Peers.pick(Request, Why, Own, Now); },
           Settings.Seed),
       Idempotency(Timers,
@@ -119,13 +119,13 @@
   return Impl->Idempotency.records();
 }
 
-load_report request_proxy::load() {
-  load_report Report = Impl->Work.load(Impl->Timers.now());
+agent_load request_proxy::load() {
+  agent_load Report = Impl->Work.load(Impl->Timers.now());
   Report.Host = Impl->Settings.Host;
   return Report;
 }
 
-void request_proxy::updatePeerLoad(const load_report &Peer) {
+void request_proxy::updatePeerLoad(const agent_load &Peer) {
   Impl->Peers.report(Peer, Impl->Timers.now());
 }
 
--- a/src/work/admission.cpp
+++ b/src/work/admission.cpp
@@ -90,7 +90,7 @@
   duration expectedWait(const work_request &Request, instant Now) const;
   bool tooLate(const work_request &Request, double ServiceSeconds,
                instant Start) const;
-  load_report load(instant Now);
+  agent_load load(instant Now);
   void recordUse(instant Now);
 
   admission_settings Settings;
@@ -181,9 +181,9 @@
   Busy.recordUse(double(inSlots()) / Slots, Now);
 }
 
-load_report admission::impl::load(instant Now) {
+agent_load admission::impl::load(instant Now) {
   recordUse(Now);
-  load_report Report;
+  agent_load Report;
   Report.Slots = double(std::max<std::size_t>(Limit.limit(Now), 1));
   Report.Busy = Busy.value();
   Report.Service =
@@ -431,7 +431,7 @@
 
 void admission::resume() { Impl->Draining = false; }
 
-load_report admission::load(instant Now) { return Impl->load(Now); }
+agent_load admission::load(instant Now) { return Impl->load(Now); }
 std::size_t admission::running() const { return Impl->inSlots(); }
 std::size_t admission::waiting() const { return Impl->Queue.size(); }
 std::size_t admission::streams() const { return Impl->Streams; }
--- a/src/work/relay_choice.cpp
+++ b/src/work/relay_choice.cpp
@@ -30,7 +30,7 @@
 constexpr double DeadZone = 0.02;
 
 struct peer {
-  load_report Load;
+  agent_load Load;
   instant At;
   /// Number of requests sent since the report that still hold slots, and the
   /// time for which the number was computed.
@@ -53,11 +53,11 @@
   bool usable(const peer &Peer, instant Now) const;
   static double loadOf(const peer &Peer, instant Now);
   static void countSent(peer &Peer, instant Now);
-  bool wantsShift(const load_report &Own, instant Now);
-  void adjustShift(const load_report &Own, instant Now);
+  bool wantsShift(const agent_load &Own, instant Now);
+  void adjustShift(const agent_load &Own, instant Now);
   std::optional<host_id> lessLoadedOfTwo(instant Now);
   std::optional<host_id> pick(const work_request &Request, relay_reason Why,
-                              const load_report &Own, instant Now);
+                              const agent_load &Own, instant Now);
 
   host_id Self;
   relay_settings Settings;
@@ -79,7 +79,7 @@
 
 double relay_choice::shiftedShare() const { return Impl->Shifted; }
 
-void relay_choice::report(const load_report &Peer, instant Now) {
+void relay_choice::report(const agent_load &Peer, instant Now) {
   if (Peer.Host == Impl->Self)
     return;
   peer &Known = Impl->Peers[Peer.Host];
@@ -142,7 +142,7 @@
   return Lower ? First : Second;
 }
 
-void relay_choice::impl::adjustShift(const load_report &Own, instant Now) {
+void relay_choice::impl::adjustShift(const agent_load &Own, instant Now) {
   double Sum = Own.Busy;
   double Count = 1;
   for (const auto &[Host, Peer] : Peers) {
@@ -160,14 +160,14 @@
   Shifted = std::clamp(Shifted, 0.0, MaxShifted);
 }
 
-bool relay_choice::impl::wantsShift(const load_report &Own, instant Now) {
+bool relay_choice::impl::wantsShift(const agent_load &Own, instant Now) {
   adjustShift(Own, Now);
   return std::uniform_real_distribution<>(0, 1)(Random) < Shifted;
 }
 
 std::optional<host_id> relay_choice::impl::pick(const work_request &Request,
                                                 relay_reason Why,
-                                                const load_report &Own,
+                                                const agent_load &Own,
                                                 instant Now) {
   if (Request.Hops >= Settings.MaxHops || Request.RelayedBy)
     return std::nullopt;
@@ -189,7 +189,7 @@
 
 std::optional<host_id> relay_choice::pick(const work_request &Request,
                                           relay_reason Why,
-                                          const load_report &Own, instant Now) {
+                                          const agent_load &Own, instant Now) {
   return Impl->pick(Request, Why, Own, Now);
 }
 
--- a/test/agent/agent_group.h
+++ b/test/agent/agent_group.h
@@ -91,7 +91,7 @@
 
   void applyView(const service_view &View) {
     for (const auto &[Host, Agent] : Agents)
-      Agent->takeView(View, Now);
+      Agent->applyView(View, Now);
   }
 
   /// Advances the time. All views are confirmed throughout.
--- a/test/agent/flow_owner_test.cpp
+++ b/test/agent/flow_owner_test.cpp
@@ -115,7 +115,7 @@
   service_view View = First;
   for (unsigned Host = 1; Host <= 6; ++Host) {
     View = withGeneration(View, {Host, Host % 6 + 1});
-    Group.Agents.at(Host)->takeView(View, Group.Now);
+    Group.Agents.at(Host)->applyView(View, Group.Now);
   }
   for (std::uint16_t Port = 4000; Port < 4100; ++Port)
     for (const tcp_packet &Packet :
@@ -153,10 +153,10 @@
   const service_view View = viewOf(3);
   agent_group Group(View);
   const service_view Newer = withGeneration(View, {1, 2, 3});
-  Group.Agents.at(1)->takeView(Newer, Group.Now);
-  Group.Agents.at(2)->takeView(Newer, Group.Now);
+  Group.Agents.at(1)->applyView(Newer, Group.Now);
+  Group.Agents.at(2)->applyView(Newer, Group.Now);
   Group.start(3, 2);
-  Group.Agents.at(3)->takeView(View, Group.Now);
+  Group.Agents.at(3)->applyView(View, Group.Now);
   Group.advanceTime(seconds(4));
   const tcp_packet Ack = ackOf(flowFrom(4000), 1);
   routed_packet Routed = routedBy(View, Ack);
--- a/test/agent/peers_test.cpp
+++ b/test/agent/peers_test.cpp
@@ -36,7 +36,7 @@
   New.Generations = {{2, {{host_id(4), 100}, {host_id(5), 100}}},
                      Old.Generations[0]};
   for (const unsigned Host : {1, 2, 4, 5})
-    Group.Agents.at(Host)->takeView(New, Group.Now);
+    Group.Agents.at(Host)->applyView(New, Group.Now);
   Group.advanceTime(seconds(2));
   const tcp_packet Syn = synOf(flowFrom(4000));
 
@@ -44,7 +44,7 @@
   CHECK(Early.Action == packet_action::Deliver);
   CHECK(Early.Host <= 3);
 
-  Group.Agents.at(3)->takeView(New, Group.Now);
+  Group.Agents.at(3)->applyView(New, Group.Now);
   Group.advanceTime(seconds(1));
   const tcp_packet Next = synOf(flowFrom(4001));
   CHECK(Group.follow(routedBy(New, Next), Next).Host >= 4);
@@ -75,11 +75,11 @@
   Group.applyView(New);
   Group.advanceTime(seconds(1));
   Group.start(3, 2);
-  Group.Agents.at(3)->takeView(Old, Group.Now);
+  Group.Agents.at(3)->applyView(Old, Group.Now);
   service_view After = New;
   After.Version = 3;
   After.Targets[2].Incarnation = 2;
-  Group.Agents.at(1)->takeView(After, Group.Now);
+  Group.Agents.at(1)->applyView(After, Group.Now);
 
   CHECK(Group.Agents.at(1)->oldestNeededGeneration() == 1);
 }
--- a/test/path/path_world.cpp
+++ b/test/path/path_world.cpp
@@ -440,7 +440,7 @@
     if (!Host.Core)
       startCore(I);
     Host.Version = laterVersion(Host.Version);
-    Host.Core->takeView(Views.at(Host.Version).View, Now);
+    Host.Core->applyView(Views.at(Host.Version).View, Now);
   }
 }
 
--- a/test/proxy/keyed_request_test.cpp
+++ b/test/proxy/keyed_request_test.cpp
@@ -122,7 +122,7 @@
   // outcome of the key can become unknown forever: nobody ran the request, and
   // no retry will be run.
   proxy_fixture Fixture(1);
-  load_report Idle;
+  agent_load Idle;
   Idle.Host = host_id(2);
   Idle.Slots = 4;
   test_caller &Caller = Fixture.open();
--- a/test/proxy/request_proxy_test.cpp
+++ b/test/proxy/request_proxy_test.cpp
@@ -251,7 +251,7 @@
 
 TEST_CASE("a drained agent relays new requests to a peer") {
   proxy_fixture Fixture;
-  load_report Idle;
+  agent_load Idle;
   Idle.Host = host_id(2);
   Idle.Slots = 4;
   Fixture.Proxy->updatePeerLoad(Idle);
@@ -274,7 +274,7 @@
   // The connection to the peer ends before the answer arrives. The peer may
   // have run the request, so running it here could run it twice.
   proxy_fixture Fixture(1);
-  load_report Idle;
+  agent_load Idle;
   Idle.Host = host_id(2);
   Idle.Slots = 4;
   Fixture.Proxy->updatePeerLoad(Idle);
@@ -292,7 +292,7 @@
 
 TEST_CASE("a peer's refusal is returned if the request cannot be run here") {
   proxy_fixture Fixture(1);
-  load_report Idle;
+  agent_load Idle;
   Idle.Host = host_id(2);
   Idle.Slots = 4;
   Fixture.Proxy->updatePeerLoad(Idle);
--- a/test/work/admission_test.cpp
+++ b/test/work/admission_test.cpp
@@ -175,7 +175,7 @@
 TEST_CASE("admission refuses a relayed request instead of queueing it") {
   admission Work(
       warm(1),
-      [](const work_request &, relay_reason, const load_report &, instant) {
+      [](const work_request &, relay_reason, const agent_load &, instant) {
         return std::optional<host_id>();
       },
       1);
--- a/test/work/key_history.cpp
+++ b/test/work/key_history.cpp
@@ -65,7 +65,7 @@
   void send(const key_messages &Messages);
   void deliver();
   void runAgent(std::size_t Index);
-  void takeView(agent &Agent);
+  void applyView(agent &Agent);
   void claimRandomKey();
   void takeResults(std::size_t Index);
   void begin(std::size_t Index, const std::string &Key);
@@ -163,7 +163,7 @@
 }
 
 /// Each agent receives a view at its own time, some later than others.
-void world::takeView(agent &Agent) {
+void world::applyView(agent &Agent) {
   if (Agent.ViewTaken == Views.size() || Now < Agent.NextView)
     return;
   Agent.ViewTaken = Views.size();
@@ -182,7 +182,7 @@
     Agent.Claims->continueAs(Agent.Incarnation, Now);
   }
   Agent.LastStep = Now;
-  takeView(Agent);
+  applyView(Agent);
   while (!Agent.Inbox.empty()) {
     const key_message Message = Agent.Inbox.front();
     Agent.Inbox.pop_front();
--- a/test/work/load_model.cpp
+++ b/test/work/load_model.cpp
@@ -140,7 +140,7 @@
   admission::pick_peer Pick;
   if (S.RelayOn)
     Pick = [Peers = Host.Peers.get()](const work_request &Request,
-                                      relay_reason Why, const load_report &Own,
+                                      relay_reason Why, const agent_load &Own,
                                       instant At) {
       return Peers->pick(Request, Why, Own, At);
     };
@@ -400,7 +400,7 @@
   for (std::size_t From = 0; From < S.Hosts; ++From) {
     if (Hosts[From].Stopped)
       continue;
-    load_report Report = Hosts[From].Work->load(at(Now));
+    agent_load Report = Hosts[From].Work->load(at(Now));
     Report.Host = host_id{std::uint32_t(From)};
     after(S.RelaySeconds, [this, Report] {
       for (host &Each : Hosts)
--- a/test/work/relay_choice_test.cpp
+++ b/test/work/relay_choice_test.cpp
@@ -12,7 +12,7 @@
 constexpr host_id Self{0};
 const instant Start(seconds(100));
 
-load_report loadOf(unsigned Host, double Pressure) {
+agent_load loadOf(unsigned Host, double Pressure) {
   return {.Host = host_id{Host},
           .Busy = Pressure,
           .Pressure = Pressure,
