--- a/include/marjoramrail/logging.h
+++ b/include/marjoramrail/logging.h
@@ -1,15 +1,9 @@
 //===- logging.h - Free-form logs of a daemon -------------------*- C++ -*-===//
 ///
 /// \file
-/// Starts glog. A library of its own because not every process uses it: the
-/// forwarding processes write structured events only, and loading glog takes a
-/// small VM longer than it takes to be without a balancer.
-///
-/// Usage:
-/// \code
-///   startLogging(argv[0]);
-///   LOG(INFO) << "settings loaded";
-/// \endcode
+/// Starts glog. This is a library of its own because the forwarding processes
+/// write structured events only: on their small VMs each further shared library
+/// delays a restart noticeably.
 ///
 //===----------------------------------------------------------------------===//
 
--- a/src/directory/watch_schedule.cpp
+++ b/src/directory/watch_schedule.cpp
@@ -40,7 +40,7 @@
 static constexpr duration AvailabilityCheckInterval = std::chrono::seconds(1);
 
 /// The age of the data at which a balancer makes a call to confirm it.
-static duration patienceOf(const watch_state &State) {
+static duration confirmationAgeOf(const watch_state &State) {
   if (State.RunTime < PeerDiscoveryTime || State.Rank >= State.Watchers)
     return PeerStateMaxAge;
   if (State.Rank == 0)
@@ -58,7 +58,7 @@
 }
 
 static std::optional<duration> dataWatchWait(const watch_state &State) {
-  if (State.DataAge && *State.DataAge <= patienceOf(State))
+  if (State.DataAge && *State.DataAge <= confirmationAgeOf(State))
     return changesWatchWait(State);
   if (State.LivePeers == 0)
     return SoloWatchWait;
--- a/test/forward/warming_targets_test.cpp
+++ b/test/forward/warming_targets_test.cpp
@@ -98,7 +98,7 @@
 }
 
 TEST_CASE_FIXTURE(returning_zone,
-                  "an agent that was restarted grants only the slack") {
+                  "an agent that was restarted grants only the extra flows") {
   startAgent(1);
   Hosts[1].Agent->setAdmitting(true);
   Hosts[1].Agent->setTarget(4, Warmup, Now);
--- a/test/places/warmup_limit_test.cpp
+++ b/test/places/warmup_limit_test.cpp
@@ -62,7 +62,7 @@
     CHECK(Limit.admits(flowOf(Number), instant{10s}));
 }
 
-TEST_CASE("before the rate is known only the slack is granted") {
+TEST_CASE("before the rate is known only the extra flows are granted") {
   // The agent has just started and no balancer has told it the rate yet.
   warmup_limit Limit(warmup_limit::settings{1.5, 5});
   unsigned Admitted = 0;
