Forward: a late copy of a SYN does not make an agent disown an open flow

From the logs: balancer 3 was frozen and on waking delivered two copies of the flow's first packet, 796 ms old by its own clock and seconds old in truth; the owner's agent had been restarted 77 ms before. The owner's target answered the copy, so the new agent took the flow for half-open, concluded from the caller's next acknowledgement that the flow was opened at another target ("opened elsewhere") and passed the packet on without offering it. The other target had a half-open copy too, its agent concluded the same, and the end of a complete list is a reset. Change: an agent that did not see the flow opened cannot conclude that; the packet is offered to the target, which returns it if it does not hold the flow. flow_match had two values left and is a bool now: isOfKnownFlow(). Cost: one more offer to a target for each packet of a flow of which two targets answered copies of the SYN.

--- a/src/forward/routed_packets.cpp
+++ b/src/forward/routed_packets.cpp
@@ -67,16 +67,13 @@
 agent_outcome forward_agent::impl::onFlowPacket(const routed_packet &Routed,
                                                 const segment &Segment,
                                                 instant Now) {
-  const target_load::flow_match Kind = Load.matchFlow(Segment.Head);
-  if (Kind == target_load::flow_match::Known)
+  const bool IsKnown = Load.isOfKnownFlow(Segment.Head);
+  if (IsKnown)
     addReportReceiver(Routed, Now);
   else
     addOneTimeReceiver(Routed);
   if (TargetStopped)
     return passToNext(Routed, Segment.Head, "target gone");
-  if (Kind == target_load::flow_match::OtherTarget)
-    return passToNext(Routed, Segment.Head, "opened elsewhere");
-  const bool IsKnown = Kind == target_load::flow_match::Known;
   if (IsKnown) {
     sendOwnerNotice(Routed, Segment.Head.Flow, Now);
     noteAbortedRequest(Segment.Head, Now);
--- a/src/forward/target_load.cpp
+++ b/src/forward/target_load.cpp
@@ -18,20 +18,21 @@
   return A - B <= Window || B - A <= Window;
 }
 
-target_load::flow_match target_load::matchFlow(const tcp_packet &Packet) const {
+/// A half-open flow whose caller acknowledges something else than the target's
+/// SYN may be held by another target, but it may also have been open for long
+/// before this agent was started: a late copy of its SYN then makes the target
+/// answer once more. Only the target can tell, so the packet is offered to it.
+bool target_load::isOfKnownFlow(const tcp_packet &Packet) const {
   const auto Found = Flows.find(Packet.Flow);
   if (Found == Flows.end())
-    return flow_match::Unknown;
+    return false;
   const watched_flow &Flow = Found->second;
   if (!Flow.SequenceKnown)
-    return flow_match::Unknown;
-  if (Flow.HalfOpen && Packet.Ack &&
-      Packet.Acknowledged != Flow.TargetSequence + 1)
-    return flow_match::OtherTarget;
+    return false;
+  if (Flow.HalfOpen)
+    return !Packet.Ack || Packet.Acknowledged == Flow.TargetSequence + 1;
   const std::uint32_t Last = Flow.CallerAcknowledged;
-  if (!Flow.HalfOpen && Last != 0 && !isNear(Packet.Acknowledged, Last))
-    return flow_match::Unknown;
-  return flow_match::Known;
+  return Last == 0 || isNear(Packet.Acknowledged, Last);
 }
 
 bool target_load::hasOpenFlow(const tcp_packet &Packet) const {
--- a/src/forward/target_load.h
+++ b/src/forward/target_load.h
@@ -74,22 +74,14 @@
 /// Tracks the flows of one target and computes its load.
 class target_load {
 public:
-  /// How a packet from the caller relates to the flows that the agent has
-  /// observed.
-  enum class flow_match {
-    /// It belongs to a flow on which the target has answered.
-    Known,
-    /// It belongs to no observed flow, or to a new flow on a reused port.
-    Unknown,
-    /// It acknowledges another target's answer: two targets answered copies of
-    /// one SYN, and the caller accepted the other answer.
-    OtherTarget,
-  };
-
   void setSlots(std::uint32_t Count) { Slots = std::max(Count, 1U); }
   void setIdleFlow(duration Time) { IdleFlow = Time; }
 
-  flow_match matchFlow(const tcp_packet &Packet) const;
+  /// Whether a packet from the caller belongs to a flow on which the target has
+  /// answered. It does not if it belongs to a new flow on a reused port, or if
+  /// two targets answered copies of one SYN and the caller accepted the other
+  /// answer.
+  bool isOfKnownFlow(const tcp_packet &Packet) const;
   /// Returns whether the target was seen to hold the open flow of \p Packet. A
   /// new flow on a reused port has the same addresses; it is told apart by the
   /// number that the caller acknowledges.
--- a/test/forward/flows_test.cpp
+++ b/test/forward/flows_test.cpp
@@ -235,6 +235,29 @@
   CHECK(resets() == 0);
 }
 
+TEST_CASE_FIXTURE(small_site,
+                  "late copies of its first packet do not break an open flow") {
+  // A balancer was frozen and delivers copies of a flow's first packet seconds
+  // late. The owner's agent was restarted meanwhile, so that it sees its target
+  // answer the first packet of a flow that has long been open. The caller must
+  // not lose its flow with the next request.
+  const flow_key Flow = flowOf(1001);
+  const std::uint32_t Ack = open(1, Flow);
+  const unsigned Owner = ownerOf(Flow);
+  startAgent(Owner);
+  Hosts[Owner].Agent->setAdmitting(true);
+  Hosts[Owner].Agent->setTarget(4, duration::zero(), Now);
+  for (const std::uint32_t Copy : {0, 1, 2})
+    packet(2, syn(Flow, Copy));
+  Received.clear();
+  packet(1, data(Flow, Ack + 50));
+  packet(2, data(Flow, Ack + 50));
+  pass(1s);
+
+  CHECK(resets() == 0);
+  CHECK(answers() == 2);
+}
+
 TEST_CASE_FIXTURE(small_site, "the flows of a stopped process are reset") {
   // A target's process has crashed. Callers that get a reset before they send
   // lose nothing; a request sent into a lost flow may not be safe to repeat.
