Interfaces of service levels: routed packets, long load reports, admission

Cause: nothing that operators say of a route reaches the processes that decide under load; full targets queue first come first served.

Change: service_level, its record in routed packets (format 2), the long load report, and the fields by which admission will schedule by level, with tests that pin the formats. Nothing sends them yet. The test of an unknown format of routed packets uses format 3, since 2 now exists.

Ruled out: a table of levels at each agent (46,000 routes, and an agent that has just started would know none); a field in the targets' store entries (older balancers refuse entries with unknown fields).

--- a/include/marjoramrail/agent_messages.h
+++ b/include/marjoramrail/agent_messages.h
@@ -23,6 +23,8 @@
 #include "marjoramrail/base.h"
 #include "marjoramrail/wire.h"
 
+#include <algorithm>
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -33,6 +35,28 @@
 // Load reports
 //===----------------------------------------------------------------------===//
 
+/// Number of priorities that a load report tells apart. The last one stands for
+/// all that are less urgent.
+inline constexpr std::size_t ReportedPriorities = 4;
+
+/// The position of \p Priority in the arrays of capacity_report.
+constexpr std::size_t reportedPriority(std::uint8_t Priority) {
+  return std::min<std::size_t>(Priority, ReportedPriorities - 1);
+}
+
+/// What an agent that schedules requests by service level can take now.
+struct capacity_report {
+  /// Number of new flows whose requests would start at once.
+  std::uint16_t FreeSlots = 0;
+  /// Requests that the agent holds for its target, by priority.
+  std::array<std::uint16_t, ReportedPriorities> Waiting{};
+  /// Expected time until a new request would start, by priority; in whole
+  /// milliseconds, 65,535 at most.
+  std::array<duration, ReportedPriorities> Wait{};
+
+  bool operator==(const capacity_report &) const = default;
+};
+
 /// Load and state of an agent's target, sent to the balancers that send packets
 /// to the agent.
 struct load_report {
@@ -62,11 +86,15 @@
   /// the target warms up.
   bool Evacuated = false;
   std::uint32_t WarmupRate = 0;
+  /// Set in reports to balancers that state service levels.
+  std::optional<capacity_report> Capacity = {};
 
   bool operator==(const load_report &) const = default;
 };
 
 inline constexpr std::size_t LoadReportBytes = 40;
+/// Size of a report with load_report::Capacity. Older balancers cannot read it.
+inline constexpr std::size_t LongLoadReportBytes = 60;
 
 /// Returns the size written, or 0 if \p Buffer is too small.
 std::size_t encodeLoadReport(const load_report &Report,
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -33,6 +33,7 @@
 #include "marjoramrail/mechanism.h"
 #include "marjoramrail/places.h"
 #include "marjoramrail/platform.h"
+#include "marjoramrail/service_level.h"
 #include "marjoramrail/timeline.h"
 
 #include <cstdint>
@@ -66,6 +67,9 @@
   std::vector<service_share> Shares;
   /// The regions that flows of the route may be sent to.
   region_restriction Regions = {};
+  /// How urgent the route's requests are; nothing if the configuration does not
+  /// say.
+  std::optional<service_level> Level = {};
 
   bool operator==(const route &) const = default;
 };
@@ -80,6 +84,14 @@
   bool operator==(const service_warmup &) const = default;
 };
 
+/// How many flows a target of a service bears.
+struct service_flow_limit {
+  std::string Service;
+  std::uint32_t MaxFlows = 0;
+
+  bool operator==(const service_flow_limit &) const = default;
+};
+
 /// One accepted configuration.
 struct route_table {
   /// Increases with each accepted configuration.
@@ -90,6 +102,8 @@
   duration IdleFlow = std::chrono::minutes(5);
   /// Services with a limit for targets that are warming up.
   std::vector<service_warmup> Warmups;
+  /// Services whose targets bear a limited number of flows.
+  std::vector<service_flow_limit> FlowLimits = {};
 
   bool operator==(const route_table &) const = default;
 };
@@ -115,6 +129,8 @@
   /// The regions in which flows of this address may have their owner: those of
   /// the current and of an upcoming configuration.
   region_restriction OwnerRegions = {};
+  /// The service level of the active configuration.
+  std::optional<service_level> Level = {};
 
   bool operator==(const route_rule &) const = default;
 };
@@ -393,6 +409,7 @@
   /// The warm-up limits of the newest configuration, and its version; 0 if none
   /// is known.
   std::vector<service_warmup> warmupRates() const;
+  std::vector<service_flow_limit> flowLimits() const;
   std::uint64_t newestRoutesVersion() const;
   /// Every change that the store accepted before this moment is known here.
   std::optional<instant> knownAsOf() const;
--- a/include/marjoramrail/mechanism.h
+++ b/include/marjoramrail/mechanism.h
@@ -62,9 +62,16 @@
   /// If the list of owner candidates was truncated, the balancer continues the
   /// owner lookup.
   LookupContinuation,
+  /// Agents hold requests that their target cannot run yet and deliver them in
+  /// the order of their service levels.
+  RequestScheduling,
+  /// An agent whose target has no free slot passes new flows on.
+  RoomHandover,
+  /// Balancers refuse new flows that no target can serve in time.
+  AdmissionThreshold,
 };
 
-inline constexpr name_table<mechanism, 15> MechanismNames = {{
+inline constexpr name_table<mechanism, 18> MechanismNames = {{
     {mechanism::TwoChoices, "two_choices"},
     {mechanism::ZoneOverflow, "zone_overflow"},
     {mechanism::QueueWeight, "queue_weight"},
@@ -80,6 +87,9 @@
     {mechanism::EarlyStoreRetry, "early_store_retry"},
     {mechanism::SettleTime, "settle_time"},
     {mechanism::LookupContinuation, "walk_continuation"},
+    {mechanism::RequestScheduling, "request_scheduling"},
+    {mechanism::RoomHandover, "room_handover"},
+    {mechanism::AdmissionThreshold, "admission_threshold"},
 }};
 
 class mechanism_set {
--- a/include/marjoramrail/wire.h
+++ b/include/marjoramrail/wire.h
@@ -6,9 +6,15 @@
 ///
 /// A routed packet is one UDP datagram, integers in network byte order:
 ///
-///   u16 magic 0x4d52 | u8 format 1 | u8 flags | u32 service | u64 version |
+///   u16 magic 0x4d52 | u8 format | u8 flags | u32 service | u64 version |
 ///   u8 position | u8 count | u32 address, u16 port of the balancer |
-///   count x (u32 address, u16 port) | the caller's IPv4 packet, unchanged
+///   count x (u32 address, u16 port) | service level | the caller's packet,
+///   unchanged
+///
+/// The service level is present in format 2 only; format 1 has none:
+///
+///   u8 priority | u8 flags (1: repeatable) | u16 zero | u32 latency aim,
+///   u32 time limit in ms | u32 flow limit | u64 version of the configuration
 ///
 /// The owner that finally takes the packet may send an owner_notice to the
 /// balancer's address, which is 0 if the balancer wants no notice. `version` is
@@ -31,10 +37,12 @@
 #define MARJORAMRAIL_WIRE_H
 
 #include "marjoramrail/base.h"
+#include "marjoramrail/service_level.h"
 
 #include <algorithm>
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <span>
 
 namespace marjoramrail {
@@ -107,8 +115,10 @@
 inline constexpr std::size_t MaxRoutedOwners = 64;
 inline constexpr std::size_t MaxPacketBytes = 1500;
 inline constexpr std::size_t RoutedFixedBytes = 24;
+/// Size of the service level in a packet of format 2.
+inline constexpr std::size_t RoutedLevelBytes = 24;
 inline constexpr std::size_t MaxRoutedBytes =
-    RoutedFixedBytes + MaxRoutedOwners * 6 + MaxPacketBytes;
+    RoutedFixedBytes + MaxRoutedOwners * 6 + RoutedLevelBytes + MaxPacketBytes;
 
 /// Bits of routed_packet::Flags.
 enum class routed_flag : std::uint8_t {
@@ -146,9 +156,10 @@
   return static_cast<routed_flags>(Flags);
 }
 
-/// How many owners fit in front of a packet of \p PacketBytes into one datagram
-/// that a link with an MTU of 1,500 bytes carries without fragmentation. A
-/// fragmented datagram is lost if any of its fragments is lost.
+/// How many owners fit in front of a packet of \p PacketBytes (with the service
+/// level, if any) into one datagram that a link with an MTU of 1,500 bytes
+/// carries without fragmentation. A fragmented datagram is lost if any of its
+/// fragments is lost.
 constexpr std::size_t ownersThatFit(std::size_t PacketBytes) {
   constexpr std::size_t LinkBytes = 1500;
   constexpr std::size_t Ipv4AndUdpBytes = 28;
@@ -170,6 +181,9 @@
   /// The address to which the owner may send an owner_notice.
   endpoint Balancer;
   std::array<endpoint, MaxRoutedOwners> Owners{};
+  /// The service level of the packet's route, if the balancer states one. Only
+  /// agents that know format 2 can read a packet with a level.
+  std::optional<stated_level> Level = {};
   bytes_view Packet;
 
   bool has(routed_flag Flag) const {
--- a/include/marjoramrail/work.h
+++ b/include/marjoramrail/work.h
@@ -75,6 +75,16 @@
   duration Estimate = duration::zero();
   /// The caller has already tried this request.
   bool Retry = false;
+  /// 0 is the most urgent. Of two waiting requests the more urgent one runs
+  /// first, see admission_settings::OldestFirstInterval.
+  std::uint8_t Priority = 0;
+  /// When the caller wants the answer. Among requests of one priority, those
+  /// that can still be answered by then run before those that cannot.
+  std::optional<instant> Aim = {};
+  /// The request cannot be refused or relayed, because its flow is open at this
+  /// target. It waits until it runs or is cancelled, and runs when its Deadline
+  /// passes even if no slot is free.
+  bool Committed = false;
   /// Number of relays so far, and the agent that relayed it here.
   std::uint8_t Hops = 0;
   std::optional<host_id> RelayedBy;
@@ -259,6 +269,20 @@
   duration MaxRetryAfter = std::chrono::seconds(30);
   /// Service time assumed for a kind of request before any has been measured.
   duration FirstEstimate = std::chrono::milliseconds(20);
+  /// Number of requests that the target gets beyond its limit, so that a freed
+  /// slot has the next request at once.
+  std::size_t Pipeline = 0;
+  /// Whether the limit may be set below the declared slots. If not, trials can
+  /// only raise it.
+  bool LowerLimit = true;
+  /// A request that has been running for longer no longer counts against the
+  /// limit; zero means that every request counts until its end. Without this
+  /// bound, a target that never answers some requests would block all others.
+  duration StallBound = duration::zero();
+  /// Every so many freed slots, the request that has waited longest runs,
+  /// whatever its priority; zero means never. Without this, a continuous
+  /// overload of urgent requests would starve the others.
+  std::size_t OldestFirstInterval = 0;
 };
 
 struct admission_counts {
@@ -301,6 +325,19 @@
   /// Returns the load report for peers. The agent has to fill in Host.
   agent_load load(instant Now);
 
+  /// The target has stated how many requests it runs concurrently.
+  void setSlots(std::uint32_t Slots);
+  /// Number of requests that would run at once if they were offered now.
+  std::size_t freeSlots(instant Now) const;
+  /// Number of waiting requests of \p Priority.
+  std::size_t waiting(std::uint8_t Priority) const;
+  /// Time until a request of \p Priority that is offered now would run, if all
+  /// waiting requests of its and of more urgent priorities run before it.
+  duration expectedWait(std::uint8_t Priority, instant Now) const;
+  /// When tick() has to be called at the latest, although nothing else happens:
+  /// a deadline passes or a request no longer counts against the limit.
+  std::optional<instant> nextTick() const;
+
   std::size_t running() const;
   std::size_t waiting() const;
   std::size_t streams() const;
--- a/src/agent_messages/load_report.cpp
+++ b/src/agent_messages/load_report.cpp
@@ -9,7 +9,9 @@
 /// Layout of a load report:
 /// u16 magic | u8 format | u8 flags | u32 service | u32, u16 agent |
 /// u16 active | u16 slots | u32 flows | u16 busy | u32 latency us |
-/// u32 warm-up us | u16 failing | u32 warm-up rate | padding
+/// u32 warm-up us | u16 failing | u32 warm-up rate | padding to 40 bytes
+/// A long report continues:
+/// u16 free slots | 4 x u16 waiting requests | 4 x u16 wait ms | padding
 static constexpr std::uint16_t ReportMagic = 0x4d4c;
 static constexpr std::uint16_t ReportRequestMagic = 0x4d51;
 static constexpr std::uint8_t AdmittingBit = 1;
@@ -21,11 +23,36 @@
       std::clamp<duration::rep>(Time.count(), 0, UINT32_MAX));
 }
 
+static void writeCapacity(const capacity_report &Capacity,
+                          byte_writer &Writer) {
+  Writer.put(Capacity.FreeSlots);
+  for (const std::uint16_t Waiting : Capacity.Waiting)
+    Writer.put(Waiting);
+  for (const duration Wait : Capacity.Wait) {
+    const auto Milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(Wait).count();
+    Writer.put(static_cast<std::uint16_t>(
+        std::clamp<std::int64_t>(Milliseconds, 0, UINT16_MAX)));
+  }
+}
+
+static capacity_report readCapacity(byte_reader &Reader) {
+  capacity_report Capacity;
+  Capacity.FreeSlots = Reader.take<std::uint16_t>();
+  for (std::uint16_t &Waiting : Capacity.Waiting)
+    Waiting = Reader.take<std::uint16_t>();
+  for (duration &Wait : Capacity.Wait)
+    Wait = std::chrono::milliseconds(Reader.take<std::uint16_t>());
+  return Capacity;
+}
+
 std::size_t encodeLoadReport(const load_report &Report,
                              std::span<std::uint8_t> Buffer) {
-  if (Buffer.size() < LoadReportBytes)
+  const std::size_t Size =
+      Report.Capacity ? LongLoadReportBytes : LoadReportBytes;
+  if (Buffer.size() < Size)
     return 0;
-  std::fill_n(Buffer.begin(), LoadReportBytes, std::uint8_t{0});
+  std::fill_n(Buffer.begin(), Size, std::uint8_t{0});
   byte_writer Writer(Buffer.data());
   Writer.put(ReportMagic);
   Writer.put(MessageFormat);
@@ -42,11 +69,17 @@
   Writer.put(cappedCount(Report.Warmup));
   Writer.put(Report.Failing);
   Writer.put(Report.WarmupRate);
-  return LoadReportBytes;
+  if (Report.Capacity) {
+    byte_writer Rest(Buffer.data() + LoadReportBytes);
+    writeCapacity(*Report.Capacity, Rest);
+  }
+  return Size;
 }
 
 bool isLoadReport(bytes_view Bytes) {
-  return Bytes.size() == LoadReportBytes && hasMagic(Bytes, ReportMagic);
+  return (Bytes.size() == LoadReportBytes ||
+          Bytes.size() == LongLoadReportBytes) &&
+         hasMagic(Bytes, ReportMagic);
 }
 
 bool decodeLoadReport(bytes_view Bytes, load_report &Report) {
@@ -68,6 +101,11 @@
   Report.Warmup = duration(Reader.take<std::uint32_t>());
   Report.Failing = Reader.take<std::uint16_t>();
   Report.WarmupRate = Reader.take<std::uint32_t>();
+  Report.Capacity.reset();
+  if (Bytes.size() == LongLoadReportBytes) {
+    byte_reader Rest(Bytes.data() + LoadReportBytes);
+    Report.Capacity = readCapacity(Rest);
+  }
   return true;
 }
 
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -201,6 +201,11 @@
   return Impl->Activation.activeVersion();
 }
 
+std::vector<service_flow_limit> directory::flowLimits() const {
+  const route_table *Newest = Impl->Activation.newest();
+  return Newest ? Newest->FlowLimits : std::vector<service_flow_limit>();
+}
+
 std::vector<service_warmup> directory::warmupRates() const {
   const route_table *Newest = Impl->Activation.newest();
   return Newest ? Newest->Warmups : std::vector<service_warmup>();
--- a/src/wire/routed_packet.cpp
+++ b/src/wire/routed_packet.cpp
@@ -8,7 +8,9 @@
 using namespace internal;
 
 static constexpr std::uint16_t RoutedMagic = 0x4d52;
-static constexpr std::uint8_t RoutedFormat = 1;
+static constexpr std::uint8_t PlainFormat = 1;
+static constexpr std::uint8_t LevelFormat = 2;
+static constexpr std::uint8_t RepeatableBit = 1;
 static constexpr std::size_t EndpointBytes = 6;
 
 bool isRouted(bytes_view Bytes) {
@@ -21,15 +23,51 @@
          Routed.Packet.size() <= MaxPacketBytes;
 }
 
+/// Size of everything in front of the caller's packet.
+static std::size_t headerBytes(const routed_packet &Routed, bool HasLevel) {
+  return RoutedFixedBytes + Routed.Count * EndpointBytes +
+         (HasLevel ? RoutedLevelBytes : 0);
+}
+
+static std::uint32_t wholeMilliseconds(duration Time) {
+  using std::chrono::milliseconds;
+  return static_cast<std::uint32_t>(std::clamp<milliseconds::rep>(
+      std::chrono::duration_cast<milliseconds>(Time).count(), 0, UINT32_MAX));
+}
+
+static void writeLevel(const stated_level &Stated, byte_writer &Writer) {
+  const service_level &Level = Stated.Level;
+  Writer.put(Level.Priority);
+  Writer.put(static_cast<std::uint8_t>(Level.Repeatable ? RepeatableBit : 0));
+  Writer.put(std::uint16_t{0});
+  Writer.put(wholeMilliseconds(Level.LatencyAim));
+  Writer.put(wholeMilliseconds(Level.TimeLimit));
+  Writer.put(Stated.MaxFlows);
+  Writer.put(Stated.Version);
+}
+
+static stated_level readLevel(byte_reader &Reader) {
+  using std::chrono::milliseconds;
+  stated_level Stated;
+  Stated.Level.Priority = Reader.take<std::uint8_t>();
+  Stated.Level.Repeatable = (Reader.take<std::uint8_t>() & RepeatableBit) != 0;
+  Reader.take<std::uint16_t>();
+  Stated.Level.LatencyAim = milliseconds(Reader.take<std::uint32_t>());
+  Stated.Level.TimeLimit = milliseconds(Reader.take<std::uint32_t>());
+  Stated.MaxFlows = Reader.take<std::uint32_t>();
+  Stated.Version = Reader.take<std::uint64_t>();
+  return Stated;
+}
+
 std::size_t encodeRouted(const routed_packet &Routed,
                          std::span<std::uint8_t> Buffer) {
   const std::size_t Size =
-      RoutedFixedBytes + Routed.Count * EndpointBytes + Routed.Packet.size();
+      headerBytes(Routed, Routed.Level.has_value()) + Routed.Packet.size();
   if (!isEncodable(Routed) || Buffer.size() < Size)
     return 0;
   byte_writer Writer(Buffer.data());
   Writer.put(RoutedMagic);
-  Writer.put(RoutedFormat);
+  Writer.put(Routed.Level ? LevelFormat : PlainFormat);
   Writer.put(Routed.Flags);
   Writer.put(static_cast<std::uint32_t>(Routed.Service));
   Writer.put(Routed.Version);
@@ -38,17 +76,19 @@
   Writer.put(Routed.Balancer);
   for (std::size_t I = 0; I < Routed.Count; ++I)
     Writer.put(Routed.Owners[I]);
+  if (Routed.Level)
+    writeLevel(*Routed.Level, Writer);
   std::copy(Routed.Packet.begin(), Routed.Packet.end(), Writer.position());
   return Size;
 }
 
-static packet_fault checkList(const routed_packet &Routed, std::size_t Size) {
+static packet_fault checkList(const routed_packet &Routed, bool HasLevel,
+                              std::size_t Size) {
   if (Routed.Count > MaxRoutedOwners)
     return packet_fault::TooManyOwners;
   if (Routed.Position >= Routed.Count && !Routed.has(routed_flag::Extended))
     return packet_fault::BadPosition;
-  const std::size_t HeaderBytes =
-      RoutedFixedBytes + Routed.Count * EndpointBytes;
+  const std::size_t HeaderBytes = headerBytes(Routed, HasLevel);
   if (Size <= HeaderBytes)
     return packet_fault::Truncated;
   if (Size - HeaderBytes > MaxPacketBytes)
@@ -62,21 +102,25 @@
   byte_reader Reader(Bytes.data());
   if (Reader.take<std::uint16_t>() != RoutedMagic)
     return packet_fault::BadMagic;
-  if (Reader.take<std::uint8_t>() != RoutedFormat)
+  const auto Format = Reader.take<std::uint8_t>();
+  if (Format != PlainFormat && Format != LevelFormat)
     return packet_fault::BadFormat;
+  const bool HasLevel = Format == LevelFormat;
   Routed.Flags = Reader.take<std::uint8_t>();
   Routed.Service = service_id(Reader.take<std::uint32_t>());
   Routed.Version = Reader.take<std::uint64_t>();
   Routed.Position = Reader.take<std::uint8_t>();
   Routed.Count = Reader.take<std::uint8_t>();
   Routed.Balancer = Reader.takeEndpoint();
-  const packet_fault Fault = checkList(Routed, Bytes.size());
+  const packet_fault Fault = checkList(Routed, HasLevel, Bytes.size());
   if (Fault != packet_fault::None)
     return Fault;
   for (std::size_t I = 0; I < Routed.Count; ++I)
     Routed.Owners[I] = Reader.takeEndpoint();
-  Routed.Packet =
-      Bytes.subspan(RoutedFixedBytes + Routed.Count * EndpointBytes);
+  Routed.Level.reset();
+  if (HasLevel)
+    Routed.Level = readLevel(Reader);
+  Routed.Packet = Bytes.subspan(headerBytes(Routed, HasLevel));
   return packet_fault::None;
 }
 
--- a/src/work/admission.cpp
+++ b/src/work/admission.cpp
@@ -432,6 +432,18 @@
 void admission::resume() { Impl->Draining = false; }
 
 agent_load admission::load(instant Now) { return Impl->load(Now); }
+void admission::setSlots(std::uint32_t Slots) { Impl->Settings.Slots = Slots; }
+std::size_t admission::freeSlots(instant Now) const {
+  const std::size_t Slots = Impl->slots(Now);
+  return Slots - std::min(Slots, Impl->inSlots());
+}
+std::size_t admission::waiting(std::uint8_t) const {
+  return Impl->Queue.size();
+}
+duration admission::expectedWait(std::uint8_t, instant Now) const {
+  return Impl->expectedWait({}, Now);
+}
+std::optional<instant> admission::nextTick() const { return std::nullopt; }
 std::size_t admission::running() const { return Impl->inSlots(); }
 std::size_t admission::waiting() const { return Impl->Queue.size(); }
 std::size_t admission::streams() const { return Impl->Streams; }
--- a/test/wire/routed_packet_test.cpp
+++ b/test/wire/routed_packet_test.cpp
@@ -78,7 +78,7 @@
     CHECK(faultOf(Bytes) == packet_fault::BadMagic);
   }
   SUBCASE("another format") {
-    Bytes[2] = 2;
+    Bytes[2] = 3;
     CHECK(faultOf(Bytes) == packet_fault::BadFormat);
   }
   SUBCASE("more owners than a list holds") {
@@ -102,3 +102,40 @@
 
   CHECK(faultOf(encoded(Routed)) == packet_fault::None);
 }
+
+static routed_packet sampleWithLevel() {
+  using namespace std::chrono_literals;
+  routed_packet Routed = sampleRouted();
+  Routed.Level = stated_level{
+      {.Priority = 2, .Repeatable = true, .LatencyAim = 250ms, .TimeLimit = 3s},
+      2000,
+      0x1122334455667788};
+  return Routed;
+}
+
+TEST_CASE("a service level precedes the caller's packet in format 2") {
+  const byte_string Bytes = encoded(sampleWithLevel());
+  routed_packet Back;
+
+  REQUIRE(decodeRouted(Bytes, Back) == packet_fault::None);
+
+  CHECK(Bytes[2] == 2);
+  CHECK(Bytes.size() == 24 + 2 * 6 + RoutedLevelBytes + 5);
+  CHECK(Back.Level == sampleWithLevel().Level);
+  CHECK(byte_string(Back.Packet.begin(), Back.Packet.end()) == Inner);
+}
+
+TEST_CASE("a packet without a service level removes that of an earlier one") {
+  // Packets are decoded into a variable that is used again.
+  routed_packet Back;
+  REQUIRE(decodeRouted(encoded(sampleWithLevel()), Back) == packet_fault::None);
+  REQUIRE(decodeRouted(encoded(sampleRouted()), Back) == packet_fault::None);
+  CHECK_FALSE(Back.Level);
+}
+
+TEST_CASE("a truncated service level is rejected") {
+  const byte_string Bytes = encoded(sampleWithLevel());
+  for (std::size_t Size = 0; Size <= 24 + 2 * 6 + RoutedLevelBytes; ++Size)
+    CHECK(faultOf({Bytes.begin(), Bytes.begin() + Size}) ==
+          packet_fault::Truncated);
+}
