--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -91,6 +91,11 @@
   Hooks.OnEvent = [this](const flow_event &Event) { recordFlow(Event); };
   Hooks.Unregistered = [this] { registerAgain(); };
   Hooks.NoBalancerContact = [this] { registerAgain(); };
+  Hooks.OnReleased = [this](std::uint8_t Priority, duration Waited) {
+    Metrics.observe("marjoramrail_hold_seconds_priority_" +
+                        std::to_string(reportedPriority(Priority)),
+                    std::chrono::duration<double>(Waited).count());
+  };
   Hooks.ObserveClock = [this](std::uint64_t Clock) { Log.observeClock(Clock); };
   return Hooks;
 }
@@ -196,6 +201,16 @@
   Metrics.counterOf("marjoramrail_requests_seen", [this] {
     return static_cast<double>(Core.counters().Requests);
   });
+  Metrics.counterOf("marjoramrail_requests_held", [this] {
+    return static_cast<double>(Core.counters().RequestsHeld);
+  });
+  Metrics.counterOf("marjoramrail_hold_overflows", [this] {
+    return static_cast<double>(Core.counters().HoldOverflows);
+  });
+  Metrics.gauge("marjoramrail_held_requests",
+                [this] { return static_cast<double>(Core.held().Requests); });
+  Metrics.gauge("marjoramrail_held_bytes",
+                [this] { return static_cast<double>(Core.held().Bytes); });
   Metrics.counterOf("marjoramrail_packets_declined", [this] {
     return static_cast<double>(Core.counters().Declined);
   });
@@ -245,7 +260,9 @@
 void forward_agent_process::shutDown() {
   Stopping = true;
   Core.setAdmitting(false);
+  Core.deliverHeld(Loop.timers().now());
   Core.reportNow(Loop.timers().now());
+  TargetPackets.flush();
   Routed.flush();
   Log.record(event_kind::ProcessStopping, "asked to stop");
   // If the target is running, the agent will be restarted, and a short
@@ -287,6 +304,8 @@
     if (Core.onTargetPacket(Datagram.Bytes, Now) == agent_outcome::Answered &&
         Core.targetStopped())
       onTargetRecovered("the target sent a packet");
+  // An answer frees a slot, so that a held request may have been delivered.
+  TargetPackets.flush();
   Routed.flush();
 }
 
@@ -295,12 +314,18 @@
   Core.setTargetStopped(false, Loop.timers().now());
 }
 
+/// Packets that the target has not answered fall due sooner than held requests,
+/// so a timer that waits for a later moment is replaced.
 void forward_agent_process::armExpiry(std::optional<instant> Due) {
-  if (!Due || std::exchange(ExpiryArmed, true))
+  if (!Due || (ExpiryAt && *ExpiryAt <= *Due))
     return;
-  Loop.timers().after(*Due - Loop.timers().now(), [this] {
-    ExpiryArmed = false;
+  if (ExpiryAt)
+    Loop.timers().cancel(ExpiryTimer);
+  ExpiryAt = Due;
+  ExpiryTimer = Loop.timers().after(*Due - Loop.timers().now(), [this] {
+    ExpiryAt.reset();
     armExpiry(Core.expire(Loop.timers().now()));
+    TargetPackets.flush();
     Routed.flush();
   });
 }
--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -84,7 +84,9 @@
   status_page ReadyPage;
   status_page MetricsPage;
   std::unique_ptr<tcp_stream> TargetProbe;
-  bool ExpiryArmed = false;
+  /// When Core.expire() is called next; nothing while no timer runs.
+  std::optional<instant> ExpiryAt;
+  timer_id ExpiryTimer{};
   timer_id ProbeTimer{};
   instant LastFromTarget;
   bool Stopping = false;
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -127,6 +127,7 @@
     Core.changeRoutes(Changes, Loop.timers().now());
     Core.setWarmupRates(Directory.warmupRates(),
                         Directory.newestRoutesVersion());
+    Core.setFlowLimits(Directory.flowLimits(), Directory.routesVersion());
   };
   Hooks.OnTargets = [this] { takeTargets(); };
   Hooks.OnEvacuations = [this] {
@@ -211,6 +212,9 @@
   Metrics.counterOf("marjoramrail_walks_continued", [this] {
     return static_cast<double>(Core.counters().LookupsContinued);
   });
+  Metrics.counterOf("marjoramrail_flows_refused_by_threshold", [this] {
+    return static_cast<double>(Core.counters().RefusedByThreshold);
+  });
   Metrics.counterOf("marjoramrail_policy_notices", [this] {
     return static_cast<double>(Core.counters().PolicyNotices);
   });
--- a/include/marjoramrail/agent_messages.h
+++ b/include/marjoramrail/agent_messages.h
@@ -107,10 +107,19 @@
 enum class report_span : std::uint8_t { Continued = 0, Once = 1 };
 
 /// Requests a load_report from an agent.
+struct load_report_request {
+  report_span Span = report_span::Continued;
+  /// The balancer reads reports with load_report::Capacity. An agent of an
+  /// older version treats such a request as Continued.
+  bool ReadsCapacity = false;
+
+  bool operator==(const load_report_request &) const = default;
+};
+
 inline constexpr std::size_t LoadReportRequestBytes = 4;
-std::size_t encodeLoadReportRequest(report_span Span,
+std::size_t encodeLoadReportRequest(const load_report_request &Request,
                                     std::span<std::uint8_t> Buffer);
-std::optional<report_span> decodeLoadReportRequest(bytes_view Bytes);
+std::optional<load_report_request> decodeLoadReportRequest(bytes_view Bytes);
 
 //===----------------------------------------------------------------------===//
 // Notices to agents
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -185,6 +185,9 @@
   mechanism_set DisabledMechanisms = {};
   /// The region of each zone, for routes that are restricted to regions.
   zone_regions Regions = {};
+  /// Packets state the service level of their route. Requires that all agents
+  /// can read it, see routed_packet::Level.
+  bool StatesLevels = false;
 };
 
 struct forward_balancer_hooks {
@@ -212,6 +215,8 @@
   std::uint64_t Suspicions = 0;
   /// Lists sent after the first one for the same packet.
   std::uint64_t LookupsContinued = 0;
+  /// New flows refused because no target could serve them in time.
+  std::uint64_t RefusedByThreshold = 0;
 };
 
 class forward_balancer {
@@ -235,6 +240,10 @@
   /// they warm up, as of the configuration \p RoutesVersion.
   void setWarmupRates(const std::vector<service_warmup> &Rates,
                       std::uint64_t RoutesVersion);
+  /// Sets how many flows the targets of each service bear, and the version of
+  /// the configuration that the routes are of.
+  void setFlowLimits(const std::vector<service_flow_limit> &Limits,
+                     std::uint64_t RoutesVersion);
   void setRegions(const zone_regions &Regions);
   /// Sets the time up to which routes and targets include every change.
   void setKnownAsOf(std::optional<instant> Moment);
@@ -300,12 +309,19 @@
   std::function<void()> Registered;
   /// A balancer found this agent's registration when it started. May be empty.
   std::function<void()> RegistrationFound;
+  /// A request of this priority was delivered after it had waited for \p
+  /// Waited. May be empty.
+  std::function<void(std::uint8_t Priority, duration Waited)> OnReleased;
 };
 
 /// What the agent did with a packet.
 enum class agent_outcome {
   Delivered,
   PassedOn,
+  /// The packet belongs to a request that waits until the target has a slot.
+  Held,
+  /// The caller has ended a flow whose request was still waiting.
+  Dropped,
   /// The target answered the caller.
   Answered,
   /// No target owns the flow; the caller was sent a reset.
@@ -317,9 +333,11 @@
   Malformed,
 };
 
-inline constexpr name_table<agent_outcome, 7> AgentOutcomeNames = {{
+inline constexpr name_table<agent_outcome, 9> AgentOutcomeNames = {{
     {agent_outcome::Delivered, "delivered"},
     {agent_outcome::PassedOn, "passed_on"},
+    {agent_outcome::Held, "held"},
+    {agent_outcome::Dropped, "dropped"},
     {agent_outcome::Answered, "answered"},
     {agent_outcome::Reset, "reset"},
     {agent_outcome::Refused, "refused"},
@@ -333,14 +351,19 @@
   NotAdmitting,
   TargetStopped,
   ZoneEvacuated,
+  /// The target holds as many flows as its service's limit.
+  FlowLimit,
+  NoFreeSlot,
   WarmingUp,
 };
 
-inline constexpr name_table<flow_refusal, 5> FlowRefusalNames = {{
+inline constexpr name_table<flow_refusal, 7> FlowRefusalNames = {{
     {flow_refusal::AnotherService, "another service"},
     {flow_refusal::NotAdmitting, "not admitting"},
     {flow_refusal::TargetStopped, "target gone"},
     {flow_refusal::ZoneEvacuated, "zone evacuated"},
+    {flow_refusal::FlowLimit, "flow limit"},
+    {flow_refusal::NoFreeSlot, "no free slot"},
     {flow_refusal::WarmingUp, "warming up"},
 }};
 
@@ -351,6 +374,16 @@
   std::uint64_t TimedOut = 0;
   std::uint64_t Requests = 0;
   std::uint64_t Notices = 0;
+  /// Requests that had to wait at the agent.
+  std::uint64_t RequestsHeld = 0;
+  /// Packets that were delivered without waiting because too many were held.
+  std::uint64_t HoldOverflows = 0;
+};
+
+/// What an agent holds for its target.
+struct held_totals {
+  std::size_t Requests = 0;
+  std::size_t Bytes = 0;
 };
 
 class forward_agent {
@@ -395,12 +428,17 @@
 
   /// Has to be called every TickPeriod.
   void tick(instant Now);
-  /// Passes on packets that the target has not answered in time. Returns when
-  /// it has to be called next, or nothing if no packet is waiting.
+  /// Passes on packets that the target has not answered in time, and delivers
+  /// held requests that are due. Returns when it has to be called next, or
+  /// nothing if no packet is waiting.
   std::optional<instant> expire(instant Now);
   /// Sends a load report immediately to every balancer that sent something
   /// recently.
   void reportNow(instant Now);
+  /// Delivers everything that is held, in order. For an agent that is about to
+  /// stop: callers would have to send these packets again.
+  void deliverHeld(instant Now);
+  held_totals held() const;
 
   const forward_agent_counters &counters() const;
   load_report report(instant Now) const;
--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -75,6 +75,8 @@
   OwnerLookupForwarded,
   /// The first bytes of a request have reached the agent of its target.
   RequestSeen,
+  /// The target has no slot for the request, so the agent holds it.
+  RequestHeld,
   /// The first bytes of the response have been sent: normally, late for this
   /// target, or as a refusal or failure of the target itself.
   RequestAnswered,
@@ -118,7 +120,7 @@
   LinesDropped,
 };
 
-inline constexpr name_table<event_kind, 55> EventKindNames = {{
+inline constexpr name_table<event_kind, 56> EventKindNames = {{
     {event_kind::ProcessStarted, "process-started"},
     {event_kind::ProcessStopping, "process-stopping"},
     {event_kind::ViewTaken, "view-taken"},
@@ -148,6 +150,7 @@
     {event_kind::OwnerLookupStarted, "flow-sought"},
     {event_kind::OwnerLookupForwarded, "flow-passed-on"},
     {event_kind::RequestSeen, "request-seen"},
+    {event_kind::RequestHeld, "request-held"},
     {event_kind::RequestAnswered, "request-answered"},
     {event_kind::RequestSlow, "request-slow"},
     {event_kind::RequestFailed, "request-failed"},
--- a/src/agent_messages/load_report.cpp
+++ b/src/agent_messages/load_report.cpp
@@ -17,6 +17,8 @@
 static constexpr std::uint8_t AdmittingBit = 1;
 static constexpr std::uint8_t AnsweringBit = 2;
 static constexpr std::uint8_t EvacuatedBit = 4;
+static constexpr std::uint8_t OnceBit = 1;
+static constexpr std::uint8_t ReadsCapacityBit = 2;
 
 static std::uint32_t cappedCount(duration Time) {
   return static_cast<std::uint32_t>(
@@ -109,19 +111,23 @@
   return true;
 }
 
-std::size_t encodeLoadReportRequest(report_span Span,
+std::size_t encodeLoadReportRequest(const load_report_request &Request,
                                     std::span<std::uint8_t> Buffer) {
-  return encodeBare(ReportRequestMagic, static_cast<std::uint8_t>(Span),
+  const bool IsOnce = Request.Span == report_span::Once;
+  const int Bits =
+      (IsOnce ? OnceBit : 0) | (Request.ReadsCapacity ? ReadsCapacityBit : 0);
+  return encodeBare(ReportRequestMagic, static_cast<std::uint8_t>(Bits),
                     Buffer);
 }
 
-std::optional<report_span> decodeLoadReportRequest(bytes_view Bytes) {
+std::optional<load_report_request> decodeLoadReportRequest(bytes_view Bytes) {
   if (Bytes.size() != LoadReportRequestBytes ||
       !hasMagic(Bytes, ReportRequestMagic))
     return std::nullopt;
-  const bool IsOnce =
-      Bytes.back() == static_cast<std::uint8_t>(report_span::Once);
-  return IsOnce ? report_span::Once : report_span::Continued;
+  const std::uint8_t Bits = Bytes.back();
+  return load_report_request{(Bits & OnceBit) != 0 ? report_span::Once
+                                                   : report_span::Continued,
+                             (Bits & ReadsCapacityBit) != 0};
 }
 
 } // namespace marjoramrail
--- a/src/forward/agent_table.h
+++ b/src/forward/agent_table.h
@@ -83,7 +83,19 @@
   /// within this time may have failed since.
   static constexpr duration RecentReportWindow = std::chrono::milliseconds(300);
 
+  /// The load figures of an older report are not used. Agents report every 200
+  /// ms while they are sent packets; without packets, reports can be seconds
+  /// apart.
+  static constexpr duration FreshReportAge = std::chrono::milliseconds(500);
+
   bool isOwnZone() const { return ZoneOrder == 0; }
+  /// The capacity that the agent has reported recently; null if it is not
+  /// known.
+  const capacity_report *freshCapacity(instant Now) const {
+    return Report.Capacity && hasReportedSince(Now - FreshReportAge)
+               ? &*Report.Capacity
+               : nullptr;
+  }
   bool hasReportedSince(instant Moment) const {
     return ReportedAt && *ReportedAt >= Moment;
   }
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -61,9 +61,17 @@
   return Report;
 }
 
-void forward_agent::impl::sendReport(const endpoint &Balancer, instant Now) {
-  std::array<std::uint8_t, LoadReportBytes> Buffer;
-  const std::size_t Size = encodeLoadReport(report(Now), Buffer);
+load_report forward_agent::impl::reportWithCapacity(instant Now) {
+  load_report Report = report(Now);
+  Report.Capacity = Scheduler.capacity(Now);
+  return Report;
+}
+
+void forward_agent::impl::sendReport(const endpoint &Balancer,
+                                     bool ReadsCapacity, instant Now) {
+  std::array<std::uint8_t, LongLoadReportBytes> Buffer;
+  const std::size_t Size = encodeLoadReport(
+      ReadsCapacity ? reportWithCapacity(Now) : report(Now), Buffer);
   Hooks.SendToPeer(Balancer, {Buffer.data(), Size});
 }
 
@@ -102,6 +110,8 @@
   Load.removeAllFlows(Now, [&](const flow_key &Key, const watched_flow &Flow) {
     resetFlow({Key, Flow.CallerAcknowledged}, "target gone");
   });
+  Held.clear();
+  Scheduler.clear(Now);
 }
 
 void forward_agent::impl::resetFlow(const open_flow &Open,
@@ -146,6 +156,7 @@
 void forward_agent::restoreSlots(std::uint32_t Slots) {
   Impl->Slots = std::max(Slots, 1U);
   Impl->Load.setSlots(Impl->Slots);
+  Impl->Scheduler.setSlots(Impl->Slots);
 }
 
 void forward_agent::noteAnswer(const flow_key &Flow, bool Failed, instant Now) {
@@ -179,10 +190,10 @@
       Impl->Hooks.RegistrationFound();
     return agent_outcome::Delivered;
   }
-  if (const auto Span = decodeLoadReportRequest(Bytes)) {
-    if (Span == report_span::Continued)
-      Impl->Balancers[From] = Now;
-    Impl->sendReport(From, Now);
+  if (const auto Request = decodeLoadReportRequest(Bytes)) {
+    if (Request->Span == report_span::Continued)
+      Impl->Balancers[From] = {Now, Request->ReadsCapacity};
+    Impl->sendReport(From, Request->ReadsCapacity, Now);
     return agent_outcome::Delivered;
   }
   if (const auto Policy = decodeFlowPolicy(Bytes)) {
@@ -217,17 +228,24 @@
     Routed.Packet = Expired->Bytes;
     Impl->passToNextIncomplete(Routed, Expired->Head);
   }
-  return Impl->Offered.nextExpiry();
+  Impl->releaseReady(Now);
+  const auto Expiry = Impl->Offered.nextExpiry();
+  const auto Change = Impl->Scheduler.nextChange();
+  return Expiry && Change ? std::min(Expiry, Change)
+                          : (Expiry ? Expiry : Change);
 }
 
 void forward_agent::tick(instant Now) {
-  Impl->Load.tick(Now);
+  Impl->Load.tick(Now, [&](const flow_key &Flow) {
+    Impl->Held.drop(Flow);
+    Impl->Scheduler.onEnd(Flow, Now);
+  });
   Impl->Declines.tick(Now);
   Impl->Failures.tick(Now);
   Impl->ReportedExhausted &= Impl->WarmupLimit.isExhausted(Now);
   Impl->logFailureState({});
   std::erase_if(Impl->Balancers, [&](const auto &Item) {
-    return Now - Item.second > ReportDuration;
+    return Now - Item.second.LastMessageAt > ReportDuration;
   });
   if (!Impl->Balancers.empty())
     Impl->LastBalancer = {Impl->Balancers.begin()->first, Now};
@@ -241,7 +259,7 @@
 void forward_agent::impl::reportOnce(instant Now) {
   for (const endpoint &Balancer : std::exchange(ReportOnceTo, {}))
     if (!Balancers.contains(Balancer))
-      sendReport(Balancer, Now);
+      sendReport(Balancer, /*ReadsCapacity=*/false, Now);
 }
 
 /// The target's entry may have been removed from the store while this agent was
@@ -268,12 +286,12 @@
   if (!LastBalancer || Now - LastBalancer->second < LastBalancerReportPeriod)
     return;
   LastBalancer->second = Now;
-  sendReport(LastBalancer->first, Now);
+  sendReport(LastBalancer->first, /*ReadsCapacity=*/false, Now);
 }
 
 void forward_agent::impl::reportNow(instant Now) {
-  for (const auto &[Balancer, LastMessageAt] : Balancers)
-    sendReport(Balancer, Now);
+  for (const auto &[Balancer, Receiver] : Balancers)
+    sendReport(Balancer, Receiver.ReadsCapacity, Now);
 }
 
 void forward_agent::reportNow(instant Now) { Impl->reportNow(Now); }
@@ -294,7 +312,9 @@
                         {"slots", Report.Slots},
                         {"flows", Report.Flows},
                         {"busy", Report.Busy},
-                        {"latency_us", Report.Latency.count()}}
+                        {"latency_us", Report.Latency.count()},
+                        {"held_requests", Impl->Scheduler.waiting()},
+                        {"held_bytes", Impl->Held.bytes()}}
       .dump();
 }
 
--- a/src/forward/forward_agent_impl.h
+++ b/src/forward/forward_agent_impl.h
@@ -1,29 +1,47 @@
 //===- forward_agent_impl.h - Implementation of the agent -------*- C++ -*-===//
 ///
 /// \file
-/// Implementation class of forward_agent, spread over three source files.
+/// Implementation class of forward_agent, spread over five source files.
 /// routed_packets.cpp handles packets from balancers and other agents;
-/// target_packets.cpp handles packets from the target; forward_agent.cpp holds
-/// the reports, the timers and the public interface.
+/// target_packets.cpp handles packets from the target; request_holding.cpp
+/// holds requests back while the target is busy; agent_policy.cpp applies what
+/// balancers tell of the configuration; forward_agent.cpp holds the reports,
+/// the timers and the public interface.
 ///
 //===----------------------------------------------------------------------===//
 
 #ifndef MARJORAMRAIL_FORWARD_FORWARD_AGENT_IMPL_H
 #define MARJORAMRAIL_FORWARD_FORWARD_AGENT_IMPL_H
 
+#include "forward/agent_table.h"
 #include "forward/decline_watch.h"
 #include "forward/failure_watch.h"
+#include "forward/held_packets.h"
+#include "forward/level_cache.h"
 #include "forward/offered_packets.h"
+#include "forward/request_scheduler.h"
 #include "forward/target_load.h"
 
 #include <set>
 
 namespace marjoramrail {
 
+namespace internal {
+
+/// A balancer that gets regular load reports.
+struct report_receiver {
+  instant LastMessageAt;
+  /// It reads reports with load_report::Capacity.
+  bool ReadsCapacity = false;
+};
+
+} // namespace internal
+
 struct forward_agent::impl {
   impl(const forward_agent_settings &Settings, segment_codec Codec,
        forward_agent_hooks Hooks)
       : Settings(Settings), Codec(std::move(Codec)), Hooks(std::move(Hooks)),
+        Scheduler(internal::endpoint_hash()(Settings.Self)),
         WarmupLimit(Settings.Warmup) {}
 
   agent_outcome onRouted(const routed_packet &Routed, instant Now);
@@ -36,8 +54,24 @@
   void reportExhaustion(instant Now);
   agent_outcome onFlowPacket(const routed_packet &Routed,
                              const segment &Segment, instant Now);
-  agent_outcome deliver(const routed_packet &Routed, const segment &Segment,
+  agent_outcome deliver(const routed_packet &Routed, const tcp_packet &Head,
                         bool NeedsAnswer, instant Now);
+  std::optional<flow_refusal> capacityRefusal(const routed_packet &Routed,
+                                              const flow_key &Flow,
+                                              instant Now);
+  bool hasNextAgent(const routed_packet &Routed) const;
+  agent_outcome deliverInOrder(const routed_packet &Routed,
+                               const tcp_packet &Head, bool BeginsRequest,
+                               instant Now);
+  bool mustWait(const routed_packet &Routed, const flow_key &Flow, instant Now);
+  void logHeld(const flow_key &Flow);
+  agent_outcome hold(const routed_packet &Routed, const tcp_packet &Head,
+                     instant Now);
+  agent_outcome endHeldRequest(const routed_packet &Routed,
+                               const tcp_packet &Head, instant Now);
+  void release(const flow_key &Flow, instant Now);
+  void releaseReady(instant Now);
+  void dropRequest(const flow_key &Flow, instant Now);
   agent_outcome passToNext(routed_packet Routed, const tcp_packet &Head,
                            std::string_view Why);
   void passToNextIncomplete(routed_packet Routed, const tcp_packet &Head);
@@ -61,10 +95,11 @@
   void resetFlow(const open_flow &Open, std::string_view Why);
   void reportToLastBalancer(instant Now);
   void detectIsolation(instant Now);
-  void sendReport(const endpoint &Balancer, instant Now);
+  void sendReport(const endpoint &Balancer, bool ReadsCapacity, instant Now);
   void reportNow(instant Now);
   void reportOnce(instant Now);
   load_report report(instant Now) const;
+  load_report reportWithCapacity(instant Now);
   void logEvent(event_kind What, std::string_view Why, const flow_key &Flow,
                 const endpoint &Agent);
 
@@ -73,10 +108,13 @@
   forward_agent_hooks Hooks;
   internal::offered_packets Offered;
   internal::target_load Load;
-  /// Balancers that get regular load reports, and when each last sent a
-  /// message. A balancer is added when it sends a new flow, a packet of a known
-  /// flow, or a lasting request for load reports.
-  std::map<endpoint, instant> Balancers;
+  internal::request_scheduler Scheduler;
+  internal::held_packets Held;
+  internal::level_cache Levels;
+  /// Balancers that get regular load reports. A balancer is added when it sends
+  /// a new flow, a packet of a known flow, or a lasting request for load
+  /// reports.
+  std::map<endpoint, internal::report_receiver> Balancers;
   /// Balancers whose packets arrived here only during an owner lookup. They
   /// need a single report, as a sign that this agent is running. If they got
   /// reports for seconds instead, all agents of a site would report to all
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -154,6 +154,8 @@
 void forward_balancer::setRoutes(const std::vector<route_rule> &Rules,
                                  instant Now) {
   Impl->Routes.clear();
+  for (auto &[Service, Load] : Impl->Loads)
+    Load.Limits = {};
   changeRoutes({Rules, {}}, Now);
 }
 
@@ -161,6 +163,7 @@
   route_state State;
   State.Regions = Rule.Regions;
   State.OwnerRegions = Rule.OwnerRegions;
+  State.Level = Rule.Level;
   for (const service_share &Share : Rule.Shares) {
     State.Shares.push_back({serviceNumber(Share.Service), Share.Weight});
     State.TotalWeight += Share.Weight;
@@ -171,11 +174,15 @@
 }
 
 void forward_balancer::changeRoutes(const rule_changes &Changes, instant Now) {
-  for (const endpoint &Address : Changes.Removed)
+  for (const endpoint &Address : Changes.Removed) {
+    Impl->countLevel(Impl->Routes[Address], /*IsAdded=*/false);
     Impl->Routes.erase(Address);
+  }
   for (const route_rule &Rule : Changes.Changed) {
     route_state &Held = Impl->Routes[Rule.Address];
     route_state State = stateOf(Rule);
+    Impl->countLevel(Held, /*IsAdded=*/false);
+    Impl->countLevel(State, /*IsAdded=*/true);
     State.RegionsChangedAt =
         State.OwnerRegions == Held.OwnerRegions ? Held.RegionsChangedAt : Now;
     Held = std::move(State);
@@ -205,6 +212,16 @@
     Impl->WarmupRates[serviceNumber(Warmup.Service)] = Warmup.Rate;
 }
 
+void forward_balancer::setFlowLimits(
+    const std::vector<service_flow_limit> &Limits,
+    std::uint64_t RoutesVersion) {
+  Impl->LevelsVersion = RoutesVersion;
+  for (auto &[Service, Load] : Impl->Loads)
+    Load.MaxFlows = 0;
+  for (const service_flow_limit &Limit : Limits)
+    Impl->Loads[serviceNumber(Limit.Service)].MaxFlows = Limit.MaxFlows;
+}
+
 void forward_balancer::setRegions(const zone_regions &Regions) {
   Impl->AgentTable.setRegions(Regions);
 }
@@ -280,7 +297,7 @@
 void forward_balancer::impl::sendReportRequest(const endpoint &Agent,
                                                report_span Span) {
   std::array<std::uint8_t, LoadReportRequestBytes> Request;
-  encodeLoadReportRequest(Span, Request);
+  encodeLoadReportRequest({Span, Settings.StatesLevels}, Request);
   ++Counters.ReportRequests;
   Hooks.SendToAgent(Agent, Request);
 }
@@ -294,6 +311,10 @@
   Impl->review(Now);
   Impl->AgentTable.renewOrder(Now);
   Impl->RecentLookups.removeExpired(Now);
+  if (Impl->Settings.StatesLevels) {
+    Impl->evaluateThresholds(Now);
+    Impl->requestRemoteCapacity(Now);
+  }
   if (++Impl->Ticks % TicksPerSweep != 0)
     return;
   Impl->FlowCache.removeExpired(Now);
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -3,16 +3,19 @@
 /// \file
 /// The implementation class behind forward_balancer. new_flows.cpp places new
 /// flows, owner_lookup.cpp sends packets of open flows to their owner or to the
-/// owner candidates, and forward_balancer.cpp does the rest.
+/// owner candidates, service_capacity.cpp keeps track of free slots and refuses
+/// flows that nobody can serve, and forward_balancer.cpp does the rest.
 ///
 //===----------------------------------------------------------------------===//
 
 #ifndef MARJORAMRAIL_FORWARD_FORWARD_BALANCER_IMPL_H
 #define MARJORAMRAIL_FORWARD_FORWARD_BALANCER_IMPL_H
 
+#include "forward/admission_threshold.h"
 #include "forward/candidate_list.h"
 #include "forward/flow_cache.h"
 #include "forward/recent_lookups.h"
+#include "forward/time_limits.h"
 
 namespace marjoramrail {
 
@@ -34,6 +37,46 @@
   /// When OwnerRegions was last changed; nothing if lookups have never been
   /// restricted since the route became known.
   std::optional<instant> RegionsChangedAt;
+  std::optional<service_level> Level;
+};
+
+/// A caller's packet on its way to an agent.
+struct outgoing_packet {
+  bytes_view Bytes;
+  /// The service level that the packet states, if any.
+  std::optional<stated_level> Level;
+
+  /// Size of the packet and its service level.
+  std::size_t size() const {
+    return Bytes.size() + (Level ? RoutedLevelBytes : 0);
+  }
+};
+
+/// Agents that may take a new flow if the chosen target does not, in the order
+/// in which they are listed.
+enum class substitute_group : std::uint8_t {
+  SameZoneFree,
+  OtherZonesFree,
+  SameZone,
+  OtherZones,
+  NotAnswering,
+  /// Must not be listed.
+  None,
+};
+
+/// What a balancer knows of the load of one service.
+struct service_load {
+  /// How many flows one target bears; 0 if no limit is stated.
+  std::uint32_t MaxFlows = 0;
+  /// Of the routes whose new flows the service gets.
+  time_limits Limits;
+  admission_threshold Threshold;
+  std::uint64_t Refused = 0;
+  /// A flow was placed since the last tick although no target of the own zone
+  /// was known to have a free slot.
+  bool IsZoneFull = false;
+  /// Where the next round of report requests to other zones begins.
+  std::size_t NextRequested = 0;
 };
 
 } // namespace internal
@@ -53,6 +96,9 @@
   forward_outcome forwardOpenFlow(const internal::route_state &Route,
                                   const segment &Segment, bytes_view Bytes,
                                   instant Now);
+  internal::outgoing_packet outgoing(const internal::route_state &Route,
+                                     service_id Service, const segment &Segment,
+                                     bytes_view Bytes) const;
   std::optional<std::size_t> place(const internal::route_state &Route,
                                    const segment &Segment,
                                    std::optional<endpoint> Avoid, instant Now);
@@ -68,18 +114,32 @@
                              std::optional<endpoint> Avoid, instant Now) const;
   void addSubstitutes(const internal::route_state &Route,
                       const internal::agent_state &Chosen, const flow_key &Flow,
-                      internal::candidate_list &List);
+                      internal::candidate_list &List, instant Now);
+  internal::substitute_group groupOf(const internal::route_state &Route,
+                                     const internal::agent_state &Chosen,
+                                     const internal::agent_state &Other,
+                                     instant Now) const;
+  bool hasKnownFreeSlot(const internal::agent_state &Agent, instant Now) const;
+  bool isRefusedByThreshold(const internal::route_state &Route,
+                            service_id Service) const;
+  void evaluateThresholds(instant Now);
+  internal::priority_waits waitsOf(service_id Service,
+                                   const internal::time_limits &Limits,
+                                   instant Now) const;
+  void countLevel(const internal::route_state &Route, bool IsAdded);
+  void requestRemoteCapacity(instant Now);
   void send(const internal::candidate_list &List, service_id Service,
-            routed_flags Flags, std::uint64_t Version, bytes_view Bytes,
-            instant Now);
+            routed_flags Flags, std::uint64_t Version,
+            const internal::outgoing_packet &Packet, instant Now);
   void sortFromCursor(const internal::lookup_cursor &Cursor,
-                      const flow_key &Flow, bytes_view Bytes, instant Now);
+                      const flow_key &Flow, std::size_t PacketBytes,
+                      instant Now);
   bool collectCandidates(const internal::route_state &Route, instant Now);
   void sendToCandidates(const internal::route_state &Route,
                         const flow_key &Flow,
                         const std::optional<endpoint> &First,
-                        std::size_t Listed, bool IsCurrent, bytes_view Bytes,
-                        instant Now);
+                        std::size_t Listed, bool IsCurrent,
+                        const internal::outgoing_packet &Packet, instant Now);
   std::optional<endpoint> previousPlacement(const flow_key &Flow, instant Now);
   std::optional<endpoint> cachedOwner(const flow_key &Flow, instant Now);
   bool requestMissingReports(const flow_key &Flow,
@@ -88,13 +148,15 @@
   report_span reportSpanFor(const endpoint &Agent);
   void sendReportRequest(const endpoint &Agent, report_span Span);
   forward_outcome sendWithinZone(const internal::route_state &Route,
-                                 const flow_key &Flow, bytes_view Bytes,
+                                 const flow_key &Flow,
+                                 const internal::outgoing_packet &Packet,
                                  instant Now);
   bool hasRemoteCandidates() const;
   void logLookup(std::string_view Where, const flow_key &Flow,
                  const internal::candidate_list &List, instant Now);
   void sendToOwner(const internal::route_state &Route, const endpoint &Owner,
-                   bool IsCurrent, bytes_view Bytes, instant Now);
+                   bool IsCurrent, const internal::outgoing_packet &Packet,
+                   instant Now);
   void continueLookup(const routed_packet &Routed, instant Now);
   forward_outcome refuse(const segment &Segment, forward_outcome Outcome,
                          std::string_view Why, instant Now);
@@ -123,12 +185,16 @@
   /// Buffers that are reused for each packet.
   std::vector<placement_candidate> Views;
   std::vector<std::size_t> Candidates;
+  std::vector<internal::substitute_group> SubstituteGroups;
   placement Placement{Settings.DisabledMechanisms};
   std::map<endpoint, internal::route_state> Routes;
   std::optional<instant> KnownAsOf;
   std::uint64_t EvacuationsVersion = 0;
   std::uint64_t RoutesVersion = 0;
   std::map<service_id, std::uint32_t> WarmupRates;
+  std::map<service_id, internal::service_load> Loads;
+  /// The version of the configuration that Routes are of.
+  std::uint64_t LevelsVersion = 0;
   /// Report requests of first lookups: requests per second, and the largest
   /// burst, which covers a small site.
   token_bucket FirstLookupRequests{8, 16};
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -4,10 +4,6 @@
 
 using namespace internal;
 
-/// Agents report every 200 ms while they are sent packets; without packets,
-/// reports can be seconds apart.
-static constexpr duration FreshReportAge = std::chrono::milliseconds(500);
-
 static constexpr std::string_view NoTargetAdmits = "no target admits";
 
 /// Whether the operators' configuration lets the agent's target have new flows.
@@ -34,7 +30,8 @@
   };
   View.Reported =
       Agent.ReportedAt && !IsUnresponsiveFor(agent_table::UnverifiedAfter);
-  View.Fresh = View.Reported && Now - *Agent.ReportedAt <= FreshReportAge;
+  View.Fresh =
+      View.Reported && Now - *Agent.ReportedAt <= agent_state::FreshReportAge;
   View.Admitting = Agent.Report.Admitting && mayPlaceAt(Route, Agent);
   View.Suspect = (Agent.Suspect &&
                   !Settings.DisabledMechanisms.has(mechanism::Suspicion)) ||
@@ -147,44 +144,71 @@
     return refuse(Segment, forward_outcome::NoTarget, Reason, Now);
   }
   agent_state &Agent = AgentTable.at(*Chosen);
+  if (isRefusedByThreshold(Route, Agent.Service)) {
+    ++Loads[Agent.Service].Refused;
+    ++Counters.RefusedByThreshold;
+    return refuse(Segment, forward_outcome::NoTarget,
+                  "no target can serve this priority in time", Now);
+  }
+  const outgoing_packet Packet = outgoing(Route, Agent.Service, Segment, Bytes);
+  const bool IsTargetFull =
+      Agent.freshCapacity(Now) && !hasKnownFreeSlot(Agent, Now);
   ++Agent.Placed;
   FlowCache.store(Flow, {Agent.Agent, /*IsConfirmed=*/false}, Now);
-  candidate_list List(Bytes.size());
+  candidate_list List(Packet.size());
   List.add(Agent.Agent);
-  addSubstitutes(Route, Agent, Flow, List);
+  addSubstitutes(Route, Agent, Flow, List, Now);
+  const bool IsZoneFull =
+      std::find(SubstituteGroups.begin(), SubstituteGroups.end(),
+                substitute_group::SameZoneFree) == SubstituteGroups.end();
+  if (IsTargetFull && IsZoneFull)
+    Loads[Agent.Service].IsZoneFull = true;
   logEvent(event_kind::FlowRouted, Before ? "again" : "new", Flow, Agent.Agent,
            Now, static_cast<double>(Agent.Report.Flows + Agent.Placed));
-  send(List, Agent.Service, /*Flags=*/0, Hooks.Clock ? Hooks.Clock() : 0, Bytes,
-       Now);
+  send(List, Agent.Service, /*Flags=*/0, Hooks.Clock ? Hooks.Clock() : 0,
+       Packet, Now);
   return forward_outcome::Placed;
 }
 
-/// Adds the agents that may take the flow if the chosen target does not: the
-/// same zone first, in the flow's own order, and last the agents whose target
-/// accepts nothing. If the order were the same for all flows, everything that a
-/// full target declines would go to the same next target.
+/// Adds the agents that may take the flow if the chosen target does not: those
+/// that are known to have a free slot, then the same zone, in the flow's own
+/// order, and last the agents whose target accepts nothing. If the order were
+/// the same for all flows, everything that a full target declines would go to
+/// the same next target.
 void forward_balancer::impl::addSubstitutes(const route_state &Route,
                                             const agent_state &Chosen,
                                             const flow_key &Flow,
-                                            candidate_list &List) {
+                                            candidate_list &List, instant Now) {
   const auto &Agents = AgentTable.ofService(Chosen.Service);
   const std::vector<std::size_t> &Positions = Order.forFlow(Agents, Flow);
-  enum class substitute_group { SameZone, OtherZones, NotAnswering };
+  SubstituteGroups.clear();
+  for (const std::size_t Position : Positions)
+    SubstituteGroups.push_back(
+        groupOf(Route, Chosen, AgentTable.at(Agents[Position]), Now));
   for (const substitute_group Group :
-       {substitute_group::SameZone, substitute_group::OtherZones,
+       {substitute_group::SameZoneFree, substitute_group::OtherZonesFree,
+        substitute_group::SameZone, substitute_group::OtherZones,
         substitute_group::NotAnswering})
-    for (const std::size_t Position : Positions) {
-      const agent_state &Other = AgentTable.at(Agents[Position]);
-      const bool IsUsable = Other.Report.Admitting &&
-                            mayPlaceAt(Route, Other) && !Other.Suspect &&
-                            Other.Agent != Chosen.Agent;
-      const substitute_group OwnGroup =
-          !Other.Report.Answering               ? substitute_group::NotAnswering
-          : Other.ZoneOrder == Chosen.ZoneOrder ? substitute_group::SameZone
-                                                : substitute_group::OtherZones;
-      if (IsUsable && OwnGroup == Group)
-        List.add(Other.Agent);
-    }
+    for (std::size_t I = 0; I < Positions.size(); ++I)
+      if (SubstituteGroups[I] == Group)
+        List.add(AgentTable.at(Agents[Positions[I]]).Agent);
+}
+
+substitute_group forward_balancer::impl::groupOf(const route_state &Route,
+                                                 const agent_state &Chosen,
+                                                 const agent_state &Other,
+                                                 instant Now) const {
+  const bool IsUsable = Other.Report.Admitting && mayPlaceAt(Route, Other) &&
+                        !Other.Suspect && Other.Agent != Chosen.Agent;
+  if (!IsUsable)
+    return substitute_group::None;
+  if (!Other.Report.Answering)
+    return substitute_group::NotAnswering;
+  const bool IsSameZone = Other.ZoneOrder == Chosen.ZoneOrder;
+  if (hasKnownFreeSlot(Other, Now))
+    return IsSameZone ? substitute_group::SameZoneFree
+                      : substitute_group::OtherZonesFree;
+  return IsSameZone ? substitute_group::SameZone : substitute_group::OtherZones;
 }
 
 } // namespace marjoramrail
--- a/src/forward/owner_lookup.cpp
+++ b/src/forward/owner_lookup.cpp
@@ -9,6 +9,12 @@
 /// additional bytes.
 static constexpr std::size_t ShortLookupTargets = 8;
 
+/// The service that packets of open flows name, of those that may own the flow.
+static service_id ownerService(const route_state &Route) {
+  return Route.OwnerServices.empty() ? service_id{}
+                                     : Route.OwnerServices.front();
+}
+
 std::optional<endpoint>
 forward_balancer::impl::cachedOwner(const flow_key &Flow, instant Now) {
   const auto Place = FlowCache.find(Flow, Now);
@@ -41,16 +47,18 @@
                                         const segment &Segment,
                                         bytes_view Bytes, instant Now) {
   const flow_key &Flow = Segment.Head.Flow;
+  const outgoing_packet Packet =
+      outgoing(Route, ownerService(Route), Segment, Bytes);
   const auto CachedOwner = cachedOwner(Flow, Now);
   const bool HasAll = collectCandidates(Route, Now);
   if (Candidates.empty() && !CachedOwner)
     return forward_outcome::Indeterminate;
   const bool IsRemoteLookup = !CachedOwner && hasRemoteCandidates();
   if (IsRemoteLookup && !RecentLookups.begin(Flow, Candidates.size(), Now))
-    return sendWithinZone(Route, Flow, Bytes, Now);
+    return sendWithinZone(Route, Flow, Packet, Now);
   if (CachedOwner && Candidates.size() > ShortLookupTargets &&
       !Settings.DisabledMechanisms.has(mechanism::LookupContinuation)) {
-    sendToOwner(Route, *CachedOwner, HasAll && isKnowledgeCurrent(Now), Bytes,
+    sendToOwner(Route, *CachedOwner, HasAll && isKnowledgeCurrent(Now), Packet,
                 Now);
     return forward_outcome::SentFromCache;
   }
@@ -58,9 +66,9 @@
   if (CachedOwner)
     Order.sortForLookup(Candidates, Flow, /*OwnOrder=*/false, Now);
   else
-    sortFromCursor(Order.initialCursor(), Flow, Bytes, Now);
+    sortFromCursor(Order.initialCursor(), Flow, Packet.size(), Now);
   sendToCandidates(Route, Flow, CachedOwner, /*Listed=*/0,
-                   HasAll && isKnowledgeCurrent(Now), Bytes, Now);
+                   HasAll && isKnowledgeCurrent(Now), Packet, Now);
   return CachedOwner ? forward_outcome::SentFromCache : forward_outcome::Sent;
 }
 
@@ -69,9 +77,10 @@
 /// agents would change places between its lists.
 void forward_balancer::impl::sortFromCursor(const lookup_cursor &Cursor,
                                             const flow_key &Flow,
-                                            bytes_view Bytes, instant Now) {
+                                            std::size_t PacketBytes,
+                                            instant Now) {
   const bool Begins = Cursor.Listed == 0;
-  if (Begins && Candidates.size() <= ownersThatFit(Bytes.size()))
+  if (Begins && Candidates.size() <= ownersThatFit(PacketBytes))
     return Order.sortForLookup(Candidates, Flow, /*OwnOrder=*/true, Now);
   Order.sortForContinuedLookup(
       Candidates, Flow, Begins ? AgentTable.orderParity() : Cursor.Parity);
@@ -83,16 +92,15 @@
 /// times as long.
 void forward_balancer::impl::sendToOwner(const route_state &Route,
                                          const endpoint &Owner, bool IsCurrent,
-                                         bytes_view Bytes, instant Now) {
-  candidate_list List(Bytes.size());
+                                         const outgoing_packet &Packet,
+                                         instant Now) {
+  candidate_list List(Packet.size());
   List.add(Owner);
-  const service_id Service =
-      Route.OwnerServices.empty() ? service_id{} : Route.OwnerServices.front();
   const std::uint64_t Begin = encodeCursor(Order.initialCursor());
   routed_flags Flags = flagsOf({routed_flag::Continues});
   if (IsCurrent)
     Flags |= flagsOf({routed_flag::CompleteSoFar});
-  send(List, Service, Flags, Begin, Bytes, Now);
+  send(List, ownerService(Route), Flags, Begin, Packet, Now);
 }
 
 bool forward_balancer::impl::hasRemoteCandidates() const {
@@ -104,10 +112,9 @@
 /// Offers a packet of a flow whose owner is already being looked up to the
 /// targets of the own zone. If all of them decline, this proves nothing, so no
 /// reset follows.
-forward_outcome forward_balancer::impl::sendWithinZone(const route_state &Route,
-                                                       const flow_key &Flow,
-                                                       bytes_view Bytes,
-                                                       instant Now) {
+forward_outcome forward_balancer::impl::sendWithinZone(
+    const route_state &Route, const flow_key &Flow,
+    const outgoing_packet &Packet, instant Now) {
   std::erase_if(Candidates, [&](std::size_t Index) {
     const agent_state &Agent = AgentTable.at(Index);
     return !Agent.isOwnZone() || Agent.isUnverified(Now);
@@ -115,12 +122,12 @@
   if (Candidates.empty())
     return forward_outcome::Indeterminate;
   Order.sortForLookup(Candidates, Flow, /*OwnOrder=*/true, Now);
-  candidate_list List(Bytes.size());
+  candidate_list List(Packet.size());
   Order.list(/*Listed=*/0, std::nullopt, List);
   logLookup("in the own zone only, as an owner lookup is in progress", Flow,
             List, Now);
-  send(List, Route.OwnerServices.front(), flagsOf({routed_flag::OwnerUnknown}),
-       0, Bytes, Now);
+  send(List, ownerService(Route), flagsOf({routed_flag::OwnerUnknown}), 0,
+       Packet, Now);
   return forward_outcome::Sent;
 }
 
@@ -192,8 +199,8 @@
 void forward_balancer::impl::sendToCandidates(
     const route_state &Route, const flow_key &Flow,
     const std::optional<endpoint> &First, std::size_t Listed, bool IsCurrent,
-    bytes_view Bytes, instant Now) {
-  candidate_list List(Bytes.size());
+    const outgoing_packet &Packet, instant Now) {
+  candidate_list List(Packet.size());
   const auto Rest = Order.list(Listed, First, List);
   if (List.empty())
     return;
@@ -202,8 +209,6 @@
                   ? "in all zones, including agents without a recent report"
                   : "in all zones",
               Flow, List, Now);
-  const service_id Service =
-      Route.OwnerServices.empty() ? service_id{} : Route.OwnerServices.front();
   const bool HasMore =
       Rest && !Settings.DisabledMechanisms.has(mechanism::LookupContinuation);
   routed_flags Flags = First ? 0 : flagsOf({routed_flag::OwnerUnknown});
@@ -213,7 +218,8 @@
     Flags |= flagsOf({routed_flag::CompleteSoFar});
   if (IsCurrent && !Rest)
     Flags |= flagsOf({routed_flag::Complete});
-  send(List, Service, Flags, HasMore ? encodeCursor(*Rest) : 0, Bytes, Now);
+  send(List, ownerService(Route), Flags, HasMore ? encodeCursor(*Rest) : 0,
+       Packet, Now);
 }
 
 /// Called when all agents in a list that was limited by the size of a datagram
@@ -231,24 +237,27 @@
     return;
   ++Counters.LookupsContinued;
   const flow_key &Flow = Segment.Head.Flow;
+  const route_state &Route = Found->second;
+  const outgoing_packet Packet =
+      outgoing(Route, ownerService(Route), Segment, Routed.Packet);
   const lookup_cursor Cursor = decodeCursor(Routed.Version);
-  const bool HasAll = collectCandidates(Found->second, Now);
+  const bool HasAll = collectCandidates(Route, Now);
   const bool Begins = Cursor.Listed == 0 && hasRemoteCandidates();
   if (Begins && !RecentLookups.begin(Flow, Candidates.size(), Now)) {
-    sendWithinZone(Found->second, Flow, Routed.Packet, Now);
+    sendWithinZone(Route, Flow, Packet, Now);
     return;
   }
-  sortFromCursor(Cursor, Flow, Routed.Packet, Now);
+  sortFromCursor(Cursor, Flow, Packet.size(), Now);
   const bool IsCurrent = Routed.has(routed_flag::CompleteSoFar) && HasAll &&
                          isKnowledgeCurrent(Now) && Order.hasSamePrefix(Cursor);
-  sendToCandidates(Found->second, Flow, std::nullopt, Cursor.Listed, IsCurrent,
-                   Routed.Packet, Now);
+  sendToCandidates(Route, Flow, std::nullopt, Cursor.Listed, IsCurrent, Packet,
+                   Now);
 }
 
 void forward_balancer::impl::send(const candidate_list &List,
                                   service_id Service, routed_flags Flags,
-                                  std::uint64_t Version, bytes_view Bytes,
-                                  instant Now) {
+                                  std::uint64_t Version,
+                                  const outgoing_packet &Packet, instant Now) {
   routed_packet Routed;
   Routed.Version = Version;
   Routed.Service = Service;
@@ -256,7 +265,8 @@
   Routed.Count = static_cast<std::uint8_t>(List.size());
   std::copy(List.begin(), List.end(), Routed.Owners.begin());
   Routed.Flags = Flags;
-  Routed.Packet = Bytes;
+  Routed.Level = Packet.Level;
+  Routed.Packet = Packet.Bytes;
   std::array<std::uint8_t, MaxRoutedBytes> Buffer;
   const std::size_t Size = encodeRouted(Routed, Buffer);
   if (Size == 0)
--- /dev/null
+++ b/src/forward/request_holding.cpp
@@ -0,0 +1,154 @@
+// Holds the requests that the target cannot run yet.
+
+#include "forward/forward_agent_impl.h"
+
+namespace marjoramrail {
+
+using namespace internal;
+
+/// How often a new flow may be passed on because targets have no free slot. One
+/// that finds two targets busy is likely to find others busy too, and each hop
+/// delays it.
+static constexpr std::uint8_t MaxCapacityHops = 2;
+
+bool forward_agent::impl::hasNextAgent(const routed_packet &Routed) const {
+  for (std::size_t I = Routed.Position + 1U; I < Routed.Count; ++I)
+    if (Routed.Owners[I] != Settings.Self)
+      return true;
+  return false;
+}
+
+/// Returns why the target has no capacity for a new flow, if it has none and
+/// the balancer states service levels. The flow waits least where a slot is
+/// free, so it goes to the next agent in the list; a flow that has been passed
+/// on often enough is taken.
+std::optional<flow_refusal>
+forward_agent::impl::capacityRefusal(const routed_packet &Routed,
+                                     const flow_key &Flow, instant Now) {
+  const stated_level *Stated = Levels.update(Flow.Service, Routed.Level);
+  if (!Stated)
+    return std::nullopt;
+  // A retransmitted SYN of a flow that is opening here.
+  if (Load.find(Flow))
+    return std::nullopt;
+  if (Stated->MaxFlows != 0 && Load.open() >= Stated->MaxFlows)
+    return flow_refusal::FlowLimit;
+  if (Settings.DisabledMechanisms.has(mechanism::RoomHandover) ||
+      Routed.Position >= MaxCapacityHops || !hasNextAgent(Routed) ||
+      Scheduler.hasFreeSlot(Now))
+    return std::nullopt;
+  return flow_refusal::NoFreeSlot;
+}
+
+/// Delivers a packet of a known flow, or holds it if its request has to wait.
+/// Packets without payload do not depend on the held ones, so they pass.
+agent_outcome forward_agent::impl::deliverInOrder(const routed_packet &Routed,
+                                                  const tcp_packet &Head,
+                                                  bool BeginsRequest,
+                                                  instant Now) {
+  const bool IsHeld = Held.holds(Head.Flow);
+  if (IsHeld && (Head.Fin || Head.Rst))
+    return endHeldRequest(Routed, Head, Now);
+  if (IsHeld && Head.Payload > 0)
+    return hold(Routed, Head, Now);
+  if (BeginsRequest && mustWait(Routed, Head.Flow, Now)) {
+    ++Counters.RequestsHeld;
+    logHeld(Head.Flow);
+    return hold(Routed, Head, Now);
+  }
+  const agent_outcome Outcome =
+      deliver(Routed, Head, /*NeedsAnswer=*/false, Now);
+  if (Head.Rst) {
+    Scheduler.onEnd(Head.Flow, Now);
+    releaseReady(Now);
+  }
+  return Outcome;
+}
+
+/// Decides on a request that begins. Without a service level all requests are
+/// alike, and the order in which they arrive is as good as any.
+bool forward_agent::impl::mustWait(const routed_packet &Routed,
+                                   const flow_key &Flow, instant Now) {
+  const stated_level *Stated = Levels.update(Flow.Service, Routed.Level);
+  if (!Stated || Settings.DisabledMechanisms.has(mechanism::RequestScheduling))
+    return false;
+  return Scheduler.onRequest(Flow, Stated->Level, Now) ==
+         request_scheduler::verdict::Hold;
+}
+
+/// The event's figure is the number of requests that wait.
+void forward_agent::impl::logHeld(const flow_key &Flow) {
+  if (Hooks.OnEvent)
+    Hooks.OnEvent({event_kind::RequestHeld,
+                   "the target has no free slot",
+                   Flow,
+                   {},
+                   static_cast<double>(Scheduler.waiting()),
+                   duration::zero()});
+}
+
+/// Packets that do not fit go to the target, as all packets do at an agent that
+/// schedules nothing.
+agent_outcome forward_agent::impl::hold(const routed_packet &Routed,
+                                        const tcp_packet &Head, instant Now) {
+  if (Held.add(Routed, Head) != held_packets::verdict::Full)
+    return agent_outcome::Held;
+  ++Counters.HoldOverflows;
+  Scheduler.onEnd(Head.Flow, Now);
+  release(Head.Flow, Now);
+  return deliver(Routed, Head, /*NeedsAnswer=*/false, Now);
+}
+
+/// The caller gives up a request that has not reached the target. Running it
+/// would take a slot from requests that callers still wait for. The packet
+/// itself is delivered, so that the target closes the flow.
+agent_outcome forward_agent::impl::endHeldRequest(const routed_packet &Routed,
+                                                  const tcp_packet &Head,
+                                                  instant Now) {
+  Held.drop(Head.Flow);
+  Scheduler.onEnd(Head.Flow, Now);
+  Load.cancelRequest(Head.Flow, Now);
+  // Without the bytes before it, a FIN with payload means nothing to the
+  // target.
+  if (Head.Payload == 0)
+    deliver(Routed, Head, /*NeedsAnswer=*/false, Now);
+  releaseReady(Now);
+  return agent_outcome::Dropped;
+}
+
+void forward_agent::impl::release(const flow_key &Flow, instant Now) {
+  Held.release(Flow, [&](const routed_packet &Routed, const tcp_packet &Head) {
+    deliver(Routed, Head, /*NeedsAnswer=*/false, Now);
+  });
+}
+
+void forward_agent::impl::releaseReady(instant Now) {
+  for (const request_scheduler::ready_request &Ready :
+       Scheduler.takeReady(Now)) {
+    release(Ready.Flow, Now);
+    if (Hooks.OnReleased)
+      Hooks.OnReleased(Ready.Priority, Ready.Waited);
+  }
+}
+
+/// The target no longer holds the flow.
+void forward_agent::impl::dropRequest(const flow_key &Flow, instant Now) {
+  Load.removeFlow(Flow, Now);
+  Held.drop(Flow);
+  Scheduler.onEnd(Flow, Now);
+  releaseReady(Now);
+}
+
+void forward_agent::deliverHeld(instant Now) {
+  Impl->Held.releaseAll(
+      [&](const routed_packet &Routed, const tcp_packet &Head) {
+        Impl->deliver(Routed, Head, /*NeedsAnswer=*/false, Now);
+      });
+  Impl->Scheduler.clear(Now);
+}
+
+held_totals forward_agent::held() const {
+  return {Impl->Scheduler.waiting(), Impl->Held.bytes()};
+}
+
+} // namespace marjoramrail
--- /dev/null
+++ b/src/forward/request_scheduler.cpp
@@ -0,0 +1,147 @@
+#include "forward/request_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marjoramrail::internal {
+
+namespace {
+
+/// Share of the latency aim that a request may spend between its arrival at the
+/// agent and the beginning of its answer. The rest is for the way in both
+/// directions and for an earlier attempt that failed.
+constexpr double AimShareAtAgent = 0.75;
+
+/// A request that has been running for longer no longer occupies a slot. Longer
+/// than most answers take, even when they are slow.
+constexpr duration StallBound = std::chrono::milliseconds(500);
+
+/// One request queues at the target itself. A freed slot would otherwise be
+/// idle until the agent has seen the answer and delivered the next request.
+constexpr std::size_t Pipeline = 1;
+
+/// One freed slot in sixteen goes to the request that has waited longest.
+constexpr std::size_t OldestFirstInterval = 16;
+
+admission_settings workSettings() {
+  admission_settings Settings;
+  Settings.Slots = 1;
+  Settings.ColdStart = duration::zero();
+  Settings.Pipeline = Pipeline;
+  Settings.LowerLimit = false;
+  Settings.StallBound = StallBound;
+  Settings.OldestFirstInterval = OldestFirstInterval;
+  return Settings;
+}
+
+} // namespace
+
+request_scheduler::request_scheduler(std::uint64_t Seed)
+    : Work(workSettings(), /*PickPeer=*/nullptr, Seed) {}
+
+request_scheduler::verdict
+request_scheduler::onRequest(const flow_key &Flow, const service_level &Level,
+                             instant Now) {
+  onEnd(Flow, Now);
+  removeReservation(Flow);
+  work_request Request;
+  Request.Id = request_id(++LastId);
+  Request.Caller = Flow.Caller.Address;
+  Request.Priority = Level.Priority;
+  Request.Committed = true;
+  if (Level.LatencyAim > duration::zero())
+    Request.Aim = Now + std::chrono::duration_cast<duration>(Level.LatencyAim *
+                                                             AimShareAtAgent);
+  if (Level.TimeLimit > duration::zero())
+    Request.Deadline = Now + Level.TimeLimit;
+  Ids[Flow] = Request.Id;
+  Requests[Request.Id] = {Flow, Level.Priority, Now};
+  const bool Runs =
+      Work.offer(Request, Now).Verdict == marjoramrail::verdict::Run;
+  return Runs ? verdict::Deliver : verdict::Hold;
+}
+
+void request_scheduler::onAnswer(const flow_key &Flow, instant Now) {
+  const auto Found = Ids.find(Flow);
+  if (Found == Ids.end())
+    return;
+  const request_id Id = Found->second;
+  const auto Request = Requests.find(Id);
+  Work.finished(Id, {.Elapsed = Now - Request->second.Since}, Now);
+  Requests.erase(Request);
+  Ids.erase(Found);
+}
+
+void request_scheduler::onEnd(const flow_key &Flow, instant Now) {
+  const auto Found = Ids.find(Flow);
+  if (Found == Ids.end())
+    return;
+  Work.cancelled(Found->second, Now);
+  Requests.erase(Found->second);
+  Ids.erase(Found);
+}
+
+void request_scheduler::clear(instant Now) {
+  for (const auto &[Flow, Id] : Ids)
+    Work.cancelled(Id, Now);
+  Ids.clear();
+  Requests.clear();
+  Reservations.clear();
+}
+
+std::vector<request_scheduler::ready_request>
+request_scheduler::takeReady(instant Now) {
+  std::vector<ready_request> Ready;
+  for (const decision &Decision : Work.tick(Now)) {
+    const auto Request = Requests.find(Decision.Id);
+    if (Request == Requests.end())
+      continue;
+    tracked_request &Tracked = Request->second;
+    const instant ArrivedAt = std::exchange(Tracked.Since, Now);
+    Ready.push_back({Tracked.Flow, Tracked.Priority, Now - ArrivedAt});
+  }
+  return Ready;
+}
+
+void request_scheduler::reserveSlot(const flow_key &Flow, instant Now) {
+  removeReservation(Flow);
+  Reservations.push_back({Flow, Now + ReservationTime});
+}
+
+void request_scheduler::removeReservation(const flow_key &Flow) {
+  const auto Found =
+      std::find_if(Reservations.begin(), Reservations.end(),
+                   [&](const reservation &Item) { return Item.Flow == Flow; });
+  if (Found != Reservations.end())
+    Reservations.erase(Found);
+}
+
+std::size_t request_scheduler::freeSlots(instant Now) {
+  while (!Reservations.empty() && Reservations.front().Until <= Now)
+    Reservations.pop_front();
+  const std::size_t Free = Work.freeSlots(Now);
+  return Free - std::min(Free, Reservations.size());
+}
+
+bool request_scheduler::hasFreeSlot(instant Now) { return freeSlots(Now) > 0; }
+
+capacity_report request_scheduler::capacity(instant Now) {
+  const auto Capped = [](std::size_t Count) {
+    return static_cast<std::uint16_t>(std::min<std::size_t>(Count, UINT16_MAX));
+  };
+  capacity_report Report;
+  Report.FreeSlots = Capped(freeSlots(Now));
+  std::size_t LessUrgent = Work.waiting();
+  for (std::uint8_t Priority = 0; Priority + 1U < ReportedPriorities;
+       ++Priority) {
+    const std::size_t Waiting = Work.waiting(Priority);
+    LessUrgent -= Waiting;
+    Report.Waiting[Priority] = Capped(Waiting);
+    Report.Wait[Priority] = Work.expectedWait(Priority, Now);
+  }
+  Report.Waiting.back() = Capped(LessUrgent);
+  Report.Wait.back() = Work.expectedWait(UINT8_MAX, Now);
+  return Report;
+}
+
+} // namespace marjoramrail::internal
--- a/src/forward/routed_packets.cpp
+++ b/src/forward/routed_packets.cpp
@@ -22,8 +22,11 @@
 
 void forward_agent::impl::addReportReceiver(const routed_packet &Routed,
                                             instant Now) {
-  if (Routed.Balancer != endpoint())
-    Balancers[Routed.Balancer] = Now;
+  if (Routed.Balancer == endpoint())
+    return;
+  report_receiver &Receiver = Balancers[Routed.Balancer];
+  Receiver.LastMessageAt = Now;
+  Receiver.ReadsCapacity |= Routed.Level.has_value();
 }
 
 void forward_agent::impl::addOneTimeReceiver(const routed_packet &Routed) {
@@ -37,8 +40,10 @@
   if (Hooks.ObserveClock && Routed.Version != 0)
     Hooks.ObserveClock(Routed.Version);
   const auto Refusal = refusalOf(Routed, Segment.Head.Flow, Now);
-  if (!Refusal)
-    return deliver(Routed, Segment, /*NeedsAnswer=*/true, Now);
+  if (!Refusal) {
+    Scheduler.reserveSlot(Segment.Head.Flow, Now);
+    return deliver(Routed, Segment.Head, /*NeedsAnswer=*/true, Now);
+  }
   ++Counters.Refusals[static_cast<std::size_t>(*Refusal)];
   if (Refusal == flow_refusal::WarmingUp)
     reportExhaustion(Now);
@@ -59,6 +64,8 @@
     return flow_refusal::TargetStopped;
   if (Policy.Evacuated)
     return flow_refusal::ZoneEvacuated;
+  if (const auto Refusal = capacityRefusal(Routed, Flow, Now))
+    return Refusal;
   if (isWarmingUp(Now) && !WarmupLimit.admits(Flow, Now))
     return flow_refusal::WarmingUp;
   return std::nullopt;
@@ -77,15 +84,17 @@
   if (IsKnown) {
     sendOwnerNotice(Routed, Segment.Head.Flow, Now);
     noteAbortedRequest(Segment.Head, Now);
-    if (Load.onCaller(Segment.Head, Now)) {
+    const bool BeginsRequest = Load.onCaller(Segment.Head, Now);
+    if (BeginsRequest) {
       ++Counters.Requests;
       if (Hooks.OnRequest)
         Hooks.OnRequest(Segment.Head.Flow, Routed.Packet);
     }
+    return deliverInOrder(Routed, Segment.Head, BeginsRequest, Now);
   }
   const agent_outcome Outcome =
-      deliver(Routed, Segment, /*NeedsAnswer=*/false, Now);
-  if (!IsKnown && TargetUnresponsive)
+      deliver(Routed, Segment.Head, /*NeedsAnswer=*/false, Now);
+  if (TargetUnresponsive)
     passToNextIncomplete(Routed, Segment.Head);
   return Outcome;
 }
@@ -102,12 +111,12 @@
 }
 
 agent_outcome forward_agent::impl::deliver(const routed_packet &Routed,
-                                           const segment &Segment,
+                                           const tcp_packet &Head,
                                            bool NeedsAnswer, instant Now) {
   std::array<std::uint8_t, MaxPacketBytes> Buffer;
   std::copy(Routed.Packet.begin(), Routed.Packet.end(), Buffer.begin());
   const std::span<std::uint8_t> Packet(Buffer.data(), Routed.Packet.size());
-  Codec.SetTag(Packet, Offered.add(Routed, Segment.Head, NeedsAnswer, Now));
+  Codec.SetTag(Packet, Offered.add(Routed, Head, NeedsAnswer, Now));
   Hooks.SendToTarget(Packet);
   return agent_outcome::Delivered;
 }
--- /dev/null
+++ b/src/forward/service_capacity.cpp
@@ -0,0 +1,132 @@
+// What a balancer knows of the free slots and waits of a service's targets, and
+// what follows for new flows.
+
+#include "forward/forward_balancer_impl.h"
+
+namespace marjoramrail {
+
+using namespace internal;
+
+/// Requests for load reports per service and tick while the own zone is full.
+/// Enough to find a free slot elsewhere, and independent of how many targets
+/// there are.
+static constexpr std::size_t RemoteCapacityRequests = 3;
+
+/// Only packets that open a flow or may begin a request state their level, so
+/// that acknowledgements stay short.
+outgoing_packet forward_balancer::impl::outgoing(const route_state &Route,
+                                                 service_id Service,
+                                                 const segment &Segment,
+                                                 bytes_view Bytes) const {
+  outgoing_packet Packet{Bytes, std::nullopt};
+  const bool MayBeginRequest =
+      Segment.Head.opensFlow() || Segment.Head.Payload > 0;
+  if (!Settings.StatesLevels || !Route.Level || !MayBeginRequest)
+    return Packet;
+  const auto Load = Loads.find(Service);
+  Packet.Level = stated_level{*Route.Level,
+                              Load == Loads.end() ? 0 : Load->second.MaxFlows,
+                              LevelsVersion};
+  return Packet;
+}
+
+/// Flows that were placed since the report may have taken the slots by now.
+bool forward_balancer::impl::hasKnownFreeSlot(const agent_state &Agent,
+                                              instant Now) const {
+  const capacity_report *Capacity = Agent.freshCapacity(Now);
+  return Capacity && Capacity->FreeSlots > Agent.Placed;
+}
+
+/// Adds the level of \p Route to the services of its new flows, or removes it.
+void forward_balancer::impl::countLevel(const route_state &Route,
+                                        bool IsAdded) {
+  if (!Route.Level)
+    return;
+  for (const weighted_service &Share : Route.Shares) {
+    time_limits &Limits = Loads[Share.Service].Limits;
+    IsAdded ? Limits.add(*Route.Level) : Limits.remove(*Route.Level);
+  }
+}
+
+bool forward_balancer::impl::isRefusedByThreshold(const route_state &Route,
+                                                  service_id Service) const {
+  if (!Route.Level)
+    return false;
+  const auto Load = Loads.find(Service);
+  return Load != Loads.end() &&
+         Load->second.Threshold.refuses(Route.Level->Priority);
+}
+
+/// Returns the shortest waits among all targets that may get new flows. A
+/// target that has not reported recently may be idle, so nothing is known then.
+/// Targets outside the regions of a route count too, so that no route is
+/// refused for targets that others may use.
+priority_waits forward_balancer::impl::waitsOf(service_id Service,
+                                               const time_limits &Limits,
+                                               instant Now) const {
+  priority_waits Waits;
+  for (std::size_t I = 0; I < Waits.size(); ++I)
+    Waits[I].Limit = Limits.longest(I);
+  bool IsFirst = true;
+  for (const std::size_t Index : AgentTable.ofService(Service)) {
+    const agent_state &Agent = AgentTable.at(Index);
+    if (Agent.Draining || AgentTable.isEvacuated(Agent))
+      continue;
+    const capacity_report *Capacity = Agent.freshCapacity(Now);
+    if (!Capacity) {
+      for (priority_wait &Wait : Waits)
+        Wait.Shortest.reset();
+      return Waits;
+    }
+    if (!Agent.Report.Admitting)
+      continue;
+    for (std::size_t I = 0; I < Waits.size(); ++I)
+      Waits[I].Shortest = IsFirst
+                              ? Capacity->Wait[I]
+                              : std::min(*Waits[I].Shortest, Capacity->Wait[I]);
+    IsFirst = false;
+  }
+  return Waits;
+}
+
+void forward_balancer::impl::evaluateThresholds(instant Now) {
+  if (Settings.DisabledMechanisms.has(mechanism::AdmissionThreshold))
+    return;
+  for (auto &[Service, Load] : Loads) {
+    const auto Before = Load.Threshold.refusesFrom();
+    Load.Threshold.evaluate(waitsOf(Service, Load.Limits, Now), Now);
+    const auto After = Load.Threshold.refusesFrom();
+    if (Before != After)
+      logEvent(event_kind::AdmissionChanged,
+               After ? "new flows of a priority are refused: no target can "
+                       "serve them in time"
+                     : "new flows of all priorities are admitted",
+               {}, {}, Now,
+               static_cast<double>(After.value_or(ReportedPriorities)));
+  }
+}
+
+/// The own zone has no free slot. Targets of other zones may have, but agents
+/// there do not report to balancers that send them nothing.
+void forward_balancer::impl::requestRemoteCapacity(instant Now) {
+  for (auto &[Service, Load] : Loads) {
+    if (!std::exchange(Load.IsZoneFull, false))
+      continue;
+    const std::vector<std::size_t> &Agents = AgentTable.ofService(Service);
+    std::size_t Requested = 0;
+    for (std::size_t I = 0;
+         I < Agents.size() && Requested < RemoteCapacityRequests; ++I) {
+      const std::size_t Index =
+          Agents[(Load.NextRequested + I) % Agents.size()];
+      const agent_state &Agent = AgentTable.at(Index);
+      if (Agent.isOwnZone() || Agent.Draining ||
+          AgentTable.isEvacuated(Agent) || Agent.freshCapacity(Now))
+        continue;
+      ++Requested;
+      requestReport(Agent.Agent, Now);
+    }
+    Load.NextRequested += Requested;
+  }
+}
+
+} // namespace marjoramrail
--- a/src/forward/target_load.cpp
+++ b/src/forward/target_load.cpp
@@ -148,6 +148,11 @@
     erase(Found, Now);
 }
 
+void target_load::cancelRequest(const flow_key &Flow, instant Now) {
+  if (watched_flow *Watched = find(Flow))
+    setRequestPending(*Watched, false, Now);
+}
+
 void target_load::removeAllFlows(
     instant Now,
     const std::function<void(const flow_key &, const watched_flow &)> &Each) {
@@ -171,7 +176,8 @@
   return Found == Flows.end() ? nullptr : &Found->second;
 }
 
-void target_load::tick(instant Now) {
+void target_load::tick(instant Now,
+                       const std::function<void(const flow_key &)> &OnIdle) {
   integrate(Now);
   const double Passed = std::chrono::duration<double>(Now - TickedAt).count();
   if (Passed > 0)
@@ -185,8 +191,11 @@
   for (auto Place = Flows.begin(); Place != Flows.end();) {
     const auto Next = std::next(Place);
     const watched_flow &Flow = Place->second;
-    if (Flow.Closed || Now - Flow.SeenAt > IdleFlow)
+    if (Flow.Closed || Now - Flow.SeenAt > IdleFlow) {
+      if (OnIdle)
+        OnIdle(Place->first);
       erase(Place, Now);
+    }
     Place = Next;
   }
 }
--- a/src/forward/target_load.h
+++ b/src/forward/target_load.h
@@ -93,6 +93,8 @@
   /// If the packet begins an answer, returns the time since the request.
   std::optional<duration> onTarget(const tcp_packet &Packet, instant Now);
   void removeFlow(const flow_key &Flow, instant Now);
+  /// The request in progress on \p Flow, if any, will not reach the target.
+  void cancelRequest(const flow_key &Flow, instant Now);
   /// Removes all flows after calling \p Each for those that were open.
   void removeAllFlows(
       instant Now,
@@ -102,8 +104,10 @@
   void forEachOpen(const std::function<void(const flow_key &,
                                             const watched_flow &)> &Each) const;
 
-  /// Samples the load; must be called every forward_agent::TickPeriod.
-  void tick(instant Now);
+  /// Samples the load; must be called every forward_agent::TickPeriod. Calls \p
+  /// OnIdle for each flow that is removed because it is idle or closed.
+  void tick(instant Now,
+            const std::function<void(const flow_key &)> &OnIdle = nullptr);
 
   std::uint32_t open() const { return Open; }
   std::uint16_t active() const;
--- a/src/forward/target_packets.cpp
+++ b/src/forward/target_packets.cpp
@@ -15,7 +15,7 @@
   if (Segment.Head.opensFlow())
     noteDeclined(Segment.Head.Flow, Now);
   else
-    Load.removeFlow(Segment.Head.Flow, Now);
+    dropRequest(Segment.Head.Flow, Now);
   if (WasOpen)
     return resetLostFlow(Segment.Head);
   std::array<std::uint8_t, MaxPacketBytes> Buffer;
@@ -52,7 +52,7 @@
                                              instant Now) {
   const watched_flow *Watched = Load.find(Head.Flow);
   if ((Head.Fin || Head.Rst) && Watched && Watched->RequestPending &&
-      !Watched->CallerEnded)
+      !Watched->CallerEnded && !Held.holds(Head.Flow))
     noteAnswer(Head.Flow, /*Failed=*/true, Now);
 }
 
@@ -94,6 +94,13 @@
   Hooks.SendToCaller(Head.Flow.Caller, Bytes);
   if (Took && Hooks.OnAnswer)
     Hooks.OnAnswer(Head.Flow, Bytes, *Took);
+  if (Took)
+    Scheduler.onAnswer(Head.Flow, Now);
+  else if (Head.Rst || Head.Fin)
+    Scheduler.onEnd(Head.Flow, Now);
+  if (Head.Rst)
+    Held.drop(Head.Flow);
+  releaseReady(Now);
   return agent_outcome::Answered;
 }
 
