Schedule waiting requests by priority and latency objective

Admission had one fair queue for all waiting requests: urgent requests waited behind others, and under overload nearly every request ran after its latency objective had passed. A queue by priority now orders them, newest first while a priority is overloaded; requests of priority 0 without an objective keep the fair queue and its order. Committed requests are never refused and run at their deadline. Expiry uses indexes by deadline and age instead of a scan of the queue.

--- a/src/work/admission.cpp
+++ b/src/work/admission.cpp
@@ -11,11 +11,12 @@
 
 #include "work/busy_share.h"
 #include "work/concurrency_limit.h"
-#include "work/fair_queue.h"
+#include "work/level_queue.h"
 #include "work/retry_after_estimator.h"
 #include "work/retry_budget.h"
 
 #include <algorithm>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -35,6 +36,10 @@
 /// with probability e^-12.
 constexpr int StallFactor = 3;
 
+/// A request can still be answered by its aim if this many of its expected
+/// service times are left.
+constexpr double AimMarginFactor = 2;
+
 double toSeconds(duration Time) {
   return std::chrono::duration<double>(Time).count();
 }
@@ -54,17 +59,27 @@
     work_kind Kind;
     bool Alone;
     instant Since;
+    /// Part of the elapsed time that the request spends in a slot. It is less
+    /// than 1 if the target got more requests than it has slots.
+    double SlotShare;
+    /// False once the request has been running for StallBound.
+    bool Counts;
   };
+  using start_index = std::set<std::pair<instant, request_id>>;
 
   impl(const admission_settings &Settings, pick_peer PickPeer,
        std::uint64_t Seed)
       : Settings(Settings), PickPeer(std::move(PickPeer)),
-        Queue(Settings.CallerQueues, Seed), Limit(Settings),
-        RetryEstimator(Settings.MaxRetryAfter, Seed + 1),
+        Queue(Settings.CallerQueues, Settings.OldestFirstInterval, Seed),
+        Limit(Settings), RetryEstimator(Settings.MaxRetryAfter, Seed + 1),
         Budget(Settings.RetryShare), Times(Settings.FirstEstimate) {}
 
   decision offer(const work_request &Request, instant Now);
   decision offerStream(const work_request &Request, instant Now);
+  decision offerCommitted(const work_request &Request, double ServiceSeconds,
+                          instant Now);
+  decision hold(const work_request &Request, double ServiceSeconds,
+                instant Now);
   decision enqueue(const work_request &Request, double ServiceSeconds,
                    instant Now);
   std::optional<decision> relay(const work_request &Request, relay_reason Why,
@@ -73,21 +88,34 @@
   decision refuse(const work_request &Request, refusal Why, instant Now);
   void freeSlot(request_id Id);
   void runWaiting(instant Now);
+  void runDue(instant Now);
   void refuseExpired(instant Now);
+  void discountStalled(instant Now);
+  void uncount(request_id Id, running_request &Request);
   void relayWaiting(relay_reason Why, instant Now);
   duration stalledFor(instant Now) const;
   duration waitBound(work_kind Kind) const;
   bool hasRoom(const work_request &Request, instant Now) const;
   bool retryAllowed(const work_request &Request, instant Now);
 
-  std::size_t inSlots() const { return Running.size() - Streams; }
+  /// Number of running requests that count against the limit.
+  std::size_t inSlots() const { return ShortStarts.size() + LongStarts.size(); }
+  start_index &startsOf(work_kind Kind) {
+    return Kind == work_kind::Long ? LongStarts : ShortStarts;
+  }
   std::size_t slots(instant Now) const {
     return Limit.pause(Now) > duration::zero() ? 0 : Limit.limit(Now);
   }
+  bool stalled(instant Since, instant Now) const {
+    return Settings.StallBound > duration::zero() &&
+           Now - Since >= Settings.StallBound;
+  }
   std::size_t longSlots(std::size_t Slots) const;
+  duration aimMargin(double ServiceSeconds, instant Now) const;
   bool hasSlot(work_kind Kind, instant Now) const;
   double servers(work_kind Kind, instant Now) const;
-  duration expectedWait(const work_request &Request, instant Now) const;
+  duration expectedWait(const work_request &Request, double Ahead,
+                        instant Now) const;
   bool tooLate(const work_request &Request, double ServiceSeconds,
                instant Start) const;
   agent_load load(instant Now);
@@ -95,15 +123,17 @@
 
   admission_settings Settings;
   pick_peer PickPeer;
-  fair_queue Queue;
+  level_queue Queue;
   concurrency_limit Limit;
   retry_after_estimator RetryEstimator;
   retry_budget Budget;
   service_times Times;
   busy_share Busy;
   std::unordered_map<request_id, running_request> Running;
+  /// Start times of the running requests that count against the limit.
+  start_index ShortStarts;
+  start_index LongStarts;
   std::size_t Streams = 0;
-  std::size_t LongRunning = 0;
   bool Draining = false;
   /// Requests relayed after they had been admitted to the queue. If no peer
   /// runs such a request, it returns and must not be refused then, later than
@@ -123,9 +153,9 @@
 
 bool admission::impl::hasSlot(work_kind Kind, instant Now) const {
   const std::size_t Slots = slots(Now);
-  if (inSlots() >= Slots)
+  if (Slots == 0 || inSlots() >= Slots + Settings.Pipeline)
     return false;
-  return Kind != work_kind::Long || LongRunning < longSlots(Slots);
+  return Kind != work_kind::Long || LongStarts.size() < longSlots(Slots);
 }
 
 /// Number of slots that serve the queue of \p Kind.
@@ -136,7 +166,7 @@
     return double(ForLong);
   const bool LongWaits = !Queue.empty(work_kind::Long);
   const std::size_t Taken =
-      LongWaits ? ForLong : std::min(LongRunning, ForLong);
+      LongWaits ? ForLong : std::min(LongStarts.size(), ForLong);
   return double(std::max<std::size_t>(Slots - Taken, 1));
 }
 
@@ -145,20 +175,16 @@
 /// this check requests would be admitted on the basis of its former speed and
 /// refused late.
 duration admission::impl::stalledFor(instant Now) const {
-  if (inSlots() <= LongRunning)
+  if (ShortStarts.empty())
     return duration::zero();
-  duration Youngest = duration::max();
-  for (const auto &[Id, Each] : Running)
-    if (Each.Kind == work_kind::Short)
-      Youngest = std::min(Youngest, Now - Each.Since);
+  const duration Youngest = Now - ShortStarts.rbegin()->first;
   const duration Overdue =
       StallFactor * toDuration(Times.mean(work_kind::Short));
   return Youngest > Overdue ? Youngest : duration::zero();
 }
 
 duration admission::impl::expectedWait(const work_request &Request,
-                                       instant Now) const {
-  const double Ahead = Queue.workAhead(Request.Caller, Request.Kind);
+                                       double Ahead, instant Now) const {
   // The first slot becomes free after about one service time divided by the
   // number of slots.
   const double First = Times.mean(Request.Kind);
@@ -195,10 +221,19 @@
 
 decision admission::impl::run(const work_request &Request, instant Now) {
   const bool Stream = Request.Kind == work_kind::Stream;
-  Running.emplace(Request.Id, running_request{Request.Kind,
-                                              !Stream && inSlots() == 0, Now});
-  Streams += Stream ? 1 : 0;
-  LongRunning += Request.Kind == work_kind::Long ? 1 : 0;
+  const std::size_t InFlight = inSlots() + 1;
+  const double Slots = double(std::max<std::size_t>(Limit.limit(Now), 1));
+  Running.emplace(
+      Request.Id,
+      running_request{.Kind = Request.Kind,
+                      .Alone = !Stream && InFlight == 1,
+                      .Since = Now,
+                      .SlotShare = std::min(1.0, Slots / double(InFlight)),
+                      .Counts = !Stream});
+  if (Stream)
+    ++Streams;
+  else
+    startsOf(Request.Kind).emplace(Now, Request.Id);
   ++Counts.Run;
   return {.Id = Request.Id, .Verdict = verdict::Run};
 }
@@ -241,20 +276,32 @@
   return run(Request, Now);
 }
 
+/// Time before the aim at which a request has to start. Twice the mean leaves
+/// room for service times above it; requests beyond the slots wait at the
+/// target first.
+duration admission::impl::aimMargin(double ServiceSeconds, instant Now) const {
+  const double Slots = double(std::max<std::size_t>(Limit.limit(Now), 1));
+  return toDuration(AimMarginFactor * ServiceSeconds *
+                    (1 + double(Settings.Pipeline) / Slots));
+}
+
 decision admission::impl::offer(const work_request &Request, instant Now) {
   recordUse(Now);
+  discountStalled(Now);
   if (Request.Kind == work_kind::Stream)
     return offerStream(Request, Now);
+  const double ServiceSeconds = Times.expected(Request);
   if (!Request.Retry) {
     Budget.firstTry();
-    RetryEstimator.firstTry(Times.expected(Request), Now);
+    RetryEstimator.firstTry(ServiceSeconds, Now);
   }
+  if (Request.Committed)
+    return offerCommitted(Request, ServiceSeconds, Now);
   if (Draining) {
     if (const auto Relayed = relay(Request, relay_reason::Draining, Now))
       return *Relayed;
     return refuse(Request, refusal::Draining, Now);
   }
-  const double ServiceSeconds = Times.expected(Request);
   if (!tooLate(Request, ServiceSeconds, Now)) {
     if (const auto Relayed = relay(Request, relay_reason::Balance, Now))
       return *Relayed;
@@ -270,14 +317,35 @@
   return enqueue(Request, ServiceSeconds, Now);
 }
 
+decision admission::impl::offerCommitted(const work_request &Request,
+                                         double ServiceSeconds, instant Now) {
+  const bool Due = Request.Deadline && *Request.Deadline <= Now;
+  if (Due)
+    return run(Request, Now);
+  if (Queue.empty(Request.Kind) && hasSlot(Request.Kind, Now)) {
+    Queue.resetTags();
+    return run(Request, Now);
+  }
+  return hold(Request, ServiceSeconds, Now);
+}
+
+decision admission::impl::hold(const work_request &Request,
+                               double ServiceSeconds, instant Now) {
+  Queue.push({Request, ServiceSeconds, Now}, aimMargin(ServiceSeconds, Now));
+  return {.Id = Request.Id, .Verdict = verdict::Wait};
+}
+
 decision admission::impl::enqueue(const work_request &Request,
                                   double ServiceSeconds, instant Now) {
   if (RelayedFromQueue.erase(Request.Id) > 0 &&
-      !tooLate(Request, ServiceSeconds, Now)) {
-    Queue.push({Request, ServiceSeconds, Now});
-    return {.Id = Request.Id, .Verdict = verdict::Wait};
-  }
-  const duration Wait = expectedWait(Request, Now);
+      !tooLate(Request, ServiceSeconds, Now))
+    return hold(Request, ServiceSeconds, Now);
+  // Finding the exact work ahead visits the queue, so it is left out if the
+  // request can be admitted with all of it ahead.
+  duration Wait = expectedWait(Request, Queue.maxWorkAhead(Request), Now);
+  if (Wait > waitBound(Request.Kind) ||
+      tooLate(Request, ServiceSeconds, Now + Wait))
+    Wait = expectedWait(Request, Queue.workAhead(Request), Now);
   // A relayed request is either run or refused: the agent that relayed it can
   // still queue it and knows its caller's share.
   const bool CannotWait = Request.RelayedBy || Wait > waitBound(Request.Kind) ||
@@ -291,8 +359,7 @@
   }
   if (!retryAllowed(Request, Now))
     return refuse(Request, refusal::RetryBudget, Now);
-  Queue.push({Request, ServiceSeconds, Now});
-  return {.Id = Request.Id, .Verdict = verdict::Wait};
+  return hold(Request, ServiceSeconds, Now);
 }
 
 /// Longest wait for requests of \p Kind. For long work it is at least the mean
@@ -330,17 +397,34 @@
   if (Found == Running.end())
     return;
   Streams -= Found->second.Kind == work_kind::Stream ? 1 : 0;
-  LongRunning -= Found->second.Kind == work_kind::Long ? 1 : 0;
+  uncount(Id, Found->second);
   Running.erase(Found);
 }
 
+void admission::impl::uncount(request_id Id, running_request &Request) {
+  if (Request.Counts)
+    startsOf(Request.Kind).erase({Request.Since, Id});
+  Request.Counts = false;
+}
+
+void admission::impl::discountStalled(instant Now) {
+  for (start_index *Starts : {&ShortStarts, &LongStarts})
+    while (!Starts->empty() && stalled(Starts->begin()->first, Now)) {
+      const request_id Id = Starts->begin()->second;
+      uncount(Id, Running.at(Id));
+    }
+}
+
+void admission::impl::runDue(instant Now) {
+  for (const waiting_request &Each : Queue.removeDue(Now))
+    Outbox.push_back(run(Each.Request, Now));
+}
+
 void admission::impl::refuseExpired(instant Now) {
-  const auto Expired = [&](const waiting_request &Each) {
-    const bool Overdue =
-        Now - Each.Since > MaxWaitBounds * waitBound(Each.Request.Kind);
-    return Overdue || tooLate(Each.Request, Each.ServiceSeconds, Now);
-  };
-  for (const waiting_request &Each : Queue.removeIf(Expired)) {
+  const auto Expired =
+      Queue.removeExpired(MaxWaitBounds * waitBound(work_kind::Short),
+                          MaxWaitBounds * waitBound(work_kind::Long), Now);
+  for (const waiting_request &Each : Expired) {
     const bool Late = tooLate(Each.Request, Each.ServiceSeconds, Now);
     Outbox.push_back(
         refuse(Each.Request,
@@ -362,12 +446,16 @@
 /// stalled. Requests that no peer takes keep their place, because they have
 /// been admitted.
 void admission::impl::relayWaiting(relay_reason Why, instant Now) {
+  if (!PickPeer || Queue.refusable() == 0)
+    return;
   // Most entries never return. A request whose entry is removed only loses its
   // exemption from a late refusal.
   if (RelayedFromQueue.size() > Settings.MaxWaiting)
     RelayedFromQueue.clear();
   std::vector<decision> Relayed;
   const auto Moves = [&](const waiting_request &Each) {
+    if (Each.Request.Committed)
+      return false;
     const auto Peer = relay(Each.Request, Why, Now);
     if (Peer) {
       Relayed.push_back(*Peer);
@@ -394,6 +482,7 @@
   if (Found == Impl->Running.end())
     return;
   Impl->recordUse(Now);
+  Impl->discountStalled(Now);
   const auto Ran = Found->second;
   const std::size_t InFlight = Impl->inSlots();
   Impl->freeSlot(Id);
@@ -403,9 +492,16 @@
     Impl->Limit.shed(InFlight, End.RetryAfter, Now);
   if (End.Outcome != work_outcome::Answered)
     return;
-  Impl->Times.answered(Ran.Kind, End.Elapsed);
-  if (Ran.Kind == work_kind::Short)
-    Impl->Limit.answered(End.Elapsed, Ran.Alone, Impl->Queue.size() > 0, Now);
+  const duration Elapsed =
+      Ran.Counts ? End.Elapsed
+                 : std::min(End.Elapsed, Impl->Settings.StallBound);
+  const duration InSlot = Ran.SlotShare < 1
+                              ? toDuration(toSeconds(Elapsed) * Ran.SlotShare)
+                              : Elapsed;
+  Impl->Times.answered(Ran.Kind, InSlot);
+  // The answer of a stalled request says nothing about the number of slots.
+  if (Ran.Kind == work_kind::Short && Ran.Counts)
+    Impl->Limit.answered(InSlot, Ran.Alone, Impl->Queue.size() > 0, Now);
 }
 
 void admission::cancelled(request_id Id, instant Now) {
@@ -417,6 +513,8 @@
 
 std::vector<decision> admission::tick(instant Now) {
   Impl->recordUse(Now);
+  Impl->discountStalled(Now);
+  Impl->runDue(Now);
   if (Impl->stalledFor(Now) > Impl->Settings.WaitBound / 2)
     Impl->relayWaiting(relay_reason::Overloaded, Now);
   Impl->refuseExpired(Now);
@@ -432,19 +530,57 @@
 void admission::resume() { Impl->Draining = false; }
 
 agent_load admission::load(instant Now) { return Impl->load(Now); }
-void admission::setSlots(std::uint32_t Slots) { Impl->Settings.Slots = Slots; }
+
+void admission::setSlots(std::uint32_t Slots) {
+  if (Slots == Impl->Settings.Slots)
+    return;
+  Impl->Settings.Slots = Slots;
+  Impl->Limit.setDeclared(Slots);
+}
+
 std::size_t admission::freeSlots(instant Now) const {
+  if (Impl->Queue.size() > 0)
+    return 0;
+  std::size_t Counted = Impl->inSlots();
+  for (const auto *Starts : {&Impl->ShortStarts, &Impl->LongStarts})
+    for (const auto &[Since, Id] : *Starts) {
+      if (!Impl->stalled(Since, Now))
+        break;
+      --Counted;
+    }
   const std::size_t Slots = Impl->slots(Now);
-  return Slots - std::min(Slots, Impl->inSlots());
+  return Slots - std::min(Slots, Counted);
+}
+
+std::size_t admission::waiting(std::uint8_t Priority) const {
+  return Impl->Queue.size(Priority);
 }
-std::size_t admission::waiting(std::uint8_t) const {
-  return Impl->Queue.size();
+
+duration admission::expectedWait(std::uint8_t Priority, instant Now) const {
+  if (freeSlots(Now) > 0)
+    return duration::zero();
+  const double Slots = double(std::max<std::size_t>(Impl->Limit.limit(Now), 1));
+  const double First = Impl->Times.mean(work_kind::Short);
+  return Impl->Limit.pause(Now) +
+         toDuration((Impl->Queue.workUpTo(Priority) + First) / Slots);
 }
-duration admission::expectedWait(std::uint8_t, instant Now) const {
-  return Impl->expectedWait({}, Now);
+
+std::optional<instant> admission::nextTick() const {
+  std::optional<instant> Next = Impl->Queue.nextDeadline();
+  if (Impl->Queue.size() == 0 || Impl->Settings.StallBound <= duration::zero())
+    return Next;
+  for (const auto *Starts : {&Impl->ShortStarts, &Impl->LongStarts}) {
+    if (Starts->empty())
+      continue;
+    const instant Stalled = Starts->begin()->first + Impl->Settings.StallBound;
+    Next = Next ? std::min(*Next, Stalled) : Stalled;
+  }
+  return Next;
+}
+
+std::size_t admission::running() const {
+  return Impl->Running.size() - Impl->Streams;
 }
-std::optional<instant> admission::nextTick() const { return std::nullopt; }
-std::size_t admission::running() const { return Impl->inSlots(); }
 std::size_t admission::waiting() const { return Impl->Queue.size(); }
 std::size_t admission::streams() const { return Impl->Streams; }
 std::size_t admission::limit(instant Now) const { return Impl->slots(Now); }
--- a/src/work/concurrency_limit.cpp
+++ b/src/work/concurrency_limit.cpp
@@ -28,14 +28,28 @@
 } // namespace
 
 concurrency_limit::concurrency_limit(const admission_settings &Settings)
-    : Declared(std::max<std::size_t>(Settings.Slots, 1)),
-      MaxLimit(std::max<std::size_t>(
-          Declared,
-          std::size_t(std::lround(Declared * Settings.MaxLimitFactor)))),
+    : MaxLimitFactor(Settings.MaxLimitFactor), LowerLimit(Settings.LowerLimit),
       ColdStart(Settings.ColdStart), CutRatio(Settings.CutRatio),
-      Window(Settings.LimitWindow), Limit(Declared) {}
+      Window(Settings.LimitWindow) {
+  setDeclared(Settings.Slots);
+}
+
+void concurrency_limit::setDeclared(std::size_t Slots) {
+  Declared = std::max<std::size_t>(Slots, 1);
+  MaxLimit = std::max<std::size_t>(
+      Declared, std::size_t(std::lround(double(Declared) * MaxLimitFactor)));
+  Limit = Declared;
+  Trial = trial::None;
+  Sum = 0;
+  Count = 0;
+  OthersWaitingCount = 0;
+  HoldOff = 0;
+  NextHoldOff = FirstHoldOff;
+}
 
 bool concurrency_limit::ramping(instant Now) const {
+  if (ColdStart <= duration::zero())
+    return false;
   if (!Started)
     Started = Now;
   return Now - *Started < ColdStart;
@@ -89,13 +103,15 @@
     --HoldOff;
     return;
   }
-  if (exceedsAlone(Mean, CutRatio) && Limit > 1) {
+  if (exceedsAlone(Mean, CutRatio) && Limit > minLimit()) {
     const double Ratio = std::min(Mean / AloneMean, 2.0);
     const auto Next = std::size_t(std::lround(double(Limit) / Ratio));
-    beginTrial(trial::Cut, std::clamp<std::size_t>(Next, 1, Limit - 1), Mean);
+    beginTrial(trial::Cut, std::clamp<std::size_t>(Next, minLimit(), Limit - 1),
+               Mean);
     return;
   }
-  if (OthersWaiting && AloneCount < MinAloneSamples && Limit > 1) {
+  if (OthersWaiting && AloneCount < MinAloneSamples && Limit > 1 &&
+      LowerLimit) {
     // The target is always busy, so no request ever ran alone. Test whether
     // fewer run faster.
     beginTrial(trial::Cut, Limit - Limit / 2, Mean);
@@ -131,11 +147,13 @@
 void concurrency_limit::shed(std::size_t InFlight, duration RetryAfter,
                              instant Now) {
   if (InFlight > 1) {
-    Limit = std::min(Limit, InFlight - 1);
+    Limit = std::min(Limit, std::max(InFlight - 1, minLimit()));
     Trial = trial::None;
     HoldOff = FirstHoldOff;
     return;
   }
+  if (!LowerLimit)
+    return;
   const duration RequestedPause =
       RetryAfter > duration::zero() ? RetryAfter : DefaultPause;
   PausedUntil = std::max(PausedUntil, Now + std::min(RequestedPause, MaxPause));
--- a/src/work/concurrency_limit.h
+++ b/src/work/concurrency_limit.h
@@ -19,6 +19,9 @@
 /// slot more of four: 25%). When the target sheds a request, the limit is
 /// immediately set below the number of requests in flight.
 ///
+/// Without LowerLimit only trials above the declared slots are made, and a
+/// target that sheds is not paused.
+///
 //===----------------------------------------------------------------------===//
 
 #ifndef MARJORAMRAIL_SRC_WORK_CONCURRENCY_LIMIT_H
@@ -32,6 +35,9 @@
 public:
   explicit concurrency_limit(const admission_settings &Settings);
 
+  /// The target has stated another number of slots. The limit starts from it.
+  void setDeclared(std::size_t Slots);
+
   /// The first call to limit() starts the cold start.
   std::size_t limit(instant Now) const;
   bool ramping(instant Now) const;
@@ -50,13 +56,17 @@
   enum class trial { None, Cut, Raise };
 
   void recordAlone(double Seconds);
+  /// The lowest limit that a trial or a shed request may set.
+  std::size_t minLimit() const { return LowerLimit ? 1 : Declared; }
   bool exceedsAlone(double Mean, double Ratio) const;
   void closeWindow(double Mean, bool OthersWaiting);
   void judgeTrial(double Mean);
   void beginTrial(trial Kind, std::size_t Next, double Mean);
 
   std::size_t Declared;
+  double MaxLimitFactor;
   std::size_t MaxLimit;
+  bool LowerLimit;
   duration ColdStart;
   double CutRatio;
   std::uint32_t Window;
--- a/src/work/fair_queue.cpp
+++ b/src/work/fair_queue.cpp
@@ -116,6 +116,12 @@
   return take(Position.Kind, queueOf(Position.Kind).Entries.find(Position.Tag));
 }
 
+bool fair_queue::runsBefore(request_id Left, request_id Right) const {
+  const queue_position &A = Places.at(Left);
+  const queue_position &B = Places.at(Right);
+  return A.Kind == B.Kind ? A.Tag < B.Tag : A.Kind != work_kind::Long;
+}
+
 std::vector<waiting_request> fair_queue::removeIf(
     const std::function<bool(const waiting_request &)> &Predicate) {
   std::vector<request_id> Ids;
--- a/src/work/fair_queue.h
+++ b/src/work/fair_queue.h
@@ -64,6 +64,11 @@
   std::optional<waiting_request> pop(bool AllowLong, duration Bound,
                                      instant Now);
   std::optional<waiting_request> remove(request_id Id);
+  /// Whether the tag of waiting request \p Left precedes that of \p Right;
+  /// short work precedes long work.
+  bool runsBefore(request_id Left, request_id Right) const;
+  /// The queue of \p Caller, less than the number of caller queues.
+  std::size_t bucketOf(std::uint64_t Caller) const;
   /// Removes and returns all requests for which \p Predicate is true.
   std::vector<waiting_request>
   removeIf(const std::function<bool(const waiting_request &)> &Predicate);
@@ -90,7 +95,6 @@
 
   kind_queue &queueOf(work_kind Kind);
   const kind_queue &queueOf(work_kind Kind) const;
-  std::size_t bucketOf(std::uint64_t Caller) const;
   double startFor(std::uint64_t Caller) const;
   const tag *agedRequest(work_kind Kind, duration Bound, instant Now) const;
   waiting_request take(work_kind Kind,
