Directory: service levels and flow limits in the compact route table

Cause: balancers that copy a configuration from a peer would have no levels.

Change: group field "level" and table field "flow_limits". Routes are grouped by shares, regions and level, so that the copy grows with the number of different levels and not with the number of routes. A malformed level or limit is rejected; absent fields mean none, and the format number stays: earlier readers ignore fields that they do not know.

--- a/src/directory/route_table_codec.cpp
+++ b/src/directory/route_table_codec.cpp
@@ -1,7 +1,10 @@
 #include "directory/route_table_codec.h"
 #include "directory/address_list.h"
 
+#include <array>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <tuple>
 
 namespace marjoramrail::internal {
 
@@ -12,20 +15,41 @@
 /// Every encoded table starts with this text; the fields have a fixed order.
 static constexpr std::string_view FormatPrefix = "{\"marjoramrail_routes\":";
 
-/// Routes with the same shares and regions.
+/// Routes with the same shares, regions and level.
 struct route_group {
   std::vector<service_share> Shares;
   region_restriction Regions;
+  std::optional<service_level> Level;
   std::vector<endpoint> Addresses;
 
   bool isOf(const route &Route) const {
-    return Shares == Route.Shares && Regions == Route.Regions;
+    return Shares == Route.Shares && Regions == Route.Regions &&
+           Level == Route.Level;
   }
 };
 
+/// The encoded form of a level: priority, whether it is repeatable, latency aim
+/// and time limit in milliseconds. Also orders levels.
+using level_fields = std::array<std::uint64_t, 4>;
+
+static std::optional<level_fields>
+fieldsOf(const std::optional<service_level> &Level) {
+  if (!Level)
+    return std::nullopt;
+  const auto Milliseconds = [](duration Time) {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+  };
+  return level_fields{Level->Priority, Level->Repeatable ? 1U : 0U,
+                      Milliseconds(Level->LatencyAim),
+                      Milliseconds(Level->TimeLimit)};
+}
+
 static std::vector<route_group> groupsOf(const route_table &Table) {
   using share_list = std::vector<std::pair<std::string, std::uint32_t>>;
-  std::map<std::pair<share_list, region_restriction>, std::size_t> Numbers;
+  using group_key =
+      std::tuple<share_list, region_restriction, std::optional<level_fields>>;
+  std::map<group_key, std::size_t> Numbers;
   std::vector<route_group> Groups;
   std::size_t Last = 0;
   for (const route &Route : Table.Routes) {
@@ -34,10 +58,12 @@
       share_list Shares;
       for (const service_share &Share : Route.Shares)
         Shares.emplace_back(Share.Service, Share.Weight);
-      Last = Numbers.try_emplace({Shares, Route.Regions}, Groups.size())
+      Last = Numbers
+                 .try_emplace({Shares, Route.Regions, fieldsOf(Route.Level)},
+                              Groups.size())
                  .first->second;
       if (Last == Groups.size())
-        Groups.push_back({Route.Shares, Route.Regions, {}});
+        Groups.push_back({Route.Shares, Route.Regions, Route.Level, {}});
     }
     Groups[Last].Addresses.push_back(Route.Address);
   }
@@ -59,6 +85,8 @@
         {"addresses", encodeAddresses(std::move(Group.Addresses))}};
     if (Group.Regions.isRestricted())
       Item["regions"] = *Group.Regions.regions();
+    if (const auto Level = fieldsOf(Group.Level))
+      Item["level"] = *Level;
     List.push_back(std::move(Item));
   }
   ordered_json Encoded = {{"marjoramrail_routes", Format},
@@ -67,6 +95,8 @@
                           {"groups", List}};
   for (const service_warmup &Warmup : Table.Warmups)
     Encoded["warmups"][Warmup.Service] = Warmup.Rate;
+  for (const service_flow_limit &Limit : Table.FlowLimits)
+    Encoded["flow_limits"][Limit.Service] = Limit.MaxFlows;
   return Encoded.dump();
 }
 
@@ -101,6 +131,25 @@
   return region_restriction(std::move(Regions));
 }
 
+/// The level of a group; nothing if \p Json is malformed.
+static std::optional<service_level> levelOf(const json &Json) {
+  constexpr level_fields Most = {UINT8_MAX, 1, UINT32_MAX, UINT32_MAX};
+  if (!Json.is_array() || Json.size() != Most.size())
+    return std::nullopt;
+  level_fields Fields = {};
+  for (std::size_t I = 0; I < Most.size(); ++I) {
+    if (!Json[I].is_number_unsigned())
+      return std::nullopt;
+    Fields[I] = Json[I].get<std::uint64_t>();
+    if (Fields[I] > Most[I])
+      return std::nullopt;
+  }
+  return service_level{.Priority = static_cast<std::uint8_t>(Fields[0]),
+                       .Repeatable = Fields[1] == 1,
+                       .LatencyAim = std::chrono::milliseconds(Fields[2]),
+                       .TimeLimit = std::chrono::milliseconds(Fields[3])};
+}
+
 /// An encoded table that is being read. The first step parses the text; the
 /// following steps create the routes.
 class encoded_table {
@@ -138,6 +187,8 @@
     Table.Version = Version.get<std::uint64_t>();
     Table.IdleFlow = duration(Idle.get<duration::rep>());
     BOOST_LEAF_CHECK(openWarmups(Json.value("warmups", json::object()), Table));
+    BOOST_LEAF_CHECK(
+        openFlowLimits(Json.value("flow_limits", json::object()), Table));
     return openGroups(Json.value("groups", json()), Table);
   }
 
@@ -152,6 +203,18 @@
     return {};
   }
 
+  result<void> openFlowLimits(const json &List, route_table &Table) {
+    if (!List.is_object())
+      return refuse("flow_limits: expected an object");
+    for (const auto &[Service, Limit] : List.items()) {
+      if (!Limit.is_number_unsigned() ||
+          Limit.get<std::uint64_t>() > UINT32_MAX)
+        return refuse("flow_limits: expected whole numbers to 4294967295");
+      Table.FlowLimits.push_back({Service, Limit.get<std::uint32_t>()});
+    }
+    return {};
+  }
+
   result<void> openGroups(const json &List, route_table &Table) {
     if (!List.is_array())
       return refuse("groups: expected a list");
@@ -169,10 +232,17 @@
                          : std::optional(region_restriction());
       if (!Regions)
         return refuse("groups: expected a list of regions");
+      std::optional<service_level> Level;
+      if (Item.contains("level")) {
+        Level = levelOf(Item["level"]);
+        if (!Level)
+          return refuse("groups: level: expected [priority to 255, 0 or 1, aim "
+                        "ms, limit ms]");
+      }
       Count += Addresses->size();
       if (!Addresses->empty())
-        Groups.push_back(
-            {std::move(*Shares), std::move(*Regions), std::move(*Addresses)});
+        Groups.push_back({std::move(*Shares), std::move(*Regions), Level,
+                          std::move(*Addresses)});
     }
     Table.Routes.reserve(Count);
     return {};
@@ -180,7 +250,8 @@
 
   void takeNext(route_table &Table) {
     const route_group &From = Groups[Group];
-    Table.Routes.push_back({From.Addresses[Next], From.Shares, From.Regions});
+    Table.Routes.push_back(
+        {From.Addresses[Next], From.Shares, From.Regions, From.Level});
     if (++Next < From.Addresses.size())
       return;
     Next = 0;
