Directory: rules contain the service level of the active configuration

Cause: the level has to take effect together with the route that states it.

Change: route_rule::Level is the level of the active configuration; a route that is only upcoming has the level of the configuration that takes effect next. The level is part of the hash by which changes() finds rules that differ. A changed level adds no service and no region, so it needs no settling time.

Ruled out: the newest upcoming level, as for regions: with two configurations waiting, the level would go back to the older one when that takes effect.

--- a/src/directory/route_activation.cpp
+++ b/src/directory/route_activation.cpp
@@ -165,7 +165,7 @@
     Rule.begin(*Address);
     const bool IsActive = Cursors.front().isAt(*Address);
     Cursors.front().takeAt(*Address, [&](const route &Route) {
-      Rule.addRegions(Route.Regions, /*IsActive=*/true);
+      Rule.addRoute(Route, /*IsActive=*/true);
       for (const service_share &Share : Route.Shares) {
         const service_id Service = serviceNumber(Share.Service);
         Rule.Parts.push_back(
@@ -175,7 +175,7 @@
     });
     for (std::size_t I = 1; I < Cursors.size(); ++I)
       Cursors[I].takeAt(*Address, [&](const route &Route) {
-        Rule.addRegions(Route.Regions, /*IsActive=*/!IsActive);
+        Rule.addRoute(Route, /*IsActive=*/!IsActive);
         for (const service_share &Share : Route.Shares)
           Rule.addOwner(Share.Service, serviceNumber(Share.Service));
       });
@@ -190,7 +190,8 @@
 void route_activation::rule_view::begin(const endpoint &At) {
   Address = At;
   Parts.clear();
-  HasRegions = false;
+  Level.reset();
+  HasRoute = false;
 }
 
 void route_activation::rule_view::addOwner(std::string_view Name,
@@ -203,14 +204,18 @@
     Parts.push_back({Name, Service});
 }
 
-void route_activation::rule_view::addRegions(const region_restriction &Allowed,
-                                             bool IsActive) {
-  if (!HasRegions)
-    Regions = OwnerRegions = Allowed;
-  else if (IsActive)
-    Regions = Allowed;
-  OwnerRegions = unionOf(OwnerRegions, Allowed);
-  HasRegions = true;
+void route_activation::rule_view::addRoute(const route &Route, bool IsActive) {
+  if (!HasRoute) {
+    Regions = OwnerRegions = Route.Regions;
+    // Not replaced by later tables. Of two upcoming levels the one that takes
+    // effect next is used, so that the level of a rule never goes back to an
+    // older configuration.
+    Level = Route.Level;
+  } else if (IsActive) {
+    Regions = Route.Regions;
+  }
+  OwnerRegions = unionOf(OwnerRegions, Route.Regions);
+  HasRoute = true;
 }
 
 route_rule route_activation::ruleOf(const rule_view &View) {
@@ -218,6 +223,7 @@
   Rule.Address = View.Address;
   Rule.Regions = View.Regions;
   Rule.OwnerRegions = View.OwnerRegions;
+  Rule.Level = View.Level;
   for (const rule_part &Part : View.Parts) {
     std::string Name(Part.Name);
     if (Part.TakesNew)
@@ -239,10 +245,21 @@
   return Hash;
 }
 
+static std::uint64_t hashOf(const std::optional<service_level> &Level,
+                            std::uint64_t Seed) {
+  if (!Level)
+    return Seed;
+  const std::int64_t Fields[] = {Level->Priority, Level->Repeatable ? 1 : 0,
+                                 Level->LatencyAim.count(),
+                                 Level->TimeLimit.count()};
+  return XXH3_64bits_withSeed(Fields, sizeof(Fields), Seed);
+}
+
 std::uint64_t route_activation::hashOf(const rule_view &View) {
   std::uint64_t Hash = View.Parts.size();
   Hash = internal::hashOf(View.Regions, Hash);
   Hash = internal::hashOf(View.OwnerRegions, Hash);
+  Hash = internal::hashOf(View.Level, Hash);
   for (const rule_part &Part : View.Parts) {
     const std::uint32_t Fields[] = {static_cast<std::uint32_t>(Part.Service),
                                     Part.Weight,
--- a/src/directory/route_activation.h
+++ b/src/directory/route_activation.h
@@ -6,7 +6,7 @@
 /// service at once, another balancer that does not know the service yet would
 /// receive packets of these flows, find no owner among the targets it knows and
 /// reset them. A configuration that only removes services or changes weights
-/// takes effect at once.
+/// takes effect at once, and so does one that changes service levels alone.
 ///
 /// A configuration that arrives while another one waits does not extend that
 /// wait, otherwise changes in quick succession would never take effect. It has
@@ -77,12 +77,16 @@
     std::vector<rule_part> Parts;
     region_restriction Regions;
     region_restriction OwnerRegions;
-    bool HasRegions = false;
+    std::optional<service_level> Level;
+    /// A route has been added.
+    bool HasRoute = false;
 
     void begin(const endpoint &At);
     void addOwner(std::string_view Name, service_id Service);
-    /// Adds the regions of one table's route.
-    void addRegions(const region_restriction &Allowed, bool IsActive);
+    /// Adds the regions and the level of one table's route; the routes of the
+    /// active table first, then those of the upcoming ones in the order of
+    /// their activation.
+    void addRoute(const route &Route, bool IsActive);
   };
 
   /// The tables that are not active yet, in the order of their activation.
--- a/test/directory/route_activation_test.cpp
+++ b/test/directory/route_activation_test.cpp
@@ -128,6 +128,9 @@
     for (const char *Service : {"ledger", "archive", "catalogue"})
       if (Below(2) == 0)
         Route.Shares.push_back(share(Service, Below(3)));
+    if (Below(2) == 0)
+      Route.Level =
+          service_level{.Priority = static_cast<std::uint8_t>(Below(2))};
     Table.Routes.push_back(Route);
   }
   return Table;
@@ -195,6 +198,130 @@
   }
 }
 
+static route_table tableWithLevel(std::uint64_t Version,
+                                  const std::string &Service,
+                                  std::optional<service_level> Level) {
+  route_table Table = tableOf(Version, {Service});
+  Table.Routes.front().Level = Level;
+  return Table;
+}
+
+static constexpr service_level Urgent{.Priority = 0};
+static constexpr service_level Patient{.Priority = 2, .TimeLimit = 1500ms};
+
+TEST_CASE_FIXTURE(activation_fixture, "a rule has the level of its route") {
+  Activation.take(tableWithLevel(1, "ledger", Patient), Record, Now);
+
+  CHECK(Activation.rules(Record).front().Level == Patient);
+}
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "a change of the level alone takes effect at once") {
+  // It adds no service, so no other balancer could look for a flow's owner in
+  // the wrong place. A wait would only delay what the operators want.
+  Activation.take(tableWithLevel(1, "ledger", Patient), Record, Now);
+  Activation.take(tableWithLevel(2, "ledger", Urgent), Record, Now);
+
+  CHECK(Activation.activeVersion() == 2);
+  CHECK_FALSE(Activation.nextChange());
+  CHECK(Activation.rules(Record).front().Level == Urgent);
+}
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "changes contains a rule of which only the level differs") {
+  // Otherwise packets would carry the previous level until the route's services
+  // change.
+  const service_level Levels[] = {
+      {},
+      {.Priority = 1},
+      {.Priority = 1, .Repeatable = true},
+      {.Priority = 1, .Repeatable = true, .LatencyAim = 250ms},
+      {.Priority = 1,
+       .Repeatable = true,
+       .LatencyAim = 250ms,
+       .TimeLimit = 250ms}};
+  Activation.take(tableOf(1, {"ledger"}), Record, Now);
+  Activation.changes(Record);
+  std::uint64_t Version = 1;
+  for (const service_level &Level : Levels) {
+    Activation.take(tableWithLevel(++Version, "ledger", Level), Record, Now);
+
+    const rule_changes Changes = Activation.changes(Record);
+
+    REQUIRE(Changes.Changed.size() == 1);
+    CHECK(Changes.Changed.front().Level == Level);
+    CHECK(Activation.changes(Record).empty());
+  }
+}
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "a level that is removed is gone at once") {
+  Activation.take(tableWithLevel(1, "ledger", service_level{}), Record, Now);
+  Activation.changes(Record);
+  Activation.take(tableOf(2, {"ledger"}), Record, Now);
+
+  const rule_changes Changes = Activation.changes(Record);
+
+  REQUIRE(Changes.Changed.size() == 1);
+  CHECK_FALSE(Changes.Changed.front().Level);
+}
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "an older configuration does not bring an older level back") {
+  // A balancer gets versions from the store and from peers, in any order.
+  Activation.take(tableWithLevel(2, "ledger", Urgent), Record, Now);
+  Activation.changes(Record);
+
+  CHECK_FALSE(
+      Activation.take(tableWithLevel(1, "ledger", Patient), Record, Now));
+  CHECK_FALSE(Activation.advance(Now + SettleTime));
+  CHECK(Activation.changes(Record).empty());
+  CHECK(Activation.rules(Record).front().Level == Urgent);
+}
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "a level waits together with a service that is added") {
+  // The level belongs to the configuration that adds the service; the previous
+  // one is in force until then.
+  Activation.take(tableWithLevel(1, "ledger", Patient), Record, Now);
+  Activation.take(tableWithLevel(2, "archive", Urgent), Record, Now);
+
+  CHECK(Activation.rules(Record).front().Level == Patient);
+  CHECK(Activation.advance(Now + SettleTime));
+  CHECK(Activation.rules(Record).front().Level == Urgent);
+}
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "a route that is only upcoming has its upcoming level") {
+  // Packets of flows that other balancers have placed can arrive before the
+  // route is in effect here.
+  route_table Empty;
+  Empty.Version = 1;
+  Activation.take(Empty, Record, Now);
+  Activation.take(tableWithLevel(2, "ledger", Patient), Record, Now);
+
+  CHECK(Activation.activeVersion() == 1);
+  CHECK(Activation.rules(Record).front().Level == Patient);
+}
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "of two upcoming levels the next to take effect is used") {
+  // With the later one, the level would go back to the earlier configuration
+  // when that takes effect.
+  route_table Empty;
+  Empty.Version = 1;
+  Activation.take(Empty, Record, Now);
+  Activation.take(tableWithLevel(2, "ledger", Patient), Record, Now);
+  const instant Later = Now + SettleTime / 2;
+  Activation.take(tableWithLevel(3, "archive", Urgent), Record, Later);
+
+  CHECK(Activation.rules(Record).front().Level == Patient);
+  Activation.advance(Now + SettleTime);
+  CHECK(Activation.rules(Record).front().Level == Patient);
+  Activation.advance(Later + SettleTime);
+  CHECK(Activation.rules(Record).front().Level == Urgent);
+}
+
 static route_table tableIn(std::uint64_t Version,
                            std::vector<std::string> Regions) {
   route_table Table = tableOf(Version, {"ledger"});
