Forwarder: setting service_levels of the balancer

Cause: agents of earlier versions cannot read packets that contain a level, so the balancer needs to be told when all agents can.

The setting is only read here.

--- a/daemons/forwarder/forwarder_settings.cpp
+++ b/daemons/forwarder/forwarder_settings.cpp
@@ -67,6 +67,7 @@
   Settings.FlowLife = seconds(Reader, "flow_life_seconds", 60);
   Settings.Grace = seconds(Reader, "grace_seconds", 6);
   Settings.Regions = readRegions(Reader);
+  Settings.ServiceLevels = Reader.flag("service_levels", false);
   Settings.DisabledMechanisms = readDisabledMechanisms(Reader);
   if (auto Finished = Reader.finish(); !Finished)
     return Finished.error();
--- a/daemons/forwarder/forwarder_settings.h
+++ b/daemons/forwarder/forwarder_settings.h
@@ -39,6 +39,9 @@
   duration Grace;
   /// The region of each zone, for routes that are restricted to regions.
   zone_regions Regions;
+  /// Routed packets contain the service level of their route. Agents of earlier
+  /// versions cannot read such packets.
+  bool ServiceLevels = false;
   mechanism_set DisabledMechanisms;
 };
 
