Balancers estimate the present load of targets, flows are passed on by stated waits

Cause: with reports 200 ms old, all balancers of a zone send a burst to the targets that were idle at their last report; passing flows on to any next agent undid the choice between two targets, and each flow passed on cost an owner lookup.

Change: estimate from the last report, the flows placed since and the learnt service time; the packet states the wait at the next agents; the agent that takes a flow that was passed on says so at once.

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -85,8 +85,8 @@
                           duration Took) {
     const instant Now = Loop.timers().now();
     const int Status = this->Adapter.StatusOf(Packet);
-    Core.noteAnswer(Flow, request_log::isFailure(Status), Now);
     Requests.answered(Flow, Status, Took, Core.report(Now).Latency);
+    return request_log::isFailure(Status);
   };
   Hooks.OnEvent = [this](const flow_event &Event) { recordFlow(Event); };
   Hooks.Unregistered = [this] { registerAgain(); };
--- a/include/marjoramrail/agent_messages.h
+++ b/include/marjoramrail/agent_messages.h
@@ -53,6 +53,11 @@
   /// Expected time until a new request would start, by priority; in whole
   /// milliseconds, 65,535 at most.
   std::array<duration, ReportedPriorities> Wait{};
+  /// Typical time from the delivery of a request to its answer if it need not
+  /// wait at the target; zero if not known yet.
+  duration ServiceTime = duration::zero();
+  /// Number of balancers that the agent reports to.
+  std::uint16_t Balancers = 1;
 
   bool operator==(const capacity_report &) const = default;
 };
@@ -94,7 +99,7 @@
 
 inline constexpr std::size_t LoadReportBytes = 40;
 /// Size of a report with load_report::Capacity. Older balancers cannot read it.
-inline constexpr std::size_t LongLoadReportBytes = 60;
+inline constexpr std::size_t LongLoadReportBytes = 64;
 
 /// Returns the size written, or 0 if \p Buffer is too small.
 std::size_t encodeLoadReport(const load_report &Report,
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -113,6 +113,8 @@
   duration Warmup = duration::zero();
   /// Share of failures among the target's recent answers, in thousandths.
   std::uint16_t Failing = 0;
+  /// The learnt time that the target needs for a request; zero if not known.
+  duration ServiceTime = duration::zero();
 };
 
 /// Chooses a target of one service for a new flow. See placement.cpp for the
@@ -290,8 +292,9 @@
   /// The payload of \p Packet may contain a request identifier, for the event
   /// log.
   std::function<void(const flow_key &, bytes_view Packet)> OnRequest;
-  /// \p Packet begins the answer to a request that arrived \p Took ago.
-  std::function<void(const flow_key &, bytes_view Packet, duration Took)>
+  /// \p Packet begins the answer to a request that arrived \p Took ago. Returns
+  /// whether the answer reports a failure of the target.
+  std::function<bool(const flow_key &, bytes_view Packet, duration Took)>
       OnAnswer;
   std::function<void(const flow_event &)> OnEvent;
   /// Receives the logical clock of the balancer that placed a flow. May be
@@ -409,9 +412,6 @@
   void setTarget(std::uint32_t Slots, duration Warmup, instant Now);
   /// Sets what the target's entry in the store says, until its first report.
   void restoreSlots(std::uint32_t Slots);
-  /// The target has answered a request on \p Flow. \p Failed is true if the
-  /// answer was an error.
-  void noteAnswer(const flow_key &Flow, bool Failed, instant Now);
   void setIdleFlow(duration IdleFlow);
 
   /// Returns the open flows whose handshake was seen by \p Moment, the oldest
--- a/include/marjoramrail/wire.h
+++ b/include/marjoramrail/wire.h
@@ -13,8 +13,9 @@
 ///
 /// The service level is present in format 2 only; format 1 has none:
 ///
-///   u8 priority | u8 flags (1: repeatable) | u16 zero | u32 latency aim,
-///   u32 time limit in ms | u32 flow limit | u64 version of the configuration
+///   u8 priority | u8 flags (1: repeatable) | u16 substitute wait in ms |
+///   u32 latency aim, u32 time limit in ms | u32 flow limit |
+///   u64 version of the configuration
 ///
 /// The owner that finally takes the packet may send an owner_notice to the
 /// balancer's address, which is 0 if the balancer wants no notice. `version` is
@@ -170,6 +171,9 @@
              : std::min((LinkBytes - Taken) / OwnerBytes, MaxRoutedOwners);
 }
 
+/// Longest routed_packet::SubstituteWait.
+inline constexpr duration MaxSubstituteWait = std::chrono::milliseconds(65'534);
+
 /// A caller's packet and the agents that may own its flow. After decoding,
 /// Packet points into the decoded buffer.
 struct routed_packet {
@@ -184,6 +188,10 @@
   /// The service level of the packet's route, if the balancer states one. Only
   /// agents that know format 2 can read a packet with a level.
   std::optional<stated_level> Level = {};
+  /// With Level: how long a request would wait at the second agent of the list
+  /// or, if longer, at the third, as far as the balancer knew; nothing if it
+  /// did not know. In whole milliseconds, up to MaxSubstituteWait.
+  std::optional<duration> SubstituteWait = {};
   bytes_view Packet;
 
   bool has(routed_flag Flag) const {
--- a/src/agent_messages/load_report.cpp
+++ b/src/agent_messages/load_report.cpp
@@ -11,7 +11,8 @@
 /// u16 active | u16 slots | u32 flows | u16 busy | u32 latency us |
 /// u32 warm-up us | u16 failing | u32 warm-up rate | padding to 40 bytes
 /// A long report continues:
-/// u16 free slots | 4 x u16 waiting requests | 4 x u16 wait ms | padding
+/// u16 free slots | 4 x u16 waiting requests | 4 x u16 wait ms |
+/// u32 service time us | u16 balancers
 static constexpr std::uint16_t ReportMagic = 0x4d4c;
 static constexpr std::uint16_t ReportRequestMagic = 0x4d51;
 static constexpr std::uint8_t AdmittingBit = 1;
@@ -36,6 +37,8 @@
     Writer.put(static_cast<std::uint16_t>(
         std::clamp<std::int64_t>(Milliseconds, 0, UINT16_MAX)));
   }
+  Writer.put(cappedCount(Capacity.ServiceTime));
+  Writer.put(Capacity.Balancers);
 }
 
 static capacity_report readCapacity(byte_reader &Reader) {
@@ -45,6 +48,8 @@
     Waiting = Reader.take<std::uint16_t>();
   for (duration &Wait : Capacity.Wait)
     Wait = std::chrono::milliseconds(Reader.take<std::uint16_t>());
+  Capacity.ServiceTime = duration(Reader.take<std::uint32_t>());
+  Capacity.Balancers = std::max<std::uint16_t>(Reader.take<std::uint16_t>(), 1);
   return Capacity;
 }
 
--- a/src/forward/admission_threshold.h
+++ b/src/forward/admission_threshold.h
@@ -46,7 +46,7 @@
   /// Has to be called every forward_balancer::TickPeriod.
   void evaluate(const priority_waits &Waits, instant Now) {
     if (canRelease(Waits)) {
-      moveTo(RefusesFrom + 1, Now);
+      moveTo(nextToAdmit(Waits), Now);
       return;
     }
     if (!mustRefuse(Waits)) {
@@ -97,7 +97,16 @@
     if (RefusesFrom >= ReportedPriorities)
       return false;
     const priority_wait &Wait = Waits[RefusesFrom];
-    return !Wait.Shortest || *Wait.Shortest <= Wait.Limit / 2;
+    return !Wait.Shortest || Wait.Limit == duration::zero() ||
+           *Wait.Shortest <= Wait.Limit / 2;
+  }
+
+  /// Admits RefusesFrom and what follows up to the next priority with routes.
+  std::size_t nextToAdmit(const priority_waits &Waits) const {
+    std::size_t Next = RefusesFrom + 1;
+    while (Next < ReportedPriorities && Waits[Next].Limit == duration::zero())
+      ++Next;
+    return Next;
   }
 
   void moveTo(std::size_t Next, instant Now) {
--- a/src/forward/agent_table.cpp
+++ b/src/forward/agent_table.cpp
@@ -85,6 +85,7 @@
     if (!ByEndpoint.try_emplace(Target.Agent, Agents.size()).second)
       MoreByEndpoint.emplace(Target.Agent, Agents.size());
     ByService[State.Service].push_back(Agents.size());
+    ServiceNames[State.Service] = Target.Service;
     Agents.push_back(State);
   }
 }
@@ -94,6 +95,16 @@
   return Found == ByEndpoint.end() ? nullptr : &Agents[Found->second];
 }
 
+const agent_state *agent_table::find(const endpoint &Agent) const {
+  const auto Found = ByEndpoint.find(Agent);
+  return Found == ByEndpoint.end() ? nullptr : &Agents[Found->second];
+}
+
+std::string agent_table::nameOf(service_id Service) const {
+  const auto Found = ServiceNames.find(Service);
+  return Found == ServiceNames.end() ? "" : Found->second;
+}
+
 const std::vector<std::size_t> &
 agent_table::ofService(service_id Service) const {
   static const std::vector<std::size_t> None;
--- a/src/forward/agent_table.h
+++ b/src/forward/agent_table.h
@@ -160,7 +160,10 @@
     return zoneOf(Agent).EvacuatedSince || Agent.Report.Evacuated;
   }
   agent_state *find(const endpoint &Agent);
+  const agent_state *find(const endpoint &Agent) const;
   const std::vector<std::size_t> &ofService(service_id Service) const;
+  /// The name of a service that has targets; "" if it has none.
+  std::string nameOf(service_id Service) const;
   agent_state &at(std::size_t Index) { return Agents[Index]; }
   const agent_state &at(std::size_t Index) const { return Agents[Index]; }
   std::size_t size() const { return Agents.size(); }
@@ -215,6 +218,7 @@
   std::unordered_map<endpoint, std::size_t, endpoint_hash> ByEndpoint;
   std::unordered_multimap<endpoint, std::size_t, endpoint_hash> MoreByEndpoint;
   std::map<service_id, std::vector<std::size_t>> ByService;
+  std::map<service_id, std::string> ServiceNames;
   /// Where the next round of requests begins, for the own zone and for other
   /// zones.
   std::size_t NextRequested = 0;
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -64,6 +64,8 @@
 load_report forward_agent::impl::reportWithCapacity(instant Now) {
   load_report Report = report(Now);
   Report.Capacity = Scheduler.capacity(Now);
+  Report.Capacity->Balancers = static_cast<std::uint16_t>(
+      std::clamp<std::size_t>(Balancers.size(), 1, UINT16_MAX));
   return Report;
 }
 
@@ -159,10 +161,6 @@
   Impl->Scheduler.setSlots(Impl->Slots);
 }
 
-void forward_agent::noteAnswer(const flow_key &Flow, bool Failed, instant Now) {
-  Impl->noteAnswer(Flow, Failed, Now);
-}
-
 void forward_agent::setIdleFlow(duration IdleFlow) {
   Impl->Load.setIdleFlow(IdleFlow);
 }
--- a/src/forward/forward_agent_impl.h
+++ b/src/forward/forward_agent_impl.h
@@ -59,7 +59,6 @@
   std::optional<flow_refusal> capacityRefusal(const routed_packet &Routed,
                                               const flow_key &Flow,
                                               instant Now);
-  bool hasNextAgent(const routed_packet &Routed) const;
   agent_outcome deliverInOrder(const routed_packet &Routed,
                                const tcp_packet &Head, bool BeginsRequest,
                                instant Now);
@@ -91,6 +90,7 @@
   void addOneTimeReceiver(const routed_packet &Routed);
   void sendOwnerNotice(const routed_packet &Routed, const flow_key &Flow,
                        instant Now);
+  void notifyOwner(const endpoint &Balancer, const flow_key &Flow);
   void resetAll(instant Now);
   void resetFlow(const open_flow &Open, std::string_view Why);
   void reportToLastBalancer(instant Now);
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -258,7 +258,22 @@
   if (decodeOwnerNotice(Bytes, Notice) != packet_fault::None)
     return;
   ++Impl->Counters.Notices;
-  Impl->FlowCache.store(Notice.Flow, {Notice.Owner, /*IsConfirmed=*/true}, Now);
+  Impl->onOwnerNotice(Notice, Now);
+}
+
+/// A new flow that was passed on counts as placed at the agent that took it.
+/// Otherwise the agents with free slots, which come first among the
+/// substitutes of every flow, would be overloaded before their next report.
+void forward_balancer::impl::onOwnerNotice(const owner_notice &Notice,
+                                           instant Now) {
+  const auto Before = FlowCache.find(Notice.Flow, Now);
+  if (Before && !Before->IsConfirmed && Before->Agent != Notice.Owner) {
+    if (agent_state *First = AgentTable.find(Before->Agent))
+      First->Placed -= std::min(First->Placed, 1U);
+    if (agent_state *Owner = AgentTable.find(Notice.Owner))
+      ++Owner->Placed;
+  }
+  FlowCache.store(Notice.Flow, {Notice.Owner, /*IsConfirmed=*/true}, Now);
 }
 
 void forward_balancer::impl::onReport(const load_report &Report, instant Now) {
@@ -335,18 +350,12 @@
       Evacuated[Zone.Name] =
           std::chrono::duration<double>(Now - *Zone.EvacuatedSince).count();
   nlohmann::json Agents = nlohmann::json::array();
-  for (std::size_t I = 0; I < Impl->AgentTable.size(); ++I) {
-    const agent_state &Agent = Impl->AgentTable.at(I);
-    Agents.push_back({{"agent", toText(Agent.Agent)},
-                      {"admitting", Agent.Report.Admitting},
-                      {"suspect", Agent.Suspect},
-                      {"zone", Impl->AgentTable.zoneOf(Agent).Name},
-                      {"evacuated", Agent.Report.Evacuated},
-                      {"flows", Agent.Report.Flows},
-                      {"busy", Agent.Report.Busy}});
-  }
+  for (std::size_t I = 0; I < Impl->AgentTable.size(); ++I)
+    Agents.push_back(Impl->agentJson(Impl->AgentTable.at(I), Now));
   return nlohmann::json{{"sure", Impl->isKnowledgeCurrent(Now)},
                         {"routes", Impl->Routes.size()},
+                        {"service_levels", Impl->Settings.StatesLevels},
+                        {"admission", Impl->admissionJson(Now)},
                         {"agents", Agents},
                         {"evacuated_zones", Evacuated},
                         {"evacuations_version", Impl->EvacuationsVersion}}
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -13,10 +13,13 @@
 
 #include "forward/admission_threshold.h"
 #include "forward/candidate_list.h"
+#include "forward/capacity_estimate.h"
 #include "forward/flow_cache.h"
 #include "forward/recent_lookups.h"
 #include "forward/time_limits.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace marjoramrail {
 
 namespace internal {
@@ -45,6 +48,8 @@
   bytes_view Bytes;
   /// The service level that the packet states, if any.
   std::optional<stated_level> Level;
+  /// See routed_packet.
+  std::optional<duration> SubstituteWait = {};
 
   /// Size of the packet and its service level.
   std::size_t size() const {
@@ -112,6 +117,9 @@
   placement_candidate viewOf(const internal::route_state &Route,
                              const internal::agent_state &Agent,
                              std::optional<endpoint> Avoid, instant Now) const;
+  static void applyEstimate(const internal::agent_state &Agent,
+                            const service_level &Level, instant Now,
+                            placement_candidate &View);
   void addSubstitutes(const internal::route_state &Route,
                       const internal::agent_state &Chosen, const flow_key &Flow,
                       internal::candidate_list &List, instant Now);
@@ -119,7 +127,16 @@
                                      const internal::agent_state &Chosen,
                                      const internal::agent_state &Other,
                                      instant Now) const;
-  bool hasKnownFreeSlot(const internal::agent_state &Agent, instant Now) const;
+  std::optional<duration> knownWait(const internal::agent_state &Agent,
+                                    const service_level &Level,
+                                    instant Now) const;
+  static std::optional<internal::capacity_observation>
+  observationOf(const internal::agent_state &Agent, instant Now);
+  std::optional<duration> substituteWait(const internal::candidate_list &List,
+                                         const service_level &Level,
+                                         instant Now) const;
+  bool hasKnownFreeSlot(const internal::route_state &Route,
+                        const internal::agent_state &Agent, instant Now) const;
   bool isRefusedByThreshold(const internal::route_state &Route,
                             service_id Service) const;
   void evaluateThresholds(instant Now);
@@ -162,6 +179,7 @@
                          std::string_view Why, instant Now);
   bool isKnowledgeCurrent(instant Now) const;
   void onReport(const load_report &Report, instant Now);
+  void onOwnerNotice(const owner_notice &Notice, instant Now);
   void review(instant Now);
   void sendPolicy(const internal::agent_state &Agent);
   bool mayPlaceAt(const internal::route_state &Route,
@@ -172,6 +190,9 @@
   void notifyUnregistered(const endpoint &Agent, instant Now);
   void notifyRegistered(const internal::agent_state &Agent, instant Now);
   void reportLostAgents(instant Now);
+  nlohmann::json admissionJson(instant Now) const;
+  nlohmann::json agentJson(const internal::agent_state &Agent,
+                           instant Now) const;
   void logEvent(event_kind What, std::string_view Why, const flow_key &Flow,
                 const endpoint &Agent, instant Now, double Load = 0);
 
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -1,5 +1,7 @@
 #include "forward/forward_balancer_impl.h"
 
+#include <cmath>
+
 namespace marjoramrail {
 
 using namespace internal;
@@ -19,6 +21,22 @@
          Regions.permits(AgentTable.zoneOf(Agent).Region);
 }
 
+/// Replaces the reported load by an estimate of the present one, if the agent
+/// reports its capacity.
+void forward_balancer::impl::applyEstimate(const agent_state &Agent,
+                                           const service_level &Level,
+                                           instant Now,
+                                           placement_candidate &View) {
+  const auto Seen = observationOf(Agent, Now);
+  if (!Seen)
+    return;
+  View.ServiceTime = Seen->Capacity.ServiceTime;
+  // The candidate counts the placed flows once more.
+  const double Ahead = requestsAhead(*Seen, Level.Priority) - Agent.Placed;
+  View.Active = static_cast<std::uint16_t>(
+      std::clamp(std::round(Ahead), 0.0, double{UINT16_MAX}));
+}
+
 placement_candidate forward_balancer::impl::viewOf(
     const route_state &Route, const agent_state &Agent,
     std::optional<endpoint> Avoid, instant Now) const {
@@ -45,6 +63,8 @@
   View.Latency = Agent.Report.Latency;
   View.Warmup = Agent.Report.Warmup;
   View.Failing = Agent.Report.Failing;
+  if (Route.Level)
+    applyEstimate(Agent, *Route.Level, Now, View);
   return View;
 }
 
@@ -150,14 +170,16 @@
     return refuse(Segment, forward_outcome::NoTarget,
                   "no target can serve this priority in time", Now);
   }
-  const outgoing_packet Packet = outgoing(Route, Agent.Service, Segment, Bytes);
+  outgoing_packet Packet = outgoing(Route, Agent.Service, Segment, Bytes);
   const bool IsTargetFull =
-      Agent.freshCapacity(Now) && !hasKnownFreeSlot(Agent, Now);
+      Agent.freshCapacity(Now) && !hasKnownFreeSlot(Route, Agent, Now);
   ++Agent.Placed;
   FlowCache.store(Flow, {Agent.Agent, /*IsConfirmed=*/false}, Now);
   candidate_list List(Packet.size());
   List.add(Agent.Agent);
   addSubstitutes(Route, Agent, Flow, List, Now);
+  if (Packet.Level)
+    Packet.SubstituteWait = substituteWait(List, Packet.Level->Level, Now);
   const bool IsZoneFull =
       std::find(SubstituteGroups.begin(), SubstituteGroups.end(),
                 substitute_group::SameZoneFree) == SubstituteGroups.end();
@@ -205,7 +227,7 @@
   if (!Other.Report.Answering)
     return substitute_group::NotAnswering;
   const bool IsSameZone = Other.ZoneOrder == Chosen.ZoneOrder;
-  if (hasKnownFreeSlot(Other, Now))
+  if (hasKnownFreeSlot(Route, Other, Now))
     return IsSameZone ? substitute_group::SameZoneFree
                       : substitute_group::OtherZonesFree;
   return IsSameZone ? substitute_group::SameZone : substitute_group::OtherZones;
--- a/src/forward/owner_lookup.cpp
+++ b/src/forward/owner_lookup.cpp
@@ -266,6 +266,7 @@
   std::copy(List.begin(), List.end(), Routed.Owners.begin());
   Routed.Flags = Flags;
   Routed.Level = Packet.Level;
+  Routed.SubstituteWait = Packet.SubstituteWait;
   Routed.Packet = Packet.Bytes;
   std::array<std::uint8_t, MaxRoutedBytes> Buffer;
   const std::size_t Size = encodeRouted(Routed, Buffer);
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -75,6 +75,7 @@
 /// Typical values among the targets of a service.
 struct typical_values {
   duration Latency = duration::zero();
+  duration ServiceTime = duration::zero();
   double FlowsPerSlot = 0;
   /// The median, in thousandths.
   std::uint16_t Failing = 0;
@@ -143,6 +144,7 @@
 typicalOf(const std::vector<placement_candidate> &Targets) {
   typical_values Typical;
   std::vector<duration> Latencies;
+  std::vector<duration> ServiceTimes;
   std::vector<std::uint16_t> Failing;
   double Flows = 0;
   double Slots = 0;
@@ -154,10 +156,13 @@
     Failing.push_back(Target.Failing);
     if (Target.Latency > duration::zero())
       Latencies.push_back(Target.Latency);
+    if (Target.ServiceTime > duration::zero())
+      ServiceTimes.push_back(Target.ServiceTime);
   }
   if (Slots > 0)
     Typical.FlowsPerSlot = Flows / Slots;
   Typical.Latency = medianOf(Latencies);
+  Typical.ServiceTime = medianOf(ServiceTimes);
   Typical.Failing = medianOf(Failing);
   return Typical;
 }
@@ -168,15 +173,23 @@
     : Targets(Targets), Order(Order), DisabledMechanisms(DisabledMechanisms),
       Typical(typicalOf(Targets)) {}
 
-/// Returns the factor by which the target is slower than usual.
+static double ratioOf(duration Time, duration Usual) {
+  return static_cast<double>(Time.count()) / static_cast<double>(Usual.count());
+}
+
+/// Returns the factor by which the target is slower than usual. The latency
+/// includes the time that requests wait, so a target with a short queue has a
+/// short latency without being fast: a factor below 1 needs a service time.
 double flow_choice::slowdownOf(const placement_candidate &Target) const {
   double Slowdown = 1;
+  const bool IsSpeedKnown = Target.ServiceTime > duration::zero();
   const bool IsSlow =
       Target.Latency > Typical.Latency && Typical.Latency > duration::zero();
-  if (IsSlow && !DisabledMechanisms.has(mechanism::Latency))
-    Slowdown = std::min(static_cast<double>(Target.Latency.count()) /
-                            static_cast<double>(Typical.Latency.count()),
-                        MaxSlowdown);
+  if (IsSpeedKnown && !DisabledMechanisms.has(mechanism::Latency))
+    Slowdown = std::clamp(ratioOf(Target.ServiceTime, Typical.ServiceTime),
+                          1 / MaxSlowdown, MaxSlowdown);
+  else if (IsSlow && !DisabledMechanisms.has(mechanism::Latency))
+    Slowdown = std::min(ratioOf(Target.Latency, Typical.Latency), MaxSlowdown);
   if (Target.Warmup > duration::zero() &&
       !DisabledMechanisms.has(mechanism::WarmUp))
     Slowdown = std::max(Slowdown, WarmupSlowdown);
--- a/src/forward/request_holding.cpp
+++ b/src/forward/request_holding.cpp
@@ -11,17 +11,15 @@
 /// delays it.
 static constexpr std::uint8_t MaxCapacityHops = 2;
 
-bool forward_agent::impl::hasNextAgent(const routed_packet &Routed) const {
-  for (std::size_t I = Routed.Position + 1U; I < Routed.Count; ++I)
-    if (Routed.Owners[I] != Settings.Self)
-      return true;
-  return false;
-}
+/// Least gain for which a new flow is passed on, besides half of a service
+/// time: about what the additional hop takes.
+static constexpr duration MinWaitGain = std::chrono::milliseconds(4);
 
 /// Returns why the target has no capacity for a new flow, if it has none and
-/// the balancer states service levels. The flow waits least where a slot is
-/// free, so it goes to the next agent in the list; a flow that has been passed
-/// on often enough is taken.
+/// the balancer states service levels. A flow whose request would wait goes to
+/// the next agent of the list if it would wait clearly less there. If the
+/// balancer did not know that agent's wait, the flow stays: the balancer has
+/// chosen the less loaded of two targets, and any other may be worse.
 std::optional<flow_refusal>
 forward_agent::impl::capacityRefusal(const routed_packet &Routed,
                                      const flow_key &Flow, instant Now) {
@@ -34,8 +32,12 @@
   if (Stated->MaxFlows != 0 && Load.open() >= Stated->MaxFlows)
     return flow_refusal::FlowLimit;
   if (Settings.DisabledMechanisms.has(mechanism::RoomHandover) ||
-      Routed.Position >= MaxCapacityHops || !hasNextAgent(Routed) ||
-      Scheduler.hasFreeSlot(Now))
+      Routed.Position >= MaxCapacityHops ||
+      Routed.Position + 1U >= Routed.Count || !Routed.SubstituteWait)
+    return std::nullopt;
+  const duration Gain =
+      Scheduler.waitOf(Stated->Level, Now) - *Routed.SubstituteWait;
+  if (Gain < std::max(MinWaitGain, Scheduler.serviceTime() / 2))
     return std::nullopt;
   return flow_refusal::NoFreeSlot;
 }
--- a/src/forward/request_scheduler.cpp
+++ b/src/forward/request_scheduler.cpp
@@ -55,19 +55,29 @@
   if (Level.TimeLimit > duration::zero())
     Request.Deadline = Now + Level.TimeLimit;
   Ids[Flow] = Request.Id;
-  Requests[Request.Id] = {Flow, Level.Priority, Now};
   const bool Runs =
       Work.offer(Request, Now).Verdict == marjoramrail::verdict::Run;
+  Requests[Request.Id] = {Flow, Level.Priority, Now, Runs && hasSlot(Now)};
   return Runs ? verdict::Deliver : verdict::Hold;
 }
 
-void request_scheduler::onAnswer(const flow_key &Flow, instant Now) {
+/// Whether the requests that are at the target, the last one included, have a
+/// slot each.
+bool request_scheduler::hasSlot(instant Now) const {
+  return Work.running() <= Work.limit(Now);
+}
+
+void request_scheduler::onAnswer(const flow_key &Flow, bool Failed,
+                                 instant Now) {
   const auto Found = Ids.find(Flow);
   if (Found == Ids.end())
     return;
   const request_id Id = Found->second;
   const auto Request = Requests.find(Id);
-  Work.finished(Id, {.Elapsed = Now - Request->second.Since}, Now);
+  const duration Took = Now - Request->second.Since;
+  if (Request->second.HadSlot && !Failed)
+    ServiceTime.onAnswer(Took);
+  Work.finished(Id, {.Elapsed = Took}, Now);
   Requests.erase(Request);
   Ids.erase(Found);
 }
@@ -98,6 +108,7 @@
       continue;
     tracked_request &Tracked = Request->second;
     const instant ArrivedAt = std::exchange(Tracked.Since, Now);
+    Tracked.HadSlot = hasSlot(Now);
     Ready.push_back({Tracked.Flow, Tracked.Priority, Now - ArrivedAt});
   }
   return Ready;
@@ -116,14 +127,29 @@
     Reservations.erase(Found);
 }
 
-std::size_t request_scheduler::freeSlots(instant Now) {
+void request_scheduler::removeExpiredReservations(instant Now) {
   while (!Reservations.empty() && Reservations.front().Until <= Now)
     Reservations.pop_front();
+}
+
+std::size_t request_scheduler::freeSlots(instant Now) {
+  removeExpiredReservations(Now);
   const std::size_t Free = Work.freeSlots(Now);
   return Free - std::min(Free, Reservations.size());
 }
 
-bool request_scheduler::hasFreeSlot(instant Now) { return freeSlots(Now) > 0; }
+duration request_scheduler::waitOf(const service_level &Level, instant Now) {
+  removeExpiredReservations(Now);
+  std::size_t Ahead = Work.running() + Reservations.size();
+  // Requests that are less urgent would wait behind the new one.
+  if (Work.waiting() > 0)
+    for (unsigned Priority = 0; Priority <= Level.Priority; ++Priority)
+      Ahead += Work.waiting(static_cast<std::uint8_t>(Priority));
+  const std::size_t Limit = Work.limit(Now);
+  if (Ahead < Limit + Pipeline)
+    return duration::zero();
+  return ServiceTime.value() * (Ahead + 1 - Limit) / Limit;
+}
 
 capacity_report request_scheduler::capacity(instant Now) {
   const auto Capped = [](std::size_t Count) {
@@ -141,6 +167,7 @@
   }
   Report.Waiting.back() = Capped(LessUrgent);
   Report.Wait.back() = Work.expectedWait(UINT8_MAX, Now);
+  Report.ServiceTime = ServiceTime.value();
   return Report;
 }
 
--- a/src/forward/request_scheduler.h
+++ b/src/forward/request_scheduler.h
@@ -17,6 +17,7 @@
 #ifndef MARJORAMRAIL_FORWARD_REQUEST_SCHEDULER_H
 #define MARJORAMRAIL_FORWARD_REQUEST_SCHEDULER_H
 
+#include "forward/service_time.h"
 #include "marjoramrail/agent_messages.h"
 #include "marjoramrail/work.h"
 
@@ -49,7 +50,7 @@
   verdict onRequest(const flow_key &Flow, const service_level &Level,
                     instant Now);
   /// The target has begun to answer the request on \p Flow.
-  void onAnswer(const flow_key &Flow, instant Now);
+  void onAnswer(const flow_key &Flow, bool Failed, instant Now);
   /// The request on \p Flow, if any, needs no answer any more.
   void onEnd(const flow_key &Flow, instant Now);
   /// Removes all requests. The target has stopped.
@@ -62,8 +63,11 @@
   /// A new flow was offered to the target. It reserves a slot until its first
   /// request begins, for ReservationTime at most.
   void reserveSlot(const flow_key &Flow, instant Now);
-  /// Returns whether the first request of another new flow would run at once.
-  bool hasFreeSlot(instant Now);
+  /// Returns how long the first request of another new flow would wait; zero if
+  /// it would be delivered at once.
+  duration waitOf(const service_level &Level, instant Now);
+  /// The typical time that the target needs for a request; zero if not known.
+  duration serviceTime() const { return ServiceTime.value(); }
   capacity_report capacity(instant Now);
 
   std::size_t waiting() const { return Work.waiting(); }
@@ -75,16 +79,21 @@
     /// When the request was delivered to the target, or until then when it
     /// arrived.
     instant Since;
+    /// The target had a slot for it when it was delivered.
+    bool HadSlot = false;
   };
   struct reservation {
     flow_key Flow;
     instant Until;
   };
 
+  bool hasSlot(instant Now) const;
   void removeReservation(const flow_key &Flow);
+  void removeExpiredReservations(instant Now);
   std::size_t freeSlots(instant Now);
 
   admission Work;
+  service_time ServiceTime;
   std::uint64_t LastId = 0;
   std::unordered_map<flow_key, request_id, flow_key_hash> Ids;
   std::unordered_map<request_id, tracked_request> Requests;
--- a/src/forward/routed_packets.cpp
+++ b/src/forward/routed_packets.cpp
@@ -42,6 +42,11 @@
   const auto Refusal = refusalOf(Routed, Segment.Head.Flow, Now);
   if (!Refusal) {
     Scheduler.reserveSlot(Segment.Head.Flow, Now);
+    // The balancer takes the first agent of its list for the owner. If it did
+    // not learn that the flow was passed on, the flow's next packet would start
+    // an owner lookup.
+    if (Routed.Position > 0 && Routed.Balancer != endpoint())
+      notifyOwner(Routed.Balancer, Segment.Head.Flow);
     return deliver(Routed, Segment.Head, /*NeedsAnswer=*/true, Now);
   }
   ++Counters.Refusals[static_cast<std::size_t>(*Refusal)];
@@ -138,11 +143,16 @@
     return;
   Watched->NotifiedBalancer = Routed.Balancer;
   Watched->NotifiedAt = Now;
+  notifyOwner(Routed.Balancer, Flow);
+}
+
+void forward_agent::impl::notifyOwner(const endpoint &Balancer,
+                                      const flow_key &Flow) {
   const owner_notice Notice{Settings.Service, 0, Flow, Settings.Self};
   std::array<std::uint8_t, OwnerNoticeBytes> Buffer;
   const std::size_t Size = encodeOwnerNotice(Notice, Buffer);
   ++Counters.Notices;
-  Hooks.SendToPeer(Routed.Balancer, {Buffer.data(), Size});
+  Hooks.SendToPeer(Balancer, {Buffer.data(), Size});
 }
 
 agent_outcome forward_agent::impl::passToNext(routed_packet Routed,
--- a/src/forward/service_capacity.cpp
+++ b/src/forward/service_capacity.cpp
@@ -3,6 +3,8 @@
 
 #include "forward/forward_balancer_impl.h"
 
+#include <nlohmann/json.hpp>
+
 namespace marjoramrail {
 
 using namespace internal;
@@ -30,11 +32,46 @@
   return Packet;
 }
 
-/// Flows that were placed since the report may have taken the slots by now.
-bool forward_balancer::impl::hasKnownFreeSlot(const agent_state &Agent,
+/// Whether a request of the route would get a slot at once.
+bool forward_balancer::impl::hasKnownFreeSlot(const route_state &Route,
+                                              const agent_state &Agent,
                                               instant Now) const {
+  return Route.Level && knownWait(Agent, *Route.Level, Now) == duration::zero();
+}
+
+/// Returns how long a request of \p Level would wait at \p Agent; nothing if
+/// the agent has not reported recently.
+std::optional<duration> forward_balancer::impl::knownWait(
+    const agent_state &Agent, const service_level &Level, instant Now) const {
+  const auto Seen = observationOf(Agent, Now);
+  if (!Seen)
+    return std::nullopt;
+  return estimatedWait(*Seen, Level.Priority);
+}
+
+std::optional<capacity_observation>
+forward_balancer::impl::observationOf(const agent_state &Agent, instant Now) {
   const capacity_report *Capacity = Agent.freshCapacity(Now);
-  return Capacity && Capacity->FreeSlots > Agent.Placed;
+  if (!Capacity)
+    return std::nullopt;
+  return capacity_observation{Agent.Report, *Capacity, Now - *Agent.ReportedAt,
+                              Agent.Placed};
+}
+
+/// See routed_packet::SubstituteWait. Flows are passed on twice at most, so the
+/// waits of two agents matter.
+std::optional<duration> forward_balancer::impl::substituteWait(
+    const candidate_list &List, const service_level &Level, instant Now) const {
+  constexpr std::size_t Substitutes = 2;
+  std::optional<duration> Longest;
+  for (std::size_t I = 1; I < std::min(List.size(), Substitutes + 1); ++I) {
+    const agent_state *Agent = AgentTable.find(List.begin()[I]);
+    const auto Wait = Agent ? knownWait(*Agent, Level, Now) : std::nullopt;
+    if (!Wait)
+      return std::nullopt;
+    Longest = std::max(Longest.value_or(duration::zero()), *Wait);
+  }
+  return Longest;
 }
 
 /// Adds the level of \p Route to the services of its new flows, or removes it.
@@ -129,4 +166,57 @@
   }
 }
 
+static std::int64_t milliseconds(duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
+static nlohmann::json capacityJson(const capacity_report &Capacity) {
+  nlohmann::json Waits = nlohmann::json::array();
+  for (const duration Wait : Capacity.Wait)
+    Waits.push_back(milliseconds(Wait));
+  return {{"free_slots", Capacity.FreeSlots},
+          {"waiting", Capacity.Waiting},
+          {"wait_ms", Waits},
+          {"service_time_us", Capacity.ServiceTime.count()}};
+}
+
+/// One agent of the status page.
+nlohmann::json forward_balancer::impl::agentJson(const agent_state &Agent,
+                                                 instant Now) const {
+  nlohmann::json Json = {{"agent", toText(Agent.Agent)},
+                         {"service", AgentTable.nameOf(Agent.Service)},
+                         {"zone", AgentTable.zoneOf(Agent).Name},
+                         {"admitting", Agent.Report.Admitting},
+                         {"suspect", Agent.Suspect},
+                         {"evacuated", Agent.Report.Evacuated},
+                         {"flows", Agent.Report.Flows},
+                         {"busy", Agent.Report.Busy},
+                         {"active", Agent.Report.Active},
+                         {"slots", Agent.Report.Slots},
+                         {"report_age_ms", nullptr}};
+  if (Agent.ReportedAt)
+    Json["report_age_ms"] = milliseconds(Now - *Agent.ReportedAt);
+  if (Agent.Report.Capacity)
+    Json["capacity"] = capacityJson(*Agent.Report.Capacity);
+  return Json;
+}
+
+/// The admission thresholds of the status page.
+nlohmann::json forward_balancer::impl::admissionJson(instant Now) const {
+  nlohmann::json List = nlohmann::json::array();
+  for (const auto &[Service, Load] : Loads) {
+    const auto RefusesFrom = Load.Threshold.refusesFrom();
+    nlohmann::json Item = {{"service", AgentTable.nameOf(Service)},
+                           {"refuses_from_priority", nullptr},
+                           {"since_ms", 0},
+                           {"refused", Load.Refused}};
+    if (RefusesFrom) {
+      Item["refuses_from_priority"] = *RefusesFrom;
+      Item["since_ms"] = milliseconds(Now - Load.Threshold.changedAt());
+    }
+    List.push_back(std::move(Item));
+  }
+  return List;
+}
+
 } // namespace marjoramrail
--- a/src/forward/target_packets.cpp
+++ b/src/forward/target_packets.cpp
@@ -92,11 +92,14 @@
     noteAnswer(Head.Flow, /*Failed=*/true, Now);
   const auto Took = Load.onTarget(Head, Now);
   Hooks.SendToCaller(Head.Flow.Caller, Bytes);
-  if (Took && Hooks.OnAnswer)
-    Hooks.OnAnswer(Head.Flow, Bytes, *Took);
-  if (Took)
-    Scheduler.onAnswer(Head.Flow, Now);
-  else if (Head.Rst || Head.Fin)
+  if (Took) {
+    const bool Failed =
+        Hooks.OnAnswer && Hooks.OnAnswer(Head.Flow, Bytes, *Took);
+    if (Hooks.OnAnswer)
+      noteAnswer(Head.Flow, Failed, Now);
+    Scheduler.onAnswer(Head.Flow, Failed, Now);
+  }
+  if (!Took && (Head.Rst || Head.Fin))
     Scheduler.onEnd(Head.Flow, Now);
   if (Head.Rst)
     Held.drop(Head.Flow);
--- a/src/wire/routed_packet.cpp
+++ b/src/wire/routed_packet.cpp
@@ -35,28 +35,44 @@
       std::chrono::duration_cast<milliseconds>(Time).count(), 0, UINT32_MAX));
 }
 
-static void writeLevel(const stated_level &Stated, byte_writer &Writer) {
+static constexpr std::uint16_t UnknownWait = 0xffff;
+
+static std::uint16_t encodeWait(const std::optional<duration> &Wait) {
+  if (!Wait)
+    return UnknownWait;
+  return static_cast<std::uint16_t>(
+      wholeMilliseconds(std::min(*Wait, MaxSubstituteWait)));
+}
+
+static std::optional<duration> decodeWait(std::uint16_t Milliseconds) {
+  if (Milliseconds == UnknownWait)
+    return std::nullopt;
+  return std::chrono::milliseconds(Milliseconds);
+}
+
+static void writeLevel(const routed_packet &Routed, byte_writer &Writer) {
+  const stated_level &Stated = *Routed.Level;
   const service_level &Level = Stated.Level;
   Writer.put(Level.Priority);
   Writer.put(static_cast<std::uint8_t>(Level.Repeatable ? RepeatableBit : 0));
-  Writer.put(std::uint16_t{0});
+  Writer.put(encodeWait(Routed.SubstituteWait));
   Writer.put(wholeMilliseconds(Level.LatencyAim));
   Writer.put(wholeMilliseconds(Level.TimeLimit));
   Writer.put(Stated.MaxFlows);
   Writer.put(Stated.Version);
 }
 
-static stated_level readLevel(byte_reader &Reader) {
+static void readLevel(byte_reader &Reader, routed_packet &Routed) {
   using std::chrono::milliseconds;
   stated_level Stated;
   Stated.Level.Priority = Reader.take<std::uint8_t>();
   Stated.Level.Repeatable = (Reader.take<std::uint8_t>() & RepeatableBit) != 0;
-  Reader.take<std::uint16_t>();
+  Routed.SubstituteWait = decodeWait(Reader.take<std::uint16_t>());
   Stated.Level.LatencyAim = milliseconds(Reader.take<std::uint32_t>());
   Stated.Level.TimeLimit = milliseconds(Reader.take<std::uint32_t>());
   Stated.MaxFlows = Reader.take<std::uint32_t>();
   Stated.Version = Reader.take<std::uint64_t>();
-  return Stated;
+  Routed.Level = Stated;
 }
 
 std::size_t encodeRouted(const routed_packet &Routed,
@@ -77,7 +93,7 @@
   for (std::size_t I = 0; I < Routed.Count; ++I)
     Writer.put(Routed.Owners[I]);
   if (Routed.Level)
-    writeLevel(*Routed.Level, Writer);
+    writeLevel(Routed, Writer);
   std::copy(Routed.Packet.begin(), Routed.Packet.end(), Writer.position());
   return Size;
 }
@@ -118,8 +134,9 @@
   for (std::size_t I = 0; I < Routed.Count; ++I)
     Routed.Owners[I] = Reader.takeEndpoint();
   Routed.Level.reset();
+  Routed.SubstituteWait.reset();
   if (HasLevel)
-    Routed.Level = readLevel(Reader);
+    readLevel(Reader, Routed);
   Routed.Packet = Bytes.subspan(headerBytes(Routed, HasLevel));
   return packet_fault::None;
 }
--- a/test/agent_messages/load_report_test.cpp
+++ b/test/agent_messages/load_report_test.cpp
@@ -34,7 +34,9 @@
   Report.Agent = {0x0a000101, 700};
   Report.Capacity = {.FreeSlots = 3,
                      .Waiting = {0, 2, 700, 65535},
-                     .Wait = {0ms, 5ms, 1700ms, 65535ms}};
+                     .Wait = {0ms, 5ms, 1700ms, 65535ms},
+                     .ServiceTime = 41'500us,
+                     .Balancers = 7};
 
   std::array<std::uint8_t, LongLoadReportBytes> Buffer{};
   REQUIRE(encodeLoadReport(Report, Buffer) == LongLoadReportBytes);
--- a/test/wire/routed_packet_test.cpp
+++ b/test/wire/routed_packet_test.cpp
@@ -110,6 +110,7 @@
       {.Priority = 2, .Repeatable = true, .LatencyAim = 250ms, .TimeLimit = 3s},
       2000,
       0x1122334455667788};
+  Routed.SubstituteWait = 12ms;
   return Routed;
 }
 
@@ -122,6 +123,7 @@
   CHECK(Bytes[2] == 2);
   CHECK(Bytes.size() == 24 + 2 * 6 + RoutedLevelBytes + 5);
   CHECK(Back.Level == sampleWithLevel().Level);
+  CHECK(Back.SubstituteWait == sampleWithLevel().SubstituteWait);
   CHECK(byte_string(Back.Packet.begin(), Back.Packet.end()) == Inner);
 }
 
@@ -139,3 +141,16 @@
     CHECK(faultOf({Bytes.begin(), Bytes.begin() + Size}) ==
           packet_fault::Truncated);
 }
+
+TEST_CASE("an unknown and a very long substitute wait are told apart") {
+  using namespace std::chrono_literals;
+  routed_packet Routed = sampleWithLevel();
+  routed_packet Back;
+
+  Routed.SubstituteWait = 1h;
+  REQUIRE(decodeRouted(encoded(Routed), Back) == packet_fault::None);
+  CHECK(Back.SubstituteWait == MaxSubstituteWait);
+  Routed.SubstituteWait.reset();
+  REQUIRE(decodeRouted(encoded(Routed), Back) == packet_fault::None);
+  CHECK_FALSE(Back.SubstituteWait);
+}
