Directory: routes that alternate between levels are grouped without a map look-up

Cause: with levels, neighbouring routes are often of different groups, so that nearly each of them cost a look-up in the map of groups, which copies the shares.

Change: a route is compared with the first 16 groups before the map is used.

--- a/src/directory/route_table_codec.cpp
+++ b/src/directory/route_table_codec.cpp
@@ -1,6 +1,7 @@
 #include "directory/route_table_codec.h"
 #include "directory/address_list.h"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -23,8 +24,8 @@
   std::vector<endpoint> Addresses;
 
   bool isOf(const route &Route) const {
-    return Shares == Route.Shares && Regions == Route.Regions &&
-           Level == Route.Level;
+    return Level == Route.Level && Shares == Route.Shares &&
+           Regions == Route.Regions;
   }
 };
 
@@ -45,6 +46,19 @@
                       Milliseconds(Level->TimeLimit)};
 }
 
+/// Finds the group of \p Route among the first groups. Neighbouring routes
+/// often alternate between a few levels, and a look-up in a map of all groups,
+/// which copies the shares, takes longer.
+static std::optional<std::size_t>
+indexAmongFirst(const std::vector<route_group> &Groups, const route &Route) {
+  constexpr std::size_t MostCompared = 16;
+  const std::size_t Count = std::min(Groups.size(), MostCompared);
+  for (std::size_t I = 0; I < Count; ++I)
+    if (Groups[I].isOf(Route))
+      return I;
+  return std::nullopt;
+}
+
 static std::vector<route_group> groupsOf(const route_table &Table) {
   using share_list = std::vector<std::pair<std::string, std::uint32_t>>;
   using group_key =
@@ -53,8 +67,14 @@
   std::vector<route_group> Groups;
   std::size_t Last = 0;
   for (const route &Route : Table.Routes) {
-    // Most routes have the same shares as the previous one.
-    if (Groups.empty() || !Groups[Last].isOf(Route)) {
+    // Most routes are of the same group as the previous one.
+    if (!Groups.empty() && Groups[Last].isOf(Route)) {
+      Groups[Last].Addresses.push_back(Route.Address);
+      continue;
+    }
+    if (const auto Found = indexAmongFirst(Groups, Route)) {
+      Last = *Found;
+    } else {
       share_list Shares;
       for (const service_share &Share : Route.Shares)
         Shares.emplace_back(Share.Service, Share.Weight);
--- a/test/directory/route_table_codec_test.cpp
+++ b/test/directory/route_table_codec_test.cpp
@@ -128,20 +128,22 @@
 TEST_CASE("routes of the same level share a group") {
   // A group for each route would make the copy of 46,000 routes many times
   // larger.
-  route_table Table;
-  for (std::uint32_t I = 0; I < 1000; ++I) {
-    service_level Level = Urgent;
-    Level.Priority = I % 3;
-    Table.Routes.push_back({{I, 443}, {share("ledger")}, {}, Level});
+  for (const std::size_t Levels : {3, 40}) {
+    route_table Table;
+    for (std::uint32_t I = 0; I < 1000; ++I) {
+      service_level Level = Urgent;
+      Level.Priority = static_cast<std::uint8_t>(I % Levels);
+      Table.Routes.push_back({{I, 443}, {share("ledger")}, {}, Level});
+    }
+
+    const std::string Body = encodeRouteTable(Table);
+
+    std::size_t Groups = 0;
+    for (std::size_t At = Body.find("\"level\""); At != std::string::npos;
+         At = Body.find("\"level\"", At + 1))
+      ++Groups;
+    CHECK(Groups == Levels);
   }
-
-  const std::string Body = encodeRouteTable(Table);
-
-  std::size_t Groups = 0;
-  for (std::size_t At = Body.find("\"level\""); At != std::string::npos;
-       At = Body.find("\"level\"", At + 1))
-    ++Groups;
-  CHECK(Groups == 3);
 }
 
 TEST_CASE("a malformed level is rejected with a reason that names it") {
