--- /dev/null
+++ b/test/work/service_level_load_test.cpp
@@ -0,0 +1,146 @@
+/// Bounds are the goals of docs/design/hard-load.md: .90 of what the slots can
+/// give within the aim, .98 for a class whose own demand fits.
+#include "work/level_load.h"
+
+#include <doctest/doctest.h>
+
+using namespace level_load;
+
+namespace {
+
+constexpr std::uint64_t Seeds[] = {1, 2, 3};
+
+/// An urgent class that takes 30% of the slots beside one of priority 3 that
+/// makes up the rest of \p Load.
+scenario overload(double Load, std::uint64_t Seed) {
+  scenario S;
+  S.Classes = {{.Name = "urgent", .Priority = 0, .Load = 0.3},
+               {.Name = "bulk", .Priority = 3, .Load = Load - 0.3}};
+  S.Admission = agentSettings();
+  S.Seed = Seed;
+  return S;
+}
+
+} // namespace
+
+TEST_CASE("an overload is answered within its aim as far as the slots reach") {
+  // With oldest first, each request runs when its aim has just passed, and
+  // the target works for nobody.
+  for (const double Load : {1.2, 1.6, 3.0, 5.0})
+    for (const std::uint64_t Seed : Seeds) {
+      CAPTURE(Load);
+      CAPTURE(Seed);
+      CHECK(simulate(overload(Load, Seed)).InAimOfCapacity >= 0.9);
+    }
+}
+
+TEST_CASE("urgent requests keep their aim while others overload the target") {
+  // If less urgent requests took the slots, a class whose own demand fits would
+  // miss its aim.
+  for (const double Load : {1.2, 1.6, 3.0, 5.0})
+    for (const std::uint64_t Seed : Seeds) {
+      CAPTURE(Load);
+      CAPTURE(Seed);
+      CHECK(simulate(overload(Load, Seed)).Classes[0].inAim() >= 0.98);
+    }
+}
+
+TEST_CASE("three callers with 70% of an overload do not displace the others") {
+  // Under newest first, callers that send most would always have the newest
+  // request.
+  for (const std::uint64_t Seed : Seeds) {
+    scenario S = overload(1.6, Seed);
+    S.Classes = {{.Name = "bulk", .Priority = 3, .Load = 1.6}};
+    S.HeavyCallers = 3;
+    S.HeavyShare = 0.7;
+    CAPTURE(Seed);
+
+    const outcome Got = simulate(S);
+
+    CHECK(Got.Classes[0].lightInAim() >= 0.98);
+    CHECK(Got.InAimOfCapacity >= 0.9);
+  }
+}
+
+TEST_CASE("requests that are never answered do not take the slots for ever") {
+  // One request in a hundred gets no answer. Without StallBound, every slot
+  // would be taken within seconds.
+  for (const std::uint64_t Seed : Seeds) {
+    scenario S = overload(1.6, Seed);
+    S.UnansweredShare = 0.01;
+    S.Admission.StallBound = std::chrono::milliseconds(500);
+    CAPTURE(Seed);
+
+    CHECK(simulate(S).InAimOfCapacity >= 0.9);
+  }
+}
+
+TEST_CASE("a target that states half of its slots is used in full") {
+  // The target would stay half idle while requests miss their aim.
+  for (const std::uint64_t Seed : Seeds) {
+    scenario S = overload(1.6, Seed);
+    S.TrueSlots = 8;
+    CAPTURE(Seed);
+
+    CHECK(simulate(S).InAimOfCapacity >= 0.9);
+  }
+}
+
+TEST_CASE("a target that states twice its slots answers within the aim") {
+  // The target queues what it cannot run; the agent cannot order that part.
+  for (const std::uint64_t Seed : Seeds) {
+    scenario S = overload(1.6, Seed);
+    S.DeclaredSlots = 8;
+    CAPTURE(Seed);
+
+    const outcome Got = simulate(S);
+
+    CHECK(Got.InAimOfCapacity >= 0.9);
+    CHECK(Got.Classes[0].inAim() >= 0.98);
+  }
+}
+
+TEST_CASE("committed requests run once their deadline has passed") {
+  // Their callers still wait, and nobody else can answer them.
+  for (const std::uint64_t Seed : Seeds) {
+    scenario S = overload(1.6, Seed);
+    S.Classes[1].PatientShare = 0.02;
+    CAPTURE(Seed);
+
+    const outcome Got = simulate(S);
+
+    CHECK(Got.Classes[1].RunAfterDeadline > 0);
+    CHECK(Got.Classes[0].HeldTooLong + Got.Classes[1].HeldTooLong == 0);
+  }
+}
+
+TEST_CASE("an overload with long tails is answered within its aim") {
+  // Three requests in a hundred take seven times as long as the others.
+  for (const double Load : {1.6, 3.0})
+    for (const std::uint64_t Seed : Seeds) {
+      scenario S = overload(Load, Seed);
+      S.TailShare = 0.03;
+      CAPTURE(Load);
+      CAPTURE(Seed);
+
+      const outcome Got = simulate(S);
+
+      CHECK(Got.InAimOfCapacity >= 0.9);
+      CHECK(Got.Classes[0].inAim() >= 0.98);
+    }
+}
+
+TEST_CASE("lower priorities run while the most urgent one is overloaded") {
+  // Strict order alone would hold every request of the lower priority until its
+  // deadline.
+  for (const std::uint64_t Seed : Seeds) {
+    scenario S = overload(1.6, Seed);
+    S.Classes = {{.Name = "urgent", .Priority = 0, .Load = 3},
+                 {.Name = "bulk", .Priority = 3, .Load = 0.02}};
+    S.Classes[1].LimitSeconds = 10;
+    S.Seconds = 60;
+    CAPTURE(Seed);
+
+    CHECK(simulate(S).Classes[1].Answered > 0);
+  }
+}
