--- a/bench/work/work_bench.cpp
+++ b/bench/work/work_bench.cpp
@@ -1,6 +1,7 @@
 /// Prints lines `bench: NAME VALUE UNIT` for each scenario, for the naive
 /// policy and for marjoramrail's. With --sweep=FOLDER it sweeps the thresholds
 /// instead and writes CSV and SVG files.
+#include "level_bench.h"
 #include "sweep.h"
 #include "work/scenarios.h"
 
@@ -70,5 +71,7 @@
   compare("declared_too_low", declaredTooLow());
   compare("rolling_replacement", rollingReplacement());
   compare("two_faults", twoFaults());
+  if (FLAGS_only.empty() || FLAGS_only == "levels")
+    benchLevels(FLAGS_seed);
   return 0;
 }
--- a/src/work/aimed_queue.cpp
+++ b/src/work/aimed_queue.cpp
@@ -71,11 +71,7 @@
   if (ByNewest.empty())
     advance(std::get<0>(*ByStart.begin()));
   const std::size_t Bucket = ByNewest.rbegin()->second;
-  const auto Newest = std::prev(Callers[Bucket].Waiting.end());
-  const double Share = Newest->second.ServiceSeconds / double(ByStart.size());
-  const request_id Id = charge(Bucket, Newest);
-  advance(VirtualTime + Share);
-  return Id;
+  return charge(Bucket, std::prev(Callers[Bucket].Waiting.end()));
 }
 
 void aimed_queue::remove(std::uint64_t Order, std::size_t Bucket) {
--- a/src/work/aimed_queue.h
+++ b/src/work/aimed_queue.h
@@ -32,8 +32,10 @@
   /// The request with the lowest tag; among equal tags, the oldest.
   OldestFirst,
   /// The newest request of an eligible caller, one whose start tag is at most
-  /// the virtual time. Heavy callers have tags beyond the virtual time and
-  /// cannot displace light ones.
+  /// the virtual time. The virtual time advances only when no caller is
+  /// eligible: a caller that has been served waits until the others have been.
+  /// Advancing it with the service time divided by the number of waiting
+  /// callers let heavy callers keep half of the slots while light ones waited.
   NewestFirst,
 };
 
--- a/src/work/level_queue.cpp
+++ b/src/work/level_queue.cpp
@@ -153,7 +153,7 @@
 /// Removes a request. \p Runs: it takes a slot, so its caller is charged.
 waiting_request level_queue::take(request_id Id, bool Runs) {
   const auto Found = Entries.find(Id);
-  const entry Entry = std::move(Found->second);
+  entry Entry = std::move(Found->second);
   Entries.erase(Found);
   removeFromIndexes(Id, Entry);
   if (Entry.IsPlain)
@@ -162,7 +162,7 @@
   const std::size_t Kind = indexOf(Entry.Kind);
   if (Entry.IsLate) {
     Level.Late[Kind].erase({Entry.LateKey, Entry.Order, Id});
-    return Entry.Waiting;
+    return std::move(Entry.Waiting);
   }
   if (Entry.LatestStart)
     Level.ByLatestStart.erase({*Entry.LatestStart, Entry.Order, Id});
@@ -170,7 +170,7 @@
     Level.InTime[Kind].take(Entry.Order, Entry.Bucket);
   else
     Level.InTime[Kind].remove(Entry.Order, Entry.Bucket);
-  return Entry.Waiting;
+  return std::move(Entry.Waiting);
 }
 
 void level_queue::moveLate(instant Now) {
