Work: longer windows for trials that can only raise the limit

Windows eight times as long were ruled out: a target that states half of its slots then stays partly idle.

--- a/src/work/concurrency_limit.cpp
+++ b/src/work/concurrency_limit.cpp
@@ -18,6 +18,10 @@
 constexpr std::uint32_t AloneWindow = 128;
 /// The mean is not used with fewer samples.
 constexpr std::uint32_t MinAloneSamples = 32;
+/// Without LowerLimit a limit that has been raised by chance is hardly ever
+/// lowered again, so a window is this many times as long. With 128 answers, one
+/// in six useless raises of a slot in four is accepted by chance.
+constexpr std::uint32_t RaiseOnlyWindows = 4;
 constexpr duration DefaultPause = std::chrono::milliseconds(100);
 constexpr duration MaxPause = std::chrono::seconds(1);
 
@@ -30,7 +34,8 @@
 concurrency_limit::concurrency_limit(const admission_settings &Settings)
     : MaxLimitFactor(Settings.MaxLimitFactor), LowerLimit(Settings.LowerLimit),
       ColdStart(Settings.ColdStart), CutRatio(Settings.CutRatio),
-      Window(Settings.LimitWindow) {
+      Window(Settings.LimitWindow *
+             (Settings.LowerLimit ? 1 : RaiseOnlyWindows)) {
   setDeclared(Settings.Slots);
 }
 
