marjoramctl load: show the load and what is rejected

Operators could not see from one place which targets, zones and services have free slots, what waits for them and what balancers reject: each balancer's /status page shows only its own view.

Of each agent the youngest report counts, and free slots count only of reports not older than 2 s at targets that take new flows; a missing capacity is unknown, not 0. Pages are fetched at once, so that one that does not answer delays the others by one time-out only. A page that cannot be read, and a malformed entry, are named; the exit code is then 4, as in timeline.

Ruled out: settings_reader, which rejects unknown fields and would make the tool fail on pages of later balancers; the throwing accessors of nlohmann::json, which end the tool on a field of another type.

--- a/daemons/marjoramctl/command_line.cpp
+++ b/daemons/marjoramctl/command_line.cpp
@@ -16,11 +16,15 @@
 DEFINE_bool(wait, false, "Wait until the VM can be stopped.");
 DEFINE_bool(undo, false, "Take the drain back.");
 DEFINE_string(from, "", "Status addresses of processes, ADDRESS:PORT,...");
-DEFINE_string(service, "", "Only events of this service.");
+DEFINE_string(service, "", "Only this service.");
 DEFINE_string(flow, "", "Only events of this flow, CALLER>SERVICE.");
 DEFINE_string(host, "", "Only events of or about this host.");
 DEFINE_string(explain, "", "Tell the life of this flow, CALLER>SERVICE.");
 DEFINE_string(request, "", "Tell the life of the flow of this request's id.");
+DEFINE_bool(json, false, "Print one line of JSON instead of tables.");
+DEFINE_bool(watch, false, "Repeat every second until interrupted.");
+DEFINE_uint32(limit, 20,
+              "How many targets the table shows; the rest is counted.");
 
 namespace marjoramrail::ctl {
 
@@ -113,6 +117,9 @@
   Options.Host = FLAGS_host;
   Options.Explain = FLAGS_explain;
   Options.Request = FLAGS_request;
+  Options.Json = FLAGS_json;
+  Options.Watch = FLAGS_watch;
+  Options.Limit = FLAGS_limit;
   Command.Retry = std::chrono::seconds(FLAGS_retry_seconds);
   Command.Timeout = std::chrono::milliseconds(FLAGS_timeout_ms);
   const char *Environment = std::getenv("MARJORAM_PLATFORM");
--- a/daemons/marjoramctl/run_tool.cpp
+++ b/daemons/marjoramctl/run_tool.cpp
@@ -48,6 +48,9 @@
               page_callback Done) {
             fetchPage(Loop, Process, Path, Command.Timeout, std::move(Done));
           },
+      .ClearScreen = isatty(STDOUT_FILENO) != 0
+                         ? [] { std::cout << "\x1b[H\x1b[2J" << std::flush; }
+                         : std::function<void()>(),
       .Writer = writerName()};
   constexpr duration RetryPause = std::chrono::milliseconds(500);
   const instant GiveUp = Loop.timers().now() + Command.Retry;
--- a/daemons/marjoramctl/verb.h
+++ b/daemons/marjoramctl/verb.h
@@ -46,6 +46,9 @@
   std::string Host;
   std::string Explain;
   std::string Request;
+  bool Json = false;
+  bool Watch = false;
+  std::size_t Limit = 20;
 };
 
 /// Receives the body of a process's page, or the failure to get it.
@@ -62,6 +65,9 @@
   std::function<void(const endpoint &Process, const std::string &Path,
                      page_callback)>
       FetchPage;
+  /// Clears the terminal before a screen is printed again. Empty if standard
+  /// output is not a terminal.
+  std::function<void()> ClearScreen = {};
   /// Unique to this run, so that reading an object back shows whether this run
   /// wrote it.
   std::string Writer;
@@ -88,6 +94,8 @@
                  const finish &Done);
 void runEvacuations(ctl_context &Context, const ctl_options &Options,
                     const finish &Done);
+void runLoad(ctl_context &Context, const ctl_options &Options,
+             const finish &Done);
 void runStatus(ctl_context &Context, const ctl_options &Options,
                const finish &Done);
 void runTimeline(ctl_context &Context, const ctl_options &Options,
--- a/daemons/marjoramctl/verbs.cpp
+++ b/daemons/marjoramctl/verbs.cpp
@@ -86,6 +86,21 @@
        "lag, its targets and conditions, and the drains.\n",
        {},
        runStatus},
+      {"load",
+       "show free slots, waiting requests and what is rejected",
+       "",
+       "Merges the /status pages of the forwarding balancers at --from: a line "
+       "for\n"
+       "each service and zone, and the fullest targets first. Of each target, "
+       "the\n"
+       "youngest report counts; reports older than 2 s are marked stale, and\n"
+       "their free slots do not count. Give one balancer of each zone or all "
+       "of\n"
+       "them. --watch repeats every second until interrupted or until\n"
+       "--for_seconds elapse. --json prints one line with all targets.\n"
+       "A page that cannot be read is named; the exit code is then 4.\n",
+       {"from", "service", "json", "watch", "limit", "for_seconds"},
+       runLoad},
       {"timeline",
        "merge the events of all processes",
        "[FILE...]",
