--- a/test/daemons/marjoramctl/command_line_test.cpp
+++ b/test/daemons/marjoramctl/command_line_test.cpp
@@ -1,11 +1,14 @@
 #include "command_line.h"
 
 #include <doctest/doctest.h>
+#include <gflags/gflags.h>
 
 using namespace marjoramrail;
 using namespace marjoramrail::ctl;
 
 static std::string faultOf(const std::vector<std::string> &Words) {
+  // A faulty value must not remain set for other tests.
+  const gflags::FlagSaver Saver;
   const auto Failure = failureOf([&]() -> result<void> {
     BOOST_LEAF_CHECK(readCommand(Words));
     return {};
--- a/test/daemons/marjoramctl/end_to_end_test.cpp
+++ b/test/daemons/marjoramctl/end_to_end_test.cpp
@@ -111,6 +111,22 @@
         std::string::npos);
 }
 
+TEST_CASE("load over the network names a balancer that does not respond") {
+  // Two failures at once: a port without a listener, and a server that has no
+  // such page.
+  whole_site Test;
+  ctl_options Options;
+  Options.From = {{0x7f000001, 1}, Test.Server.local()};
+
+  CHECK(Test.run(runLoad, Options) == exit_code::Unavailable);
+
+  CHECK(Test.Output.find("balancers: 0 of 2 read") == 0);
+  CHECK(Test.Errors.find("receive 127.0.0.1:1: no answer to GET /status") !=
+        std::string::npos);
+  CHECK(Test.Errors.find("receive " + toText(Test.Server.local()) +
+                         ": no answer to GET /status") != std::string::npos);
+}
+
 TEST_CASE("fetchPage returns the body of a page") {
   whole_site Test;
   std::optional<std::string> Body;
