Agent: a FIN that overtakes the answer does not end the request

Cause: packets of a target may arrive out of order; with the FIN of a short response first, the request counted as ended before its answer, so the target got more requests than it has slots and its service time was never learnt.

--- a/src/forward/target_load.cpp
+++ b/src/forward/target_load.cpp
@@ -148,6 +148,11 @@
     erase(Found, Now);
 }
 
+bool target_load::isRequestPending(const flow_key &Flow) const {
+  const auto Found = Flows.find(Flow);
+  return Found != Flows.end() && Found->second.RequestPending;
+}
+
 void target_load::cancelRequest(const flow_key &Flow, instant Now) {
   if (watched_flow *Watched = find(Flow))
     setRequestPending(*Watched, false, Now);
--- a/src/forward/target_load.h
+++ b/src/forward/target_load.h
@@ -93,6 +93,8 @@
   /// If the packet begins an answer, returns the time since the request.
   std::optional<duration> onTarget(const tcp_packet &Packet, instant Now);
   void removeFlow(const flow_key &Flow, instant Now);
+  /// Whether a request on \p Flow waits for its answer.
+  bool isRequestPending(const flow_key &Flow) const;
   /// The request in progress on \p Flow, if any, will not reach the target.
   void cancelRequest(const flow_key &Flow, instant Now);
   /// Removes all flows after calling \p Each for those that were open.
--- a/src/forward/target_packets.cpp
+++ b/src/forward/target_packets.cpp
@@ -99,7 +99,10 @@
       noteAnswer(Head.Flow, Failed, Now);
     Scheduler.onAnswer(Head.Flow, Failed, Now);
   }
-  if (!Took && (Head.Rst || Head.Fin))
+  // A FIN may overtake the answer before it, so only the state of the flow
+  // tells
+  // whether the request has ended.
+  if (!Took && !Load.isRequestPending(Head.Flow))
     Scheduler.onEnd(Head.Flow, Now);
   if (Head.Rst)
     Held.drop(Head.Flow);
