Scheduling: the findings of the review

Cause: a review by one who did not write the code found, among others: slot reservations that grew without levels; a held request that an early answer forgot; packets held again after the drain of a stopping agent; flows refused by the threshold although their route states no limit; a target with unknown service time taken for free; a flow reset although the first target could have queued it; levels that outlived their removal; failures that counted as fast answers; a service time that was not learnt while all slots were busy.

Change: each of these; the agent that accepts a flow that was passed on now notifies the balancer when its target has accepted, not before.

--- a/daemons/forwarder/agent_target.cpp
+++ b/daemons/forwarder/agent_target.cpp
@@ -62,6 +62,7 @@
   if (Flows)
     Flows->onRun({Report.Id, Report.Born});
   Core.setTarget(Report.Slots, Report.WarmupLeft, Now);
+  TargetPackets.flush();
   updateAdmission("the target reported");
   registerTarget();
   return {200, "{}"};
--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -249,6 +249,7 @@
     return Opened.error();
   Loop.timers().every(forward_agent::TickPeriod, [this] {
     Core.tick(Loop.timers().now());
+    TargetPackets.flush();
     Routed.flush();
   });
   Log.record(event_kind::ProcessStarted,
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -84,7 +84,7 @@
   bool operator==(const service_warmup &) const = default;
 };
 
-/// How many flows a target of a service bears.
+/// How many flows a target of a service can hold.
 struct service_flow_limit {
   std::string Service;
   std::uint32_t MaxFlows = 0;
@@ -409,6 +409,7 @@
   /// The warm-up limits of the newest configuration, and its version; 0 if none
   /// is known.
   std::vector<service_warmup> warmupRates() const;
+  /// The flow limits of the configuration routesVersion().
   std::vector<service_flow_limit> flowLimits() const;
   std::uint64_t newestRoutesVersion() const;
   /// Every change that the store accepted before this moment is known here.
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -242,7 +242,7 @@
   /// they warm up, as of the configuration \p RoutesVersion.
   void setWarmupRates(const std::vector<service_warmup> &Rates,
                       std::uint64_t RoutesVersion);
-  /// Sets how many flows the targets of each service bear, and the version of
+  /// Sets how many flows a target of each service can hold, and the version of
   /// the configuration that the routes are of.
   void setFlowLimits(const std::vector<service_flow_limit> &Limits,
                      std::uint64_t RoutesVersion);
--- a/include/marjoramrail/service_level.h
+++ b/include/marjoramrail/service_level.h
@@ -9,7 +9,7 @@
 /// Usage:
 /// \code
 ///   service_level Level{.Priority = 1, .LatencyAim = 300ms};
-///   if (Level.isMoreUrgentThan(Other))
+///   if (Level.Priority < Other.Priority)
 ///     runFirst(Request);
 /// \endcode
 ///
@@ -27,25 +27,22 @@
 struct service_level {
   /// 0 is the most urgent.
   std::uint8_t Priority = 0;
-  /// A request that may have run can be sent again.
+  /// A request that may have run can be sent again. Carried for callers' tools;
+  /// no decision depends on it.
   bool Repeatable = false;
   /// The time within which callers want the answer; zero if none is stated.
   duration LatencyAim = duration::zero();
   /// Callers give up a request after this time; zero if none is stated.
   duration TimeLimit = duration::zero();
 
-  bool isMoreUrgentThan(const service_level &Other) const {
-    return Priority < Other.Priority;
-  }
-
   bool operator==(const service_level &) const = default;
 };
 
 /// The service level of a route as one version of the configuration states it.
 struct stated_level {
   service_level Level;
-  /// The number of flows that one target of the service bears; 0 if no limit is
-  /// stated.
+  /// The number of flows that one target of the service can hold; 0 if no limit
+  /// is stated.
   std::uint32_t MaxFlows = 0;
   /// The version of the configuration. A process that has seen a newer one
   /// ignores this statement.
--- a/include/marjoramrail/work.h
+++ b/include/marjoramrail/work.h
@@ -331,6 +331,8 @@
   std::size_t freeSlots(instant Now) const;
   /// Number of waiting requests of \p Priority.
   std::size_t waiting(std::uint8_t Priority) const;
+  /// Number of waiting requests of \p Priority and of more urgent ones.
+  std::size_t waitingUpTo(std::uint8_t Priority) const;
   /// Time until a request of \p Priority that is offered now would run, if all
   /// waiting requests of its and of more urgent priorities run before it.
   duration expectedWait(std::uint8_t Priority, instant Now) const;
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -202,8 +202,7 @@
 }
 
 std::vector<service_flow_limit> directory::flowLimits() const {
-  const route_table *Newest = Impl->Activation.newest();
-  return Newest ? Newest->FlowLimits : std::vector<service_flow_limit>();
+  return Impl->Activation.active().FlowLimits;
 }
 
 std::vector<service_warmup> directory::warmupRates() const {
--- a/src/directory/route_activation.h
+++ b/src/directory/route_activation.h
@@ -38,6 +38,7 @@
   }
   /// The services of newest(), which must exist.
   const route_services &newestServices() const { return Newest->Services; }
+  const route_table &active() const { return Active->Table; }
   std::uint64_t activeVersion() const { return Active->Table.Version; }
 
   /// The rules of all routes that are in effect or upcoming.
--- a/src/forward/agent_table.cpp
+++ b/src/forward/agent_table.cpp
@@ -58,6 +58,7 @@
   std::vector<agent_state> Previous = std::exchange(Agents, {});
   ByService.clear();
   MoreByEndpoint.clear();
+  ServiceNames.clear();
   const auto Places = std::exchange(ByEndpoint, {});
   setZones(Targets, Now);
   for (const target_entry &Target : Targets) {
--- a/src/forward/capacity_estimate.h
+++ b/src/forward/capacity_estimate.h
@@ -21,6 +21,7 @@
 #include "marjoramrail/agent_messages.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace marjoramrail::internal {
 
@@ -50,13 +51,16 @@
   return std::max(Ahead, 0.0);
 }
 
-/// Estimated time that a new request of the priority would wait for a slot.
-inline duration estimatedWait(const capacity_observation &Seen,
-                              std::uint8_t Priority) {
+/// Estimated time that a new request of the priority would wait for a slot;
+/// nothing if it would wait and the service time is not known.
+inline std::optional<duration> estimatedWait(const capacity_observation &Seen,
+                                             std::uint8_t Priority) {
   const double Slots = std::max<std::uint16_t>(Seen.Report.Slots, 1);
   const double Excess = requestsAhead(Seen, Priority) + 1 - Slots;
   if (Excess <= 0)
     return duration::zero();
+  if (Seen.Capacity.ServiceTime == duration::zero())
+    return std::nullopt;
   return duration(static_cast<duration::rep>(
       Excess / Slots * static_cast<double>(Seen.Capacity.ServiceTime.count())));
 }
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -69,8 +69,8 @@
   return Report;
 }
 
-void forward_agent::impl::sendReport(const endpoint &Balancer,
-                                     bool ReadsCapacity, instant Now) {
+void forward_agent::impl::sendReport(const endpoint &Balancer, instant Now) {
+  const bool ReadsCapacity = CapacityReaders.contains(Balancer);
   std::array<std::uint8_t, LongLoadReportBytes> Buffer;
   const std::size_t Size = encodeLoadReport(
       ReadsCapacity ? reportWithCapacity(Now) : report(Now), Buffer);
@@ -153,6 +153,7 @@
   restoreSlots(Slots);
   Impl->WarmUntil = Now + Warmup;
   Impl->IsWarmupUnknown = false;
+  Impl->releaseReady(Now);
 }
 
 void forward_agent::restoreSlots(std::uint32_t Slots) {
@@ -190,8 +191,12 @@
   }
   if (const auto Request = decodeLoadReportRequest(Bytes)) {
     if (Request->Span == report_span::Continued)
-      Impl->Balancers[From] = {Now, Request->ReadsCapacity};
-    Impl->sendReport(From, Request->ReadsCapacity, Now);
+      Impl->Balancers[From] = Now;
+    if (Request->ReadsCapacity)
+      Impl->noteCapacityReader(From);
+    else
+      Impl->CapacityReaders.erase(From);
+    Impl->sendReport(From, Now);
     return agent_outcome::Delivered;
   }
   if (const auto Policy = decodeFlowPolicy(Bytes)) {
@@ -238,12 +243,13 @@
     Impl->Held.drop(Flow);
     Impl->Scheduler.onEnd(Flow, Now);
   });
+  Impl->releaseReady(Now);
   Impl->Declines.tick(Now);
   Impl->Failures.tick(Now);
   Impl->ReportedExhausted &= Impl->WarmupLimit.isExhausted(Now);
   Impl->logFailureState({});
   std::erase_if(Impl->Balancers, [&](const auto &Item) {
-    return Now - Item.second.LastMessageAt > ReportDuration;
+    return Now - Item.second > ReportDuration;
   });
   if (!Impl->Balancers.empty())
     Impl->LastBalancer = {Impl->Balancers.begin()->first, Now};
@@ -257,7 +263,7 @@
 void forward_agent::impl::reportOnce(instant Now) {
   for (const endpoint &Balancer : std::exchange(ReportOnceTo, {}))
     if (!Balancers.contains(Balancer))
-      sendReport(Balancer, /*ReadsCapacity=*/false, Now);
+      sendReport(Balancer, Now);
 }
 
 /// The target's entry may have been removed from the store while this agent was
@@ -284,12 +290,12 @@
   if (!LastBalancer || Now - LastBalancer->second < LastBalancerReportPeriod)
     return;
   LastBalancer->second = Now;
-  sendReport(LastBalancer->first, /*ReadsCapacity=*/false, Now);
+  sendReport(LastBalancer->first, Now);
 }
 
 void forward_agent::impl::reportNow(instant Now) {
-  for (const auto &[Balancer, Receiver] : Balancers)
-    sendReport(Balancer, Receiver.ReadsCapacity, Now);
+  for (const auto &[Balancer, LastMessageAt] : Balancers)
+    sendReport(Balancer, Now);
 }
 
 void forward_agent::reportNow(instant Now) { Impl->reportNow(Now); }
--- a/src/forward/forward_agent_impl.h
+++ b/src/forward/forward_agent_impl.h
@@ -26,17 +26,6 @@
 
 namespace marjoramrail {
 
-namespace internal {
-
-/// A balancer that gets regular load reports.
-struct report_receiver {
-  instant LastMessageAt;
-  /// It reads reports with load_report::Capacity.
-  bool ReadsCapacity = false;
-};
-
-} // namespace internal
-
 struct forward_agent::impl {
   impl(const forward_agent_settings &Settings, segment_codec Codec,
        forward_agent_hooks Hooks)
@@ -63,7 +52,14 @@
                                const tcp_packet &Head, bool BeginsRequest,
                                instant Now);
   bool mustWait(const routed_packet &Routed, const flow_key &Flow, instant Now);
-  void logHeld(const flow_key &Flow);
+  void noteHeld(const flow_key &Flow);
+  bool schedules() const;
+  routed_packet withSelfAsLastResort(routed_packet Routed) const;
+  void finishRequest(const tcp_packet &Head, bool IsAnswer, bool Failed,
+                     instant Now);
+  void onFlowAccepted(const tcp_packet &Head);
+  void endPreviousFlow(const tcp_packet &Head,
+                       const internal::watched_flow *Watched, instant Now);
   agent_outcome hold(const routed_packet &Routed, const tcp_packet &Head,
                      instant Now);
   agent_outcome endHeldRequest(const routed_packet &Routed,
@@ -95,7 +91,8 @@
   void resetFlow(const open_flow &Open, std::string_view Why);
   void reportToLastBalancer(instant Now);
   void detectIsolation(instant Now);
-  void sendReport(const endpoint &Balancer, bool ReadsCapacity, instant Now);
+  void sendReport(const endpoint &Balancer, instant Now);
+  void noteCapacityReader(const endpoint &Balancer);
   void reportNow(instant Now);
   void reportOnce(instant Now);
   load_report report(instant Now) const;
@@ -111,10 +108,12 @@
   internal::request_scheduler Scheduler;
   internal::held_packets Held;
   internal::level_cache Levels;
-  /// Balancers that get regular load reports. A balancer is added when it sends
-  /// a new flow, a packet of a known flow, or a lasting request for load
-  /// reports.
-  std::map<endpoint, internal::report_receiver> Balancers;
+  /// Balancers that get regular load reports, and when each last sent a
+  /// message. A balancer is added when it sends a new flow, a packet of a known
+  /// flow, or a lasting request for load reports.
+  std::map<endpoint, instant> Balancers;
+  /// Balancers that read reports with load_report::Capacity.
+  std::set<endpoint> CapacityReaders;
   /// Balancers whose packets arrived here only during an owner lookup. They
   /// need a single report, as a sign that this agent is running. If they got
   /// reports for seconds instead, all agents of a site would report to all
@@ -128,6 +127,8 @@
   std::optional<instant> LastContactOrCheckAt;
   bool Admitting = false;
   bool TargetStopped = false;
+  /// The process is about to end; nothing is held any more.
+  bool IsStopping = false;
   /// The target has not answered the last packet that required an answer.
   bool TargetUnresponsive = false;
   internal::decline_watch Declines;
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -4,7 +4,8 @@
 /// The implementation class behind forward_balancer. new_flows.cpp places new
 /// flows, owner_lookup.cpp sends packets of open flows to their owner or to the
 /// owner candidates, service_capacity.cpp keeps track of free slots and refuses
-/// flows that nobody can serve, and forward_balancer.cpp does the rest.
+/// new flows that no target can serve in time, and forward_balancer.cpp does
+/// the rest.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -71,7 +72,7 @@
 
 /// What a balancer knows of the load of one service.
 struct service_load {
-  /// How many flows one target bears; 0 if no limit is stated.
+  /// How many flows one target can hold; 0 if no limit is stated.
   std::uint32_t MaxFlows = 0;
   /// Of the routes whose new flows the service gets.
   time_limits Limits;
@@ -137,6 +138,8 @@
                                          instant Now) const;
   bool hasKnownFreeSlot(const internal::route_state &Route,
                         const internal::agent_state &Agent, instant Now) const;
+  forward_outcome refuseByThreshold(const segment &Segment, service_id Service,
+                                    instant Now);
   bool isRefusedByThreshold(const internal::route_state &Route,
                             service_id Service) const;
   void evaluateThresholds(instant Now);
--- a/src/forward/held_packets.cpp
+++ b/src/forward/held_packets.cpp
@@ -1,5 +1,7 @@
 #include "forward/held_packets.h"
 
+#include <map>
+
 namespace marjoramrail::internal {
 
 /// Whether the bytes of \p Packet are a part of those of \p Stored. The
@@ -24,13 +26,16 @@
   std::array<std::uint8_t, MaxRoutedBytes> Buffer;
   const std::size_t Size = encodeRouted(Routed, Buffer);
   const auto Found = Flows.find(Head.Flow);
-  if (Found != Flows.end() && contains(Found->second, Head))
+  if (Found != Flows.end() && contains(Found->second.Packets, Head))
     return verdict::Duplicate;
   const bool IsFlowFull =
-      Found != Flows.end() && Found->second.size() >= MaxPacketsPerFlow;
+      Found != Flows.end() && Found->second.Packets.size() >= MaxPacketsPerFlow;
   if (Size == 0 || IsFlowFull || Bytes + Size > MaxBytes)
     return verdict::Full;
-  Flows[Head.Flow].push_back({Head, {Buffer.begin(), Buffer.begin() + Size}});
+  held_flow &Flow = Flows[Head.Flow];
+  if (Flow.Packets.empty())
+    Flow.Order = ++LastOrder;
+  Flow.Packets.push_back({Head, {Buffer.begin(), Buffer.begin() + Size}});
   Bytes += Size;
   return verdict::Stored;
 }
@@ -39,7 +44,7 @@
   const auto Found = Flows.find(Flow);
   if (Found == Flows.end())
     return {};
-  packet_list Packets = std::move(Found->second);
+  packet_list Packets = std::move(Found->second.Packets);
   Flows.erase(Found);
   for (const held_packet &Packet : Packets)
     Bytes -= Packet.Datagram.size();
@@ -60,9 +65,11 @@
 }
 
 void held_packets::releaseAll(const receiver &Deliver) {
-  const auto Released = std::exchange(Flows, {});
-  Bytes = 0;
-  for (const auto &[Flow, Packets] : Released)
+  std::map<std::uint64_t, packet_list> Released;
+  for (auto &[Key, Flow] : Flows)
+    Released[Flow.Order] = std::move(Flow.Packets);
+  clear();
+  for (const auto &[Order, Packets] : Released)
     deliver(Packets, Deliver);
 }
 
--- a/src/forward/held_packets.h
+++ b/src/forward/held_packets.h
@@ -44,7 +44,7 @@
   /// Removes the packets of \p Flow and calls \p Deliver for each, in the order
   /// of their arrival.
   void release(const flow_key &Flow, const receiver &Deliver);
-  /// Does the same for all flows.
+  /// Does the same for all flows, in the order of their first packets.
   void releaseAll(const receiver &Deliver);
   /// Removes the packets of \p Flow without delivering them.
   void drop(const flow_key &Flow);
@@ -62,11 +62,18 @@
   };
   using packet_list = std::vector<held_packet>;
 
+  struct held_flow {
+    /// Order of the first packet among all flows.
+    std::uint64_t Order = 0;
+    packet_list Packets;
+  };
+
   static bool contains(const packet_list &Packets, const tcp_packet &Head);
   static void deliver(const packet_list &Packets, const receiver &Deliver);
   packet_list take(const flow_key &Flow);
 
-  std::unordered_map<flow_key, packet_list, flow_key_hash> Flows;
+  std::unordered_map<flow_key, held_flow, flow_key_hash> Flows;
+  std::uint64_t LastOrder = 0;
   std::size_t Bytes = 0;
 };
 
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -148,6 +148,19 @@
   return NoTargetAdmits;
 }
 
+/// The own zone counts as full, so that the load of other zones stays known and
+/// flows are taken again as soon as one has room.
+forward_outcome
+forward_balancer::impl::refuseByThreshold(const segment &Segment,
+                                          service_id Service, instant Now) {
+  service_load &Load = Loads[Service];
+  ++Load.Refused;
+  Load.IsZoneFull = true;
+  ++Counters.RefusedByThreshold;
+  return refuse(Segment, forward_outcome::NoTarget,
+                "no target can serve this priority in time", Now);
+}
+
 forward_outcome forward_balancer::impl::open(const route_state &Route,
                                              const segment &Segment,
                                              bytes_view Bytes, instant Now) {
@@ -164,12 +177,9 @@
     return refuse(Segment, forward_outcome::NoTarget, Reason, Now);
   }
   agent_state &Agent = AgentTable.at(*Chosen);
-  if (isRefusedByThreshold(Route, Agent.Service)) {
-    ++Loads[Agent.Service].Refused;
-    ++Counters.RefusedByThreshold;
-    return refuse(Segment, forward_outcome::NoTarget,
-                  "no target can serve this priority in time", Now);
-  }
+  // A flow that was placed before may be open by now.
+  if (!Before && isRefusedByThreshold(Route, Agent.Service))
+    return refuseByThreshold(Segment, Agent.Service, Now);
   outgoing_packet Packet = outgoing(Route, Agent.Service, Segment, Bytes);
   const bool IsTargetFull =
       Agent.freshCapacity(Now) && !hasKnownFreeSlot(Route, Agent, Now);
--- a/src/forward/offered_packets.cpp
+++ b/src/forward/offered_packets.cpp
@@ -38,6 +38,15 @@
   return &Packet;
 }
 
+const offered_packet *offered_packets::findWaiting(const flow_key &Flow) const {
+  for (const std::uint32_t Tag : Waiting) {
+    const offered_packet &Packet = Ring[Tag % Capacity];
+    if (Packet.Tag == Tag && Packet.NeedsAnswer && Packet.Head.Flow == Flow)
+      return &Packet;
+  }
+  return nullptr;
+}
+
 void offered_packets::onTargetAnswer(const flow_key &Flow) {
   for (const std::uint32_t Tag : Waiting) {
     offered_packet &Packet = Ring[Tag % Capacity];
--- a/src/forward/offered_packets.h
+++ b/src/forward/offered_packets.h
@@ -53,6 +53,8 @@
   /// Returns the packet that the target declined, or null if it is no longer
   /// stored. The packet no longer needs an answer.
   offered_packet *findDeclined(std::uint32_t Tag, const flow_key &Flow);
+  /// Returns the packet on \p Flow that the target has to answer, or null.
+  const offered_packet *findWaiting(const flow_key &Flow) const;
   /// The target has answered on \p Flow.
   void onTargetAnswer(const flow_key &Flow);
   /// Returns the next packet whose answer is overdue, or null.
--- a/src/forward/request_holding.cpp
+++ b/src/forward/request_holding.cpp
@@ -23,13 +23,15 @@
 std::optional<flow_refusal>
 forward_agent::impl::capacityRefusal(const routed_packet &Routed,
                                      const flow_key &Flow, instant Now) {
-  const stated_level *Stated = Levels.update(Flow.Service, Routed.Level);
+  const stated_level *Stated = Levels.update(Flow.Service, Routed.Level, Now);
   if (!Stated)
     return std::nullopt;
   // A retransmitted SYN of a flow that is opening here.
-  if (Load.find(Flow))
+  const watched_flow *Known = Load.find(Flow);
+  if (Known && Known->HalfOpen)
     return std::nullopt;
-  if (Stated->MaxFlows != 0 && Load.open() >= Stated->MaxFlows)
+  const std::size_t Flows = Load.open() + Scheduler.reservations();
+  if (Stated->MaxFlows != 0 && Flows >= Stated->MaxFlows)
     return flow_refusal::FlowLimit;
   if (Settings.DisabledMechanisms.has(mechanism::RoomHandover) ||
       Routed.Position >= MaxCapacityHops ||
@@ -42,6 +44,16 @@
   return flow_refusal::NoFreeSlot;
 }
 
+/// Adds this agent to the end of the list, so that a flow that all others
+/// decline waits here instead of being refused.
+routed_packet
+forward_agent::impl::withSelfAsLastResort(routed_packet Routed) const {
+  const std::size_t PacketBytes = Routed.Packet.size() + RoutedLevelBytes;
+  if (Routed.Count < ownersThatFit(PacketBytes))
+    Routed.Owners[Routed.Count++] = Settings.Self;
+  return Routed;
+}
+
 /// Delivers a packet of a known flow, or holds it if its request has to wait.
 /// Packets without payload do not depend on the held ones, so they pass.
 agent_outcome forward_agent::impl::deliverInOrder(const routed_packet &Routed,
@@ -54,9 +66,10 @@
   if (IsHeld && Head.Payload > 0)
     return hold(Routed, Head, Now);
   if (BeginsRequest && mustWait(Routed, Head.Flow, Now)) {
-    ++Counters.RequestsHeld;
-    logHeld(Head.Flow);
-    return hold(Routed, Head, Now);
+    const agent_outcome Outcome = hold(Routed, Head, Now);
+    if (Outcome == agent_outcome::Held)
+      noteHeld(Head.Flow);
+    return Outcome;
   }
   const agent_outcome Outcome =
       deliver(Routed, Head, /*NeedsAnswer=*/false, Now);
@@ -67,19 +80,27 @@
   return Outcome;
 }
 
+/// Whether requests are held at all. An agent that is about to stop holds none,
+/// because nobody would deliver them.
+bool forward_agent::impl::schedules() const {
+  return !IsStopping &&
+         !Settings.DisabledMechanisms.has(mechanism::RequestScheduling);
+}
+
 /// Decides on a request that begins. Without a service level all requests are
 /// alike, and the order in which they arrive is as good as any.
 bool forward_agent::impl::mustWait(const routed_packet &Routed,
                                    const flow_key &Flow, instant Now) {
-  const stated_level *Stated = Levels.update(Flow.Service, Routed.Level);
-  if (!Stated || Settings.DisabledMechanisms.has(mechanism::RequestScheduling))
+  const stated_level *Stated = Levels.update(Flow.Service, Routed.Level, Now);
+  if (!Stated || !schedules())
     return false;
   return Scheduler.onRequest(Flow, Stated->Level, Now) ==
          request_scheduler::verdict::Hold;
 }
 
 /// The event's figure is the number of requests that wait.
-void forward_agent::impl::logHeld(const flow_key &Flow) {
+void forward_agent::impl::noteHeld(const flow_key &Flow) {
+  ++Counters.RequestsHeld;
   if (Hooks.OnEvent)
     Hooks.OnEvent({event_kind::RequestHeld,
                    "the target has no free slot",
@@ -142,6 +163,7 @@
 }
 
 void forward_agent::deliverHeld(instant Now) {
+  Impl->IsStopping = true;
   Impl->Held.releaseAll(
       [&](const routed_packet &Routed, const tcp_packet &Head) {
         Impl->deliver(Routed, Head, /*NeedsAnswer=*/false, Now);
--- a/src/forward/request_scheduler.cpp
+++ b/src/forward/request_scheduler.cpp
@@ -55,16 +55,45 @@
   if (Level.TimeLimit > duration::zero())
     Request.Deadline = Now + Level.TimeLimit;
   Ids[Flow] = Request.Id;
-  const bool Runs =
-      Work.offer(Request, Now).Verdict == marjoramrail::verdict::Run;
-  Requests[Request.Id] = {Flow, Level.Priority, Now, Runs && hasSlot(Now)};
-  return Runs ? verdict::Deliver : verdict::Hold;
+  Requests[Request.Id] = {Flow, Level.Priority, Now};
+  if (Work.offer(Request, Now).Verdict != marjoramrail::verdict::Run)
+    return verdict::Hold;
+  onDelivered(Request.Id, Now);
+  return verdict::Deliver;
 }
 
-/// Whether the requests that are at the target, the last one included, have a
-/// slot each.
-bool request_scheduler::hasSlot(instant Now) const {
-  return Work.running() <= Work.limit(Now);
+/// A target runs requests in the order of their arrival. One that arrives while
+/// all slots are in use gets a slot when an earlier one is answered; its
+/// service time begins then.
+void request_scheduler::onDelivered(request_id Id, instant Now) {
+  tracked_request &Request = Requests.at(Id);
+  Request.Since = Now;
+  if (Started >= Work.limit(Now)) {
+    Request.State = request_state::Queued;
+    Queued.push_back(Id);
+    return;
+  }
+  Request.State = request_state::Started;
+  ++Started;
+}
+
+/// Frees the slot of a request, if it has one, for the next in the queue.
+void request_scheduler::removeStarted(request_id Id, instant Now) {
+  const auto Found = Requests.find(Id);
+  const request_state State = Found->second.State;
+  Requests.erase(Found);
+  if (State == request_state::Queued)
+    std::erase(Queued, Id);
+  if (State != request_state::Started)
+    return;
+  --Started;
+  if (Queued.empty())
+    return;
+  tracked_request &Next = Requests.at(Queued.front());
+  Queued.pop_front();
+  Next.State = request_state::Started;
+  Next.Since = Now;
+  ++Started;
 }
 
 void request_scheduler::onAnswer(const flow_key &Flow, bool Failed,
@@ -73,22 +102,28 @@
   if (Found == Ids.end())
     return;
   const request_id Id = Found->second;
-  const auto Request = Requests.find(Id);
-  const duration Took = Now - Request->second.Since;
-  if (Request->second.HadSlot && !Failed)
+  const tracked_request &Request = Requests.at(Id);
+  if (Request.State == request_state::Held)
+    return;
+  const duration Took = Now - Request.Since;
+  if (Request.State == request_state::Started && !Failed)
     ServiceTime.onAnswer(Took);
-  Work.finished(Id, {.Elapsed = Took}, Now);
-  Requests.erase(Request);
+  // The time of a failure says nothing about the target's speed.
+  const work_outcome Outcome =
+      Failed ? work_outcome::Lost : work_outcome::Answered;
+  Work.finished(Id, {.Elapsed = Took, .Outcome = Outcome}, Now);
   Ids.erase(Found);
+  removeStarted(Id, Now);
 }
 
 void request_scheduler::onEnd(const flow_key &Flow, instant Now) {
   const auto Found = Ids.find(Flow);
   if (Found == Ids.end())
     return;
-  Work.cancelled(Found->second, Now);
-  Requests.erase(Found->second);
+  const request_id Id = Found->second;
+  Work.cancelled(Id, Now);
   Ids.erase(Found);
+  removeStarted(Id, Now);
 }
 
 void request_scheduler::clear(instant Now) {
@@ -96,7 +131,10 @@
     Work.cancelled(Id, Now);
   Ids.clear();
   Requests.clear();
+  Queued.clear();
+  Started = 0;
   Reservations.clear();
+  ServiceTime = service_time();
 }
 
 std::vector<request_scheduler::ready_request>
@@ -106,15 +144,15 @@
     const auto Request = Requests.find(Decision.Id);
     if (Request == Requests.end())
       continue;
-    tracked_request &Tracked = Request->second;
-    const instant ArrivedAt = std::exchange(Tracked.Since, Now);
-    Tracked.HadSlot = hasSlot(Now);
-    Ready.push_back({Tracked.Flow, Tracked.Priority, Now - ArrivedAt});
+    const tracked_request Tracked = Request->second;
+    onDelivered(Decision.Id, Now);
+    Ready.push_back({Tracked.Flow, Tracked.Priority, Now - Tracked.Since});
   }
   return Ready;
 }
 
 void request_scheduler::reserveSlot(const flow_key &Flow, instant Now) {
+  removeExpiredReservations(Now);
   removeReservation(Flow);
   Reservations.push_back({Flow, Now + ReservationTime});
 }
@@ -140,12 +178,12 @@
 
 duration request_scheduler::waitOf(const service_level &Level, instant Now) {
   removeExpiredReservations(Now);
-  std::size_t Ahead = Work.running() + Reservations.size();
+  const std::size_t Limit = Work.limit(Now);
+  std::size_t Ahead =
+      Limit - std::min(Limit, Work.freeSlots(Now)) + Reservations.size();
   // Requests that are less urgent would wait behind the new one.
   if (Work.waiting() > 0)
-    for (unsigned Priority = 0; Priority <= Level.Priority; ++Priority)
-      Ahead += Work.waiting(static_cast<std::uint8_t>(Priority));
-  const std::size_t Limit = Work.limit(Now);
+    Ahead += Pipeline + Work.waitingUpTo(Level.Priority);
   if (Ahead < Limit + Pipeline)
     return duration::zero();
   return ServiceTime.value() * (Ahead + 1 - Limit) / Limit;
--- a/src/forward/request_scheduler.h
+++ b/src/forward/request_scheduler.h
@@ -71,23 +71,27 @@
   capacity_report capacity(instant Now);
 
   std::size_t waiting() const { return Work.waiting(); }
+  /// Number of flows that have reserved a slot.
+  std::size_t reservations() const { return Reservations.size(); }
 
 private:
+  enum class request_state { Held, Queued, Started };
+
   struct tracked_request {
     flow_key Flow;
     std::uint8_t Priority = 0;
-    /// When the request was delivered to the target, or until then when it
-    /// arrived.
+    /// When the request arrived, was delivered to the target, or got a slot
+    /// there, whichever was last.
     instant Since;
-    /// The target had a slot for it when it was delivered.
-    bool HadSlot = false;
+    request_state State = request_state::Held;
   };
   struct reservation {
     flow_key Flow;
     instant Until;
   };
 
-  bool hasSlot(instant Now) const;
+  void onDelivered(request_id Id, instant Now);
+  void removeStarted(request_id Id, instant Now);
   void removeReservation(const flow_key &Flow);
   void removeExpiredReservations(instant Now);
   std::size_t freeSlots(instant Now);
@@ -97,6 +101,10 @@
   std::uint64_t LastId = 0;
   std::unordered_map<flow_key, request_id, flow_key_hash> Ids;
   std::unordered_map<request_id, tracked_request> Requests;
+  /// Requests that were delivered while all slots were in use, in order.
+  std::deque<request_id> Queued;
+  /// Number of requests that have a slot at the target.
+  std::size_t Started = 0;
   /// In the order of their end.
   std::deque<reservation> Reservations;
 };
--- a/src/forward/routed_packets.cpp
+++ b/src/forward/routed_packets.cpp
@@ -24,9 +24,17 @@
                                             instant Now) {
   if (Routed.Balancer == endpoint())
     return;
-  report_receiver &Receiver = Balancers[Routed.Balancer];
-  Receiver.LastMessageAt = Now;
-  Receiver.ReadsCapacity |= Routed.Level.has_value();
+  Balancers[Routed.Balancer] = Now;
+  if (Routed.Level)
+    noteCapacityReader(Routed.Balancer);
+}
+
+/// An entry is removed when the balancer requests a report without capacity.
+void forward_agent::impl::noteCapacityReader(const endpoint &Balancer) {
+  constexpr std::size_t MaxReaders = 4096;
+  if (CapacityReaders.size() >= MaxReaders)
+    CapacityReaders.clear();
+  CapacityReaders.insert(Balancer);
 }
 
 void forward_agent::impl::addOneTimeReceiver(const routed_packet &Routed) {
@@ -41,18 +49,18 @@
     Hooks.ObserveClock(Routed.Version);
   const auto Refusal = refusalOf(Routed, Segment.Head.Flow, Now);
   if (!Refusal) {
-    Scheduler.reserveSlot(Segment.Head.Flow, Now);
-    // The balancer takes the first agent of its list for the owner. If it did
-    // not learn that the flow was passed on, the flow's next packet would start
-    // an owner lookup.
-    if (Routed.Position > 0 && Routed.Balancer != endpoint())
-      notifyOwner(Routed.Balancer, Segment.Head.Flow);
+    if (schedules() &&
+        Levels.update(Segment.Head.Flow.Service, Routed.Level, Now))
+      Scheduler.reserveSlot(Segment.Head.Flow, Now);
     return deliver(Routed, Segment.Head, /*NeedsAnswer=*/true, Now);
   }
   ++Counters.Refusals[static_cast<std::size_t>(*Refusal)];
   if (Refusal == flow_refusal::WarmingUp)
     reportExhaustion(Now);
-  return passToNext(Routed, Segment.Head, nameOf(FlowRefusalNames, *Refusal));
+  return passToNext(*Refusal == flow_refusal::NoFreeSlot
+                        ? withSelfAsLastResort(Routed)
+                        : Routed,
+                    Segment.Head, nameOf(FlowRefusalNames, *Refusal));
 }
 
 /// Returns why a new flow is not offered to the target, if it is not.
--- a/src/forward/service_capacity.cpp
+++ b/src/forward/service_capacity.cpp
@@ -87,7 +87,8 @@
 
 bool forward_balancer::impl::isRefusedByThreshold(const route_state &Route,
                                                   service_id Service) const {
-  if (!Route.Level)
+  // A route without a time limit is never refused.
+  if (!Route.Level || Route.Level->TimeLimit == duration::zero())
     return false;
   const auto Load = Loads.find(Service);
   return Load != Loads.end() &&
@@ -151,6 +152,7 @@
       continue;
     const std::vector<std::size_t> &Agents = AgentTable.ofService(Service);
     std::size_t Requested = 0;
+    std::size_t Next = Load.NextRequested;
     for (std::size_t I = 0;
          I < Agents.size() && Requested < RemoteCapacityRequests; ++I) {
       const std::size_t Index =
@@ -161,8 +163,9 @@
         continue;
       ++Requested;
       requestReport(Agent.Agent, Now);
+      Next = (Load.NextRequested + I + 1) % Agents.size();
     }
-    Load.NextRequested += Requested;
+    Load.NextRequested = Next;
   }
 }
 
@@ -205,6 +208,8 @@
 nlohmann::json forward_balancer::impl::admissionJson(instant Now) const {
   nlohmann::json List = nlohmann::json::array();
   for (const auto &[Service, Load] : Loads) {
+    if (AgentTable.ofService(Service).empty())
+      continue;
     const auto RefusesFrom = Load.Threshold.refusesFrom();
     nlohmann::json Item = {{"service", AgentTable.nameOf(Service)},
                            {"refuses_from_priority", nullptr},
--- a/src/forward/target_load.cpp
+++ b/src/forward/target_load.cpp
@@ -94,16 +94,21 @@
   }
   Flow.CallerEnded |= Packet.Fin;
   updateClosed(Flow, Now);
-  if (!Flow.CallerSent.recordPacket(Packet) || Flow.RequestPending ||
-      Flow.Closed)
+  // A caller that has closed its end may still want the answer. It sends a
+  // cancelled request again, which then counts as a new one.
+  const bool IsSentAgain = Flow.RequestCancelled && Packet.Payload > 0;
+  if (!Flow.CallerSent.recordPacket(Packet) && !IsSentAgain)
     return false;
+  if (Flow.RequestPending || Flow.Closed)
+    return false;
+  Flow.RequestCancelled = false;
   setRequestPending(Flow, true, Now);
   Flow.RequestedAt = Now;
   return true;
 }
 
 std::optional<duration> target_load::onTarget(const tcp_packet &Packet,
-                                              instant Now) {
+                                              bool MayAnswer, instant Now) {
   if (Packet.Rst) {
     removeFlow(Packet.Flow, Now);
     return std::nullopt;
@@ -123,7 +128,8 @@
     markOpen(Flow, Now);
   Flow.TargetEnded |= Packet.Fin;
   updateClosed(Flow, Now);
-  if (!Flow.TargetSent.recordPacket(Packet) || !Flow.RequestPending)
+  if (!Flow.TargetSent.recordPacket(Packet) || !Flow.RequestPending ||
+      !MayAnswer)
     return std::nullopt;
   const duration Took = Now - Flow.RequestedAt;
   const auto TookUs = static_cast<double>(Took.count());
@@ -154,8 +160,11 @@
 }
 
 void target_load::cancelRequest(const flow_key &Flow, instant Now) {
-  if (watched_flow *Watched = find(Flow))
-    setRequestPending(*Watched, false, Now);
+  watched_flow *Watched = find(Flow);
+  if (!Watched || !Watched->RequestPending)
+    return;
+  setRequestPending(*Watched, false, Now);
+  Watched->RequestCancelled = true;
 }
 
 void target_load::removeAllFlows(
--- a/src/forward/target_load.h
+++ b/src/forward/target_load.h
@@ -3,7 +3,7 @@
 /// \file
 /// Measures the load of the agent's target from the packets that pass: which
 /// flows are open, which requests are unanswered, and how long answers take.
-/// The agent can neither slow the target down nor queue requests for it;
+/// Requests that the agent holds back count from their arrival at the agent;
 /// balancers use the figures to place new flows where they are served soonest.
 ///
 //===----------------------------------------------------------------------===//
@@ -61,6 +61,8 @@
   sequence_tracker TargetSent;
   /// The caller has sent a request, and the target has not begun its answer.
   bool RequestPending = false;
+  /// The last request was cancelled before it reached the target.
+  bool RequestCancelled = false;
   bool CallerEnded = false;
   bool TargetEnded = false;
   /// Both ends have sent a FIN; only packets already in flight may still
@@ -91,7 +93,12 @@
   bool onCaller(const tcp_packet &Packet, instant Now);
   /// Records a packet that the target sent. Flow.Service is the target's end.
   /// If the packet begins an answer, returns the time since the request.
-  std::optional<duration> onTarget(const tcp_packet &Packet, instant Now);
+  /// With \p MayAnswer false, the target has not got the request yet.
+  std::optional<duration> onTarget(const tcp_packet &Packet, bool MayAnswer,
+                                   instant Now);
+  std::optional<duration> onTarget(const tcp_packet &Packet, instant Now) {
+    return onTarget(Packet, /*MayAnswer=*/true, Now);
+  }
   void removeFlow(const flow_key &Flow, instant Now);
   /// Whether a request on \p Flow waits for its answer.
   bool isRequestPending(const flow_key &Flow) const;
--- a/src/forward/target_packets.cpp
+++ b/src/forward/target_packets.cpp
@@ -86,28 +86,60 @@
   TargetUnresponsive = false;
   if (Head.Syn)
     Declines.onAccepted();
+  if (Head.Syn)
+    onFlowAccepted(Head);
   Offered.onTargetAnswer(Head.Flow);
   const watched_flow *Watched = Load.find(Head.Flow);
   if (Head.Rst && Watched && Watched->RequestPending)
     noteAnswer(Head.Flow, /*Failed=*/true, Now);
-  const auto Took = Load.onTarget(Head, Now);
+  endPreviousFlow(Head, Watched, Now);
+  // The packet cannot answer a request that the target has not got.
+  const bool IsHeld = Held.holds(Head.Flow);
+  const auto Took = Load.onTarget(Head, /*MayAnswer=*/!IsHeld, Now);
   Hooks.SendToCaller(Head.Flow.Caller, Bytes);
-  if (Took) {
-    const bool Failed =
-        Hooks.OnAnswer && Hooks.OnAnswer(Head.Flow, Bytes, *Took);
-    if (Hooks.OnAnswer)
-      noteAnswer(Head.Flow, Failed, Now);
-    Scheduler.onAnswer(Head.Flow, Failed, Now);
-  }
-  // A FIN may overtake the answer before it, so only the state of the flow
-  // tells
-  // whether the request has ended.
-  if (!Took && !Load.isRequestPending(Head.Flow))
-    Scheduler.onEnd(Head.Flow, Now);
+  const bool Failed =
+      Took && Hooks.OnAnswer && Hooks.OnAnswer(Head.Flow, Bytes, *Took);
+  if (Took && Hooks.OnAnswer)
+    noteAnswer(Head.Flow, Failed, Now);
+  finishRequest(Head, Took.has_value(), Failed, Now);
+  return agent_outcome::Answered;
+}
+
+/// Updates the schedule after a packet of the target.
+void forward_agent::impl::finishRequest(const tcp_packet &Head, bool IsAnswer,
+                                        bool Failed, instant Now) {
   if (Head.Rst)
     Held.drop(Head.Flow);
+  // A FIN may overtake the answer before it, so the state of the flow decides
+  // whether the request has ended.
+  if (IsAnswer)
+    Scheduler.onAnswer(Head.Flow, Failed, Now);
+  else if (!Held.holds(Head.Flow) && !Load.isRequestPending(Head.Flow))
+    Scheduler.onEnd(Head.Flow, Now);
   releaseReady(Now);
-  return agent_outcome::Answered;
+}
+
+/// The target accepts a new flow. The balancer takes the first agent of its
+/// list for the owner; if the flow was passed on, its next packet would start
+/// an owner lookup.
+void forward_agent::impl::onFlowAccepted(const tcp_packet &Head) {
+  const offered_packet *Syn = Offered.findWaiting(Head.Flow);
+  if (Syn && Syn->Routed.Level && Syn->Routed.Position > 0 &&
+      Syn->Routed.Balancer != endpoint())
+    notifyOwner(Syn->Routed.Balancer, Head.Flow);
+}
+
+/// Ends what is left of an earlier flow with the same addresses, whose end was
+/// not seen. Its packets must not be delivered as those of the new flow.
+void forward_agent::impl::endPreviousFlow(const tcp_packet &Head,
+                                          const watched_flow *Watched,
+                                          instant Now) {
+  if (!Head.Syn || !Watched || !Watched->SequenceKnown ||
+      Watched->TargetSequence == Head.Sequence)
+    return;
+  Held.drop(Head.Flow);
+  Scheduler.onEnd(Head.Flow, Now);
+  Load.cancelRequest(Head.Flow, Now);
 }
 
 } // namespace marjoramrail
--- a/src/work/admission.cpp
+++ b/src/work/admission.cpp
@@ -552,6 +552,10 @@
   return Slots - std::min(Slots, Counted);
 }
 
+std::size_t admission::waitingUpTo(std::uint8_t Priority) const {
+  return Impl->Queue.sizeUpTo(Priority);
+}
+
 std::size_t admission::waiting(std::uint8_t Priority) const {
   return Impl->Queue.size(Priority);
 }
--- a/src/work/level_queue.cpp
+++ b/src/work/level_queue.cpp
@@ -39,6 +39,16 @@
   return Found == Levels.end() ? 0 : Found->second.Size;
 }
 
+std::size_t level_queue::sizeUpTo(std::uint8_t Priority) const {
+  std::size_t Sum = 0;
+  for (const auto &[Each, Level] : Levels) {
+    if (Each > Priority)
+      break;
+    Sum += Level.Size;
+  }
+  return Sum;
+}
+
 std::size_t level_queue::refusable() const {
   return Kinds[0].Refusable.size() + Kinds[1].Refusable.size();
 }
--- a/src/work/level_queue.h
+++ b/src/work/level_queue.h
@@ -44,6 +44,8 @@
   std::size_t size() const { return Entries.size(); }
   /// Number of waiting requests of \p Priority.
   std::size_t size(std::uint8_t Priority) const;
+  /// Number of waiting requests of \p Priority and of more urgent ones.
+  std::size_t sizeUpTo(std::uint8_t Priority) const;
   /// Number of waiting requests that are not committed.
   std::size_t refusable() const;
   bool empty(work_kind Kind) const { return kind(Kind).ByAge.empty(); }
