Give turns to the priority that was served least recently

Every 16th freed slot went to the request that had waited longest over all priorities.

Every PriorityTurnInterval-th slot (before: OldestFirstInterval) now goes to the waiting priority that was served least recently and takes its own next request. No priority starves, and an overload of one priority is ordered as without the setting.

--- a/bench/work/level_bench.cpp
+++ b/bench/work/level_bench.cpp
@@ -92,8 +92,8 @@
     }
   for (const std::size_t Interval : {0, 8, 16, 32}) {
     scenario S = overload(1.6, Seed);
-    S.Admission.OldestFirstInterval = Interval;
-    rowsOf("levels_oldest_every_" + std::to_string(Interval), S);
+    S.Admission.PriorityTurnInterval = Interval;
+    rowsOf("levels_priority_turn_every_" + std::to_string(Interval), S);
   }
   for (const std::size_t Waiting : {10, 1000, 10000})
     cost(Waiting);
--- a/include/marjoramrail/work.h
+++ b/include/marjoramrail/work.h
@@ -76,7 +76,7 @@
   /// The caller has already tried this request.
   bool Retry = false;
   /// 0 is the most urgent. Of two waiting requests the more urgent one runs
-  /// first, see admission_settings::OldestFirstInterval.
+  /// first, see admission_settings::PriorityTurnInterval.
   std::uint8_t Priority = 0;
   /// When the caller wants the answer. Among requests of one priority, those
   /// that can still be answered by then run before those that cannot.
@@ -279,10 +279,11 @@
   /// limit; zero means that every request counts until its end. Without this
   /// bound, a target that never answers some requests would block all others.
   duration StallBound = duration::zero();
-  /// Every so many freed slots, the request that has waited longest runs,
-  /// whatever its priority; zero means never. Without this, a continuous
-  /// overload of urgent requests would starve the others.
-  std::size_t OldestFirstInterval = 0;
+  /// Every so many freed slots, the waiting priority that was served least
+  /// recently gets the slot (of several that were never served, the least
+  /// urgent); zero means never. Without this, a continuous overload of urgent
+  /// requests would starve the others.
+  std::size_t PriorityTurnInterval = 0;
 };
 
 struct admission_counts {
--- a/src/forward/request_scheduler.cpp
+++ b/src/forward/request_scheduler.cpp
@@ -20,8 +20,9 @@
 /// idle until the agent has seen the answer and delivered the next request.
 constexpr std::size_t Pipeline = 1;
 
-/// One freed slot in sixteen goes to the request that has waited longest.
-constexpr std::size_t OldestFirstInterval = 16;
+/// One freed slot in sixteen goes to the waiting priority that was served least
+/// recently, so that urgent requests cannot starve the others.
+constexpr std::size_t PriorityTurnInterval = 16;
 
 admission_settings workSettings() {
   admission_settings Settings;
@@ -30,7 +31,7 @@
   Settings.Pipeline = Pipeline;
   Settings.LowerLimit = false;
   Settings.StallBound = StallBound;
-  Settings.OldestFirstInterval = OldestFirstInterval;
+  Settings.PriorityTurnInterval = PriorityTurnInterval;
   return Settings;
 }
 
--- a/src/work/admission.cpp
+++ b/src/work/admission.cpp
@@ -70,7 +70,7 @@
   impl(const admission_settings &Settings, pick_peer PickPeer,
        std::uint64_t Seed)
       : Settings(Settings), PickPeer(std::move(PickPeer)),
-        Queue(Settings.CallerQueues, Settings.OldestFirstInterval, Seed),
+        Queue(Settings.CallerQueues, Settings.PriorityTurnInterval, Seed),
         Limit(Settings), RetryEstimator(Settings.MaxRetryAfter, Seed + 1),
         Budget(Settings.RetryShare), Times(Settings.FirstEstimate) {}
 
--- a/src/work/level_queue.cpp
+++ b/src/work/level_queue.cpp
@@ -1,6 +1,7 @@
 #include "work/level_queue.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace marjoramrail::internal {
 
@@ -23,9 +24,9 @@
 } // namespace
 
 level_queue::level_queue(std::size_t CallerQueues,
-                         std::size_t OldestFirstInterval, std::uint64_t Seed)
+                         std::size_t PriorityTurnInterval, std::uint64_t Seed)
     : CallerQueues(std::max<std::size_t>(CallerQueues, 1)),
-      OldestFirstInterval(OldestFirstInterval), Plain(CallerQueues, Seed) {
+      PriorityTurnInterval(PriorityTurnInterval), Plain(CallerQueues, Seed) {
   for (kind_index &Each : Kinds)
     Each.WorkOf.resize(this->CallerQueues);
 }
@@ -237,15 +238,19 @@
   return take(std::get<2>(*Next->begin()), /*Runs=*/true);
 }
 
-std::optional<waiting_request> level_queue::popOldest(bool AllowLong) {
-  const age_index &Short = Kinds[0].ByAge;
-  const age_index &Long = Kinds[1].ByAge;
-  const bool HasLong = AllowLong && !Long.empty();
-  if (Short.empty() && !HasLong)
-    return std::nullopt;
-  const bool TakeLong =
-      HasLong && (Short.empty() || Long.begin()->first < Short.begin()->first);
-  return take((TakeLong ? Long : Short).begin()->second, /*Runs=*/true);
+/// Takes the next request of the priority that was served least recently.
+std::optional<waiting_request>
+level_queue::popTurn(bool AllowLong, duration Bound, instant Now) {
+  using turn = std::tuple<std::size_t, int, level *>;
+  std::vector<turn> Turns;
+  for (auto &[Priority, Level] : Levels)
+    if (Level.Size > 0)
+      Turns.emplace_back(Level.LastServed, -int(Priority), &Level);
+  std::sort(Turns.begin(), Turns.end());
+  for (const auto &[LastServed, Negated, Level] : Turns)
+    if (auto Taken = popFrom(*Level, Negated == 0, AllowLong, Bound, Now))
+      return Taken;
+  return std::nullopt;
 }
 
 std::optional<waiting_request> level_queue::pop(bool AllowLong, duration Bound,
@@ -253,14 +258,21 @@
   if (Kinds[0].ByAge.empty() && (!AllowLong || Kinds[1].ByAge.empty()))
     return std::nullopt;
   ++Popped;
-  if (OldestFirstInterval > 0 && Popped % OldestFirstInterval == 0)
-    return popOldest(AllowLong);
   moveLate(Now);
-  for (auto &[Priority, Level] : Levels)
-    if (Level.Size > 0)
-      if (auto Taken = popFrom(Level, Priority == 0, AllowLong, Bound, Now))
-        return Taken;
-  return std::nullopt;
+  std::optional<waiting_request> Taken;
+  if (PriorityTurnInterval > 0 && Popped % PriorityTurnInterval == 0) {
+    Taken = popTurn(AllowLong, Bound, Now);
+  } else {
+    for (auto &[Priority, Level] : Levels) {
+      if (Level.Size > 0)
+        Taken = popFrom(Level, Priority == 0, AllowLong, Bound, Now);
+      if (Taken)
+        break;
+    }
+  }
+  if (Taken)
+    levelOf(Taken->Request.Priority).LastServed = Popped;
+  return Taken;
 }
 
 std::optional<waiting_request> level_queue::remove(request_id Id) {
--- a/src/work/level_queue.h
+++ b/src/work/level_queue.h
@@ -13,10 +13,14 @@
 /// be answered by their aim precede late ones. They are taken from an
 /// aimed_queue: oldest first, or newest first while the priority is overloaded,
 /// that is, for one aim period after a request of it has become late. Late
-/// requests follow by deadline, then those without one by arrival. Every
-/// OldestFirstInterval-th request is the one that has waited longest, so a
-/// request with n older ones runs after at most OldestFirstInterval * (n + 1)
-/// freed slots, whatever its priority.
+/// requests follow by deadline, then those without one by arrival.
+///
+/// Every PriorityTurnInterval-th freed slot goes to the waiting priority that
+/// was served least recently, and takes the next request in the order of that
+/// priority. While n less urgent priorities wait beside a more urgent one that
+/// takes all other slots, each of them gets one slot in
+/// n * PriorityTurnInterval. The order within a priority does not change, so an
+/// overload of a single priority loses no slot to this rule.
 ///
 /// Requests of priority 0 without an aim are kept in a fair_queue. They take
 /// turns with the other requests of priority 0 that are not late.
@@ -38,7 +42,7 @@
 
 class level_queue {
 public:
-  level_queue(std::size_t CallerQueues, std::size_t OldestFirstInterval,
+  level_queue(std::size_t CallerQueues, std::size_t PriorityTurnInterval,
               std::uint64_t Seed);
 
   std::size_t size() const { return Entries.size(); }
@@ -127,6 +131,8 @@
     double Work = 0;
     /// Position in the turns of plain, short and long requests.
     std::size_t Turn = 0;
+    /// Value of Popped at its latest request; zero if there was none.
+    std::size_t LastServed = 0;
   };
 
   static std::size_t indexOf(work_kind Kind) {
@@ -146,11 +152,12 @@
   std::optional<waiting_request> popFrom(level &Level, bool IsFirst,
                                          bool AllowLong, duration Bound,
                                          instant Now);
-  std::optional<waiting_request> popOldest(bool AllowLong);
+  std::optional<waiting_request> popTurn(bool AllowLong, duration Bound,
+                                         instant Now);
   bool runsBefore(request_id Left, request_id Right) const;
 
   std::size_t CallerQueues;
-  std::size_t OldestFirstInterval;
+  std::size_t PriorityTurnInterval;
   fair_queue Plain;
   std::map<std::uint8_t, level> Levels;
   std::unordered_map<request_id, entry> Entries;
