Run requests before their aim ahead of those that missed it

A request with less than two service times left until its aim was put behind requests of its priority that had missed theirs.

Without LowerLimit, the window of limit trials grows with the declared slots.

--- a/src/work/concurrency_limit.cpp
+++ b/src/work/concurrency_limit.cpp
@@ -20,7 +20,9 @@
 constexpr std::uint32_t MinAloneSamples = 32;
 /// Without LowerLimit a limit that has been raised by chance is hardly ever
 /// lowered again, so a window is this many times as long. With 128 answers, one
-/// in six useless raises of a slot in four is accepted by chance.
+/// in six useless raises of a slot in four is accepted by chance. With more
+/// slots a raise changes less, so the window grows with the declared slots. It
+/// takes about the same time then, because they give answers faster.
 constexpr std::uint32_t RaiseOnlyWindows = 4;
 constexpr duration DefaultPause = std::chrono::milliseconds(100);
 constexpr duration MaxPause = std::chrono::seconds(1);
@@ -34,13 +36,15 @@
 concurrency_limit::concurrency_limit(const admission_settings &Settings)
     : MaxLimitFactor(Settings.MaxLimitFactor), LowerLimit(Settings.LowerLimit),
       ColdStart(Settings.ColdStart), CutRatio(Settings.CutRatio),
-      Window(Settings.LimitWindow *
-             (Settings.LowerLimit ? 1 : RaiseOnlyWindows)) {
+      BaseWindow(Settings.LimitWindow) {
   setDeclared(Settings.Slots);
 }
 
 void concurrency_limit::setDeclared(std::size_t Slots) {
   Declared = std::max<std::size_t>(Slots, 1);
+  Window = BaseWindow;
+  if (!LowerLimit)
+    Window *= std::max(RaiseOnlyWindows, std::uint32_t(Declared));
   MaxLimit = std::max<std::size_t>(
       Declared, std::size_t(std::lround(double(Declared) * MaxLimitFactor)));
   Limit = Declared;
--- a/src/work/concurrency_limit.h
+++ b/src/work/concurrency_limit.h
@@ -69,7 +69,9 @@
   bool LowerLimit;
   duration ColdStart;
   double CutRatio;
-  std::uint32_t Window;
+  std::uint32_t BaseWindow;
+  /// Number of answers in a window.
+  std::uint32_t Window = 0;
   mutable std::optional<instant> Started;
   instant PausedUntil;
 
--- a/src/work/level_queue.cpp
+++ b/src/work/level_queue.cpp
@@ -130,9 +130,10 @@
     level &Level = levelOf(Entry.Priority);
     const std::size_t Kind = indexOf(Entry.Kind);
     Entry.IsLate = Entry.LatestStart && *Entry.LatestStart < Entry.Since;
-    if (Entry.IsLate)
+    if (Entry.IsLate) {
       Level.Late[Kind].emplace(Entry.LateKey, Entry.Order, Id);
-    else
+      Level.LateBeforeAim[Kind].emplace(*Request.Aim, Entry.Order, Id);
+    } else
       Level.InTime[Kind].push(Entry.Order, Entry.Bucket, Id,
                               Entry.ServiceSeconds);
     if (Entry.LatestStart && !Entry.IsLate)
@@ -163,6 +164,8 @@
   const std::size_t Kind = indexOf(Entry.Kind);
   if (Entry.IsLate) {
     Level.Late[Kind].erase({Entry.LateKey, Entry.Order, Id});
+    Level.LateBeforeAim[Kind].erase(
+        {*Entry.Waiting.Request.Aim, Entry.Order, Id});
     return std::move(Entry.Waiting);
   }
   if (Entry.LatestStart)
@@ -185,6 +188,7 @@
       Entry.IsLate = true;
       Level.InTime[Kind].remove(Order, Entry.Bucket);
       Level.Late[Kind].emplace(Entry.LateKey, Order, Id);
+      Level.LateBeforeAim[Kind].emplace(*Entry.Waiting.Request.Aim, Order, Id);
       const duration AimPeriod = *Entry.Waiting.Request.Aim - Entry.Since;
       Level.OverloadedUntil = std::max(Level.OverloadedUntil, Now + AimPeriod);
     }
@@ -228,6 +232,22 @@
       return std::move(Entry.Waiting);
     }
   }
+  return popLate(Level, AllowLong, Now);
+}
+
+std::optional<waiting_request>
+level_queue::popLate(level &Level, bool AllowLong, instant Now) {
+  const time_index *LastAim = nullptr;
+  for (const std::size_t Kind : {0, 1}) {
+    time_index &ByAim = Level.LateBeforeAim[Kind];
+    while (!ByAim.empty() && std::get<0>(*ByAim.begin()) <= Now)
+      ByAim.erase(ByAim.begin());
+    if ((Kind == 0 || AllowLong) && !ByAim.empty() &&
+        (!LastAim || *LastAim->rbegin() < *ByAim.rbegin()))
+      LastAim = &ByAim;
+  }
+  if (LastAim)
+    return take(std::get<2>(*LastAim->rbegin()), /*Runs=*/true);
   const time_index *Next = nullptr;
   for (const std::size_t Kind : {0, 1})
     if ((Kind == 0 || AllowLong) && !Level.Late[Kind].empty() &&
@@ -260,15 +280,13 @@
   ++Popped;
   moveLate(Now);
   std::optional<waiting_request> Taken;
-  if (PriorityTurnInterval > 0 && Popped % PriorityTurnInterval == 0) {
+  if (PriorityTurnInterval > 0 && Popped % PriorityTurnInterval == 0)
     Taken = popTurn(AllowLong, Bound, Now);
-  } else {
-    for (auto &[Priority, Level] : Levels) {
-      if (Level.Size > 0)
-        Taken = popFrom(Level, Priority == 0, AllowLong, Bound, Now);
-      if (Taken)
-        break;
-    }
+  for (auto &[Priority, Level] : Levels) {
+    if (Taken)
+      break;
+    if (Level.Size > 0)
+      Taken = popFrom(Level, Priority == 0, AllowLong, Bound, Now);
   }
   if (Taken)
     levelOf(Taken->Request.Priority).LastServed = Popped;
--- a/src/work/level_queue.h
+++ b/src/work/level_queue.h
@@ -13,7 +13,9 @@
 /// be answered by their aim precede late ones. They are taken from an
 /// aimed_queue: oldest first, or newest first while the priority is overloaded,
 /// that is, for one aim period after a request of it has become late. Late
-/// requests follow by deadline, then those without one by arrival.
+/// requests follow: first those whose aim has not passed, the latest aim first,
+/// because they may still be answered by it; then by deadline, then those
+/// without one by arrival.
 ///
 /// Every PriorityTurnInterval-th freed slot goes to the waiting priority that
 /// was served least recently, and takes the next request in the order of that
@@ -126,6 +128,8 @@
     std::array<aimed_queue, 2> InTime;
     std::array<time_index, 2> Late;
     time_index ByLatestStart;
+    /// Requests of Late, by aim, until their aim has passed.
+    std::array<time_index, 2> LateBeforeAim;
     instant OverloadedUntil;
     std::size_t Size = 0;
     double Work = 0;
@@ -152,6 +156,8 @@
   std::optional<waiting_request> popFrom(level &Level, bool IsFirst,
                                          bool AllowLong, duration Bound,
                                          instant Now);
+  std::optional<waiting_request> popLate(level &Level, bool AllowLong,
+                                         instant Now);
   std::optional<waiting_request> popTurn(bool AllowLong, duration Bound,
                                          instant Now);
   bool runsBefore(request_id Left, request_id Right) const;
