--- a/src/work/level_queue.cpp
+++ b/src/work/level_queue.cpp
@@ -1,6 +1,7 @@
 #include "work/level_queue.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace marjoramrail::internal {
 
@@ -23,9 +24,9 @@
 } // namespace
 
 level_queue::level_queue(std::size_t CallerQueues,
-                         std::size_t OldestFirstInterval, std::uint64_t Seed)
+                         std::size_t PriorityTurnInterval, std::uint64_t Seed)
     : CallerQueues(std::max<std::size_t>(CallerQueues, 1)),
-      OldestFirstInterval(OldestFirstInterval), Plain(CallerQueues, Seed) {
+      PriorityTurnInterval(PriorityTurnInterval), Plain(CallerQueues, Seed) {
   for (kind_index &Each : Kinds)
     Each.WorkOf.resize(this->CallerQueues);
 }
@@ -139,9 +140,10 @@
     level &Level = levelOf(Entry.Priority);
     const std::size_t Kind = indexOf(Entry.Kind);
     Entry.IsLate = Entry.LatestStart && *Entry.LatestStart < Entry.Since;
-    if (Entry.IsLate)
+    if (Entry.IsLate) {
       Level.Late[Kind].emplace(Entry.LateKey, Entry.Order, Id);
-    else
+      Level.LateBeforeAim[Kind].emplace(*Request.Aim, Entry.Order, Id);
+    } else
       Level.InTime[Kind].push(Entry.Order, Entry.Bucket, Id,
                               Entry.ServiceSeconds);
     if (Entry.LatestStart && !Entry.IsLate)
@@ -172,6 +174,8 @@
   const std::size_t Kind = indexOf(Entry.Kind);
   if (Entry.IsLate) {
     Level.Late[Kind].erase({Entry.LateKey, Entry.Order, Id});
+    Level.LateBeforeAim[Kind].erase(
+        {*Entry.Waiting.Request.Aim, Entry.Order, Id});
     return std::move(Entry.Waiting);
   }
   if (Entry.LatestStart)
@@ -194,6 +198,7 @@
       Entry.IsLate = true;
       Level.InTime[Kind].remove(Order, Entry.Bucket);
       Level.Late[Kind].emplace(Entry.LateKey, Order, Id);
+      Level.LateBeforeAim[Kind].emplace(*Entry.Waiting.Request.Aim, Order, Id);
       const duration AimPeriod = *Entry.Waiting.Request.Aim - Entry.Since;
       Level.OverloadedUntil = std::max(Level.OverloadedUntil, Now + AimPeriod);
     }
@@ -237,6 +242,22 @@
       return std::move(Entry.Waiting);
     }
   }
+  return popLate(Level, AllowLong, Now);
+}
+
+std::optional<waiting_request>
+level_queue::popLate(level &Level, bool AllowLong, instant Now) {
+  const time_index *LastAim = nullptr;
+  for (const std::size_t Kind : {0, 1}) {
+    time_index &ByAim = Level.LateBeforeAim[Kind];
+    while (!ByAim.empty() && std::get<0>(*ByAim.begin()) <= Now)
+      ByAim.erase(ByAim.begin());
+    if ((Kind == 0 || AllowLong) && !ByAim.empty() &&
+        (!LastAim || *LastAim->rbegin() < *ByAim.rbegin()))
+      LastAim = &ByAim;
+  }
+  if (LastAim)
+    return take(std::get<2>(*LastAim->rbegin()), /*Runs=*/true);
   const time_index *Next = nullptr;
   for (const std::size_t Kind : {0, 1})
     if ((Kind == 0 || AllowLong) && !Level.Late[Kind].empty() &&
@@ -247,15 +268,19 @@
   return take(std::get<2>(*Next->begin()), /*Runs=*/true);
 }
 
-std::optional<waiting_request> level_queue::popOldest(bool AllowLong) {
-  const age_index &Short = Kinds[0].ByAge;
-  const age_index &Long = Kinds[1].ByAge;
-  const bool HasLong = AllowLong && !Long.empty();
-  if (Short.empty() && !HasLong)
-    return std::nullopt;
-  const bool TakeLong =
-      HasLong && (Short.empty() || Long.begin()->first < Short.begin()->first);
-  return take((TakeLong ? Long : Short).begin()->second, /*Runs=*/true);
+/// Takes the next request of the priority that was served least recently.
+std::optional<waiting_request>
+level_queue::popTurn(bool AllowLong, duration Bound, instant Now) {
+  using turn = std::tuple<std::size_t, int, level *>;
+  std::vector<turn> Turns;
+  for (auto &[Priority, Level] : Levels)
+    if (Level.Size > 0)
+      Turns.emplace_back(Level.LastServed, -int(Priority), &Level);
+  std::sort(Turns.begin(), Turns.end());
+  for (const auto &[LastServed, Negated, Level] : Turns)
+    if (auto Taken = popFrom(*Level, Negated == 0, AllowLong, Bound, Now))
+      return Taken;
+  return std::nullopt;
 }
 
 std::optional<waiting_request> level_queue::pop(bool AllowLong, duration Bound,
@@ -263,14 +288,19 @@
   if (Kinds[0].ByAge.empty() && (!AllowLong || Kinds[1].ByAge.empty()))
     return std::nullopt;
   ++Popped;
-  if (OldestFirstInterval > 0 && Popped % OldestFirstInterval == 0)
-    return popOldest(AllowLong);
   moveLate(Now);
-  for (auto &[Priority, Level] : Levels)
+  std::optional<waiting_request> Taken;
+  if (PriorityTurnInterval > 0 && Popped % PriorityTurnInterval == 0)
+    Taken = popTurn(AllowLong, Bound, Now);
+  for (auto &[Priority, Level] : Levels) {
+    if (Taken)
+      break;
     if (Level.Size > 0)
-      if (auto Taken = popFrom(Level, Priority == 0, AllowLong, Bound, Now))
-        return Taken;
-  return std::nullopt;
+      Taken = popFrom(Level, Priority == 0, AllowLong, Bound, Now);
+  }
+  if (Taken)
+    levelOf(Taken->Request.Priority).LastServed = Popped;
+  return Taken;
 }
 
 std::optional<waiting_request> level_queue::remove(request_id Id) {
