Forwarder: tests of request holding and of the capacity estimate

The service levels had tests of their parts only. The fixture gets targets that answer when told or after a service time, and balancers that state levels.

--- a/test/forward/forward_world.h
+++ b/test/forward/forward_world.h
@@ -12,6 +12,7 @@
 
 #include "marjoramrail/forward.h"
 
+#include <algorithm>
 #include <cstring>
 #include <deque>
 #include <map>
@@ -109,6 +110,25 @@
     std::uint32_t NextSequence = 1000;
     std::uint64_t Offered = 0;
     std::uint64_t Declined = 0;
+    /// The target answers requests only by answer(). Otherwise it answers each
+    /// after ServiceTime.
+    bool AnswersWhenTold = false;
+    /// How long a request occupies one of the slots; zero if the target answers
+    /// at once.
+    duration ServiceTime = duration::zero();
+    /// When each slot becomes free; as many as the target has slots.
+    std::vector<instant> SlotFreeAt = std::vector<instant>(4);
+    /// The answers that are due, by their time.
+    std::multimap<instant, test_frame> Due;
+    /// All packets with payload, and all others, of the target's flows.
+    std::vector<test_frame> Requests;
+    std::vector<test_frame> Bare;
+    /// The sequence number of each flow's next answer.
+    std::map<flow_key, std::uint32_t> NextAnswer;
+
+    bool isTimed() const {
+      return AnswersWhenTold || ServiceTime > duration::zero();
+    }
   };
 
   struct host {
@@ -145,6 +165,13 @@
   std::vector<flow_event> Events;
   /// Agents that a balancer has reported as lost.
   std::vector<endpoint> Lost;
+  /// Balancers that are added state service levels.
+  bool StatesLevels = false;
+  /// The level of RouteAddress on balancers that are added.
+  std::optional<service_level> RouteLevel;
+  /// Called for each datagram between processes.
+  std::function<void(const endpoint &From, const endpoint &To, bytes_view)>
+      OnSend;
   /// Called before a balancer receives a datagram from an agent.
   std::function<void()> BeforeBalancerReceives;
   /// Datagrams between processes, to measure the cost of an owner lookup.
@@ -220,11 +247,13 @@
     Hooks.OnAgentLost = [this](const endpoint &Agent, duration) {
       Lost.push_back(Agent);
     };
-    Balancers[Number] = std::make_unique<forward_balancer>(
-        forward_balancer_settings{balancerAt(Number), Zone, 1000, FlowLife},
-        testCodec(), Hooks);
+    forward_balancer_settings Settings{balancerAt(Number), Zone, 1000,
+                                       FlowLife};
+    Settings.StatesLevels = StatesLevels;
+    Balancers[Number] =
+        std::make_unique<forward_balancer>(Settings, testCodec(), Hooks);
     Balancers[Number]->setRoutes(
-        {{RouteAddress, {{"ledger", 1}}, {"ledger"}, {}}}, Now);
+        {{RouteAddress, {{"ledger", 1}}, {"ledger"}, {}, {}, RouteLevel}}, Now);
     updateBalancers();
   }
 
@@ -260,6 +289,36 @@
     return Outcome;
   }
 
+  /// Sends a routed packet of balancer \p From directly to an agent.
+  agent_outcome routed(unsigned Number, unsigned From,
+                       const routed_packet &Routed) {
+    std::array<std::uint8_t, MaxRoutedBytes> Buffer;
+    const std::size_t Size = encodeRouted(Routed, Buffer);
+    const agent_outcome Outcome = Hosts[Number].Agent->onRouted(
+        balancerAt(From), {Buffer.data(), Size}, Now);
+    run();
+    return Outcome;
+  }
+
+  /// Target \p Number answers the request on \p Flow.
+  void answer(unsigned Number, const flow_key &Flow, std::uint32_t Body = 7) {
+    test_frame Request;
+    Request.Segment.Head.Flow = Flow;
+    Request.Body = Body;
+    replyTo(Number, Request);
+    run();
+  }
+
+  /// Target \p Number ends \p Flow by a packet without payload.
+  void finish(unsigned Number, const flow_key &Flow) {
+    test_frame End;
+    End.Segment.Head.Flow = {Flow.Service, Flow.Caller};
+    End.Segment.Head.Fin = true;
+    End.Segment.Head.Sequence = Hosts[Number].Target.NextAnswer[Flow] + 50;
+    reply(Number, End);
+    run();
+  }
+
   static test_frame syn(const flow_key &Flow, std::uint32_t Copy = 0) {
     test_frame Frame;
     Frame.Segment.Head.Flow = Flow;
@@ -317,6 +376,7 @@
     const instant End = Now + Time;
     while (Now < End) {
       Now += std::chrono::milliseconds(20);
+      sendDueAnswers();
       for (auto &[Number, Host] : Hosts)
         if (Host.Agent)
           Host.Agent->expire(Now);
@@ -348,6 +408,8 @@
   void send(const endpoint &From, const endpoint &To, bytes_view Bytes) {
     ++Hops;
     SentBytes += Bytes.size();
+    if (OnSend)
+      OnSend(From, To, Bytes);
     for (const auto &[Number, Host] : Hosts)
       if (agentAt(Number) == From && Host.Cut)
         return;
@@ -365,6 +427,45 @@
     });
   }
 
+  void sendDueAnswers() {
+    for (auto &[Number, Host] : Hosts) {
+      auto &Due = Host.Target.Due;
+      while (!Due.empty() && Due.begin()->first <= Now) {
+        replyTo(Number, Due.begin()->second);
+        Due.erase(Due.begin());
+      }
+    }
+    run();
+  }
+
+  /// Answers \p Request with the flow's next bytes.
+  void replyTo(unsigned Number, const test_frame &Request) {
+    target &Target = Hosts[Number].Target;
+    test_frame Answer = answerTo(Request);
+    Answer.Segment.Head.Payload = 50;
+    Answer.Segment.Head.Sequence =
+        Target.NextAnswer[Request.Segment.Head.Flow] += 50;
+    Answer.Body = Request.Body;
+    reply(Number, Answer);
+  }
+
+  /// A target that does not answer at once. A request is one packet if
+  /// ServiceTime is set.
+  void process(target &Target, const test_frame &Frame) {
+    const tcp_packet &Head = Frame.Segment.Head;
+    (Head.Payload > 0 ? Target.Requests : Target.Bare).push_back(Frame);
+    if (Head.Rst) {
+      Target.Flows.erase(Head.Flow);
+      return;
+    }
+    if (Head.Payload == 0 || Target.AnswersWhenTold)
+      return;
+    instant &FreeAt =
+        *std::min_element(Target.SlotFreeAt.begin(), Target.SlotFreeAt.end());
+    FreeAt = std::max(FreeAt, Now) + Target.ServiceTime;
+    Target.Due.insert({FreeAt, Frame});
+  }
+
   void reply(unsigned Number, const test_frame &Frame) {
     queue([this, Number, Frame] {
       if (Hosts[Number].Agent)
@@ -398,6 +499,8 @@
       Back.Segment.Declined = true;
       return reply(Number, Back);
     }
+    if (Target.isTimed())
+      return process(Target, Frame);
     if (Head.Payload == 0)
       return;
     test_frame Answer = answerTo(Frame);
