--- a/test/forward/flows_test.cpp
+++ b/test/forward/flows_test.cpp
@@ -322,6 +322,25 @@
   encodeLoadReport(load_report(), Buffer);
   Samples.push_back(Buffer);
   Samples.push_back(Packet);
+  // Format 2: a first packet and one that begins a request.
+  Routed.Flags = 0;
+  Routed.Balancer = balancerAt(1);
+  Routed.Level = stated_level{{1, true, 300ms, 2s}, 50, 3};
+  Routed.SubstituteWait = 5ms;
+  const auto First = bytesOf(forward_world::syn(flowOf(1)));
+  for (const bytes_view Inner : {bytes_view(First), bytes_view(Packet)}) {
+    Routed.Packet = Inner;
+    Buffer.assign(MaxRoutedBytes, 0);
+    Buffer.resize(encodeRouted(Routed, Buffer));
+    Samples.push_back(Buffer);
+  }
+  load_report Long;
+  Long.Service = serviceNumber("ledger");
+  Long.Agent = agentAt(1);
+  Long.Capacity = capacity_report{2, {1, 2, 3, 4}, {1ms, 2ms, 3ms, 4ms}, 20ms};
+  Buffer.assign(LongLoadReportBytes, 0);
+  REQUIRE(encodeLoadReport(Long, Buffer) == LongLoadReportBytes);
+  Samples.push_back(Buffer);
   for (int Round = 0; Round < 30000; ++Round) {
     std::vector<std::uint8_t> Bytes = Samples[Random() % Samples.size()];
     Bytes.resize(Random() % 4 == 0 ? Random() % (Bytes.size() + 1)
--- a/test/forward/placement_test.cpp
+++ b/test/forward/placement_test.cpp
@@ -334,3 +334,48 @@
   const auto Chosen = chosenOf(Targets);
   CHECK(Chosen[0] + Chosen[1] == 0);
 }
+
+TEST_CASE("a target with a shorter service time is preferred") {
+  // With the same load its next free slot comes earlier.
+  std::vector<placement_candidate> Targets(2);
+  for (placement_candidate &Target : Targets) {
+    Target.OwnZone = true;
+    Target.Slots = 4;
+    Target.Flows = 10;
+    Target.ServiceTime = 40ms;
+  }
+  Targets[1].ServiceTime = 20ms;
+
+  CHECK(placement().choose(Targets, {0, 1}) == 1);
+  CHECK(placement().choose(Targets, {1, 0}) == 1);
+}
+
+TEST_CASE("a short latency alone does not make a target fast") {
+  // A target with a short queue answers soon at any speed.
+  std::vector<placement_candidate> Targets(3);
+  for (placement_candidate &Target : Targets) {
+    Target.OwnZone = true;
+    Target.Slots = 4;
+    Target.Flows = 10;
+    Target.Latency = 40ms;
+  }
+  Targets[1].Latency = 20ms;
+  Targets[1].Flows = 11;
+
+  CHECK(placement().choose(Targets, {0, 1, 2}) == 0);
+  CHECK(placement().choose(Targets, {1, 0, 2}) == 0);
+}
+
+TEST_CASE("flows follow the speeds of the targets") {
+  // Target 0 needs half of the usual time and target 1 twice as much.
+  placement_model Model(6);
+  for (placement_candidate &Target : Model.Real)
+    Target.ServiceTime = 40ms;
+  Model.Real[0].ServiceTime = 20ms;
+  Model.Real[1].ServiceTime = 80ms;
+  for (int Round = 0; Round < 60; ++Round)
+    Model.round(10, 3);
+
+  CHECK(Model.Real[0].Flows > Model.Real[2].Flows * 5 / 4);
+  CHECK(Model.Real[1].Flows < Model.Real[2].Flows * 3 / 4);
+}
