Agent: flows that are opening count towards the flow limit

Only flows that their callers had confirmed counted, so all flows that opened within one round trip passed the limit: of 12 first packets for three targets with a limit of two flows each, each target got four. Half-open flows of the load table would not do: one whose caller has gone stays there until it is idle.

--- a/src/forward/forward_agent_impl.h
+++ b/src/forward/forward_agent_impl.h
@@ -59,6 +59,7 @@
   std::optional<flow_refusal> capacityRefusal(const routed_packet &Routed,
                                               const flow_key &Flow,
                                               instant Now);
+  std::size_t openingFlows(const flow_key &Except, instant Now);
   agent_outcome deliverInOrder(const routed_packet &Routed,
                                const tcp_packet &Head, bool BeginsRequest,
                                instant Now);
--- a/src/forward/request_holding.cpp
+++ b/src/forward/request_holding.cpp
@@ -29,7 +29,8 @@
   // A retransmitted SYN of a flow that is opening here.
   if (Load.find(Flow))
     return std::nullopt;
-  if (Stated->MaxFlows != 0 && Load.open() >= Stated->MaxFlows)
+  if (Stated->MaxFlows != 0 &&
+      Load.open() + openingFlows(Flow, Now) >= Stated->MaxFlows)
     return flow_refusal::FlowLimit;
   if (Settings.DisabledMechanisms.has(mechanism::RoomHandover) ||
       Routed.Position >= MaxCapacityHops ||
@@ -42,6 +43,17 @@
   return flow_refusal::NoFreeSlot;
 }
 
+/// Number of flows other than \p Except that were offered to the target within
+/// the last request_scheduler::ReservationTime and are not open yet. If they
+/// did not count, a burst of new flows would exceed the target's limit.
+std::size_t forward_agent::impl::openingFlows(const flow_key &Except,
+                                              instant Now) {
+  return Scheduler.countReserved(Now, [&](const flow_key &Flow) {
+    const watched_flow *Watched = Load.find(Flow);
+    return Flow != Except && (!Watched || Watched->HalfOpen);
+  });
+}
+
 /// Delivers a packet of a known flow, or holds it if its request has to wait.
 /// Packets without payload do not depend on the held ones, so they pass.
 agent_outcome forward_agent::impl::deliverInOrder(const routed_packet &Routed,
--- a/src/forward/request_scheduler.cpp
+++ b/src/forward/request_scheduler.cpp
@@ -132,6 +132,14 @@
     Reservations.pop_front();
 }
 
+std::size_t request_scheduler::countReserved(
+    instant Now, const std::function<bool(const flow_key &)> &Predicate) {
+  removeExpiredReservations(Now);
+  return static_cast<std::size_t>(std::count_if(
+      Reservations.begin(), Reservations.end(),
+      [&](const reservation &Item) { return Predicate(Item.Flow); }));
+}
+
 std::size_t request_scheduler::freeSlots(instant Now) {
   removeExpiredReservations(Now);
   const std::size_t Free = Work.freeSlots(Now);
--- a/src/forward/request_scheduler.h
+++ b/src/forward/request_scheduler.h
@@ -22,6 +22,7 @@
 #include "marjoramrail/work.h"
 
 #include <deque>
+#include <functional>
 #include <unordered_map>
 
 namespace marjoramrail::internal {
@@ -63,6 +64,10 @@
   /// A new flow was offered to the target. It reserves a slot until its first
   /// request begins, for ReservationTime at most.
   void reserveSlot(const flow_key &Flow, instant Now);
+  /// Number of flows that reserve a slot and for which \p Predicate holds.
+  std::size_t
+  countReserved(instant Now,
+                const std::function<bool(const flow_key &)> &Predicate);
   /// Returns how long the first request of another new flow would wait; zero if
   /// it would be delivered at once.
   duration waitOf(const service_level &Level, instant Now);
