Balancer: a wait that is not known any more refuses nobody at once

A stale report released one priority per evaluation, so the most urgent callers were refused for up to another 800 ms, although a target that does not report may be idle.

--- a/src/forward/admission_threshold.h
+++ b/src/forward/admission_threshold.h
@@ -12,7 +12,8 @@
 /// in time, the least urgent priority first.
 ///
 /// The threshold moves by one priority at a time, and back at half of the wait,
-/// so that one late report neither refuses all callers nor admits them all.
+/// so that one late report neither refuses all callers nor admits them all. If
+/// a wait is not known any more, all are admitted: the target may be idle.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -45,6 +46,10 @@
 
   /// Has to be called every forward_balancer::TickPeriod.
   void evaluate(const priority_waits &Waits, instant Now) {
+    if (!isKnown(Waits)) {
+      moveTo(ReportedPriorities, Now);
+      return;
+    }
     if (canRelease(Waits)) {
       moveTo(nextToAdmit(Waits), Now);
       return;
@@ -92,13 +97,17 @@
     return leastUrgent(Waits).value_or(RefusesFrom);
   }
 
-  /// A wait that is not known any more refuses nobody.
+  /// Whether the wait that callers are refused for is still known.
+  bool isKnown(const priority_waits &Waits) const {
+    return RefusesFrom >= ReportedPriorities ||
+           Waits[RefusesFrom].Shortest.has_value();
+  }
+
   bool canRelease(const priority_waits &Waits) const {
     if (RefusesFrom >= ReportedPriorities)
       return false;
     const priority_wait &Wait = Waits[RefusesFrom];
-    return !Wait.Shortest || Wait.Limit == duration::zero() ||
-           *Wait.Shortest <= Wait.Limit / 2;
+    return Wait.Limit == duration::zero() || *Wait.Shortest <= Wait.Limit / 2;
   }
 
   /// Admits RefusesFrom and what follows up to the next priority with routes.
