Balancer: no flow is refused beside a free slot

The threshold moves back one priority per evaluation, so after an overload the urgent priorities were refused for up to 800 ms while targets were idle. A flow is now taken if the targets have reported more free slots than balancers have placed flows since. The estimated wait was ruled out as the condition: it counts answers since the report but not the arrivals at other balancers.

--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -139,6 +139,8 @@
                         const internal::agent_state &Agent, instant Now) const;
   bool isRefusedByThreshold(const internal::route_state &Route,
                             service_id Service) const;
+  bool hasReportedFreeSlot(const internal::route_state &Route,
+                           service_id Service, instant Now) const;
   void evaluateThresholds(instant Now);
   internal::priority_waits waitsOf(service_id Service,
                                    const internal::time_limits &Limits,
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -164,7 +164,8 @@
     return refuse(Segment, forward_outcome::NoTarget, Reason, Now);
   }
   agent_state &Agent = AgentTable.at(*Chosen);
-  if (isRefusedByThreshold(Route, Agent.Service)) {
+  if (isRefusedByThreshold(Route, Agent.Service) &&
+      !hasReportedFreeSlot(Route, Agent.Service, Now)) {
     ++Loads[Agent.Service].Refused;
     ++Counters.RefusedByThreshold;
     return refuse(Segment, forward_outcome::NoTarget,
--- a/src/forward/service_capacity.cpp
+++ b/src/forward/service_capacity.cpp
@@ -94,6 +94,30 @@
          Load->second.Threshold.refuses(Route.Level->Priority);
 }
 
+/// Whether the targets that the flow may be sent to have reported more free
+/// slots than balancers have placed flows since. The threshold moves back one
+/// priority per evaluation, and the slots would be idle meanwhile. The estimate
+/// of the wait would not do here: it takes a queue for empty while other
+/// balancers still fill it.
+bool forward_balancer::impl::hasReportedFreeSlot(const route_state &Route,
+                                                 service_id Service,
+                                                 instant Now) const {
+  std::uint64_t Free = 0;
+  std::uint64_t Placed = 0;
+  for (const std::size_t Index : AgentTable.ofService(Service)) {
+    const agent_state &Agent = AgentTable.at(Index);
+    const capacity_report *Capacity = Agent.freshCapacity(Now);
+    if (!Capacity)
+      continue;
+    // A flow that is placed at a full target is passed on to a free one.
+    Placed += std::uint64_t{Agent.Placed} * Capacity->Balancers;
+    if (Agent.Report.Admitting && Agent.Report.Answering && !Agent.Suspect &&
+        mayPlaceAt(Route, Agent))
+      Free += Capacity->FreeSlots;
+  }
+  return Free > Placed;
+}
+
 /// Returns the shortest waits among all targets that may get new flows. A
 /// target that has not reported recently may be idle, so nothing is known then.
 /// Targets outside the regions of a route count too, so that no route is
--- a/test/forward/refusal_test.cpp
+++ b/test/forward/refusal_test.cpp
@@ -139,3 +139,13 @@
   for (std::uint16_t Priority = 0; Priority < Priorities; ++Priority)
     CHECK_FALSE(isRefused(Priority));
 }
+
+TEST_CASE_FIXTURE(refusal_site, "no more flows are taken than slots are free") {
+  // Every balancer would otherwise take a flood for one slot.
+  reportAll(5s, 3s);
+  report(1, 0ms, /*FreeSlots=*/2);
+  int Taken = 0;
+  for (int I = 0; I < 50; ++I)
+    Taken += !isRefused(3);
+  CHECK(Taken == 2);
+}
