--- a/src/forward/held_packets.cpp
+++ b/src/forward/held_packets.cpp
@@ -1,5 +1,8 @@
 #include "forward/held_packets.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace marjoramrail::internal {
 
 /// Whether the bytes of \p Packet are a part of those of \p Stored. The
@@ -30,7 +33,8 @@
       Found != Flows.end() && Found->second.size() >= MaxPacketsPerFlow;
   if (Size == 0 || IsFlowFull || Bytes + Size > MaxBytes)
     return verdict::Full;
-  Flows[Head.Flow].push_back({Head, {Buffer.begin(), Buffer.begin() + Size}});
+  Flows[Head.Flow].push_back(
+      {Head, {Buffer.begin(), Buffer.begin() + Size}, ++LastOrder});
   Bytes += Size;
   return verdict::Stored;
 }
@@ -60,9 +64,15 @@
 }
 
 void held_packets::releaseAll(const receiver &Deliver) {
-  const auto Released = std::exchange(Flows, {});
-  Bytes = 0;
-  for (const auto &[Flow, Packets] : Released)
+  std::vector<packet_list> Released;
+  for (auto &[Flow, Packets] : Flows)
+    Released.push_back(std::move(Packets));
+  clear();
+  std::sort(Released.begin(), Released.end(),
+            [](const packet_list &A, const packet_list &B) {
+              return A.front().Order < B.front().Order;
+            });
+  for (const packet_list &Packets : Released)
     deliver(Packets, Deliver);
 }
 
--- a/src/forward/held_packets.h
+++ b/src/forward/held_packets.h
@@ -44,7 +44,7 @@
   /// Removes the packets of \p Flow and calls \p Deliver for each, in the order
   /// of their arrival.
   void release(const flow_key &Flow, const receiver &Deliver);
-  /// Does the same for all flows.
+  /// Does the same for all flows, in the order of their first packets.
   void releaseAll(const receiver &Deliver);
   /// Removes the packets of \p Flow without delivering them.
   void drop(const flow_key &Flow);
@@ -59,6 +59,8 @@
     tcp_packet Head;
     /// The routed packet as it was encoded.
     std::vector<std::uint8_t> Datagram;
+    /// Increases with each stored packet.
+    std::uint64_t Order = 0;
   };
   using packet_list = std::vector<held_packet>;
 
@@ -68,6 +70,7 @@
 
   std::unordered_map<flow_key, packet_list, flow_key_hash> Flows;
   std::size_t Bytes = 0;
+  std::uint64_t LastOrder = 0;
 };
 
 } // namespace marjoramrail::internal
--- a/test/forward/request_holding_test.cpp
+++ b/test/forward/request_holding_test.cpp
@@ -131,6 +131,23 @@
   CHECK(Hosts[1].Agent->held().Bytes == 0);
 }
 
+TEST_CASE_FIXTURE(busy_target,
+                  "an agent that stops delivers flows as they arrived") {
+  // The target queues what it gets, so an arbitrary order would let the last
+  // caller pass the first.
+  fill();
+  bodies_list Sent{1, 2, 3};
+  for (std::uint16_t Port = 20; Port < 60; ++Port) {
+    caller Caller = openFlow(Port);
+    request(Caller, Port);
+    Sent.push_back(Port);
+  }
+  Hosts[1].Agent->deliverHeld(Now);
+  pass(20ms);
+
+  CHECK(bodies() == Sent);
+}
+
 TEST_CASE_FIXTURE(busy_target, "nothing held is delivered to the next target") {
   // The new process does not hold the flows, and a request must not run after
   // its caller has got a reset.
