--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -142,6 +142,8 @@
                                     instant Now);
   bool isRefusedByThreshold(const internal::route_state &Route,
                             service_id Service) const;
+  bool hasReportedFreeSlot(const internal::route_state &Route,
+                           service_id Service, instant Now) const;
   void evaluateThresholds(instant Now);
   internal::priority_waits waitsOf(service_id Service,
                                    const internal::time_limits &Limits,
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -178,7 +178,8 @@
   }
   agent_state &Agent = AgentTable.at(*Chosen);
   // A flow that was placed before may be open by now.
-  if (!Before && isRefusedByThreshold(Route, Agent.Service))
+  if (!Before && isRefusedByThreshold(Route, Agent.Service) &&
+      !hasReportedFreeSlot(Route, Agent.Service, Now))
     return refuseByThreshold(Segment, Agent.Service, Now);
   outgoing_packet Packet = outgoing(Route, Agent.Service, Segment, Bytes);
   const bool IsTargetFull =
