Forwarder: tests of flows that leave their zone and of stopped targets

Trials with faults put into the code showed two that no test found: packets that stay stored after the target stopped, and lists without the agents of other zones that have a free slot.

--- a/test/forward/passing_on_test.cpp
+++ b/test/forward/passing_on_test.cpp
@@ -13,6 +13,8 @@
 struct passing_site : level_site {
   static constexpr unsigned Targets = 6;
   std::uint16_t NextPort = 1000;
+  /// The balancer that agents take the packets of requestAt() to come from.
+  unsigned From = 2;
   /// Number of first packets that state the waits at other agents.
   std::uint64_t KnownWaits = 0;
   /// The routed packets that open flows, by their flow, in the order of
@@ -37,13 +39,13 @@
     };
   }
 
-  /// A packet as balancer 2 sends it, whose first agent is \p Number.
-  static routed_packet routedTo(unsigned Number, bytes_view Packet) {
+  /// A packet as a balancer sends it, whose first agent is \p Number.
+  routed_packet routedTo(unsigned Number, bytes_view Packet) const {
     routed_packet Routed;
     Routed.Service = serviceNumber("ledger");
     Routed.Count = 1;
     Routed.Owners[0] = agentAt(Number);
-    Routed.Balancer = balancerAt(2);
+    Routed.Balancer = balancerAt(From);
     Routed.Packet = Packet;
     return Routed;
   }
@@ -247,6 +249,28 @@
   CHECK(resets() == 0);
 }
 
+TEST_CASE_FIXTURE(passing_site,
+                  "a flow leaves a zone that has no other free agent") {
+  // The balancer knows that only target 1 of its zone is free, and target 1
+  // gets a burst after its report.
+  From = 1;
+  for (const unsigned Number : {2U, 3U})
+    fill(Number, 12);
+  for (unsigned Number = 4; Number <= Targets; ++Number)
+    requestAt(Number);
+  pass(400ms);
+  fill(1);
+  std::uint16_t Port = 0;
+  do
+    packet(1, syn(flowOfPort(++Port)));
+  while (Openings.at(flowOfPort(Port)).front().first != agentAt(1));
+  const auto &Sent = Openings.at(flowOfPort(Port));
+  CHECK_FALSE(isOwnZone(Sent.front().second[1]));
+  REQUIRE(Sent.size() == 2);
+  CHECK_FALSE(isOwnZone(Sent[1].first));
+  CHECK(passedOn(1) == 1);
+}
+
 TEST_CASE_FIXTURE(passing_site, "an evacuated zone gets nothing passed on") {
   for (const unsigned Number : {1U, 2U})
     evacuateOn(Number, 10, {"oostende"});
--- a/test/forward/request_holding_test.cpp
+++ b/test/forward/request_holding_test.cpp
@@ -156,6 +156,7 @@
   request(Caller, 50);
   Hosts[1].Agent->setTargetStopped(true, Now);
   CHECK(held() == 0);
+  CHECK(Hosts[1].Agent->held().Bytes == 0);
   CHECK(resets() == 4);
   pass(200ms);
   Hosts[1].Agent->setTargetStopped(false, Now);
