--- a/src/work/level_queue.cpp
+++ b/src/work/level_queue.cpp
@@ -110,9 +110,9 @@
   Level.Work = --Level.Size == 0 ? 0 : Level.Work - Entry.ServiceSeconds;
 }
 
-void level_queue::push(waiting_request Waiting, duration Margin) {
+level_queue::entry level_queue::entryOf(const waiting_request &Waiting,
+                                        duration Margin) {
   const work_request &Request = Waiting.Request;
-  const request_id Id = Request.Id;
   entry Entry;
   Entry.Kind = Request.Kind;
   Entry.Priority = Request.Priority;
@@ -133,22 +133,34 @@
                           : *Request.Deadline -
                                 toDuration(Waiting.ServiceSeconds) +
                                 duration(1);
+  return Entry;
+}
+
+/// Adds a request that is not kept in Plain to the queues of its level.
+void level_queue::addToLevel(request_id Id, entry &Entry) {
+  level &Level = levelOf(Entry.Priority);
+  const std::size_t Kind = indexOf(Entry.Kind);
+  Entry.IsLate = Entry.LatestStart && *Entry.LatestStart < Entry.Since;
+  if (Entry.IsLate) {
+    Level.Late[Kind].emplace(Entry.LateKey, Entry.Order, Id);
+    Level.LateBeforeAim[Kind].emplace(*Entry.Waiting.Request.Aim, Entry.Order,
+                                      Id);
+    return;
+  }
+  Level.InTime[Kind].push(Entry.Order, Entry.Bucket, Id, Entry.ServiceSeconds);
+  if (Entry.LatestStart)
+    Level.ByLatestStart.emplace(*Entry.LatestStart, Entry.Order, Id);
+}
+
+void level_queue::push(waiting_request Waiting, duration Margin) {
+  const request_id Id = Waiting.Request.Id;
+  entry Entry = entryOf(Waiting, Margin);
   addToIndexes(Id, Entry);
   if (Entry.IsPlain) {
     Plain.push(std::move(Waiting));
   } else {
-    level &Level = levelOf(Entry.Priority);
-    const std::size_t Kind = indexOf(Entry.Kind);
-    Entry.IsLate = Entry.LatestStart && *Entry.LatestStart < Entry.Since;
-    if (Entry.IsLate) {
-      Level.Late[Kind].emplace(Entry.LateKey, Entry.Order, Id);
-      Level.LateBeforeAim[Kind].emplace(*Request.Aim, Entry.Order, Id);
-    } else
-      Level.InTime[Kind].push(Entry.Order, Entry.Bucket, Id,
-                              Entry.ServiceSeconds);
-    if (Entry.LatestStart && !Entry.IsLate)
-      Level.ByLatestStart.emplace(*Entry.LatestStart, Entry.Order, Id);
     Entry.Waiting = std::move(Waiting);
+    addToLevel(Id, Entry);
   }
   Entries.emplace(Id, std::move(Entry));
 }
@@ -162,7 +174,7 @@
       Each.resetTags();
 }
 
-/// Removes a request. \p Runs: it takes a slot, so its caller is charged.
+/// Removes a request. If \p Runs, it gets a slot and its caller is charged.
 waiting_request level_queue::take(request_id Id, bool Runs) {
   const auto Found = Entries.find(Id);
   entry Entry = std::move(Found->second);
@@ -216,18 +228,20 @@
   return Taken;
 }
 
-std::optional<waiting_request> level_queue::popFrom(level &Level, bool IsFirst,
+std::optional<waiting_request> level_queue::popFrom(level &Level, bool HasPlain,
                                                     bool AllowLong,
                                                     duration Bound,
                                                     instant Now) {
   const queue_order By = Now < Level.OverloadedUntil ? queue_order::NewestFirst
                                                      : queue_order::OldestFirst;
-  // Plain, short and long requests take turns.
+  // Short, long and plain requests take turns; the first two turns are indexes
+  // of InTime.
+  constexpr std::size_t PlainTurn = 2;
   constexpr std::size_t Turns = 3;
   for (std::size_t Tried = 0; Tried < Turns; ++Tried) {
     const std::size_t Turn = Level.Turn++ % Turns;
-    if (Turn == 2) {
-      if (!IsFirst)
+    if (Turn == PlainTurn) {
+      if (!HasPlain)
         continue;
       if (auto Taken = popPlain(AllowLong, Bound, Now))
         return Taken;
--- a/src/work/level_queue.h
+++ b/src/work/level_queue.h
@@ -39,6 +39,10 @@
 #include "work/fair_queue.h"
 
 #include <array>
+#include <map>
+#include <set>
+#include <tuple>
+#include <unordered_map>
 
 namespace marjoramrail::internal {
 
@@ -88,7 +92,7 @@
   std::vector<waiting_request> removeDue(instant Now);
   /// Removes and returns all other requests that cannot be answered by their
   /// deadline any more or that have waited longer than \p MaxShortWait or \p
-  /// MaxLongWait, in the order of their tags.
+  /// MaxLongWait, in the order of runsBefore().
   std::vector<waiting_request> removeExpired(duration MaxShortWait,
                                              duration MaxLongWait, instant Now);
   /// When removeDue() or removeExpired() has to be called for a deadline.
@@ -103,13 +107,17 @@
     bool Committed = false;
     bool IsPlain = false;
     bool IsLate = false;
+    /// Number of the request in the order of arrival.
     std::uint64_t Order = 0;
+    /// The queue of its caller, see fair_queue::bucketOf().
     std::size_t Bucket = 0;
     double ServiceSeconds = 0;
     instant Since;
+    /// The request is late after this moment; nothing without an aim.
     std::optional<instant> LatestStart;
     /// When the request has to run or be refused.
     std::optional<instant> EndOfWait;
+    /// Order among late requests: the deadline, or the maximum without one.
     instant LateKey;
   };
   using time_index = std::set<std::tuple<instant, std::uint64_t, request_id>>;
@@ -137,7 +145,8 @@
     double Work = 0;
     /// Position in the turns of plain, short and long requests.
     std::size_t Turn = 0;
-    /// Value of Popped at its latest request; zero if there was none.
+    /// Value of Popped when a request of this priority was last popped; zero if
+    /// none was.
     std::size_t LastServed = 0;
   };
 
@@ -151,17 +160,23 @@
   }
   void addToIndexes(request_id Id, const entry &Entry);
   void removeFromIndexes(request_id Id, const entry &Entry);
+  entry entryOf(const waiting_request &Waiting, duration Margin);
+  void addToLevel(request_id Id, entry &Entry);
   waiting_request take(request_id Id, bool Runs);
   void moveLate(instant Now);
   std::optional<waiting_request> popPlain(bool AllowLong, duration Bound,
                                           instant Now);
-  std::optional<waiting_request> popFrom(level &Level, bool IsFirst,
+  /// Takes the next request of \p Level. \p HasPlain: the level is that of
+  /// priority 0, to which the requests in Plain belong.
+  std::optional<waiting_request> popFrom(level &Level, bool HasPlain,
                                          bool AllowLong, duration Bound,
                                          instant Now);
   std::optional<waiting_request> popLate(level &Level, bool AllowLong,
                                          instant Now);
   std::optional<waiting_request> popTurn(bool AllowLong, duration Bound,
                                          instant Now);
+  /// The order in which expired requests are returned: by tag those in Plain,
+  /// then the others by priority and arrival.
   bool runsBefore(request_id Left, request_id Right) const;
 
   std::size_t CallerQueues;
@@ -175,6 +190,7 @@
   time_index Due;
   time_index Expiring;
   std::uint64_t LastOrder = 0;
+  /// Number of calls of pop() that found a request waiting.
   std::size_t Popped = 0;
 };
 
