--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -60,23 +60,6 @@
   Hooks.SendToCaller = [this](const endpoint &Caller, bytes_view Bytes) {
     Routed.send({Caller.Address, Settings.RoutedListen.Port}, Bytes);
   };
-  // A balancer with outdated replicated state may report an entry that has been
-  // removed.
-  Hooks.Registered = [this] {
-    if (Registrar.knownMissing() ||
-        this->Settings.DisabledMechanisms.has(mechanism::RegisteredNotices))
-      return;
-    Admission.onRegistered(Loop.timers().now());
-    updateAdmission("a balancer has known this target for long");
-  };
-  Hooks.RegistrationFound = [this] {
-    // If this process wrote the entry, it may be too new for all to know it.
-    if (Registrar.hasWritten() || Registrar.knownMissing() ||
-        this->Settings.DisabledMechanisms.has(mechanism::FoundRegistrations))
-      return;
-    Admission.onRegistered(Loop.timers().now());
-    updateAdmission("a balancer that started found this target in the store");
-  };
   Hooks.TargetUnresponsive = [this] { probeTarget(); };
   Hooks.OnRequest = [this](const flow_key &Flow, bytes_view Packet) {
     Requests.seen(Flow, Packet, Core.report(Loop.timers().now()).Active);
@@ -89,17 +72,38 @@
     return request_log::isFailure(Status);
   };
   Hooks.OnEvent = [this](const flow_event &Event) { recordFlow(Event); };
-  Hooks.Unregistered = [this] { registerAgain(); };
-  Hooks.NoBalancerContact = [this] { registerAgain(); };
   Hooks.OnReleased = [this](std::uint8_t Priority, duration Waited) {
     Metrics.observe("marjoramrail_hold_seconds_priority_" +
                         std::to_string(reportedPriority(Priority)),
                     std::chrono::duration<double>(Waited).count());
   };
   Hooks.ObserveClock = [this](std::uint64_t Clock) { Log.observeClock(Clock); };
+  addRegistrationHooks(Hooks);
   return Hooks;
 }
 
+void forward_agent_process::addRegistrationHooks(forward_agent_hooks &Hooks) {
+  // A balancer with outdated replicated state may report an entry that has been
+  // removed.
+  Hooks.Registered = [this] {
+    if (Registrar.knownMissing() ||
+        this->Settings.DisabledMechanisms.has(mechanism::RegisteredNotices))
+      return;
+    Admission.onRegistered(Loop.timers().now());
+    updateAdmission("a balancer has known this target for long");
+  };
+  Hooks.RegistrationFound = [this] {
+    // If this process wrote the entry, it may be too new for all to know it.
+    if (Registrar.hasWritten() || Registrar.knownMissing() ||
+        this->Settings.DisabledMechanisms.has(mechanism::FoundRegistrations))
+      return;
+    Admission.onRegistered(Loop.timers().now());
+    updateAdmission("a balancer that started found this target in the store");
+  };
+  Hooks.Unregistered = [this] { registerAgain(); };
+  Hooks.NoBalancerContact = [this] { registerAgain(); };
+}
+
 /// A reset flow also loses the request that waits for an answer on it; the
 /// event then names that request.
 void forward_agent_process::recordFlow(const flow_event &Event) {
@@ -305,7 +309,7 @@
     if (Core.onTargetPacket(Datagram.Bytes, Now) == agent_outcome::Answered &&
         Core.targetStopped())
       onTargetRecovered("the target sent a packet");
-  // An answer frees a slot, so that a held request may have been delivered.
+  // An answer frees a slot, so a held request may have been delivered.
   TargetPackets.flush();
   Routed.flush();
 }
@@ -315,8 +319,8 @@
   Core.setTargetStopped(false, Loop.timers().now());
 }
 
-/// Packets that the target has not answered fall due sooner than held requests,
-/// so a timer that waits for a later moment is replaced.
+/// A packet that the target has not answered may be due before the held
+/// requests, so a timer that ends later is replaced.
 void forward_agent_process::armExpiry(std::optional<instant> Due) {
   if (!Due || (ExpiryAt && *ExpiryAt <= *Due))
     return;
--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -58,6 +58,7 @@
   status_page::hooks callsPage();
   status_page::hooks readyPage();
   forward_agent_hooks coreHooks();
+  void addRegistrationHooks(forward_agent_hooks &Hooks);
   target_registrar::hooks registrarHooks();
   void showMetrics();
   void recordFlow(const flow_event &Event);
