marjoramctl: clearer texts and names in the load verb

Cause: the help and the comments called a report young, entry_reader::refuse() did not refuse a flow, and two includes came in by other headers only. No field of the JSON output or heading of the table changes.

--- a/daemons/marjoramctl/command_line.cpp
+++ b/daemons/marjoramctl/command_line.cpp
@@ -23,8 +23,9 @@
 DEFINE_string(request, "", "Tell the life of the flow of this request's id.");
 DEFINE_bool(json, false, "Print one line of JSON instead of tables.");
 DEFINE_bool(watch, false, "Repeat every second until interrupted.");
-DEFINE_uint32(limit, 20,
-              "How many targets the table shows; the rest is counted.");
+DEFINE_uint32(
+    limit, 20,
+    "Maximum number of targets in the table; others are only counted.");
 
 namespace marjoramrail::ctl {
 
--- a/daemons/marjoramctl/load_page.cpp
+++ b/daemons/marjoramctl/load_page.cpp
@@ -34,7 +34,7 @@
 public:
   explicit entry_reader(const json &Entry) : Entry(Entry) {
     if (!Entry.is_object())
-      refuse("an entry is not an object");
+      fault("an entry is not an object");
   }
 
   bool has(const char *Field) const {
@@ -53,7 +53,7 @@
 
   bool flag(const char *Field) {
     if (!at(Field).is_boolean())
-      refuse(std::string(Field) + " is not true or false");
+      fault(std::string(Field) + " is not true or false");
     return at(Field).is_boolean() && at(Field).get<bool>();
   }
 
@@ -61,12 +61,12 @@
   std::string text(const char *Field) {
     const json &Value = at(Field);
     if (!Value.is_string() || Value.get_ref<const std::string &>().empty()) {
-      refuse(std::string(Field) + " is not a name");
+      fault(std::string(Field) + " is not a name");
       return "";
     }
     const auto &Text = Value.get_ref<const std::string &>();
     if (hasControl(Text))
-      refuse(std::string(Field) + " contains a control character");
+      fault(std::string(Field) + " contains a control character");
     return Text;
   }
 
@@ -75,8 +75,8 @@
     std::array<std::uint16_t, ReportedPriorities> Numbers{};
     const json &List = at(Field);
     if (!List.is_array() || List.size() != Numbers.size()) {
-      refuse(std::string(Field) + " is not a list of " +
-             std::to_string(Numbers.size()) + " numbers");
+      fault(std::string(Field) + " is not a list of " +
+            std::to_string(Numbers.size()) + " numbers");
       return Numbers;
     }
     for (std::size_t I = 0; I < Numbers.size(); ++I)
@@ -85,7 +85,7 @@
     return Numbers;
   }
 
-  void refuse(const std::string &Reason) {
+  void fault(const std::string &Reason) {
     if (Error.empty())
       Error = Reason;
   }
@@ -98,8 +98,8 @@
     // Positive integers are parsed as unsigned ones.
     if (Value.is_number_unsigned() && Value.get<std::uint64_t>() <= High)
       return Value.get<std::uint64_t>();
-    refuse(std::string(Field) + " is not a number from 0 to " +
-           std::to_string(High));
+    fault(std::string(Field) + " is not a number from 0 to " +
+          std::to_string(High));
     return 0;
   }
 
@@ -119,7 +119,7 @@
   for (std::size_t I = 0; I < Waits.size(); ++I)
     Capacity.Wait[I] = std::chrono::milliseconds(Waits[I]);
   if (!Reader.error().empty())
-    Agent.refuse("capacity: " + Reader.error());
+    Agent.fault("capacity: " + Reader.error());
   return Capacity;
 }
 
@@ -131,7 +131,7 @@
     return {};
   });
   if (Failure)
-    Reader.refuse("agent: " + Failure->Reason);
+    Reader.fault("agent: " + Failure->Reason);
   Load.Service = Reader.text("service");
   Load.Zone = Reader.text("zone");
   Load.Admitting = Reader.flag("admitting");
--- a/daemons/marjoramctl/load_printing.cpp
+++ b/daemons/marjoramctl/load_printing.cpp
@@ -1,6 +1,8 @@
 #include "load_printing.h"
 #include "printing.h"
 
+#include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -43,7 +45,7 @@
 }
 
 //===----------------------------------------------------------------------===//
-// The screen
+// Text for a terminal
 //===----------------------------------------------------------------------===//
 
 static std::string headLine(const load_report_view &View) {
@@ -107,7 +109,7 @@
     Row.insert(Row.end(),
                {std::to_string(Load.Slots), std::to_string(Load.Active),
                 percent(std::min(Load.Busy / 1000.0, 1.0))});
-    // What a stale report says of free slots is no longer true.
+    // The free slots of a stale report may be in use by now.
     const bool IsFreeKnown = Load.Capacity && !isStale(Load);
     Row.push_back(IsFreeKnown ? std::to_string(Load.Capacity->FreeSlots) : "-");
     Row.push_back(Load.Capacity ? slashed(Load.Capacity->Waiting) : "-");
@@ -155,7 +157,7 @@
     Lines.push_back(Fault.Peer + ": " + Fault.Reason);
   if (!Load.Services.empty())
     append(Lines, serviceTable(Load));
-  // Without this line, the sum could be taken for that of all targets.
+  // Without this line, the sum would look like that of all targets.
   for (const auto &[Name, Service] : Load.Services)
     if (Service.Total.Known > 0 && Service.Total.Known < Service.Total.Targets)
       Lines.push_back(
--- a/daemons/marjoramctl/load_printing.h
+++ b/daemons/marjoramctl/load_printing.h
@@ -12,7 +12,7 @@
 
 namespace marjoramrail::ctl {
 
-/// What the output says about one round of fetching pages.
+/// The results of one round of fetching pages.
 struct load_report_view {
   load_summary Load;
   /// Number of balancers whose pages were requested.
--- a/daemons/marjoramctl/load_summary.cpp
+++ b/daemons/marjoramctl/load_summary.cpp
@@ -107,7 +107,7 @@
   return Sum;
 }
 
-static bool isYounger(const agent_load &Left, const agent_load &Right) {
+static bool isNewer(const agent_load &Left, const agent_load &Right) {
   if (!Left.ReportAge || !Right.ReportAge)
     return Left.ReportAge.has_value() && !Right.ReportAge;
   return *Left.ReportAge < *Right.ReportAge;
@@ -122,13 +122,13 @@
                            const std::string &Service) {
   load_summary Summary;
   Summary.Balancers = Pages.size();
-  std::map<endpoint, agent_load> Youngest;
+  std::map<endpoint, agent_load> Newest;
   for (const load_page &Page : Pages) {
     Summary.EvacuatedZones.insert(Page.EvacuatedZones.begin(),
                                   Page.EvacuatedZones.end());
     for (const agent_load &Load : Page.Agents) {
-      const auto [Known, IsNew] = Youngest.try_emplace(Load.Agent, Load);
-      if (!IsNew && isYounger(Load, Known->second))
+      const auto [Known, IsNew] = Newest.try_emplace(Load.Agent, Load);
+      if (!IsNew && isNewer(Load, Known->second))
         Known->second = Load;
     }
     for (const admission_state &State : Page.Admission)
@@ -136,7 +136,7 @@
         Summary.Services[State.Service].Admission.push_back(
             {Page.Balancer, State});
   }
-  for (const auto &[Agent, Load] : Youngest) {
+  for (const auto &[Agent, Load] : Newest) {
     if (!Service.empty() && Load.Service != Service)
       continue;
     service_load &Sum = Summary.Services[Load.Service];
--- a/daemons/marjoramctl/load_summary.h
+++ b/daemons/marjoramctl/load_summary.h
@@ -11,6 +11,7 @@
 
 #include "load_page.h"
 
+#include <array>
 #include <map>
 
 namespace marjoramrail::ctl {
@@ -26,11 +27,13 @@
 /// that all slots are busy and nothing waits.
 double fullness(const agent_load &Load);
 
+/// Number of requests that wait for the target; 0 if not known.
 std::uint64_t waitingAt(const agent_load &Load);
+/// The longest wait of any priority; zero if not known.
 std::chrono::milliseconds longestWaitAt(const agent_load &Load);
 
 /// Sums over several targets. Stale reports count for everything but free
-/// slots, so that old knowledge never makes capacity look greater than it is.
+/// slots, which may be in use by now.
 struct load_figures {
   std::size_t Targets = 0;
   /// Targets at which balancers place new flows.
@@ -60,6 +63,7 @@
   admission_state State;
 };
 
+/// The targets of one service, and which of its new flows are rejected.
 struct service_load {
   load_figures Total;
   std::map<std::string, load_figures> Zones;
@@ -71,12 +75,13 @@
   std::size_t rejecting() const;
   /// The most urgent priority that any balancer rejects.
   std::optional<std::uint8_t> rejectedFrom() const;
-  /// For how long the first of the rejecting balancers has rejected.
+  /// The longest time for which a balancer has been rejecting.
   std::chrono::milliseconds rejectingSince() const;
   /// Flows rejected by all balancers since their start.
   std::uint64_t refused() const;
 };
 
+/// The merged load of all services.
 struct load_summary {
   /// Number of pages that were merged.
   std::size_t Balancers = 0;
@@ -86,7 +91,7 @@
   std::vector<agent_load> Targets;
 };
 
-/// Merges \p Pages. If several pages name an agent, the entry with the youngest
+/// Merges \p Pages. If several pages name an agent, the entry with the newest
 /// report counts; of equally old ones, that of the first page. If \p Service is
 /// not empty, only this service is included.
 load_summary summarizeLoad(const std::vector<load_page> &Pages,
--- a/daemons/marjoramctl/load_verb.cpp
+++ b/daemons/marjoramctl/load_verb.cpp
@@ -2,6 +2,7 @@
 #include "verb.h"
 
 #include <algorithm>
+#include <memory>
 
 namespace marjoramrail::ctl {
 
@@ -15,7 +16,7 @@
 public:
   load_run(ctl_context &Context, const ctl_options &Options, finish Done)
       : Context(Context), Options(Options), Done(std::move(Done)) {
-    // A balancer given twice would count twice where balancers are counted.
+    // A balancer that is given twice must be counted once.
     std::vector<endpoint> &From = this->Options.From;
     std::sort(From.begin(), From.end());
     From.erase(std::unique(From.begin(), From.end()), From.end());
--- a/daemons/marjoramctl/verbs.cpp
+++ b/daemons/marjoramctl/verbs.cpp
@@ -93,7 +93,7 @@
        "for\n"
        "each service and zone, and the fullest targets first. Of each target, "
        "the\n"
-       "youngest report counts; reports older than 2 s are marked stale, and\n"
+       "newest report counts; reports older than 2 s are marked stale, and\n"
        "their free slots do not count. Give one balancer of each zone or all "
        "of\n"
        "them. --watch repeats every second until interrupted or until\n"
