--- a/test/forward/passing_on_test.cpp
+++ b/test/forward/passing_on_test.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Targets of one slot that need 100 ms for a request, in two zones. Agents
-/// have learnt this time. Targets 1 to 3 are in the balancers' zone.
+/// have learned this time. Targets 1 to 3 are in the balancers' zone.
 struct passing_site : level_site {
   static constexpr unsigned Targets = 6;
   std::uint16_t NextPort = 1000;
--- a/test/forward/refusal_test.cpp
+++ b/test/forward/refusal_test.cpp
@@ -65,7 +65,7 @@
 } // namespace
 
 TEST_CASE_FIXTURE(refusal_site, "a flow is refused if no target can serve it") {
-  // Its caller would learn only by its own time limit that nobody does.
+  // Its caller would otherwise learn this only by its own time limit.
   reportAll(600ms, 2s);
   CHECK(isRefused(3));
   CHECK(isRefused(2));
--- a/test/forward/request_holding_test.cpp
+++ b/test/forward/request_holding_test.cpp
@@ -273,7 +273,7 @@
 
 } // namespace
 
-TEST_CASE("a target that is never full gets the packets it gets today") {
+TEST_CASE("a target that is never full gets the packets as without levels") {
   const light_load With(true);
   const light_load Without(false);
 
--- a/test/forward/request_scheduler_test.cpp
+++ b/test/forward/request_scheduler_test.cpp
@@ -42,7 +42,7 @@
     return Ports;
   }
 
-  /// Teaches the scheduler that a request takes \p Time.
+  /// Lets the scheduler measure a service time of \p Time.
   void learn(duration Time) {
     request(9);
     Now += Time;
@@ -61,7 +61,8 @@
 
 TEST_CASE_FIXTURE(scheduler_fixture,
                   "one request more than slots is delivered") {
-  // A freed slot would otherwise be idle for the way to the agent and back.
+  // A freed slot would otherwise be idle until the agent has seen the answer
+  // and delivered the next request.
   fill();
   CHECK(request(4) == verdict::Hold);
   CHECK(Scheduler.waiting() == 1);
--- a/test/work/level_load.cpp
+++ b/test/work/level_load.cpp
@@ -17,7 +17,7 @@
 constexpr double HeldBound = 0.05;
 
 instant at(double Seconds) {
-  // Rounded, so that the time of a timer survives the way through seconds.
+  // Rounded, so that the conversion to seconds and back changes no time.
   return instant(
       std::chrono::round<duration>(std::chrono::duration<double>(Seconds)));
 }
--- a/test/work/service_level_load_test.cpp
+++ b/test/work/service_level_load_test.cpp
@@ -53,7 +53,7 @@
 
 TEST_CASE("an overload is answered within its aim as far as the slots reach") {
   // With oldest first, each request runs when its aim has just passed, and
-  // the target works for nobody.
+  // almost no answer is in time.
   for (const double Load : {1.2, 1.6, 3.0, 5.0})
     for (const std::uint64_t Seed : Seeds) {
       CAPTURE(Load);
@@ -125,7 +125,8 @@
 }
 
 TEST_CASE("an overload by three callers is answered within its aim") {
-  // The target would work for nobody.
+  // Otherwise the target would run late requests, and almost no answer would be
+  // in time.
   for (const std::uint64_t Seed : Seeds) {
     CAPTURE(Seed);
     CHECK(simulate(heavyCallers(Seed)).InAimOfCapacity >= 0.9);
@@ -177,7 +178,7 @@
 }
 
 TEST_CASE("committed requests run once their deadline has passed") {
-  // Their callers still wait, and nobody else can answer them.
+  // Their callers still wait, and no other target can answer them.
   for (const std::uint64_t Seed : Seeds) {
     scenario S = overload(1.6, Seed);
     S.Classes[1].PatientShare = 0.02;
--- a/test/work/service_level_test.cpp
+++ b/test/work/service_level_test.cpp
@@ -132,8 +132,8 @@
 }
 
 TEST_CASE("admission keeps the order of a single priority at its turns") {
-  // Turns that chose by age gave slots of an overloaded priority to requests
-  // that were late, while others could still be answered in time.
+  // If turns chose by age, slots of an overloaded priority would go to late
+  // requests while others could still be answered in time.
   const auto OrderWith = [](std::size_t Interval) {
     admission_settings Settings = settings(1);
     Settings.PriorityTurnInterval = Interval;
