--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -102,7 +102,7 @@
   duration IdleFlow = std::chrono::minutes(5);
   /// Services with a limit for targets that are warming up.
   std::vector<service_warmup> Warmups;
-  /// Services whose targets bear a limited number of flows.
+  /// Services whose targets can hold a limited number of flows.
   std::vector<service_flow_limit> FlowLimits = {};
 
   bool operator==(const route_table &) const = default;
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -113,7 +113,8 @@
   duration Warmup = duration::zero();
   /// Share of failures among the target's recent answers, in thousandths.
   std::uint16_t Failing = 0;
-  /// The learnt time that the target needs for a request; zero if not known.
+  /// Typical time that the target needs for a request, learned from its
+  /// answers; zero if not known.
   duration ServiceTime = duration::zero();
 };
 
@@ -354,8 +355,9 @@
   NotAdmitting,
   TargetStopped,
   ZoneEvacuated,
-  /// The target holds as many flows as its service's limit.
+  /// The target holds as many flows as its service's limit allows.
   FlowLimit,
+  /// A request would wait clearly longer here than at the next agent.
   NoFreeSlot,
   WarmingUp,
 };
--- a/include/marjoramrail/work.h
+++ b/include/marjoramrail/work.h
@@ -281,8 +281,8 @@
   duration StallBound = duration::zero();
   /// Every so many freed slots, the waiting priority that was served least
   /// recently gets the slot (of several that were never served, the least
-  /// urgent); zero means never. Without
-  /// this, a continuous overload of urgent requests would starve the others.
+  /// urgent); zero means never. Without this, a continuous overload of urgent
+  /// requests would starve the others.
   std::size_t PriorityTurnInterval = 0;
 };
 
--- a/src/forward/admission_threshold.h
+++ b/src/forward/admission_threshold.h
@@ -7,13 +7,13 @@
 ///
 /// Load pattern: demand stays above what all targets of a service can serve. If
 /// every flow is admitted, requests wait longer than their callers do, and the
-/// callers learn only by their own time limit that nobody will serve them. A
-/// flow is refused at once if it is known that no target can begin its request
-/// in time, the least urgent priority first.
+/// callers learn only by their own time limit that they are not served. A flow
+/// is refused at once if it is known that no target can begin its request in
+/// time, the least urgent priority first.
 ///
 /// The threshold moves by one priority at a time, and back at half of the wait,
 /// so that one late report neither refuses all callers nor admits them all. If
-/// a wait is not known any more, all are admitted: the target may be idle.
+/// a wait is no longer known, all flows are admitted: a target may be idle.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -97,12 +97,14 @@
     return leastUrgent(Waits).value_or(RefusesFrom);
   }
 
-  /// Whether the wait that callers are refused for is still known.
+  /// Whether the wait of the most urgent refused priority is known.
+  /// True if nothing is refused.
   bool isKnown(const priority_waits &Waits) const {
     return RefusesFrom >= ReportedPriorities ||
            Waits[RefusesFrom].Shortest.has_value();
   }
 
+  /// Whether the most urgent refused priority can be admitted again.
   bool canRelease(const priority_waits &Waits) const {
     if (RefusesFrom >= ReportedPriorities)
       return false;
@@ -110,7 +112,8 @@
     return Wait.Limit == duration::zero() || *Wait.Shortest <= Wait.Limit / 2;
   }
 
-  /// Admits RefusesFrom and what follows up to the next priority with routes.
+  /// Returns the next priority with routes after RefusesFrom. RefusesFrom and
+  /// the priorities between them are admitted.
   std::size_t nextToAdmit(const priority_waits &Waits) const {
     std::size_t Next = RefusesFrom + 1;
     while (Next < ReportedPriorities && Waits[Next].Limit == duration::zero())
--- a/src/forward/forward_agent_impl.h
+++ b/src/forward/forward_agent_impl.h
@@ -5,7 +5,7 @@
 /// routed_packets.cpp handles packets from balancers and other agents;
 /// target_packets.cpp handles packets from the target; request_holding.cpp
 /// holds requests back while the target is busy; agent_policy.cpp applies what
-/// balancers tell of the configuration; forward_agent.cpp holds the reports,
+/// balancers state of the configuration; forward_agent.cpp holds the reports,
 /// the timers and the public interface.
 ///
 //===----------------------------------------------------------------------===//
@@ -22,6 +22,8 @@
 #include "forward/request_scheduler.h"
 #include "forward/target_load.h"
 
+#include <map>
+#include <optional>
 #include <set>
 
 namespace marjoramrail {
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -74,9 +74,10 @@
 struct service_load {
   /// How many flows one target can hold; 0 if no limit is stated.
   std::uint32_t MaxFlows = 0;
-  /// Of the routes whose new flows the service gets.
+  /// Time limits of the routes that send new flows to the service.
   time_limits Limits;
   admission_threshold Threshold;
+  /// Number of flows refused by the threshold.
   std::uint64_t Refused = 0;
   /// A flow was placed since the last tick although no target of the own zone
   /// was known to have a free slot.
--- a/src/forward/held_packets.cpp
+++ b/src/forward/held_packets.cpp
@@ -1,11 +1,13 @@
 #include "forward/held_packets.h"
 
+#include <algorithm>
+#include <array>
 #include <map>
 
 namespace marjoramrail::internal {
 
 /// Whether the bytes of \p Packet are a part of those of \p Stored. The
-/// difference of two sequence numbers of one flow is right even if they wrap
+/// difference of two sequence numbers of one flow is correct even if they wrap
 /// around.
 static bool covers(const tcp_packet &Stored, const tcp_packet &Packet) {
   const std::uint32_t Offset = Packet.Sequence - Stored.Sequence;
--- a/src/forward/held_packets.h
+++ b/src/forward/held_packets.h
@@ -24,7 +24,7 @@
 
 class held_packets {
 public:
-  /// Twice the number of packets that an end of a flow has in flight.
+  /// Twice the number of packets that a caller usually has in flight.
   static constexpr std::size_t MaxPacketsPerFlow = 32;
   static constexpr std::size_t MaxBytes = 4 * 1024 * 1024;
 
@@ -63,7 +63,7 @@
   using packet_list = std::vector<held_packet>;
 
   struct held_flow {
-    /// Order of the first packet among all flows.
+    /// Position of the first packet among those of all flows.
     std::uint64_t Order = 0;
     packet_list Packets;
   };
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -1,5 +1,6 @@
 #include "forward/forward_balancer_impl.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace marjoramrail {
@@ -31,7 +32,7 @@
   if (!Seen)
     return;
   View.ServiceTime = Seen->Capacity.ServiceTime;
-  // The candidate counts the placed flows once more.
+  // Placement adds the placed flows to Active, and the estimate contains them.
   const double Ahead = requestsAhead(*Seen, Level.Priority) - Agent.Placed;
   View.Active = static_cast<std::uint16_t>(
       std::clamp(std::round(Ahead), 0.0, double{UINT16_MAX}));
--- a/src/forward/request_holding.cpp
+++ b/src/forward/request_holding.cpp
@@ -11,8 +11,8 @@
 /// delays it.
 static constexpr std::uint8_t MaxCapacityHops = 2;
 
-/// Least gain for which a new flow is passed on, besides half of a service
-/// time: about what the additional hop takes.
+/// A new flow is passed on only if this shortens its wait by at least this
+/// time, about what the additional hop takes, and by half of a service time.
 static constexpr duration MinWaitGain = std::chrono::milliseconds(4);
 
 /// Returns why the target has no capacity for a new flow, if it has none and
@@ -92,14 +92,14 @@
 }
 
 /// Whether requests are held at all. An agent that is about to stop holds none,
-/// because nobody would deliver them.
+/// because it could not deliver them later.
 bool forward_agent::impl::schedules() const {
   return !IsStopping &&
          !Settings.DisabledMechanisms.has(mechanism::RequestScheduling);
 }
 
-/// Decides on a request that begins. Without a service level all requests are
-/// alike, and the order in which they arrive is as good as any.
+/// Whether a request that begins has to wait. Without a service level there is
+/// no reason to prefer another order to that of arrival.
 bool forward_agent::impl::mustWait(const routed_packet &Routed,
                                    const flow_key &Flow, instant Now) {
   const stated_level *Stated = Levels.update(Flow.Service, Routed.Level, Now);
@@ -109,7 +109,8 @@
          request_scheduler::verdict::Hold;
 }
 
-/// The event's figure is the number of requests that wait.
+/// Counts and records a request that is held. The event's figure is the number
+/// of requests that wait.
 void forward_agent::impl::noteHeld(const flow_key &Flow) {
   ++Counters.RequestsHeld;
   if (Hooks.OnEvent)
@@ -121,8 +122,8 @@
                    duration::zero()});
 }
 
-/// Packets that do not fit go to the target, as all packets do at an agent that
-/// schedules nothing.
+/// Stores a packet of a request that waits. If it does not fit, all packets of
+/// the flow are delivered, as they are at an agent that does not schedule.
 agent_outcome forward_agent::impl::hold(const routed_packet &Routed,
                                         const tcp_packet &Head, instant Now) {
   if (Held.add(Routed, Head) != held_packets::verdict::Full)
@@ -142,8 +143,7 @@
   Held.drop(Head.Flow);
   Scheduler.onEnd(Head.Flow, Now);
   Load.cancelRequest(Head.Flow, Now);
-  // Without the bytes before it, a FIN with payload means nothing to the
-  // target.
+  // The target cannot accept a FIN with payload without the bytes before it.
   if (Head.Payload == 0)
     deliver(Routed, Head, /*NeedsAnswer=*/false, Now);
   releaseReady(Now);
@@ -165,7 +165,7 @@
   }
 }
 
-/// The target no longer holds the flow.
+/// Removes a flow that the target no longer holds, and its request.
 void forward_agent::impl::dropRequest(const flow_key &Flow, instant Now) {
   Load.removeFlow(Flow, Now);
   Held.drop(Flow);
--- a/src/forward/request_scheduler.cpp
+++ b/src/forward/request_scheduler.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Share of the latency aim that a request may spend between its arrival at the
-/// agent and the beginning of its answer. The rest is for the way in both
+/// agent and the beginning of its answer. The rest is for the network in both
 /// directions and for an earlier attempt that failed.
 constexpr double AimShareAtAgent = 0.75;
 
@@ -63,8 +63,8 @@
   return verdict::Deliver;
 }
 
-/// A target runs requests in the order of their arrival. One that arrives while
-/// all slots are in use gets a slot when an earlier one is answered; its
+/// A target runs requests in the order of their arrival. A request that arrives
+/// while all slots are in use gets one when an earlier request is answered; its
 /// service time begins then.
 void request_scheduler::onDelivered(request_id Id, instant Now) {
   tracked_request &Request = Requests.at(Id);
@@ -78,7 +78,7 @@
   ++Started;
 }
 
-/// Frees the slot of a request, if it has one, for the next in the queue.
+/// Removes a request. If it has a slot, the next queued request gets it.
 void request_scheduler::removeStarted(request_id Id, instant Now) {
   const auto Found = Requests.find(Id);
   const request_state State = Found->second.State;
--- a/src/forward/service_capacity.cpp
+++ b/src/forward/service_capacity.cpp
@@ -3,7 +3,9 @@
 
 #include "forward/forward_balancer_impl.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace marjoramrail {
 
@@ -97,9 +99,9 @@
 
 /// Whether the targets that the flow may be sent to have reported more free
 /// slots than balancers have placed flows since. The threshold moves back one
-/// priority per evaluation, and the slots would be idle meanwhile. The estimate
-/// of the wait would not do here: it takes a queue for empty while other
-/// balancers still fill it.
+/// priority per evaluation, and the slots would be idle meanwhile. The
+/// estimated wait is not used here: it can be zero while other balancers still
+/// fill the queue.
 bool forward_balancer::impl::hasReportedFreeSlot(const route_state &Route,
                                                  service_id Service,
                                                  instant Now) const {
@@ -168,8 +170,9 @@
   }
 }
 
-/// The own zone has no free slot. Targets of other zones may have, but agents
-/// there do not report to balancers that send them nothing.
+/// Requests reports from other zones for services without a free slot in the
+/// own zone. Agents of other zones do not report to balancers that send them
+/// nothing.
 void forward_balancer::impl::requestRemoteCapacity(instant Now) {
   for (auto &[Service, Load] : Loads) {
     if (!std::exchange(Load.IsZoneFull, false))
--- a/src/forward/service_time.h
+++ b/src/forward/service_time.h
@@ -1,7 +1,8 @@
-//===- service_time.h - Learnt service time of a target ---------*- C++ -*-===//
+//===- service_time.h - Learned service time of a target --------*- C++ -*-===//
 ///
 /// \file
-/// The typical time that a target needs for a request, learnt from its answers.
+/// The typical time that a target needs for a request, learned from its
+/// answers.
 ///
 /// Load pattern: targets of one service differ in speed, some are slower for a
 /// while, and a few requests take many times as long as the others. With a
@@ -23,12 +24,13 @@
 
 class service_time {
 public:
-  /// Averages over some twenty answers; a busy target gives as many in less
+  /// Averages over about twenty answers, which a busy target gives within less
   /// than a second.
   static constexpr double Smoothing = 0.05;
   static constexpr double MaxRatio = 3;
 
-  /// \p Took: from the delivery to the beginning of the answer.
+  /// \p Took is the time from the delivery of a request to the beginning of its
+  /// answer.
   void onAnswer(duration Took) {
     const auto Microseconds = static_cast<double>(Took.count());
     if (Mean == 0)
--- a/src/forward/target_load.h
+++ b/src/forward/target_load.h
@@ -93,7 +93,8 @@
   bool onCaller(const tcp_packet &Packet, instant Now);
   /// Records a packet that the target sent. Flow.Service is the target's end.
   /// If the packet begins an answer, returns the time since the request.
-  /// With \p MayAnswer false, the target has not got the request yet.
+  /// \p MayAnswer is false if the request has not been delivered to the target.
+  /// Then no packet counts as its answer.
   std::optional<duration> onTarget(const tcp_packet &Packet, bool MayAnswer,
                                    instant Now);
   std::optional<duration> onTarget(const tcp_packet &Packet, instant Now) {
--- a/src/forward/target_packets.cpp
+++ b/src/forward/target_packets.cpp
@@ -93,7 +93,7 @@
   if (Head.Rst && Watched && Watched->RequestPending)
     noteAnswer(Head.Flow, /*Failed=*/true, Now);
   endPreviousFlow(Head, Watched, Now);
-  // The packet cannot answer a request that the target has not got.
+  // A request that is held has not been delivered, so this is not its answer.
   const bool IsHeld = Held.holds(Head.Flow);
   const auto Took = Load.onTarget(Head, /*MayAnswer=*/!IsHeld, Now);
   Hooks.SendToCaller(Head.Flow.Caller, Bytes);
--- a/src/work/admission.cpp
+++ b/src/work/admission.cpp
@@ -91,6 +91,7 @@
   void runDue(instant Now);
   void refuseExpired(instant Now);
   void discountStalled(instant Now);
+  /// The request no longer counts against the limit.
   void uncount(request_id Id, running_request &Request);
   void relayWaiting(relay_reason Why, instant Now);
   duration stalledFor(instant Now) const;
@@ -276,8 +277,8 @@
   return run(Request, Now);
 }
 
-/// Time before the aim at which a request has to start. Twice the mean leaves
-/// room for service times above it; requests beyond the slots wait at the
+/// Time before the aim at which a request has to start. AimMarginFactor leaves
+/// room for service times above the mean; requests beyond the slots wait at the
 /// target first.
 duration admission::impl::aimMargin(double ServiceSeconds, instant Now) const {
   const double Slots = double(std::max<std::size_t>(Limit.limit(Now), 1));
@@ -340,8 +341,8 @@
   if (RelayedFromQueue.erase(Request.Id) > 0 &&
       !tooLate(Request, ServiceSeconds, Now))
     return hold(Request, ServiceSeconds, Now);
-  // Finding the exact work ahead visits the queue, so it is left out if the
-  // request can be admitted with all of it ahead.
+  // Computing the exact work ahead visits the queue, so it is skipped if the
+  // request can be admitted by the upper bound.
   duration Wait = expectedWait(Request, Queue.maxWorkAhead(Request), Now);
   if (Wait > waitBound(Request.Kind) ||
       tooLate(Request, ServiceSeconds, Now + Wait))
--- a/src/work/aimed_queue.h
+++ b/src/work/aimed_queue.h
@@ -34,8 +34,8 @@
   /// The newest request of an eligible caller, one whose start tag is at most
   /// the virtual time. The virtual time advances only when no caller is
   /// eligible: a caller that has been served waits until the others have been.
-  /// Advancing it with the service time divided by the number of waiting
-  /// callers let heavy callers keep half of the slots while light ones waited.
+  /// If it advanced with the service time divided by the number of waiting
+  /// callers, heavy callers would keep half of the slots while light ones wait.
   NewestFirst,
 };
 
@@ -70,8 +70,11 @@
     double Start = 0;
   };
 
+  /// Adds the caller of \p Bucket to the indexes if it has waiting requests.
   void link(std::size_t Bucket);
+  /// Undoes link(). Has to be called before the caller is changed.
   void unlink(std::size_t Bucket);
+  /// Advances the virtual time; callers become eligible by it.
   void advance(double Time);
   request_id charge(std::size_t Bucket,
                     std::map<std::uint64_t, item>::iterator Where);
--- a/src/work/concurrency_limit.cpp
+++ b/src/work/concurrency_limit.cpp
@@ -19,10 +19,12 @@
 /// The mean is not used with fewer samples.
 constexpr std::uint32_t MinAloneSamples = 32;
 /// Without LowerLimit a limit that has been raised by chance is hardly ever
-/// lowered again, so a window is this many times as long. With 128 answers, one
-/// in six useless raises of a slot in four is accepted by chance. With more
-/// slots a raise changes less, so the window grows with the declared slots. It
-/// takes about the same time then, because they give answers faster.
+/// lowered again, so windows are at least this many times as long. With windows
+/// of 128 answers, one in six raises from four slots to five is accepted by
+/// chance although it brings no improvement. With more slots, one slot makes
+/// less difference, so the factor is the number of declared slots if that is
+/// greater. A window takes about the same time then, because answers are more
+/// frequent.
 constexpr std::uint32_t RaiseOnlyWindows = 4;
 constexpr duration DefaultPause = std::chrono::milliseconds(100);
 constexpr duration MaxPause = std::chrono::seconds(1);
