--- a/include/marjoramrail/mechanism.h
+++ b/include/marjoramrail/mechanism.h
@@ -66,7 +66,7 @@
   /// the order of their service levels.
   RequestScheduling,
   /// An agent whose target has no free slot passes new flows on.
-  RoomHandover,
+  FreeSlotHandover,
   /// Balancers refuse new flows that no target can serve in time.
   AdmissionThreshold,
 };
@@ -88,7 +88,7 @@
     {mechanism::SettleTime, "settle_time"},
     {mechanism::LookupContinuation, "walk_continuation"},
     {mechanism::RequestScheduling, "request_scheduling"},
-    {mechanism::RoomHandover, "room_handover"},
+    {mechanism::FreeSlotHandover, "free_slot_handover"},
     {mechanism::AdmissionThreshold, "admission_threshold"},
 }};
 
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -71,7 +71,7 @@
 };
 
 /// What a balancer knows of the load of one service.
-struct service_load {
+struct service_capacity {
   /// How many flows one target can hold; 0 if no limit is stated.
   std::uint32_t MaxFlows = 0;
   /// Time limits of the routes that send new flows to the service.
@@ -219,7 +219,7 @@
   std::uint64_t EvacuationsVersion = 0;
   std::uint64_t RoutesVersion = 0;
   std::map<service_id, std::uint32_t> WarmupRates;
-  std::map<service_id, internal::service_load> Loads;
+  std::map<service_id, internal::service_capacity> Loads;
   /// The version of the configuration that Routes are of.
   std::uint64_t LevelsVersion = 0;
   /// Report requests of first lookups: requests per second, and the largest
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -154,7 +154,7 @@
 forward_outcome
 forward_balancer::impl::refuseByThreshold(const segment &Segment,
                                           service_id Service, instant Now) {
-  service_load &Load = Loads[Service];
+  service_capacity &Load = Loads[Service];
   ++Load.Refused;
   Load.IsZoneFull = true;
   ++Counters.RefusedByThreshold;
--- a/src/forward/request_holding.cpp
+++ b/src/forward/request_holding.cpp
@@ -33,7 +33,7 @@
   if (Stated->MaxFlows != 0 &&
       Load.open() + openingFlows(Flow, Now) >= Stated->MaxFlows)
     return flow_refusal::FlowLimit;
-  if (Settings.DisabledMechanisms.has(mechanism::RoomHandover) ||
+  if (Settings.DisabledMechanisms.has(mechanism::FreeSlotHandover) ||
       Routed.Position >= MaxCapacityHops ||
       Routed.Position + 1U >= Routed.Count || !Routed.SubstituteWait)
     return std::nullopt;
--- a/test/forward/level_cache_test.cpp
+++ b/test/forward/level_cache_test.cpp
@@ -41,7 +41,7 @@
   CHECK(Cache.update({Route.Address, 0}, std::nullopt, Start) == nullptr);
 }
 
-TEST_CASE("a level that is not stated any more is forgotten") {
+TEST_CASE("a level that is not stated any more does not apply") {
   // Operators have removed the level, or have switched levels off on the
   // balancers; the agent would otherwise hold requests until it restarts.
   level_cache Cache;
