--- a/bench/work/level_bench.cpp
+++ b/bench/work/level_bench.cpp
@@ -1,6 +1,6 @@
 #include "level_bench.h"
 
-#include "work/level_load.h"
+#include "work_load/level_load.h"
 
 #include <cstdio>
 
--- a/test/work/level_load.cpp
+++ b/test/work_load/level_load.cpp
@@ -1,4 +1,4 @@
-#include "work/level_load.h"
+#include "work_load/level_load.h"
 
 #include <algorithm>
 #include <deque>
--- a/test/work/level_load.h
+++ b/test/work_load/level_load.h
@@ -10,8 +10,8 @@
 ///
 //===----------------------------------------------------------------------===//
 
-#ifndef MARJORAMRAIL_TEST_WORK_LEVEL_LOAD_H
-#define MARJORAMRAIL_TEST_WORK_LEVEL_LOAD_H
+#ifndef MARJORAMRAIL_TEST_WORK_LOAD_LEVEL_LOAD_H
+#define MARJORAMRAIL_TEST_WORK_LOAD_LEVEL_LOAD_H
 
 #include "marjoramrail/work.h"
 
@@ -106,4 +106,4 @@
 
 } // namespace level_load
 
-#endif // MARJORAMRAIL_TEST_WORK_LEVEL_LOAD_H
+#endif // MARJORAMRAIL_TEST_WORK_LOAD_LEVEL_LOAD_H
--- a/test/work/service_level_load_test.cpp
+++ b/test/work_load/service_level_load_test.cpp
@@ -1,6 +1,6 @@
 /// Bounds are the goals of docs/design/hard-load.md: .90 of what the slots can
 /// give within the aim, .98 for a class whose own demand fits.
-#include "work/level_load.h"
+#include "work_load/level_load.h"
 
 #include <doctest/doctest.h>
 
