Balancer: a configuration's source, age and waits are logged and measured

Cause: routes-known and routes-in-force stated a version only, and one that took effect at once had no routes-in-force line at all (the reason why the first version showed two of five lines: the other three had found its services on record).

Change: each line states the source, the time since the first balancer knew the version, and how long the step took; every version that comes into effect has one line. Four distributions (copy, read, settle, total). Sync messages state how long ago the first balancer knew the newest configuration (format 6: during a rolling update balancers of both formats watch the store by themselves, as after earlier changes of the format). No decision has changed.

--- a/daemons/forwarder/callback_log.cpp
+++ b/daemons/forwarder/callback_log.cpp
@@ -9,14 +9,6 @@
 static constexpr duration SlowCall = std::chrono::milliseconds(500);
 static constexpr std::size_t LargeAnswerBytes = 64 * 1024;
 
-static double seconds(duration Time) {
-  return std::chrono::duration<double>(Time).count();
-}
-
-static std::int64_t milliseconds(duration Time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
-}
-
 callback_log::callback_log(event_log &Log, metrics &Metrics)
     : Log(Log), Metrics(Metrics) {
   for (const auto &[What, Name] : CallbackKindNames)
@@ -26,7 +18,7 @@
 
 void callback_log::take(const callback_timing &Timing) {
   Metrics.observe(HistogramNames[static_cast<std::size_t>(Timing.What)],
-                  seconds(Timing.Took));
+                  inSeconds(Timing.Took));
   if (Timing.Took < LongCallback || !Log.wants(event_kind::LongTurn))
     return;
   timeline_event Event;
@@ -34,7 +26,7 @@
   Event.Why = std::string(nameOf(CallbackKindNames, Timing.What)) + " of " +
               std::to_string(Timing.Items) + ", processor " +
               std::to_string(Timing.Processor.count()) + " us";
-  Event.TookMs = milliseconds(Timing.Took);
+  Event.TookMs = inMilliseconds(Timing.Took);
   Log.record(std::move(Event));
 }
 
@@ -54,7 +46,7 @@
               std::string(nameOf(PlatformOutcomeNames, End.Outcome)) + " " +
               End.Reason;
   Event.Load = static_cast<double>(End.Bytes);
-  Event.TookMs = milliseconds(End.Took);
+  Event.TookMs = inMilliseconds(End.Took);
   Log.record(std::move(Event));
 }
 
--- a/daemons/forwarder/event_log.cpp
+++ b/daemons/forwarder/event_log.cpp
@@ -63,8 +63,7 @@
     Event.Host = toText(Flow.Agent);
   Event.Load = Flow.Load;
   if (Flow.Age != duration::zero())
-    Event.AgeMs =
-        std::chrono::duration_cast<std::chrono::milliseconds>(Flow.Age).count();
+    Event.AgeMs = inMilliseconds(Flow.Age);
   record(std::move(Event));
 }
 
--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -75,7 +75,7 @@
   Hooks.OnReleased = [this](std::uint8_t Priority, duration Waited) {
     Metrics.observe("marjoramrail_hold_seconds_priority_" +
                         std::to_string(reportedPriority(Priority)),
-                    std::chrono::duration<double>(Waited).count());
+                    inSeconds(Waited));
   };
   Hooks.ObserveClock = [this](std::uint64_t Clock) { Log.observeClock(Clock); };
   addRegistrationHooks(Hooks);
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -69,7 +69,8 @@
     const site_adapter &Adapter)
     : Loop(Loop), Settings(Settings), Adapter(Adapter),
       Log(Loop, Settings.Name), Callbacks(Log, Metrics),
-      Calls(Loop, Log, Metrics), OnCallback(Callbacks.onCallback()),
+      RoutesLog(Log, Metrics), Calls(Loop, Log, Metrics),
+      OnCallback(Callbacks.onCallback()),
       Callers(Loop, [this](auto Batch) { onCallers(Batch); }),
       Peers(Loop, [this](auto Batch) { onPeers(Batch); }),
       Store(Loop, withCallCounts(
@@ -144,6 +145,10 @@
   Hooks.OnEvent = [this](event_kind What, const std::string &Why) {
     Log.record(What, Why);
   };
+  Hooks.OnRoutesProgress = [this](event_kind What,
+                                  const routes_progress &Progress) {
+    RoutesLog.take(What, Progress);
+  };
   Hooks.OnCallback = OnCallback;
   return Hooks;
 }
@@ -235,9 +240,7 @@
   });
   Metrics.gauge("marjoramrail_known_age_seconds", [this] {
     const auto AsOf = Directory.knownAsOf();
-    return AsOf ? std::chrono::duration<double>(Loop.timers().now() - *AsOf)
-                      .count()
-                : -1.0;
+    return AsOf ? inSeconds(Loop.timers().now() - *AsOf) : -1.0;
   });
   Metrics.gauge("marjoramrail_live_peers",
                 [this] { return static_cast<double>(Directory.livePeers()); });
--- a/daemons/forwarder/forward_balancer_process.h
+++ b/daemons/forwarder/forward_balancer_process.h
@@ -12,6 +12,7 @@
 #include "callback_log.h"
 #include "event_log.h"
 #include "forwarder_settings.h"
+#include "routes_log.h"
 #include "site_adapter.h"
 #include "store_calls.h"
 
@@ -51,6 +52,7 @@
   event_log Log;
   metrics Metrics;
   callback_log Callbacks;
+  routes_log RoutesLog;
   store_calls Calls;
   callback_hook OnCallback;
   udp_socket Callers;
--- a/daemons/forwarder/request_log.cpp
+++ b/daemons/forwarder/request_log.cpp
@@ -21,8 +21,7 @@
                            duration Usual) {
   const std::string Class = Status == 0 ? "none" : std::to_string(Status / 100);
   ++Metrics.counter("marjoramrail_answers_total", "class=\"" + Class + "xx\"");
-  Metrics.observe("marjoramrail_answer_seconds",
-                  std::chrono::duration<double>(Took).count());
+  Metrics.observe("marjoramrail_answer_seconds", inSeconds(Took));
   timeline_event Event;
   Event.Request = takePending(Flow);
   Event.What = event_kind::RequestAnswered;
@@ -34,10 +33,8 @@
     return;
   Event.Flow = toText(Flow);
   Event.Why = "status " + std::to_string(Status);
-  Event.TookMs =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Took).count();
-  Event.AgeMs =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Usual).count();
+  Event.TookMs = inMilliseconds(Took);
+  Event.AgeMs = inMilliseconds(Usual);
   Log.record(std::move(Event));
 }
 
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -336,6 +336,22 @@
   mechanism_set DisabledMechanisms;
 };
 
+/// The moments at which one configuration took the steps into effect on this
+/// balancer, by its steady clock.
+struct routes_progress {
+  std::uint64_t Version = 0;
+  /// "the store", or the address of the peer that it was copied from.
+  std::string Source;
+  /// Some balancer knew the configuration, as far as this one has heard.
+  instant FirstKnownAt;
+  /// Its object arrived here.
+  instant ArrivedAt;
+  /// It was read completely.
+  instant KnownAt;
+  /// It came into effect; only set in that step.
+  std::optional<instant> ActiveAt;
+};
+
 struct directory_platform {
   /// Store clients for RoutesKind, SiteKind and EvacuationsKind, with watches
   /// limited to that kind.
@@ -368,6 +384,10 @@
   /// Logs an event: data became known, the store became unavailable or
   /// available.
   std::function<void(event_kind What, const std::string &Why)> OnEvent;
+  /// A configuration became known (event_kind::RoutesKnown) or came into effect
+  /// (event_kind::RoutesActivated).
+  std::function<void(event_kind What, const routes_progress &Progress)>
+      OnRoutesProgress;
   /// Reports the duration of longer pieces of work; may be empty.
   callback_hook OnCallback;
 };
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -77,15 +77,28 @@
     return;
   route_table Table = std::move(*Decoded);
   Decoded.reset();
-  if (!Activation.take(std::move(Table), Record, Timers.now()))
+  const instant Now = Timers.now();
+  const instant FirstKnownAt =
+      RoutesFirstKnown.since(DecodedObjectVersion, Now);
+  if (!Activation.take(std::move(Table), Record, Now))
     return;
   RulesChanged = true;
   requestRecordUpdate();
-  Hooks.OnEvent(event_kind::RoutesKnown,
-                "version " + std::to_string(DecodedVersion));
+  Hooks.OnRoutesProgress(event_kind::RoutesKnown,
+                         RoutesProgress.noteKnown(DecodedObjectVersion,
+                                                  DecodedVersion, FirstKnownAt,
+                                                  Now));
+  reportActiveRoutes();
   armActivation();
 }
 
+void directory::impl::reportActiveRoutes() {
+  const auto Progress =
+      RoutesProgress.noteActive(Activation.activeVersion(), Timers.now());
+  if (Progress)
+    Hooks.OnRoutesProgress(event_kind::RoutesActivated, *Progress);
+}
+
 void directory::impl::armActivation() {
   const auto Due = Activation.nextChange();
   if (!Due)
@@ -93,8 +106,7 @@
   Timers.after(*Due - Timers.now(), guarded([this] {
     if (!Activation.advance(Timers.now()))
       return;
-    Hooks.OnEvent(event_kind::RoutesActivated,
-                  "version " + std::to_string(Activation.activeVersion()));
+    reportActiveRoutes();
     RulesChanged = true;
     notifyRules();
     armActivation();
--- a/src/directory/directory_feeds.cpp
+++ b/src/directory/directory_feeds.cpp
@@ -91,8 +91,12 @@
 }
 
 void directory::impl::onRoutesObject(const platform_object &Object) {
+  RoutesFirstKnown.note(Object.Version, Timers.now());
   if (Object.Key.Name != Settings.RoutesName || Object.Deleted)
     return;
+  RoutesProgress.noteArrival(Object.Version,
+                             CopySource ? toText(*CopySource) : "the store",
+                             Timers.now());
   if (!Loader.busy())
     KnownBeforeLoading = Routes.asOf();
   Loader.take(Object);
@@ -122,6 +126,7 @@
   if (DecodedVersion != 0 && Table.Version <= DecodedVersion)
     return;
   DecodedVersion = Table.Version;
+  DecodedObjectVersion = Object.Version;
   Decoded = std::move(Table);
 }
 
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -14,11 +14,13 @@
 #include "marjoramrail/directory.h"
 
 #include "directory/evacuation_watch.h"
+#include "directory/first_known.h"
 #include "directory/object_feed.h"
 #include "directory/peer_selector.h"
 #include "directory/route_activation.h"
 #include "directory/route_loader.h"
 #include "directory/route_table_codec.h"
+#include "directory/routes_progress_log.h"
 #include "directory/sync_message.h"
 #include "directory/watch_schedule.h"
 
@@ -60,6 +62,8 @@
   void onRoutesRead(const platform_object &Object, route_table Table);
   std::optional<instant> knownAsOf() const;
   void activateNewestRoutes();
+  /// Reports the active configuration, once for each version.
+  void reportActiveRoutes();
   void notifyChanges();
   void notifyRules();
   void requestRecordUpdate();
@@ -124,6 +128,12 @@
   /// The newest table, until it is passed to Activation.
   std::optional<route_table> Decoded;
   std::uint64_t DecodedVersion = 0;
+  /// The store version of the object that it was read from.
+  std::uint64_t DecodedObjectVersion = 0;
+  first_known RoutesFirstKnown;
+  routes_progress_log RoutesProgress;
+  /// The peer whose copy is being applied; nothing while data of the store is.
+  std::optional<endpoint> CopySource;
   /// Rules or targets have changed since the hooks were last called.
   bool RulesChanged = false;
   bool TargetsChanged = false;
--- a/src/directory/directory_peers.cpp
+++ b/src/directory/directory_peers.cpp
@@ -21,10 +21,14 @@
   // Peers would request data that cannot be served while it is being read.
   if (!Feed.known() || (&Feed == &Routes && Loader.busy()))
     return State;
+  const instant Now = Timers.now();
   State.Version = Feed.version();
   State.LastChange = Feed.lastChange();
   if (const auto AsOf = Feed.asOf())
-    State.AgeUs = (Timers.now() - *AsOf).count();
+    State.AgeUs = (Now - *AsOf).count();
+  if (&Feed == &Routes)
+    State.FirstKnownAgeUs =
+        (Now - RoutesFirstKnown.since(State.LastChange, Now)).count();
   return State;
 }
 
@@ -105,6 +109,11 @@
                                      instant RequestedAt) {
   if (PeerState.Version == 0)
     return;
+  // Counted from now, not from the request: the reply takes time, and the
+  // change must not look older than it is.
+  if (&Feed == &Routes && PeerState.FirstKnownAgeUs >= 0)
+    RoutesFirstKnown.note(PeerState.LastChange,
+                          Timers.now() - duration(PeerState.FirstKnownAgeUs));
   const bool WasFresh = isFresh(Feed);
   if (PeerState.AgeUs >= 0)
     Feed.confirm(PeerState.LastChange, RequestedAt - duration(PeerState.AgeUs));
@@ -140,7 +149,9 @@
           return;
         Hooks.OnEvent(event_kind::CopiedFromPeer,
                       Kind + " from " + toText(Peer));
+        CopySource = Peer;
         Feed.applyPeerList(Reply);
+        CopySource.reset();
       }));
 }
 
--- a/src/directory/sync_message.cpp
+++ b/src/directory/sync_message.cpp
@@ -11,15 +11,16 @@
 using json = nlohmann::json;
 
 /// The encoded message: u16 magic | u8 format | u8 flags | i64 requested at |
-/// u32, u16 self | u32 zone | 2 x (u64 version, u64 change, i64 age) |
+/// u32, u16 self | u32 zone | 2 x (u64 version, u64 change, i64 age,
+/// i64 age of the first knowledge of the change) |
 /// u64 changes since | u64 up to | evacuations (see appendEvacuations()) |
 /// changes as CBOR, [[name, version, body or null for deleted], ...], or
 /// nothing
 static constexpr std::uint16_t SyncMessageMagic = 0x4d47;
-static constexpr std::uint8_t SyncMessageFormat = 5;
+static constexpr std::uint8_t SyncMessageFormat = 6;
 static constexpr std::uint8_t ReplyBit = 1;
 static constexpr std::uint8_t ServedBit = 2;
-static constexpr std::size_t FixedBytes = 2 + 1 + 1 + 8 + 6 + 4 + 2 * 24 + 16;
+static constexpr std::size_t FixedBytes = 2 + 1 + 1 + 8 + 6 + 4 + 2 * 32 + 16;
 
 static json changeAsJson(const platform_object &Object) {
   return {Object.Key.Name, Object.Version,
@@ -107,6 +108,7 @@
     Writer.put(Kind.Version);
     Writer.put(Kind.LastChange);
     Writer.put(static_cast<std::uint64_t>(Kind.AgeUs));
+    Writer.put(static_cast<std::uint64_t>(Kind.FirstKnownAgeUs));
   }
   Writer.put(Message.ChangesSince);
   Writer.put(Message.ChangesUpTo);
@@ -143,6 +145,8 @@
     Kind->Version = Reader.take<std::uint64_t>();
     Kind->LastChange = Reader.take<std::uint64_t>();
     Kind->AgeUs = static_cast<std::int64_t>(Reader.take<std::uint64_t>());
+    Kind->FirstKnownAgeUs =
+        static_cast<std::int64_t>(Reader.take<std::uint64_t>());
   }
   Message.ChangesSince = Reader.take<std::uint64_t>();
   Message.ChangesUpTo = Reader.take<std::uint64_t>();
--- a/src/directory/sync_message.h
+++ b/src/directory/sync_message.h
@@ -33,6 +33,9 @@
   /// Age in microseconds of the moment up to which all changes are known;
   /// negative if there is none.
   std::int64_t AgeUs = -1;
+  /// How long ago, in microseconds, the first balancer knew LastChange, as far
+  /// as the sender knows; negative if it is not stated.
+  std::int64_t FirstKnownAgeUs = -1;
 };
 
 struct sync_message {
--- a/test/directory/directory_cluster.h
+++ b/test/directory/directory_cluster.h
@@ -69,6 +69,7 @@
       Compared[Number] += Turn.What == callback_kind::CompareRecord;
     };
     Hooks.OnEvent = [](event_kind, const std::string &) {};
+    Hooks.OnRoutesProgress = [](event_kind, const routes_progress &) {};
     Hooks.Send = [this, Number](const endpoint &To,
                                 std::span<const std::uint8_t> Bytes) {
       send(Number, To, {Bytes.begin(), Bytes.end()});
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -274,6 +274,7 @@
     Hooks.OnTargets = [] {};
     Hooks.OnEvacuations = [] {};
     Hooks.OnEvent = [](event_kind, const std::string &) {};
+    Hooks.OnRoutesProgress = [](event_kind, const routes_progress &) {};
     Hooks.Send = [this](const endpoint &To,
                         std::span<const std::uint8_t> Bytes) {
       onSent(To, Bytes);
--- a/test/directory/many_routes_test.cpp
+++ b/test/directory/many_routes_test.cpp
@@ -73,6 +73,7 @@
     Hooks.OnTargets = [] {};
     Hooks.OnEvacuations = [] {};
     Hooks.OnEvent = [](event_kind, const std::string &) {};
+    Hooks.OnRoutesProgress = [](event_kind, const routes_progress &) {};
     Hooks.Send = [](const endpoint &, std::span<const std::uint8_t>) {};
     Hooks.ListFromPeer = [](const endpoint &, const std::string &,
                             const platform_callback &) {};
--- a/test/directory/sync_message_test.cpp
+++ b/test/directory/sync_message_test.cpp
@@ -12,8 +12,8 @@
   Message.Zone = 17;
   Message.IsReply = true;
   Message.RequestedAtUs = 123456789;
-  Message.Routes = {5, 4, 1000};
-  Message.Site = {9, 8, -1};
+  Message.Routes = {5, 4, 1000, 2500};
+  Message.Site = {9, 8, -1, -1};
   Message.Evacuations = {9, {"brugge"}};
   Message.ChangesSince = 6;
   platform_object Object;
@@ -34,6 +34,8 @@
   CHECK(Back->RequestedAtUs == 123456789);
   CHECK(Back->Routes.Version == 5);
   CHECK(Back->Site.AgeUs == -1);
+  CHECK(Back->Routes.FirstKnownAgeUs == 2500);
+  CHECK(Back->Site.FirstKnownAgeUs == -1);
   CHECK(Back->Evacuations == sample().Evacuations);
   CHECK(Back->ChangesSince == 6);
   REQUIRE(Back->Changes);
