Balancer: a configuration's time into force does not depend on others around it

Cause: one whole table waited at a time. A second one that added a service began its wait when the first one's ended, and took the time of the newest table that had come until then.

Change: all tables that add something wait in a queue, each until SettleTime after it was known. One that adds nothing to those from some place on takes that place.

Found with it, of the same cause: a service that a table dropped and the next one had again was counted as known since the table before ("a service that is added again waits anew").

Ruled out: applying each route by itself as soon as its services have settled. A later version's route could then be seen before an earlier one's, and the earlier one would still be in force for another route.

--- a/src/directory/route_activation.cpp
+++ b/src/directory/route_activation.cpp
@@ -20,7 +20,6 @@
     return false;
   const bool IsFirst = !Newest;
   Newest = std::make_shared<const sorted_table>(std::move(Table));
-  NewestTakenAt = Now;
   if (IsFirst) {
     // Services that were on record before this process started are known to
     // every process that may receive packets of their flows.
@@ -31,32 +30,44 @@
   }
   if (!addsToActive(*Newest)) {
     Active = Newest;
-    Waiting.reset();
-  } else if (!Waiting) {
-    Waiting = Newest;
-    WaitsUntil = Now + SettleTime;
-  } else if (!addsToWaiting(*Newest)) {
-    Waiting = Newest;
+    Waiting.clear();
+  } else {
+    wait(Now + SettleTime);
   }
   return true;
 }
 
+/// Puts the newest table in the queue. Each of its services has been known for
+/// as long as all tables from some place in the queue on have it; a service
+/// that a table in between does not have is unknown to balancers that only know
+/// that table.
+void route_activation::wait(instant Until) {
+  const std::vector<route_service> New =
+      Newest->Services.without(Active->Services);
+  auto Place = Waiting.end();
+  while (Place != Waiting.begin() && !addsTo(*std::prev(Place)->Table, New)) {
+    --Place;
+    Until = Place->Until;
+  }
+  Waiting.erase(Place, Waiting.end());
+  Waiting.push_back({Newest, Until});
+}
+
 /// Whether \p Table has services or regions that are not in effect.
 bool route_activation::addsToActive(const sorted_table &Table) const {
   return !Active->Services.containsAll(Table.Services) ||
          widensRegions(Active->Table, Table.Table);
 }
 
-/// Whether \p Table has services or regions that neither are in effect nor wait
-/// already.
-bool route_activation::addsToWaiting(const sorted_table &Table) const {
-  const std::vector<route_service> New =
-      Table.Services.without(Active->Services);
+/// Whether the newest table, whose services that are not in effect are \p New,
+/// has services or regions that \p Upcoming does not have.
+bool route_activation::addsTo(const sorted_table &Upcoming,
+                              const std::vector<route_service> &New) const {
   const bool AddsServices =
       !std::all_of(New.begin(), New.end(), [&](const route_service &Service) {
-        return Waiting->Services.contains(Service);
+        return Upcoming.Services.contains(Service);
       });
-  return AddsServices || widensRegions(Waiting->Table, Table.Table);
+  return AddsServices || widensRegions(Upcoming.Table, Newest->Table);
 }
 
 /// Whether flows of a route in \p To may be sent to a region that \p From does
@@ -83,14 +94,9 @@
     Withheld.clear();
     Changed = true;
   }
-  if (Waiting && Now >= WaitsUntil) {
-    Active = std::exchange(Waiting, nullptr);
-    if (!addsToActive(*Newest)) {
-      Active = Newest;
-    } else {
-      Waiting = Newest;
-      WaitsUntil = NewestTakenAt + SettleTime;
-    }
+  while (!Waiting.empty() && Now >= Waiting.front().Until) {
+    Active = std::move(Waiting.front().Table);
+    Waiting.pop_front();
     Changed = true;
   }
   return Changed;
@@ -100,17 +106,16 @@
   std::optional<instant> Next;
   if (!Withheld.empty())
     Next = WithheldUntil;
-  if (Waiting)
-    Next = std::min(Next.value_or(WaitsUntil), WaitsUntil);
+  if (!Waiting.empty())
+    Next =
+        std::min(Next.value_or(Waiting.front().Until), Waiting.front().Until);
   return Next;
 }
 
 std::vector<const route_table *> route_activation::upcoming() const {
   std::vector<const route_table *> Tables;
-  if (Waiting)
-    Tables.push_back(&Waiting->Table);
-  if (Newest && Newest != Active && Newest != Waiting)
-    Tables.push_back(&Newest->Table);
+  for (const waiting_table &Upcoming : Waiting)
+    Tables.push_back(&Upcoming.Table->Table);
   return Tables;
 }
 
--- a/src/directory/route_activation.h
+++ b/src/directory/route_activation.h
@@ -8,9 +8,11 @@
 /// reset them. A configuration that only removes services or changes weights
 /// takes effect at once, and so does one that changes service levels alone.
 ///
-/// A configuration that arrives while another one waits does not extend that
-/// wait, otherwise changes in quick succession would never take effect. It has
-/// a wait of its own, which begins when it arrives.
+/// Each configuration has a wait of its own, which begins when it arrives and
+/// does not depend on those before and after it. If one that arrives while
+/// another waits extended that wait, changes in quick succession would never
+/// take effect; if its own wait began when the other one's ends, it would take
+/// effect late.
 ///
 /// A version never replaces a newer one, in whatever order updates arrive.
 ///
@@ -21,6 +23,8 @@
 
 #include "directory/route_record.h"
 
+#include <deque>
+
 namespace marjoramrail::internal {
 
 class route_activation {
@@ -57,6 +61,11 @@
     route_services Services;
   };
 
+  struct waiting_table {
+    std::shared_ptr<const sorted_table> Table;
+    instant Until;
+  };
+
   /// One service in a route's rule.
   struct rule_part {
     std::string_view Name;
@@ -96,19 +105,20 @@
   void forEachRule(const route_record &Record, const Callable &Take) const;
   static bool widensRegions(const route_table &From, const route_table &To);
   bool addsToActive(const sorted_table &Table) const;
-  bool addsToWaiting(const sorted_table &Table) const;
+  bool addsTo(const sorted_table &Upcoming,
+              const std::vector<route_service> &New) const;
+  void wait(instant Until);
   bool isWithheld(const route_service &Entry) const;
   static route_rule ruleOf(const rule_view &View);
   static std::uint64_t hashOf(const rule_view &View);
 
   std::shared_ptr<const sorted_table> Active =
       std::make_shared<const sorted_table>(route_table());
-  /// The table that is activated next, at WaitsUntil; null if none waits.
-  std::shared_ptr<const sorted_table> Waiting;
-  instant WaitsUntil;
-  /// The newest table; may be Active or Waiting.
+  /// The tables that are not in effect yet, in the order of their versions and
+  /// of the ends of their waits.
+  std::deque<waiting_table> Waiting;
+  /// The newest table: Active, or the last one that waits.
   std::shared_ptr<const sorted_table> Newest;
-  instant NewestTakenAt;
   /// Services of the first table that were not on record and get no new flows
   /// until WithheldUntil. Sorted.
   std::vector<route_service> Withheld;
--- a/test/directory/route_activation_test.cpp
+++ b/test/directory/route_activation_test.cpp
@@ -390,6 +390,60 @@
   CHECK(Activation.activeVersion() > Version - 10);
 }
 
+TEST_CASE_FIXTURE(activation_fixture,
+                  "each configuration waits for SettleTime, whatever precedes "
+                  "or follows it") {
+  // A configuration that began its wait when that of another one ended would
+  // come into effect up to twice SettleTime after it was known, and callers
+  // would be served by the previous one for as long.
+  std::mt19937 Random(7);
+  Activation.take(tableOf(1, {"ledger"}), Record, Now);
+  std::map<std::uint64_t, instant> TakenAt;
+  for (std::uint64_t Version = 2; Version < 200; ++Version) {
+    Activation.take(tableOf(Version, {"service-" + std::to_string(Version)}),
+                    Record, Now);
+    TakenAt[Version] = Now;
+    const instant Next = Now + std::chrono::milliseconds(Random() % 1500);
+    for (; Now < Next; Now += 1ms) {
+      Activation.advance(Now);
+      const auto Waiting = TakenAt.upper_bound(Activation.activeVersion());
+      if (Waiting != TakenAt.end())
+        REQUIRE(Now < Waiting->second + SettleTime);
+    }
+  }
+}
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "a service that is added again waits anew") {
+  // Between the two configurations that have the service, one does not. A
+  // balancer that knows only that one would reset the service's flows.
+  Activation.take(tableOf(1, {"ledger"}), Record, Now);
+  Activation.take(tableOf(2, {"archive"}), Record, Now);
+  Activation.take(tableOf(3, {"vault"}), Record, Now + 300ms);
+  Activation.take(tableOf(4, {"archive"}), Record, Now + 600ms);
+
+  Activation.advance(Now + SettleTime);
+  CHECK(Activation.activeVersion() == 2);
+  Activation.advance(Now + 300ms + SettleTime);
+  CHECK(Activation.activeVersion() == 3);
+  CHECK_FALSE(Activation.advance(Now + 600ms + SettleTime - 1ms));
+  Activation.advance(Now + 600ms + SettleTime);
+  CHECK(Activation.activeVersion() == 4);
+}
+
+TEST_CASE_FIXTURE(activation_fixture,
+                  "a configuration that adds nothing to those that wait comes "
+                  "into effect with the first of them that has its services") {
+  Activation.take(tableOf(1, {"ledger"}), Record, Now);
+  Activation.take(tableOf(2, {"archive"}), Record, Now);
+  Activation.take(tableOf(3, {"archive", "vault"}), Record, Now + 300ms);
+  Activation.take(tableOf(4, {"archive"}), Record, Now + 600ms);
+
+  CHECK(Activation.advance(Now + SettleTime));
+  CHECK(Activation.activeVersion() == 4);
+  CHECK_FALSE(Activation.nextChange());
+}
+
 TEST_CASE_FIXTURE(activation_fixture,
                   "a service of the second configuration waits after a start") {
   // The first configuration after the start has a service that is not on record
