Balancer: the wait for new services counts from the first balancer that knew them

Cause: route_activation counted SettleTime from the moment at which this balancer had read the table.

The store had accepted it by then, so that SettleTime later every balancer whose knowledge is current has it: the same guarantee. The age is counted from the arrival of the message, so that transit and a suspended VM make a change look younger. A moment heard after the table was read shortens its wait too. Versions keep their order: who knew a newer one knew those before.

Ruled out: the age in the copy itself. The copy is a list of objects in the form of the object API, without a place for it, and a balancer that reads the store late would still wait from its own knowledge.

--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -340,6 +340,8 @@
 /// balancer, by its steady clock.
 struct routes_progress {
   std::uint64_t Version = 0;
+  /// The store version of the object that it was read from.
+  std::uint64_t ObjectVersion = 0;
   /// "the store", or the address of the peer that it was copied from.
   std::string Source;
   /// Some balancer knew the configuration, as far as this one has heard.
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -80,8 +80,11 @@
   const instant Now = Timers.now();
   const instant FirstKnownAt =
       RoutesFirstKnown.since(DecodedObjectVersion, Now);
-  if (!Activation.take(std::move(Table), Record, Now))
+  if (!Activation.take(std::move(Table), Record, Now,
+                       {DecodedObjectVersion, FirstKnownAt}))
     return;
+  // Others may have known it for longer than it has to wait.
+  Activation.advance(Now);
   RulesChanged = true;
   requestRecordUpdate();
   Hooks.OnRoutesProgress(event_kind::RoutesKnown,
@@ -93,24 +96,39 @@
 }
 
 void directory::impl::reportActiveRoutes() {
-  const auto Progress =
-      RoutesProgress.noteActive(Activation.activeVersion(), Timers.now());
-  if (Progress)
-    Hooks.OnRoutesProgress(event_kind::RoutesActivated, *Progress);
+  const instant Now = Timers.now();
+  auto Progress = RoutesProgress.noteActive(Activation.activeVersion(), Now);
+  if (!Progress)
+    return;
+  // Peers may have stated an earlier moment since the table was read.
+  Progress->FirstKnownAt =
+      std::min(Progress->FirstKnownAt,
+               RoutesFirstKnown.since(Progress->ObjectVersion, Now));
+  Hooks.OnRoutesProgress(event_kind::RoutesActivated, *Progress);
+}
+
+void directory::impl::noteRoutesKnown(std::uint64_t ObjectVersion,
+                                      instant Since) {
+  RoutesFirstKnown.note(ObjectVersion, Since);
+  Activation.noteKnown({ObjectVersion, Since});
+  armActivation();
 }
 
 void directory::impl::armActivation() {
   const auto Due = Activation.nextChange();
-  if (!Due)
+  if (!Due || (ActivationDue && *ActivationDue <= *Due))
     return;
-  Timers.after(*Due - Timers.now(), guarded([this] {
-    if (!Activation.advance(Timers.now()))
-      return;
-    reportActiveRoutes();
-    RulesChanged = true;
-    notifyRules();
-    armActivation();
-  }));
+  ActivationDue = Due;
+  const duration Wait = std::max(*Due - Timers.now(), duration::zero());
+  Timers.after(Wait, guarded([this] {
+                 ActivationDue.reset();
+                 if (Activation.advance(Timers.now())) {
+                   reportActiveRoutes();
+                   RulesChanged = true;
+                   notifyRules();
+                 }
+                 armActivation();
+               }));
 }
 
 /// A configuration that is still being read does not count as known: otherwise
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -68,6 +68,8 @@
   void notifyRules();
   void requestRecordUpdate();
   void armActivation();
+  /// Some balancer has known the object \p ObjectVersion since \p Since.
+  void noteRoutesKnown(std::uint64_t ObjectVersion, instant Since);
 
   void sendSyncMessages();
   void tellPeersSoon();
@@ -132,6 +134,9 @@
   std::uint64_t DecodedObjectVersion = 0;
   first_known RoutesFirstKnown;
   routes_progress_log RoutesProgress;
+  /// When the timer that activates the next table fires, the earliest one if
+  /// there are several.
+  std::optional<instant> ActivationDue;
   /// The peer whose copy is being applied; nothing while data of the store is.
   std::optional<endpoint> CopySource;
   /// Rules or targets have changed since the hooks were last called.
--- a/src/directory/directory_peers.cpp
+++ b/src/directory/directory_peers.cpp
@@ -109,16 +109,16 @@
                                      instant RequestedAt) {
   if (PeerState.Version == 0)
     return;
-  // Counted from now, not from the request: the reply takes time, and the
-  // change must not look older than it is.
-  if (&Feed == &Routes && PeerState.FirstKnownAgeUs >= 0)
-    RoutesFirstKnown.note(PeerState.LastChange,
-                          Timers.now() - duration(PeerState.FirstKnownAgeUs));
   const bool WasFresh = isFresh(Feed);
   if (PeerState.AgeUs >= 0)
     Feed.confirm(PeerState.LastChange, RequestedAt - duration(PeerState.AgeUs));
   if (&Feed == &Site && !WasFresh && isFresh(Feed))
     tellPeersSoon();
+  // Counted from now, not from the request: the reply takes time, and the
+  // change must not look older than it is.
+  if (&Feed == &Routes && PeerState.FirstKnownAgeUs >= 0)
+    noteRoutesKnown(PeerState.LastChange,
+                    Timers.now() - duration(PeerState.FirstKnownAgeUs));
   const bool Behind = !Feed.known() || PeerState.LastChange > Feed.version();
   if (!Behind)
     return;
--- a/src/directory/first_known.h
+++ b/src/directory/first_known.h
@@ -1,9 +1,9 @@
 //===- first_known.h - Since when a change is known -------------*- C++ -*-===//
 ///
 /// \file
-/// Tracks since when the newest change of one kind has been known to any
+/// Tracks since when the latest changes of one kind have been known to any
 /// balancer, from what this balancer has read and from what its peers say. The
-/// store accepted the change before that moment.
+/// store accepted each change before that moment.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 
 namespace marjoramrail::internal {
 
@@ -21,22 +22,27 @@
 public:
   /// Some balancer has known the change \p Version since \p Since, or longer.
   void note(std::uint64_t Version, instant Since) {
-    if (Version > Newest)
-      KnownSince = Since;
-    else if (Version == Newest)
-      KnownSince = std::min(KnownSince, Since);
-    Newest = std::max(Newest, Version);
+    const auto [Change, IsNew] = KnownSince.try_emplace(Version, Since);
+    Change->second = std::min(Change->second, Since);
+    if (KnownSince.size() > MaxChanges)
+      KnownSince.erase(KnownSince.begin());
   }
 
   /// A moment at which some balancer knew the change \p Version: the earliest
   /// one on record, or \p Now. Who knew a newer change knew this one too.
   instant since(std::uint64_t Version, instant Now) const {
-    return Version <= Newest ? std::min(KnownSince, Now) : Now;
+    instant Earliest = Now;
+    for (auto Change = KnownSince.lower_bound(Version);
+         Change != KnownSince.end(); ++Change)
+      Earliest = std::min(Earliest, Change->second);
+    return Earliest;
   }
 
 private:
-  std::uint64_t Newest = 0;
-  instant KnownSince;
+  /// More changes than a balancer can be behind by without copying them all.
+  static constexpr std::size_t MaxChanges = 16;
+
+  std::map<std::uint64_t, instant> KnownSince;
 };
 
 } // namespace marjoramrail::internal
--- a/src/directory/route_activation.cpp
+++ b/src/directory/route_activation.cpp
@@ -15,7 +15,7 @@
 }
 
 bool route_activation::take(route_table Table, const route_record &Record,
-                            instant Now) {
+                            instant Now, const origin &Origin) {
   if (Newest && Table.Version <= Newest->Table.Version)
     return false;
   const bool IsFirst = !Newest;
@@ -32,7 +32,7 @@
     Active = Newest;
     Waiting.clear();
   } else {
-    wait(Now + SettleTime);
+    wait(Origin, Now);
   }
   return true;
 }
@@ -41,7 +41,8 @@
 /// as long as all tables from some place in the queue on have it; a service
 /// that a table in between does not have is unknown to balancers that only know
 /// that table.
-void route_activation::wait(instant Until) {
+void route_activation::wait(const origin &Origin, instant Now) {
+  instant Until = Now + SettleTime;
   const std::vector<route_service> New =
       Newest->Services.without(Active->Services);
   auto Place = Waiting.end();
@@ -50,7 +51,17 @@
     Until = Place->Until;
   }
   Waiting.erase(Place, Waiting.end());
-  Waiting.push_back({Newest, Until});
+  Waiting.push_back({Newest, Origin.ObjectVersion, Until});
+  noteKnown({Origin.ObjectVersion, std::min(Origin.FirstKnownAt, Now)});
+}
+
+/// Who knew a newer table knew the older ones, so that the ends of the waits
+/// stay in the order of the tables.
+void route_activation::noteKnown(const origin &Origin) {
+  for (waiting_table &Upcoming : Waiting)
+    if (Upcoming.ObjectVersion <= Origin.ObjectVersion)
+      Upcoming.Until =
+          std::min(Upcoming.Until, Origin.FirstKnownAt + SettleTime);
 }
 
 /// Whether \p Table has services or regions that are not in effect.
--- a/src/directory/route_activation.h
+++ b/src/directory/route_activation.h
@@ -14,6 +14,11 @@
 /// take effect; if its own wait began when the other one's ends, it would take
 /// effect late.
 ///
+/// The wait counts from the moment at which the first balancer knew the
+/// configuration: the store had accepted it by then, so that SettleTime later
+/// all balancers with current data have it. If each balancer counted from its
+/// own knowledge, the time until it gets a copy would add to the wait.
+///
 /// A version never replaces a newer one, in whatever order updates arrive.
 ///
 //===----------------------------------------------------------------------===//
@@ -29,8 +34,23 @@
 
 class route_activation {
 public:
+  /// The object that a table was read from.
+  struct origin {
+    /// Its version in the store.
+    std::uint64_t ObjectVersion = 0;
+    /// A moment at which some balancer knew it.
+    instant FirstKnownAt = instant::max();
+  };
+
   /// Accepts a newer table; false if it is not newer than the newest one known.
-  bool take(route_table Table, const route_record &Record, instant Now);
+  bool take(route_table Table, const route_record &Record, instant Now,
+            const origin &Origin);
+  /// The same for a table that no other balancer has known before.
+  bool take(route_table Table, const route_record &Record, instant Now) {
+    return take(std::move(Table), Record, Now, origin());
+  }
+  /// Some balancer knew the object of \p Origin, and those before it.
+  void noteKnown(const origin &Origin);
   /// Activates what has waited long enough; true if something changed.
   bool advance(instant Now);
   /// When advance() has to be called next, if at all.
@@ -63,6 +83,8 @@
 
   struct waiting_table {
     std::shared_ptr<const sorted_table> Table;
+    /// The store version of the object that it was read from.
+    std::uint64_t ObjectVersion = 0;
     instant Until;
   };
 
@@ -107,7 +129,7 @@
   bool addsToActive(const sorted_table &Table) const;
   bool addsTo(const sorted_table &Upcoming,
               const std::vector<route_service> &New) const;
-  void wait(instant Until);
+  void wait(const origin &Origin, instant Now);
   bool isWithheld(const route_service &Entry) const;
   static route_rule ruleOf(const rule_view &View);
   static std::uint64_t hashOf(const rule_view &View);
--- a/src/directory/routes_progress_log.cpp
+++ b/src/directory/routes_progress_log.cpp
@@ -13,6 +13,7 @@
                                                instant Now) {
   routes_progress Progress;
   Progress.Version = Version;
+  Progress.ObjectVersion = ObjectVersion;
   Progress.ArrivedAt = Progress.KnownAt = Now;
   const auto Found = Arrivals.find(ObjectVersion);
   if (Found != Arrivals.end()) {
--- a/test/daemons/routes_log_test.cpp
+++ b/test/daemons/routes_log_test.cpp
@@ -14,6 +14,7 @@
   metrics Metrics;
   routes_log Routes{Log, Metrics};
   routes_progress Progress{.Version = 9,
+                           .ObjectVersion = 71,
                            .Source = "10.0.0.5:7000",
                            .FirstKnownAt = instant(10s),
                            .ArrivedAt = instant(10400ms),
--- a/test/directory/directory_cluster.h
+++ b/test/directory/directory_cluster.h
@@ -37,6 +37,9 @@
     bool Cut = false;
   };
 
+  /// How long a balancer waits for a copy from a peer that does not answer.
+  static constexpr duration ListTimeout = std::chrono::seconds(1);
+
   timer_service Timers;
   fake_platform Store{Timers};
   std::map<unsigned, balancer> Balancers;
@@ -151,6 +154,11 @@
     Timers.after(std::chrono::milliseconds(5), [this, Peer, Kind, Done] {
       platform_reply Reply;
       const auto Found = Balancers.find(numberOf(Peer));
+      // A peer that is cut off does not refuse the connection.
+      if (Found != Balancers.end() && Found->second.Cut) {
+        Timers.after(ListTimeout, [Done] { Done(platform_reply()); });
+        return;
+      }
       if (Found != Balancers.end())
         if (const auto Text = Found->second.Directory->serve(Kind))
           if (decodeObjectList(*Text, Reply))
--- a/test/directory/first_known_test.cpp
+++ b/test/directory/first_known_test.cpp
@@ -19,10 +19,11 @@
 
 TEST_CASE("who knew a newer change knew the older one") {
   first_known Changes;
-  Changes.note(8, Start);
   Changes.note(9, Start + 400ms);
-
   CHECK(Changes.since(8, Start + 1s) == Start + 400ms);
+
+  Changes.note(8, Start);
+  CHECK(Changes.since(8, Start + 1s) == Start);
   CHECK(Changes.since(9, Start + 1s) == Start + 400ms);
 }
 
