--- a/src/directory/route_activation.cpp
+++ b/src/directory/route_activation.cpp
@@ -32,7 +32,7 @@
     Active = Newest;
     Waiting.clear();
   } else {
-    wait(Origin, Now);
+    enqueueNewest(Origin, Now);
   }
   return true;
 }
@@ -41,7 +41,7 @@
 /// as long as all tables from some place in the queue on have it; a service
 /// that a table in between does not have is unknown to balancers that only know
 /// that table.
-void route_activation::wait(const origin &Origin, instant Now) {
+void route_activation::enqueueNewest(const origin &Origin, instant Now) {
   instant Until = Now + SettleTime;
   const std::vector<route_service> New =
       Newest->Services.without(Active->Services);
--- a/src/directory/route_activation.h
+++ b/src/directory/route_activation.h
@@ -129,7 +129,7 @@
   bool addsToActive(const sorted_table &Table) const;
   bool addsTo(const sorted_table &Upcoming,
               const std::vector<route_service> &New) const;
-  void wait(const origin &Origin, instant Now);
+  void enqueueNewest(const origin &Origin, instant Now);
   bool isWithheld(const route_service &Entry) const;
   static route_rule ruleOf(const rule_view &View);
   static std::uint64_t hashOf(const rule_view &View);
