Forwarder: bytes sent are counted by message and zone

Cause: links between zones are charged for, and no figure told which messages cross them; docs/CAPACITY.md computes 2.8 KB/s of sync messages for a balancer and measures no other. Change: the balancer and the agent count messages and bytes by kind and by whether they leave the zone, on the metrics page and in a line every 5 s (event bytes-sent). An agent does not know the zones of its peers and says so. The table of whom is in the own zone is rebuilt with the targets; nothing else changes.

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -18,7 +18,8 @@
     const site_adapter &Adapter)
     : Loop(Loop), Settings(Settings), Adapter(Adapter),
       Log(Loop, Settings.Name), Callbacks(Log, Metrics),
-      Calls(Loop, Log, Metrics), OnCallback(Callbacks.onCallback()),
+      Calls(Loop, Log, Metrics), Sent(Loop, Log, Metrics),
+      OnCallback(Callbacks.onCallback()),
       Requests(Log, Metrics, this->Adapter),
       Routed(Loop, [this](auto Batch) { onRouted(Batch); }),
       TargetPackets(Loop, [this](auto Batch) { onTargetPackets(Batch); }),
@@ -54,11 +55,14 @@
     TargetPackets.send(Settings.Target, Bytes);
   };
   Hooks.SendToPeer = [this](const endpoint &To, bytes_view Bytes) {
-    Routed.send(To, Bytes);
+    sendToPeer(isRouted(Bytes) ? message_kind::Packet
+                               : message_kind::LoadReport,
+               To, Bytes);
   };
   // Callers receive answers on the port number of RoutedListen.
   Hooks.SendToCaller = [this](const endpoint &Caller, bytes_view Bytes) {
-    Routed.send({Caller.Address, Settings.RoutedListen.Port}, Bytes);
+    sendToPeer(message_kind::Answer,
+               {Caller.Address, Settings.RoutedListen.Port}, Bytes);
   };
   Hooks.TargetUnresponsive = [this] { probeTarget(); };
   Hooks.OnRequest = [this](const flow_key &Flow, bytes_view Packet) {
@@ -148,7 +152,7 @@
       return;
     const std::vector<std::uint8_t> Bytes = encodeRegistrationRequest(Entry);
     for (const endpoint &Balancer : this->Settings.Balancers)
-      Routed.send(Balancer, Bytes);
+      sendToPeer(message_kind::Registration, Balancer, Bytes);
     Routed.flush();
   };
   return Hooks;
@@ -165,7 +169,7 @@
     Routed.flush();
   };
   Hooks.Send = [this](const endpoint &To, bytes_view Bytes) {
-    Routed.send(To, Bytes);
+    sendToPeer(message_kind::FlowReport, To, Bytes);
   };
   Hooks.OnError = [this](const std::string &Reason) {
     Log.record(event_kind::StoreLost, "kept flows: " + Reason);
@@ -199,6 +203,12 @@
   return Hooks;
 }
 
+void forward_agent_process::sendToPeer(message_kind Kind, const endpoint &To,
+                                       bytes_view Bytes) {
+  Sent.add(Kind, message_range::UnknownZone, Bytes.size());
+  Routed.send(To, Bytes);
+}
+
 void forward_agent_process::showMetrics() {
   showProcess(Metrics, Store, Log);
   showOutcomes(Metrics, AgentOutcomeNames, Core.counters().Outcomes);
--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -14,6 +14,7 @@
 #include "event_log.h"
 #include "forwarder_settings.h"
 #include "request_log.h"
+#include "sent_bytes.h"
 #include "site_adapter.h"
 #include "store_calls.h"
 #include "target_admission.h"
@@ -60,6 +61,8 @@
   forward_agent_hooks coreHooks();
   void addRegistrationHooks(forward_agent_hooks &Hooks);
   target_registrar::hooks registrarHooks();
+  /// Sends a message to another process; the zones of peers are not known here.
+  void sendToPeer(message_kind Kind, const endpoint &To, bytes_view Bytes);
   void showMetrics();
   void recordFlow(const flow_event &Event);
 
@@ -70,6 +73,7 @@
   metrics Metrics;
   callback_log Callbacks;
   store_calls Calls;
+  sent_bytes Sent;
   callback_hook OnCallback;
   request_log Requests;
   udp_socket Routed;
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -70,7 +70,7 @@
     : Loop(Loop), Settings(Settings), Adapter(Adapter),
       Log(Loop, Settings.Name), Callbacks(Log, Metrics),
       RoutesLog(Log, Metrics), Calls(Loop, Log, Metrics),
-      OnCallback(Callbacks.onCallback()),
+      Sent(Loop, Log, Metrics), OnCallback(Callbacks.onCallback()),
       Callers(Loop, [this](auto Batch) { onCallers(Batch); }),
       Peers(Loop, [this](auto Batch) { onPeers(Batch); }),
       Store(Loop, withCallCounts(
@@ -103,10 +103,13 @@
 forward_balancer_hooks forward_balancer_process::coreHooks() {
   forward_balancer_hooks Hooks;
   Hooks.SendToAgent = [this](const endpoint &Agent, bytes_view Bytes) {
+    Sent.add(isRouted(Bytes) ? message_kind::Packet : message_kind::LoadReport,
+             rangeOfAgent(Agent), Bytes.size());
     Peers.send(Agent, Bytes);
   };
   // Callers receive answers on the port number of CallersListen.
   Hooks.SendToCaller = [this](const endpoint &Caller, bytes_view Bytes) {
+    Sent.add(message_kind::Answer, message_range::UnknownZone, Bytes.size());
     Callers.send({Caller.Address, Settings.CallersListen.Port}, Bytes);
   };
   Hooks.OnEvent = [this](const flow_event &Event) { Log.record(Event, ""); };
@@ -136,6 +139,10 @@
     Core.setEvacuations(Directory.evacuatedZones(), Loop.timers().now());
   };
   Hooks.Send = [this](const endpoint &To, std::span<const std::uint8_t> Bytes) {
+    Sent.add(message_kind::Sync,
+             Directory.isInOwnZone(To) ? message_range::OwnZone
+                                       : message_range::OtherZone,
+             Bytes.size());
     Peers.send(To, Bytes);
   };
   Hooks.ListFromPeer = [this](const endpoint &Peer, const std::string &Kind,
@@ -164,6 +171,7 @@
     return Agents;
   };
   Hooks.Send = [this](const endpoint &To, bytes_view Bytes) {
+    Sent.add(message_kind::FlowReport, rangeOfAgent(To), Bytes.size());
     Peers.send(To, Bytes);
   };
   Hooks.StoreAnsweredAt = [this] { return Directory.storeAnsweredAt(); };
@@ -202,6 +210,8 @@
         Directory.serve(std::string(Request.Path.substr(CopiesPath.size())));
     if (!List)
       return page_answer{503, ""};
+    // The page does not tell who asks.
+    Sent.add(message_kind::Copy, message_range::UnknownZone, List->size());
     return page_answer{200, *List};
   };
   addStatusPages(Hooks, Log,
@@ -272,11 +282,21 @@
 
 void forward_balancer_process::takeTargets() {
   const std::vector<target_entry> Targets = Directory.targets();
+  OwnZoneAgents.clear();
+  for (const target_entry &Target : Targets)
+    if (Target.Zone == Settings.Zone)
+      OwnZoneAgents.insert(Target.Agent.Address);
   const callback_timer Taking(OnCallback, callback_kind::TakeTargets,
                               Targets.size());
   Core.setTargets(Targets, Loop.timers().now());
 }
 
+message_range
+forward_balancer_process::rangeOfAgent(const endpoint &Agent) const {
+  return OwnZoneAgents.contains(Agent.Address) ? message_range::OwnZone
+                                               : message_range::OtherZone;
+}
+
 void forward_balancer_process::onCallers(std::span<const datagram> Batch) {
   const callback_timer Forwarding(OnCallback, callback_kind::CallerPackets,
                                   Batch.size());
--- a/daemons/forwarder/forward_balancer_process.h
+++ b/daemons/forwarder/forward_balancer_process.h
@@ -13,9 +13,12 @@
 #include "event_log.h"
 #include "forwarder_settings.h"
 #include "routes_log.h"
+#include "sent_bytes.h"
 #include "site_adapter.h"
 #include "store_calls.h"
 
+#include <unordered_set>
+
 namespace marjoramrail::daemons {
 
 class forward_balancer_process {
@@ -38,6 +41,7 @@
   void takeTargets();
   void listFromPeer(const endpoint &Peer, const std::string &Kind,
                     platform_callback Done);
+  message_range rangeOfAgent(const endpoint &Agent) const;
   void endWhenQuiet();
   status_page::hooks readyPage();
   status_page::hooks peerPage();
@@ -54,11 +58,14 @@
   callback_log Callbacks;
   routes_log RoutesLog;
   store_calls Calls;
+  sent_bytes Sent;
   callback_hook OnCallback;
   udp_socket Callers;
   udp_socket Peers;
   platform_client Store;
   std::unique_ptr<platform_client> PeerClient;
+  /// The addresses of the agents of the own zone.
+  std::unordered_set<std::uint32_t> OwnZoneAgents;
   forward_balancer Core;
   directory Directory;
   flow_collector Flows;
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -447,6 +447,8 @@
   /// The targets of this balancer's zone if this balancer is the first of the
   /// zone and has been running long enough to know that; otherwise none.
   std::vector<target_entry> supervisedTargets() const;
+  /// Whether \p Peer is known to be a balancer of this balancer's zone.
+  bool isInOwnZone(const endpoint &Peer) const;
   /// The number of peers from which a message arrived within the last seconds.
   std::size_t livePeers() const;
 
--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -113,6 +113,8 @@
   CallEnded,
   /// The number of calls to the store since the start, by purpose.
   StoreCalls,
+  /// The messages and bytes sent since the start, by kind and zone.
+  BytesSent,
   /// One event-loop callback took long; no packet was forwarded meanwhile.
   LongTurn,
   /// The number of log lines dropped by the rate limit since the last event of
@@ -120,7 +122,7 @@
   LinesDropped,
 };
 
-inline constexpr name_table<event_kind, 56> EventKindNames = {{
+inline constexpr name_table<event_kind, 57> EventKindNames = {{
     {event_kind::ProcessStarted, "process-started"},
     {event_kind::ProcessStopping, "process-stopping"},
     {event_kind::ViewTaken, "view-taken"},
@@ -175,6 +177,7 @@
     {event_kind::SettingsReloaded, "settings-reloaded"},
     {event_kind::CallEnded, "call-ended"},
     {event_kind::StoreCalls, "store-calls"},
+    {event_kind::BytesSent, "bytes-sent"},
     {event_kind::LongTurn, "long-turn"},
     {event_kind::LinesDropped, "lines-left-out"},
 }};
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -291,6 +291,10 @@
   return Zone;
 }
 
+bool directory::isInOwnZone(const endpoint &Peer) const {
+  return Impl->Peers.isOfZone(Peer, Impl->ZoneNumber);
+}
+
 std::size_t directory::livePeers() const {
   return Impl->Peers.live(Impl->Timers.now());
 }
