--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -19,8 +19,7 @@
     : Loop(Loop), Settings(Settings), Adapter(Adapter),
       Log(Loop, Settings.Name), Callbacks(Log, Metrics),
       Calls(Loop, Log, Metrics), Sent(Loop, Log, Metrics),
-      OnCallback(Callbacks.onCallback()),
-      Requests(Log, Metrics, this->Adapter),
+      OnCallback(Callbacks.onCallback()), Requests(Log, Metrics, this->Adapter),
       Routed(Loop, [this](auto Batch) { onRouted(Batch); }),
       TargetPackets(Loop, [this](auto Batch) { onTargetPackets(Batch); }),
       Store(Loop, withCallCounts(
--- a/daemons/forwarder/sent_bytes.cpp
+++ b/daemons/forwarder/sent_bytes.cpp
@@ -11,8 +11,8 @@
 }
 
 sent_bytes::count &sent_bytes::countOf(message_kind Kind, message_range Range) {
-  count &Count = Counts[static_cast<std::size_t>(Kind)]
-                       [static_cast<std::size_t>(Range)];
+  count &Count =
+      Counts[static_cast<std::size_t>(Kind)][static_cast<std::size_t>(Range)];
   if (!Count.Bytes) {
     const std::string Labels =
         "message=\"" + std::string(nameOf(MessageKindNames, Kind)) +
