Agents: the checkpoint is first read as of some seconds ago

If the target reports another run than the one that was read, the latest checkpoint is read as well and the rest of the flows get resets; each flow gets one. Tests: a restarted agent whose target runs on makes no full read; flows missing from the older checkpoint get resets.

--- a/include/marjoramrail/flowstore.h
+++ b/include/marjoramrail/flowstore.h
@@ -164,6 +164,10 @@
   /// flows (\p HasPrevious). Collectors get no report until the read has
   /// succeeded or its retries have ended; an earlier report would overwrite the
   /// checkpoint.
+  ///
+  /// The first read may return a checkpoint that is seconds old. That suffices
+  /// if only the agent was restarted; otherwise the latest one is read as soon
+  /// as the target has reported another run.
   void start(bool HasPrevious);
   /// The target has reported that it runs as \p Run.
   void onRun(const target_run &Run);
--- a/src/flowstore/flow_reporter.cpp
+++ b/src/flowstore/flow_reporter.cpp
@@ -32,6 +32,7 @@
   void read();
   void onRead(const platform_reply &Reply);
   void loadPrevious(const platform_object &Object);
+  void completeReading();
   void reportLostFlows();
   std::vector<open_flow> current() const;
   void refresh();
@@ -45,8 +46,13 @@
   instant StartedAt;
   /// The checkpoint has been read, or reading it was given up.
   bool IsReady = false;
+  /// The first read has ended; the next one returns the latest checkpoint.
+  bool HasRead = false;
+  bool ReadsLatest = false;
   /// The flows of an earlier run, until their callers have been sent resets.
   std::optional<flow_checkpoint> Previous;
+  /// The flows whose callers have been sent resets.
+  std::set<flow_key> Lost;
   std::optional<target_run> Run;
   /// When the target last reported that this run goes on. A flow that was
   /// opened later may belong to the next run already.
@@ -61,12 +67,16 @@
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
+/// A read that may be seconds old costs less where the platform offers that.
+/// When the agents of a large site are restarted, these are most of their
+/// calls.
 void flow_reporter::impl::read() {
-  Store.Read(checkpointKey(Settings.Zone),
-             [this, Alive = Alive](const platform_reply &Reply) {
-               if (*Alive)
-                 onRead(Reply);
-             });
+  const auto &Read = ReadsLatest ? Store.Read : Store.ReadStale;
+  Read(checkpointKey(Settings.Zone),
+       [this, Alive = Alive](const platform_reply &Reply) {
+         if (*Alive)
+           onRead(Reply);
+       });
 }
 
 void flow_reporter::impl::onRead(const platform_reply &Reply) {
@@ -83,9 +93,25 @@
   if (!IsVersionKnown)
     Hooks.OnError("cannot read the flow checkpoint, giving up: " +
                   Reply.Reason);
-  IsReady = true;
   if (Reply.Outcome == platform_outcome::Ok)
     loadPrevious(Reply.Object);
+  IsReady = ReadsLatest || !IsVersionKnown;
+  HasRead = true;
+  reportLostFlows();
+  completeReading();
+}
+
+/// The latest checkpoint is needed unless the one that was read is of the run
+/// that goes on.
+void flow_reporter::impl::completeReading() {
+  if (!HasRead || IsReady || ReadsLatest || !Run)
+    return;
+  if (Previous && Previous->Run == *Run) {
+    IsReady = true;
+    return;
+  }
+  ReadsLatest = true;
+  read();
 }
 
 void flow_reporter::impl::loadPrevious(const platform_object &Object) {
@@ -98,7 +124,6 @@
   });
   if (Failure)
     Hooks.OnError(toText(*Failure));
-  reportLostFlows();
 }
 
 /// Only a run that began later proves that the previous one is over. A delayed
@@ -106,8 +131,13 @@
 void flow_reporter::impl::reportLostFlows() {
   if (!Previous || !Run || Run->Born <= Previous->Run.Born)
     return;
-  const flow_checkpoint Lost = *std::exchange(Previous, std::nullopt);
-  Hooks.OnLost(Lost.Flows);
+  const flow_checkpoint Ended = *std::exchange(Previous, std::nullopt);
+  std::vector<open_flow> New;
+  for (const open_flow &Open : Ended.Flows)
+    if (Lost.insert(Open.Flow).second)
+      New.push_back(Open);
+  if (!New.empty())
+    Hooks.OnLost(New);
 }
 
 /// Flows that have ended do no harm in the checkpoint. They stay there until
@@ -198,6 +228,7 @@
   Impl->ConfirmedAt = Impl->Timers.now();
   Impl->HasLeft = false;
   Impl->reportLostFlows();
+  Impl->completeReading();
 }
 
 void flow_reporter::leave() { Impl->HasLeft = true; }
--- a/test/flowstore/flow_checkpoint_test.cpp
+++ b/test/flowstore/flow_checkpoint_test.cpp
@@ -472,3 +472,38 @@
   CHECK(!decodeFlowReport(Forged));
   CHECK(!decodeFlowReportRequest(Complete));
 }
+
+TEST_CASE_FIXTURE(
+    checkpoint_fixture,
+    "a restarted agent whose target runs on reads no latest state") {
+  // The agents of a large site are restarted together. Each needs its flows of
+  // before, for which a checkpoint that is seconds old suffices.
+  runAgent(Web, FirstRun, TwoFlows);
+  advanceTime(10s);
+  Agents.clear();
+  const std::uint64_t Before = Store.Calls - Store.StaleReads;
+  Collector.reset();
+  reporter_process &Agent = runAgent(Web, FirstRun);
+  advanceTime(2s);
+
+  CHECK(Agent.Lost.empty());
+  CHECK(Store.Calls - Store.StaleReads == Before);
+}
+
+TEST_CASE_FIXTURE(checkpoint_fixture,
+                  "flows missing from an older checkpoint get resets too") {
+  // The read at the start returns a checkpoint from before the last flow was
+  // opened. Guards against callers of the latest flows that are told nothing.
+  runAgent(Web, FirstRun, {TwoFlows.front()});
+  advanceTime(10s);
+  Store.saveOlder();
+  Store.ReadStaleOlder = true;
+  Agents.at(Web)->Open = TwoFlows;
+  advanceTime(10s);
+  Agents.clear();
+  Collector.reset();
+  reporter_process &Agent = runAgent(Web, SecondRun);
+  advanceTime(1s);
+
+  CHECK(Agent.Lost == TwoFlows);
+}
