Balancers: only contacts of a large zone exchange messages with other zones

Cause: sync messages go to random peers, four of five of them in another zone, and to watchers of the whole site. Ruled out: fewer messages or longer rounds (data would be too old to reset lost flows). Change, from 24 balancers in the own zone on: the first two of a zone by address are its contacts, one of 100 in larger ones. They alone exchange messages with other zones and rank for tasks; the others ask them. One that does not answer two messages is replaced. Until a starting balancer has heard of its peers it assumes that they run; on a first start, when the store lists nobody, the seeds do the tasks. Contacts request from the store what was deleted before their own list. The record is left to contacts for two seconds.

--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -13,6 +13,9 @@
 /// A balancer does the tasks of the first one of its zone only after this time
 /// since its start. Before, it may not have heard of those ahead of it.
 constexpr duration ZonePeerDiscoveryTime = std::chrono::seconds(2);
+/// When a site starts for the first time, the balancers know each other after
+/// this time.
+constexpr duration FirstStartTime = std::chrono::seconds(2);
 /// The rank of a balancer that does no tasks for others.
 constexpr std::size_t LastRank = std::numeric_limits<std::size_t>::max();
 
@@ -37,12 +40,17 @@
                   this->Settings.EvacuationsKind, evacuationHooks()),
       Loader(loaderHooks()), ZoneNumber(static_cast<std::uint32_t>(
                                  serviceNumber(this->Settings.Zone))) {
-  for (const endpoint &Seed : this->Settings.Seeds)
+  for (const endpoint &Seed : this->Settings.Seeds) {
     Peers.add(Seed);
+    IsSeed |= Seed == this->Settings.Self;
+  }
 }
 
 std::size_t directory::impl::rank(instant Now) const {
-  return IsLeaving ? LastRank : Peers.rank(Now);
+  if (IsLeaving)
+    return LastRank;
+  return IsSeed && isSiteStarting(Now) ? Peers.rankAmong(Settings.Seeds, Now)
+                                       : Peers.rank(Now);
 }
 
 std::size_t directory::impl::rankInZone(instant Now) const {
@@ -53,6 +61,20 @@
   return StartedAt && Now - *StartedAt >= After;
 }
 
+/// On the first start of a site, balancers are still being added to the store,
+/// and only the seeds hear of all. Each of the others would rank itself among
+/// the first, so the seeds do the tasks meanwhile.
+bool directory::impl::isSiteStarting(instant Now) const {
+  const bool FoundNone = PeersFound <= Settings.Seeds.size();
+  const bool AreManyNew = Peers.size() > PeersFound + PeersFound / 4 + 1;
+  return !hasRunFor(FirstStartTime, Now) && (FoundNone || AreManyNew);
+}
+
+duration directory::impl::discoveryTime(instant Now) const {
+  constexpr duration UsualTime = std::chrono::milliseconds(400);
+  return isSiteStarting(Now) && !IsSeed ? FirstStartTime : UsualTime;
+}
+
 void directory::impl::notifyChanges() {
   activateNewestRoutes();
   notifyRules();
@@ -164,6 +186,7 @@
 
 void directory::start() {
   Impl->StartedAt = Impl->Timers.now();
+  Impl->Peers.start(Impl->Timers.now());
   Impl->Routes.start();
   Impl->Site.start();
   Impl->Evacuations.start();
--- a/src/directory/directory_feeds.cpp
+++ b/src/directory/directory_feeds.cpp
@@ -3,16 +3,16 @@
 
 #include "directory/directory_impl.h"
 
-#include <nlohmann/json.hpp>
-
 namespace marjoramrail {
 
-using json = nlohmann::json;
-
 /// Longest wait of the first balancer between two calls for marjoramrail's own
 /// objects in an outage. It alone retries them, and all others learn from it
 /// that the store answers again.
 static constexpr duration SiteRetryInterval = std::chrono::milliseconds(200);
+/// Hundreds of balancers that start together learn from a few how old their
+/// data is. If each called the store after SettleTime, the few would be slowed
+/// down as well.
+static constexpr duration LargeZoneStartupTime = std::chrono::seconds(3);
 
 object_feed::hooks
 directory::impl::feedHooks(const std::string &Kind,
@@ -22,7 +22,11 @@
   Feed.OnObject = [this, OnObject](const platform_object &Object) {
     (this->*OnObject)(Object);
   };
-  Feed.OnBatch = [this] { notifyChanges(); };
+  Feed.OnBatch = [this] {
+    if (PeersFound == 0 && Site.known())
+      PeersFound = Peers.size();
+    notifyChanges();
+  };
   Feed.Wait = [this, &Own, Wait] { return Wait(watchStateOf(Own)); };
   if (&Own == &Site)
     Feed.MaxRetryInterval = SiteRetryInterval;
@@ -38,6 +42,9 @@
 watch_state directory::impl::watchStateOf(const object_feed &Feed) const {
   const instant Now = Timers.now();
   watch_state State;
+  State.DiscoveryTime = discoveryTime(Now);
+  if (Peers.isZoneLarge())
+    State.StartupTime = LargeZoneStartupTime;
   State.Rank = rank(Now);
   State.RankInZone = rankInZone(Now);
   State.Watchers = Peers.watchers(Now);
@@ -159,35 +166,20 @@
       [&] { Hooks.OnEvent(event_kind::ObjectRefused, Name); });
 }
 
-std::optional<endpoint>
-directory::impl::balancerAt(const platform_object &Object) {
-  if (!Object.Key.Name.starts_with(BalancerPrefix))
-    return std::nullopt;
-  const json Body = json::parse(Object.Body, nullptr, false);
-  if (!Body.is_object() || !Body.contains("self") || !Body["self"].is_string())
-    return std::nullopt;
-  const auto Self = parseEndpoint(Body["self"].get<std::string>());
-  return Self ? std::optional(*Self) : std::nullopt;
-}
-
-std::uint32_t directory::impl::zoneOf(const platform_object &Object) {
-  const json Body = json::parse(Object.Body, nullptr, false);
-  if (!Body.is_object() || !Body.contains("zone") || !Body["zone"].is_string())
-    return 0;
-  return static_cast<std::uint32_t>(
-      serviceNumber(Body["zone"].get<std::string>()));
-}
-
 /// Peers whose entry was deleted are not contacted any more, unless a message
 /// from them arrives.
 void directory::impl::onBalancer(const platform_object &Object) {
-  const auto Peer = balancerAt(Object);
+  const auto Peer = decodeBalancer(Object);
   if (!Peer)
     return;
+  const std::uint32_t PeerZone =
+      Peer->Zone.empty()
+          ? 0
+          : static_cast<std::uint32_t>(serviceNumber(Peer->Zone));
   if (Object.Deleted)
-    Peers.forget(*Peer);
+    Peers.forget(Peer->Self);
   else
-    Peers.add(*Peer, zoneOf(Object));
+    Peers.add(Peer->Self, PeerZone);
 }
 
 } // namespace marjoramrail
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -13,6 +13,7 @@
 
 #include "marjoramrail/directory.h"
 
+#include "directory/balancer_entry.h"
 #include "directory/evacuation_watch.h"
 #include "directory/first_known.h"
 #include "directory/object_feed.h"
@@ -30,11 +31,6 @@
 
 using namespace internal;
 
-/// Prefixes and names of marjoramrail's own objects in the store.
-inline constexpr const char *TargetPrefix = "target.";
-inline constexpr const char *BalancerPrefix = "balancer.";
-inline constexpr const char *RecordName = "routes";
-
 struct directory::impl {
   using watch_decision = std::optional<duration> (*)(const watch_state &);
 
@@ -74,10 +70,12 @@
   void noteRoutesKnown(std::uint64_t ObjectVersion, instant Since);
 
   void sendSyncMessages();
+  data_age dataAge(instant Now) const;
   void tellPeersSoon();
   void input(const endpoint &From, std::span<const std::uint8_t> Bytes);
   sync_message makeSyncMessage() const;
   replication_state replicationStateOf(const object_feed &Feed) const;
+  void provideHistory(const sync_message &Request);
   void applyChanges(sync_message &Reply);
   void applySyncState(const endpoint &Peer, object_feed &Feed,
                       const std::string &Kind,
@@ -90,6 +88,8 @@
             std::uint64_t PeerLastChange);
 
   void maintainRecord();
+  /// How long this balancer waits for others to write the record.
+  duration recordDelay(instant Now) const;
   std::optional<std::string> compareRecord();
   void writeRecord(const std::string &Body);
   void writeSelf();
@@ -97,11 +97,6 @@
   void onRegistrationRequest(const endpoint &From,
                              std::span<const std::uint8_t> Bytes);
   void registerTarget(const target_entry &Target);
-  /// The address of the balancer that \p Object registers, if it is the entry
-  /// of a balancer.
-  static std::optional<endpoint> balancerAt(const platform_object &Object);
-  /// The numeric id of the zone in a balancer's entry, or 0.
-  static std::uint32_t zoneOf(const platform_object &Object);
   std::string selfBody() const;
 
   template <typename Callable> auto guarded(Callable Task) {
@@ -128,6 +123,13 @@
   std::optional<instant> KnownBeforeLoading;
   std::uint32_t ZoneNumber;
   std::optional<instant> StartedAt;
+  /// Takes no tasks for others for this time since the start.
+  duration discoveryTime(instant Now) const;
+  bool isSiteStarting(instant Now) const;
+  /// This balancer's address is among the seeds.
+  bool IsSeed = false;
+  /// The number of other balancers known when the first list was complete.
+  std::size_t PeersFound = 0;
   /// leave() was called.
   bool IsLeaving = false;
   std::map<std::string, target_entry> Targets;
@@ -148,6 +150,7 @@
   bool TargetsChanged = false;
   bool Pulling = false;
   instant NextRoutesPull;
+  instant NextHistoryRequest;
   bool RecordWritePending = false;
   bool SelfWritePending = false;
   instant NextSelfWrite;
--- a/src/directory/directory_peers.cpp
+++ b/src/directory/directory_peers.cpp
@@ -12,12 +12,25 @@
 /// within this time.
 static constexpr duration FirstPullDelay = std::chrono::milliseconds(500);
 
+/// In a large zone many balancers start at the same time, and the list of each
+/// contains deletions up to another moment. Most get the changes since their
+/// own list from one of the peers whose list is older; copies of the complete
+/// list would saturate the links of the contacts.
+static constexpr duration LargeZonePullDelay = std::chrono::milliseconds(1500);
+
+/// Shortest time between two requests for history.
+static constexpr duration HistoryRequestInterval =
+    std::chrono::milliseconds(500);
+
 /// Shortest time between two copies of the configuration. Those that follow
 /// each other faster are copied together; a small VM could not read each.
 static constexpr duration RoutesPullInterval = std::chrono::milliseconds(300);
 
 /// Data older than this is refreshed, well before SettleTime expires.
 static constexpr duration RefreshAfter = std::chrono::milliseconds(500);
+/// Data of this age should have been refreshed: the usual sources do not
+/// provide it. Before SettleTime expires, other sources have time to answer.
+static constexpr duration OverdueAfter = std::chrono::milliseconds(1000);
 
 replication_state
 directory::impl::replicationStateOf(const object_feed &Feed) const {
@@ -55,12 +68,19 @@
 void directory::impl::sendSyncMessages() {
   const std::vector<std::uint8_t> Bytes = encodeSyncMessage(makeSyncMessage());
   const instant Now = Timers.now();
-  const auto AsOf = knownAsOf();
-  const bool NeedsUpdates = !AsOf || Now - *AsOf > RefreshAfter;
-  for (const endpoint &Peer : Peers.choosePeers(Now, NeedsUpdates))
+  for (const endpoint &Peer : Peers.choosePeers(Now, dataAge(Now)))
     Hooks.Send(Peer, Bytes);
 }
 
+/// Data without a date is as old as the process.
+data_age directory::impl::dataAge(instant Now) const {
+  const instant AsOf = knownAsOf().value_or(StartedAt.value_or(Now));
+  if (Now - AsOf > OverdueAfter)
+    return data_age::Overdue;
+  const bool IsCurrent = knownAsOf() && Now - AsOf <= RefreshAfter;
+  return IsCurrent ? data_age::Current : data_age::Old;
+}
+
 void directory::impl::input(const endpoint &,
                             std::span<const std::uint8_t> Bytes) {
   auto Message = decodeSyncMessage(Bytes);
@@ -80,6 +100,8 @@
     Reply.ChangesSince = Message->Site.Version;
     if (Site.lastChange() > Message->Site.Version)
       Reply.Changes = Site.changesSince(Message->Site.Version);
+    if (Site.lastChange() > Message->Site.Version && !Reply.Changes)
+      provideHistory(*Message);
     Reply.ChangesUpTo = Site.version();
     fitChanges(Reply);
     Hooks.Send(Message->Self, encodeSyncMessage(Reply));
@@ -98,14 +120,33 @@
                    RequestedAt);
 }
 
+/// When a site starts, every balancer has listed the objects at another moment
+/// and lacks what changed before the lists of others. If the contacts did not
+/// request these changes from the store, each balancer would have to.
+void directory::impl::provideHistory(const sync_message &Request) {
+  const instant Now = Timers.now();
+  const bool IsOwnZone = Request.Zone == ZoneNumber;
+  // A balancer that knows no other yet asks the seeds, of whatever zone.
+  const bool IsAsked = IsSeed || (IsOwnZone && Peers.isContact(Now));
+  if (!Peers.isZoneLarge() || !IsAsked || Request.Site.Version == 0 ||
+      Now < NextHistoryRequest)
+    return;
+  NextHistoryRequest = Now + HistoryRequestInterval;
+  Site.requestHistory(Request.Site.Version);
+}
+
 /// A reply holds as many changes as fit one datagram. The rest is requested at
-/// once, as long as each reply makes progress.
+/// once, as long as each reply makes progress. In a large zone only contacts do
+/// so across zones; the others get the changes from them.
 void directory::impl::applyChanges(sync_message &Reply) {
   for (platform_object &Object : *Reply.Changes)
     Object.Key.Kind = Settings.SiteKind;
   const std::uint64_t Before = Site.version();
   Site.applyChanges(*Reply.Changes, Reply.ChangesSince, Reply.ChangesUpTo);
-  if (Site.version() > Before && Site.version() < Reply.Site.LastChange)
+  const bool MayContinue = Reply.Zone == ZoneNumber || !Peers.isZoneLarge() ||
+                           Peers.isContact(Timers.now());
+  if (MayContinue && Site.version() > Before &&
+      Site.version() < Reply.Site.LastChange)
     Hooks.Send(Reply.Self, encodeSyncMessage(makeSyncMessage()));
 }
 
@@ -146,6 +187,8 @@
                                     const object_feed &Feed) const {
   if (!Feed.known())
     return FirstPullDelay;
+  if (&Feed == &Site && Peers.isZoneLarge())
+    return LargeZonePullDelay;
   if (!Peers.isOfZone(Peer, ZoneNumber))
     return OtherZonePullDelay;
   const bool Watches =
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -21,7 +21,7 @@
 static constexpr std::size_t MaxRanks = 5;
 
 std::string directory::impl::selfBody() const {
-  return json{{"self", toText(Settings.Self)}, {"zone", Settings.Zone}}.dump();
+  return encodeBalancer({Settings.Self, Settings.Zone});
 }
 
 void directory::impl::writeSelf() {
@@ -51,15 +51,18 @@
 
 /// Removes the entries of balancers that were replaced; otherwise every
 /// balancer would send messages to them indefinitely. A balancer that is alive
-/// finds its entry missing and writes it again.
+/// finds its entry missing and writes it again. In a large zone only balancers
+/// of the zone contact its peers, so that only they notice.
 void directory::impl::removeDeadPeers() {
   const instant Now = Timers.now();
-  if (Now < NextPeerSweep || !Site.known() || rank(Now) != 0)
+  if (Now < NextPeerSweep || !Site.known())
+    return;
+  if (rank(Now) != 0 && !(Peers.isZoneLarge() && rankInZone(Now) == 0))
     return;
   NextPeerSweep = Now + PeerSweepPeriod;
   for (const auto &[Name, Object] : Site.objects()) {
-    const auto Peer = balancerAt(Object);
-    if (!Peer || !Peers.isDead(*Peer, Now))
+    const auto Peer = decodeBalancer(Object);
+    if (!Peer || !Peers.isDead(Peer->Self, Now))
       continue;
     Hooks.OnEvent(event_kind::TargetDown, Name);
     Platform.Site.Remove(Object.Key, Object.Version,
@@ -109,6 +112,18 @@
   return Record.update(Current, Timers.now());
 }
 
+/// In a large zone a change needs longer to reach all balancers. Those that are
+/// no contacts wait until all contacts have failed; otherwise dozens of them
+/// would write the record for each change.
+duration directory::impl::recordDelay(instant Now) const {
+  if (isSiteStarting(Now) && !IsSeed)
+    return discoveryTime(Now);
+  if (!isSiteStarting(Now) && Peers.isZoneLarge() && !Peers.isContact(Now))
+    return RankDelay * static_cast<std::int64_t>(2 * MaxRanks);
+  const std::size_t Ranks = std::min(rank(Now), MaxRanks);
+  return RankDelay * static_cast<std::int64_t>(Ranks);
+}
+
 void directory::impl::maintainRecord() {
   writeSelf();
   removeDeadPeers();
@@ -121,9 +136,7 @@
     return;
   // The comparison is only made after the wait, when the record has usually
   // been written by another balancer.
-  const auto Rank = std::min(rank(Timers.now()), MaxRanks);
-  if (Timers.now() - *RecordNeededSince <
-      RankDelay * static_cast<std::int64_t>(Rank))
+  if (Timers.now() - *RecordNeededSince < recordDelay(Timers.now()))
     return;
   if (const auto Body = compareRecord())
     return writeRecord(*Body);
--- a/src/directory/object_feed.cpp
+++ b/src/directory/object_feed.cpp
@@ -239,6 +239,24 @@
   return Changes;
 }
 
+void object_feed::requestHistory(std::uint64_t Since) {
+  // The watch returns at once, as there are changes.
+  constexpr duration ReplyWait = std::chrono::milliseconds(10);
+  if (HistoryRequested || Since >= DeletionsSince)
+    return;
+  HistoryRequested = true;
+  Store.Watch(Since, ReplyWait,
+              guarded([this, Since](const platform_reply &Reply) {
+                HistoryRequested = false;
+                if (Reply.Outcome != platform_outcome::Ok)
+                  return;
+                for (const platform_object &Object : Reply.Objects)
+                  if (Object.Deleted && !Objects.contains(Object.Key.Name))
+                    Deletions.try_emplace(Object.Key.Name, Object.Version);
+                DeletionsSince = std::min(DeletionsSince, Since);
+              }));
+}
+
 void object_feed::applyChanges(const std::vector<platform_object> &Changes,
                                std::uint64_t Since, std::uint64_t UpTo) {
   if (!Known || Since > Version || UpTo <= Version)
--- a/src/directory/object_feed.h
+++ b/src/directory/object_feed.h
@@ -71,6 +71,11 @@
   std::optional<std::vector<platform_object>>
   changesSince(std::uint64_t Since) const;
 
+  /// Requests the changes after \p Since from the store, so that changesSince()
+  /// can return the deletions among them. Has no effect if they are known or a
+  /// request is pending, and if the store no longer has that history.
+  void requestHistory(std::uint64_t Since);
+
   /// Advances asOf() to \p Moment if this feed has all changes that the peer
   /// has. A peer whose newest change is \p PeerChange had every change up to \p
   /// Moment.
@@ -115,6 +120,7 @@
   /// Sent to peers that request changes, and used to ignore outdated updates.
   std::map<std::string, std::uint64_t> Deletions;
   std::uint64_t DeletionsSince = 0;
+  bool HistoryRequested = false;
   bool Known = false;
   /// Lists are only requested while hooks::Wait returns a value.
   bool ListsOnDemand = false;
--- a/src/directory/peer_selector.h
+++ b/src/directory/peer_selector.h
@@ -9,6 +9,14 @@
 /// rounds one message goes to a peer that does not respond, since it may have
 /// recovered.
 ///
+/// Links between zones are charged for, and random peers of a site with five
+/// zones are in another zone four times out of five. In a large zone, only its
+/// contacts (the first two balancers by address) exchange messages with other
+/// zones; the others ask the contacts and random peers of their own zone. What
+/// crosses a zone border then grows with the number of zones, not with the
+/// number of balancers. A contact that does not answer two messages is replaced
+/// by the next balancer of the zone.
+///
 //===----------------------------------------------------------------------===//
 
 #ifndef MARJORAMRAIL_DIRECTORY_PEER_SELECTOR_H
@@ -18,10 +26,23 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
+#include <set>
+#include <vector>
 
 namespace marjoramrail::internal {
 
+/// The age of a balancer's data when it selects peers.
+enum class data_age {
+  Current,
+  /// The balancer contacts a watcher and a watcher of its zone.
+  Old,
+  /// The watchers of its zone have not provided newer data in time, so that it
+  /// also contacts other zones.
+  Overdue,
+};
+
 class peer_selector {
 public:
   /// Number of unanswered messages to a peer of lower rank before it is only
@@ -44,6 +65,9 @@
   peer_selector(const endpoint &Self, std::uint32_t Zone, std::uint64_t Seed)
       : Self(Self), Zone(Zone), Random(Seed) {}
 
+  /// Called when this balancer starts.
+  void start(instant Now) { DiscoversSince = Now; }
+
   /// Adds an address from the settings or from the store that may be a
   /// balancer. \p Zone is its zone, or 0 if that is unknown.
   void add(const endpoint &Peer, std::uint32_t Zone = 0);
@@ -51,6 +75,8 @@
   /// calls.
   void recordMessage(const endpoint &Peer, std::uint32_t Zone, instant Now,
                      bool IsServed = true);
+  /// The number of known peers, whether they respond or not.
+  std::size_t size() const { return Peers.size(); }
   std::size_t live(instant Now) const;
   /// The minimum number of balancers that watch the store for all others.
   static constexpr std::size_t MinWatchers = 3;
@@ -61,24 +87,43 @@
   /// The number of balancers per zone that watch the configuration and that the
   /// other balancers of the zone contact for updates.
   static constexpr std::size_t WatchersPerZone = 2;
+  /// From this number of balancers in the own zone on, only contacts exchange
+  /// messages with other zones. Random peers suffice to connect smaller zones,
+  /// and their traffic is small.
+  static constexpr std::size_t LargeZone = 24;
+  /// A peer that has not answered for this time, and not at least
+  /// MaxTriesOfLowerRank messages, is not used as a contact or watcher.
+  static constexpr duration ResponseTime = std::chrono::milliseconds(200);
+  /// For this time after its start, and after it knows that its zone is large,
+  /// a balancer assumes that the known peers of its zone are running. It has
+  /// not heard of most of them yet, and would take over the tasks of the first
+  /// ones.
+  static constexpr duration DiscoveryTime = std::chrono::seconds(1);
   /// The current number of watchers, from the number of live balancers.
   std::size_t watchers(instant Now) const;
 
   /// The number of live peers with a lower address whose store calls are
   /// answered. The rank decides without coordination which balancer does a
   /// task. A peer that the store refuses cannot do any of the tasks and is not
-  /// counted.
+  /// counted. In a large zone only contacts have a rank, among the contacts of
+  /// all zones; the others come after them.
   std::size_t rank(instant Now) const;
+  /// The number of live peers among \p Addresses that are ahead.
+  std::size_t rankAmong(const std::vector<endpoint> &Addresses,
+                        instant Now) const;
   /// The same among the peers of \p Zone.
   std::size_t rankIn(std::uint32_t Zone, instant Now) const;
   bool isOfZone(const endpoint &Peer, std::uint32_t Zone) const;
   /// Whether \p Peer counts as dead, as far as this balancer can tell.
   bool isDead(const endpoint &Peer, instant Now) const;
   void forget(const endpoint &Peer) { Peers.erase(Peer); }
-  /// Selects the peers for the next round of sync messages. \p NeedsUpdates:
-  /// this balancer's data is old, so that it contacts a watcher and a watcher
-  /// of its zone.
-  std::vector<endpoint> choosePeers(instant Now, bool NeedsUpdates = false);
+  /// Whether only contacts exchange messages with other zones.
+  bool isZoneLarge() const;
+  /// Whether this balancer is a contact of its zone.
+  bool isContact(instant Now) const;
+  /// Selects the peers for the next round of sync messages.
+  std::vector<endpoint> choosePeers(instant Now,
+                                    data_age Age = data_age::Current);
 
 private:
   struct peer {
@@ -93,6 +138,15 @@
     bool isLive(instant Now) const {
       return LastMessageAt && Now - *LastMessageAt <= LiveFor;
     }
+    /// Nothing indicates that the peer has failed, though it may not have been
+    /// contacted for long.
+    bool isUsable(instant Now) const {
+      return Unanswered < MaxTriesOfLowerRank ||
+             Now - UnansweredSince < ResponseTime;
+    }
+    bool isResponding(instant Now) const {
+      return isLive(Now) && isUsable(Now);
+    }
   };
 
   /// Candidates for one round; a peer may be in several lists.
@@ -101,9 +155,31 @@
     std::vector<endpoint> Unresponsive;
     std::vector<endpoint> Watchers;
     std::vector<endpoint> ZoneWatchers;
+    /// In a large zone: the contacts of other zones.
+    std::vector<endpoint> OtherContacts;
   };
 
   candidates candidatesAt(instant Now) const;
+  /// The peers of \p Of that are contacts: the first ones by address for which
+  /// \p Counts is true and that the store serves.
+  std::vector<endpoint> contactsOf(std::uint32_t Of, instant Now,
+                                   bool (peer::*Counts)(instant Now)
+                                       const) const;
+  std::set<std::uint32_t> otherZones() const;
+  /// The number of contacts that a zone with \p Live balancers needs.
+  static std::size_t contactsOfZone(std::size_t Live) {
+    return std::max(WatchersPerZone, Live / BalancersPerWatcher);
+  }
+  /// The number of balancers of the own zone ahead of this one that respond, or
+  /// are assumed to run.
+  std::size_t placeInZone(instant Now) const;
+  std::size_t rankAmongContacts(instant Now) const;
+  candidates candidatesOfLargeZone(instant Now) const;
+  std::vector<endpoint> choosePeersOfSmallZone(instant Now, data_age Age);
+  std::vector<endpoint> choosePeersOfLargeZone(instant Now, data_age Age);
+  /// Adds the peers that a contact asks for updates of other zones.
+  void addAsContact(const candidates &Found, data_age Age,
+                    std::vector<endpoint> &Chosen);
   /// A peer of lower address from which no recent message has arrived, if this
   /// balancer currently ranks among the watchers (of its zone or of all). After
   /// a start a balancer knows few peers and would take over tasks of others;
@@ -121,6 +197,9 @@
 
   endpoint Self;
   std::uint32_t Zone;
+  /// The start, or when the zone was first known to be large.
+  std::optional<instant> DiscoversSince;
+  bool WasZoneLarge = false;
   std::map<endpoint, peer> Peers;
   std::mt19937_64 Random;
   std::uint64_t Rounds = 0;
--- a/src/directory/watch_schedule.cpp
+++ b/src/directory/watch_schedule.cpp
@@ -26,11 +26,8 @@
 /// the watch shows it, and evacuations have to be known within seconds.
 static constexpr std::size_t EvacuationWatchers = 2;
 static constexpr duration EvacuationWatchWait = std::chrono::seconds(5);
-/// A balancer that has received no message from peers yet ranks first of all,
-/// and for a little longer first of its zone. Without these delays every
-/// balancer of a starting site would watch the store and be sent a response for
-/// every agent that registers.
-static constexpr duration PeerDiscoveryTime = std::chrono::milliseconds(400);
+/// A balancer that has received few messages from peers yet ranks first of its
+/// zone, for longer than first of all.
 static constexpr duration ZonePeerDiscoveryTime = std::chrono::seconds(2);
 /// How long a balancer that is not the first waits between two attempts while
 /// the store is unavailable: every call is charged for, including refused ones.
@@ -41,7 +38,9 @@
 
 /// The age of the data at which a balancer makes a call to confirm it.
 static duration confirmationAgeOf(const watch_state &State) {
-  if (State.RunTime < PeerDiscoveryTime || State.Rank >= State.Watchers)
+  if (State.Rank >= State.Watchers && State.RunTime < State.StartupTime)
+    return State.StartupTime;
+  if (State.RunTime < State.DiscoveryTime || State.Rank >= State.Watchers)
     return PeerStateMaxAge;
   if (State.Rank == 0)
     return OverdueAge;
@@ -50,7 +49,7 @@
 
 /// How long a balancer with current data watches for changes.
 static std::optional<duration> changesWatchWait(const watch_state &State) {
-  if (State.RunTime < PeerDiscoveryTime)
+  if (State.RunTime < State.DiscoveryTime)
     return std::nullopt;
   if (State.Rank == 0)
     return FirstWatcherWait;
@@ -96,7 +95,7 @@
 
 std::optional<duration> evacuationsWatchWait(const watch_state &State) {
   const bool IsWatcher = State.Rank < EvacuationWatchers &&
-                         State.RunTime >= PeerDiscoveryTime &&
+                         State.RunTime >= State.DiscoveryTime &&
                          !State.IsStoreLost;
   return IsWatcher ? std::optional(EvacuationWatchWait) : std::nullopt;
 }
--- a/src/directory/watch_schedule.h
+++ b/src/directory/watch_schedule.h
@@ -38,6 +38,13 @@
   std::size_t LivePeers = 0;
   /// Time since this balancer started.
   duration RunTime = duration::zero();
+  /// A balancer that has received no message from peers yet ranks first of all.
+  /// Without this delay every balancer of a starting site would watch the store
+  /// and be sent a response for every agent that registers.
+  duration DiscoveryTime = std::chrono::milliseconds(400);
+  /// For this time since the start, a balancer that is no watcher leaves it to
+  /// others to confirm the age of the data.
+  duration StartupTime = duration::zero();
   /// Age of its data of the kind; nothing if it has none.
   std::optional<duration> DataAge;
   /// The last call of the kind was answered; time since the last that was not.
--- a/test/directory/directory_cluster.h
+++ b/test/directory/directory_cluster.h
@@ -34,9 +34,18 @@
   struct balancer {
     std::unique_ptr<store_faults> Faults = std::make_unique<store_faults>();
     std::unique_ptr<directory> Directory;
+    std::string Zone;
     bool Cut = false;
   };
 
+  /// What the balancers have sent to each other, headers not included.
+  struct traffic {
+    std::uint64_t Messages = 0;
+    std::uint64_t Bytes = 0;
+    /// The part that crossed the border of a zone.
+    std::uint64_t BytesBetweenZones = 0;
+  };
+
   /// How long a balancer waits for a copy from a peer that does not answer.
   static constexpr duration ListTimeout = std::chrono::seconds(1);
 
@@ -45,6 +54,10 @@
   std::map<unsigned, balancer> Balancers;
   /// The number of complete lists copied from peers.
   int Copies = 0;
+  /// Calls to the store by verb and kind.
+  std::map<std::string, int> CallsByPurpose;
+  traffic Sync;
+  traffic Copied;
   /// The number of times that each balancer compared the record of services.
   std::map<unsigned, int> Compared;
   /// The configurations that came into effect on each balancer.
@@ -55,6 +68,7 @@
   void start(unsigned Number, const std::vector<endpoint> &Seeds = {},
              const std::string &Zone = "brugge") {
     balancer &Self = Balancers[Number];
+    Self.Zone = Zone;
     directory_settings Settings;
     Settings.Name = "balancer-" + std::to_string(Number);
     Settings.Zone = Zone;
@@ -83,16 +97,17 @@
                                 std::span<const std::uint8_t> Bytes) {
       send(Number, To, {Bytes.begin(), Bytes.end()});
     };
-    Hooks.ListFromPeer = [this](const endpoint &Peer, const std::string &Kind,
-                                const platform_callback &Done) {
-      list(Peer, Kind, Done);
+    Hooks.ListFromPeer = [this, Zone](const endpoint &Peer,
+                                      const std::string &Kind,
+                                      const platform_callback &Done) {
+      list(Zone, Peer, Kind, Done);
     };
     Self.Directory = std::make_unique<directory>(
         Timers,
         directory_platform{
-            siteStore(Store, *Self.Faults, Settings.RoutesKind),
-            siteStore(Store, *Self.Faults, Settings.SiteKind),
-            siteStore(Store, *Self.Faults, Settings.EvacuationsKind)},
+            countedStore(*Self.Faults, Settings.RoutesKind),
+            countedStore(*Self.Faults, Settings.SiteKind),
+            countedStore(*Self.Faults, Settings.EvacuationsKind)},
         Settings, Hooks);
     Self.Directory->start();
   }
@@ -137,12 +152,45 @@
 private:
   std::vector<std::unique_ptr<store_faults>> StoppedFaults;
 
+  platform_api countedStore(store_faults &Faults, const std::string &Kind) {
+    platform_api Api = siteStore(Store, Faults, Kind);
+    Api.List = [this, List = Api.List](const std::string &Kind,
+                                       platform_callback Done) {
+      ++CallsByPurpose["list " + Kind];
+      List(Kind, std::move(Done));
+    };
+    Api.Watch = [this, Kind, Watch = Api.Watch](std::uint64_t Since,
+                                                duration Wait,
+                                                platform_callback Done) {
+      ++CallsByPurpose["watch " + Kind];
+      Watch(Since, Wait, std::move(Done));
+    };
+    Api.Write = [this, Write = Api.Write](const platform_write &Call,
+                                          platform_callback Done) {
+      const std::string &Name = Call.Object.Key.Name;
+      ++CallsByPurpose["write " + Name.substr(0, Name.find('.'))];
+      Write(Call, std::move(Done));
+    };
+    return Api;
+  }
+
+  static void count(traffic &Traffic, std::size_t Bytes, bool IsBetweenZones) {
+    ++Traffic.Messages;
+    Traffic.Bytes += Bytes;
+    if (IsBetweenZones)
+      Traffic.BytesBetweenZones += Bytes;
+  }
+
   unsigned numberOf(const endpoint &Address) {
     return Address.Address - addressOf(0).Address;
   }
 
   void send(unsigned From, const endpoint &To,
             std::vector<std::uint8_t> Bytes) {
+    const auto Receiver = Balancers.find(numberOf(To));
+    count(Sync, Bytes.size(),
+          Receiver != Balancers.end() &&
+              Receiver->second.Zone != Balancers.at(From).Zone);
     Timers.after(std::chrono::milliseconds(2),
                  [this, From, To, Bytes = std::move(Bytes)] {
                    const auto Peer = Balancers.find(numberOf(To));
@@ -154,10 +202,10 @@
                  });
   }
 
-  void list(const endpoint &Peer, const std::string &Kind,
-            const platform_callback &Done) {
+  void list(const std::string &Zone, const endpoint &Peer,
+            const std::string &Kind, const platform_callback &Done) {
     ++Copies;
-    Timers.after(std::chrono::milliseconds(5), [this, Peer, Kind, Done] {
+    Timers.after(std::chrono::milliseconds(5), [this, Zone, Peer, Kind, Done] {
       platform_reply Reply;
       const auto Found = Balancers.find(numberOf(Peer));
       // A peer that is cut off does not refuse the connection.
@@ -166,9 +214,11 @@
         return;
       }
       if (Found != Balancers.end())
-        if (const auto Text = Found->second.Directory->serve(Kind))
+        if (const auto Text = Found->second.Directory->serve(Kind)) {
+          count(Copied, Text->size(), Found->second.Zone != Zone);
           if (decodeObjectList(*Text, Reply))
             Reply.Outcome = platform_outcome::Ok;
+        }
       Done(Reply);
     });
   }
--- a/test/directory/object_feed_test.cpp
+++ b/test/directory/object_feed_test.cpp
@@ -231,3 +231,24 @@
 
   CHECK(Faults.Watches == 1);
 }
+
+TEST_CASE_FIXTURE(
+    feed_fixture,
+    "deletions before the own list are requested from the store") {
+  // A peer has listed the objects earlier and asks for all changes since. The
+  // own list does not show what was deleted in between.
+  Store.put("site", "a", "1");
+  Store.put("site", "b", "1");
+  Store.erase("site", "a");
+  Feed.start();
+  pass(10ms);
+  CHECK_FALSE(Feed.changesSince(1));
+  Feed.requestHistory(1);
+  pass(10ms);
+
+  const auto Changes = Feed.changesSince(1);
+  REQUIRE(Changes);
+  CHECK(std::any_of(Changes->begin(), Changes->end(), [](const auto &Object) {
+    return Object.Key.Name == "a" && Object.Deleted;
+  }));
+}
--- /dev/null
+++ b/test/directory_load/large_fleet_test.cpp
@@ -0,0 +1,150 @@
+#include "directory/directory_cluster.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace marjoramrail;
+using namespace marjoramrail::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Balancers in five zones, with three targets each. Addresses of a zone are
+/// consecutive, and one balancer of each of the first three zones is a seed.
+struct large_fleet : directory_cluster {
+  static constexpr unsigned Zones = 5;
+  static constexpr unsigned Count = 150;
+  static constexpr unsigned Targets = 3 * Count;
+  static constexpr unsigned PerZone = Count / Zones;
+
+  std::mt19937 Random{7};
+
+  static std::string zoneOf(unsigned Number) {
+    return "zone-" + std::to_string((Number - 1) / PerZone);
+  }
+
+  static std::vector<endpoint> seeds() {
+    return {addressOf(1 + PerZone / 2), addressOf(1 + PerZone * 3 / 2),
+            addressOf(1 + PerZone * 5 / 2)};
+  }
+
+  void startAllWithin(duration Time) {
+    std::uniform_int_distribution<duration::rep> Delay(0, Time.count());
+    for (unsigned Number = 1; Number <= Count; ++Number)
+      Timers.after(duration(Delay(Random)),
+                   [this, Number] { start(Number, seeds(), zoneOf(Number)); });
+    pass(Time);
+  }
+
+  /// The first start of the site: targets register while balancers start.
+  void startSite() {
+    configure(1, {"ledger"});
+    for (unsigned Target = 0; Target < Targets; ++Target)
+      Timers.after(300ms + Target * 2ms, [this, Target] {
+        addTarget("number-" + std::to_string(Target));
+      });
+    startAllWithin(200ms);
+    pass(15s);
+  }
+
+  void resetCounts() {
+    CallsByPurpose.clear();
+    Sync = {};
+    Copied = {};
+    Copies = 0;
+  }
+
+  int callsOf(const std::string &Verb) const {
+    int Sum = 0;
+    for (const auto &[Purpose, Calls] : CallsByPurpose)
+      if (Purpose.starts_with(Verb))
+        Sum += Calls;
+    return Sum;
+  }
+
+  std::size_t knowingAllTargets() const {
+    return static_cast<std::size_t>(std::count_if(
+        Balancers.begin(), Balancers.end(), [](const auto &Balancer) {
+          return Balancer.second.Directory->targets().size() == Targets;
+        }));
+  }
+
+  double currentShareFor(duration Time) {
+    std::size_t Current = 0;
+    std::size_t Checks = 0;
+    const instant End = Timers.now() + Time;
+    while (Timers.now() < End) {
+      pass(100ms);
+      for (auto &[Number, Balancer] : Balancers) {
+        const auto AsOf = Balancer.Directory->knownAsOf();
+        Current += AsOf && Timers.now() - *AsOf < SettleTime - 100ms;
+        ++Checks;
+      }
+    }
+    return static_cast<double>(Current) / static_cast<double>(Checks);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(large_fleet, "the first start of a large site") {
+  // All balancers start together and rank themselves among the first, since
+  // nobody has heard of the others. Guards against hundreds of them watching
+  // the store and copying complete lists from each other.
+  startSite();
+
+  CHECK(knowingAllTargets() == Count);
+  CHECK(callsOf("list") <= static_cast<int>(2 * Count + 20));
+  CHECK(callsOf("write balancer") == static_cast<int>(Count));
+  CHECK(callsOf("watch") < static_cast<int>(Count));
+  CHECK(callsOf("write routes") <= 3);
+  CHECK(Copies < 20);
+}
+
+TEST_CASE_FIXTURE(large_fleet, "few messages cross the borders of zones") {
+  // Four of five random peers are in another zone. Guards against sync messages
+  // that cross borders once for each balancer.
+  startSite();
+  resetCounts();
+  const double Current = currentShareFor(10s);
+
+  CHECK(Current > 0.98);
+  CHECK(Sync.BytesBetweenZones * 10 < Sync.Bytes);
+  CHECK(callsOf("watch") < 10 * 6);
+}
+
+TEST_CASE_FIXTURE(large_fleet, "the contacts of zones are replaced") {
+  // Only contacts exchange messages with other zones. Guards against zones that
+  // hear of no change because all their contacts fail with it.
+  startSite();
+  for (unsigned Zone = 0; Zone < Zones; ++Zone)
+    for (const unsigned Number : {1U, 2U})
+      Balancers.at(Zone * PerZone + Number).Cut = true;
+  configure(2, {"archive"});
+  addTarget("late");
+  pass(3s);
+
+  for (auto &[Number, Balancer] : Balancers) {
+    if (Balancer.Cut)
+      continue;
+    CHECK(Balancer.Directory->routesVersion() == 2);
+    CHECK(Balancer.Directory->targets().size() == Targets + 1);
+  }
+}
+
+TEST_CASE_FIXTURE(large_fleet, "a zone that was cut off is found again") {
+  // Both sides have given up on all contacts of each other.
+  startSite();
+  for (unsigned Number = 1; Number <= PerZone; ++Number) {
+    Balancers.at(Number).Cut = true;
+    Balancers.at(Number).Faults->Link.Cut = true;
+  }
+  pass(30s);
+  for (unsigned Number = 1; Number <= PerZone; ++Number)
+    Balancers.at(Number).Cut = false;
+  addTarget("late");
+  pass(10s);
+
+  for (unsigned Number = 1; Number <= PerZone; ++Number)
+    CHECK(at(Number).targets().size() == Targets + 1);
+}
