--- a/include/marjoramrail/platform.h
+++ b/include/marjoramrail/platform.h
@@ -118,6 +118,9 @@
   std::vector<platform_object> Objects;
   /// The store version that a list or watch reflects.
   std::uint64_t StoreVersion = 0;
+  /// A list that may be of any earlier time: its objects are complete up to
+  /// StoreVersion, but it does not tell what has changed since.
+  bool IsUndated = false;
   std::string Reason;
   duration RetryAfter = duration::zero();
   /// For a list that is returned in several parts: the name after which the
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -10,6 +10,7 @@
 /// age of its data, by these messages; 120 bytes each, two per round.
 constexpr duration SyncPeriod = std::chrono::milliseconds(200);
 constexpr duration RecordCheckPeriod = std::chrono::milliseconds(200);
+constexpr duration SnapshotCheckPeriod = std::chrono::seconds(1);
 /// A balancer does the tasks of the first one of its zone only after this time
 /// since its start. Before, it may not have heard of those ahead of it.
 constexpr duration ZonePeerDiscoveryTime = std::chrono::seconds(2);
@@ -30,6 +31,9 @@
             static_cast<std::uint32_t>(serviceNumber(this->Settings.Zone)),
             Random()),
       Record(this->Settings.FlowLife),
+      FirstLists(this->Platform.Routes, this->Platform.Site,
+                 this->Settings.RoutesKind, this->Settings.SiteKind,
+                 snapshotHooks()),
       Routes(Timers, this->Platform.Routes, this->Settings.RoutesKind,
              feedHooks(this->Settings.RoutesKind, &impl::onRoutesObject, Routes,
                        routesWatchWait)),
@@ -38,8 +42,9 @@
                      siteWatchWait)),
       Evacuations(Timers, this->Platform.Evacuations,
                   this->Settings.EvacuationsKind, evacuationHooks()),
-      Loader(loaderHooks()), ZoneNumber(static_cast<std::uint32_t>(
-                                 serviceNumber(this->Settings.Zone))) {
+      Snapshots(Timers, this->Platform.Site), Loader(loaderHooks()),
+      ZoneNumber(
+          static_cast<std::uint32_t>(serviceNumber(this->Settings.Zone))) {
   for (const endpoint &Seed : this->Settings.Seeds) {
     Peers.add(Seed);
     IsSeed |= Seed == this->Settings.Self;
@@ -187,14 +192,17 @@
 void directory::start() {
   Impl->StartedAt = Impl->Timers.now();
   Impl->Peers.start(Impl->Timers.now());
-  Impl->Routes.start();
+  // The number of balancers decides how the configuration is followed.
   Impl->Site.start();
+  Impl->Routes.start();
   Impl->Evacuations.start();
   Impl->sendSyncMessages();
   Impl->Timers.every(SyncPeriod,
                      Impl->guarded([this] { Impl->sendSyncMessages(); }));
   Impl->Timers.every(RecordCheckPeriod,
                      Impl->guarded([this] { Impl->maintainRecord(); }));
+  Impl->Timers.every(SnapshotCheckPeriod,
+                     Impl->guarded([this] { Impl->maintainSnapshot(); }));
 }
 
 /// Peers learn of it from the next sync messages, which are sent at once.
@@ -240,8 +248,13 @@
   return Text;
 }
 
+/// The data of a snapshot is not used for new callers until it is known how old
+/// it is, unless nobody can tell.
 bool directory::ready() const {
-  return Impl->Activation.known() && Impl->Site.known();
+  constexpr duration DatingTime = std::chrono::seconds(3);
+  const bool IsDated =
+      Impl->Routes.asOf() || Impl->hasRunFor(DatingTime, Impl->Timers.now());
+  return Impl->Activation.known() && Impl->Site.known() && IsDated;
 }
 
 std::vector<route_rule> directory::rules() const {
--- a/src/directory/directory_feeds.cpp
+++ b/src/directory/directory_feeds.cpp
@@ -24,10 +24,16 @@
   };
   Feed.OnBatch = [this] {
     if (PeersFound == 0 && Site.known())
-      PeersFound = Peers.size();
+      onFirstList();
     notifyChanges();
   };
   Feed.Wait = [this, &Own, Wait] { return Wait(watchStateOf(Own)); };
+  Feed.FirstList = [this, IsSite = &Own == &Site](platform_callback Done) {
+    if (IsSite)
+      FirstLists.listSite(std::move(Done));
+    else
+      FirstLists.listRoutes(std::move(Done));
+  };
   if (&Own == &Site)
     Feed.MaxRetryInterval = SiteRetryInterval;
   Feed.OnAvailability = [this, Kind](bool Answers, const std::string &Reason) {
@@ -39,6 +45,13 @@
   return Feed;
 }
 
+/// The peers tell how old a snapshot is, and what has changed since.
+void directory::impl::onFirstList() {
+  PeersFound = Peers.size();
+  if (!Site.asOf())
+    tellPeersSoon();
+}
+
 watch_state directory::impl::watchStateOf(const object_feed &Feed) const {
   const instant Now = Timers.now();
   watch_state State;
@@ -51,8 +64,12 @@
   State.LivePeers = Peers.live(Now);
   if (StartedAt)
     State.RunTime = Now - *StartedAt;
-  if (const auto AsOf = Feed.asOf())
+  if (const auto AsOf = Feed.asOf()) {
     State.DataAge = Now - *AsOf;
+  } else if (Feed.known() && Peers.isZoneLarge()) {
+    State.DataAge = State.RunTime;
+    State.IsDated = false;
+  }
   State.IsAnswering = Feed.answering();
   State.IsStoreLost = &Feed != &Site && !Site.answering();
   if (const auto FailedAt = Feed.failedAt())
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -22,6 +22,7 @@
 #include "directory/route_loader.h"
 #include "directory/route_table_codec.h"
 #include "directory/routes_progress_log.h"
+#include "directory/snapshot_store.h"
 #include "directory/sync_message.h"
 #include "directory/watch_schedule.h"
 
@@ -41,6 +42,7 @@
   object_feed::hooks feedHooks(const std::string &Kind,
                                void (impl::*OnObject)(const platform_object &),
                                const object_feed &Own, watch_decision Wait);
+  void onFirstList();
   watch_state watchStateOf(const object_feed &Feed) const;
   evacuation_watch::hooks evacuationHooks();
   void onEvacuationsChanged(const std::string &Source);
@@ -98,6 +100,9 @@
                              std::span<const std::uint8_t> Bytes);
   void registerTarget(const target_entry &Target);
   std::string selfBody() const;
+  snapshot_reader::hooks snapshotHooks();
+  void maintainSnapshot();
+  site_snapshot makeSnapshot() const;
 
   template <typename Callable> auto guarded(Callable Task) {
     return [Alive = Alive, Task = std::move(Task)](auto &&...Arguments) {
@@ -114,9 +119,11 @@
   peer_selector Peers;
   route_record Record;
   route_activation Activation;
+  snapshot_reader FirstLists;
   object_feed Routes;
   object_feed Site;
   evacuation_watch Evacuations;
+  snapshot_writer Snapshots;
   route_loader Loader;
   /// While the loader is busy: the time up to which data was complete when
   /// loading began.
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -20,10 +20,45 @@
 /// longer than SettleTime if many balancers cannot reach the store.
 static constexpr std::size_t MaxRanks = 5;
 
+/// A store's list has up to this number of objects in one answer; beyond that a
+/// snapshot saves calls as well as bytes.
+static constexpr std::size_t SnapshotMinObjects = 500;
+/// A balancer that has just started may not know those ahead of it.
+static constexpr duration SnapshotDelay = std::chrono::seconds(3);
+
 std::string directory::impl::selfBody() const {
   return encodeBalancer({Settings.Self, Settings.Zone});
 }
 
+snapshot_reader::hooks directory::impl::snapshotHooks() {
+  snapshot_reader::hooks Hooks;
+  Hooks.OnRefused = [this](const std::string &Reason) {
+    this->Hooks.OnEvent(event_kind::ObjectRefused, Reason);
+  };
+  return Hooks;
+}
+
+site_snapshot directory::impl::makeSnapshot() const {
+  site_snapshot Snapshot;
+  Snapshot.Routes.Version = Routes.version();
+  for (const auto &[Name, Object] : Routes.objects())
+    Snapshot.Routes.Objects.push_back(Object);
+  Snapshot.Site.Version = Site.version();
+  for (const auto &[Name, Object] : Site.objects())
+    Snapshot.Site.Objects.push_back(Object);
+  return Snapshot;
+}
+
+void directory::impl::maintainSnapshot() {
+  const instant Now = Timers.now();
+  const bool IsComplete = isFresh(Site) && isFresh(Routes) && !Loader.busy();
+  if (Site.objects().size() < SnapshotMinObjects || rank(Now) != 0 ||
+      !hasRunFor(SnapshotDelay, Now) || !IsComplete)
+    return;
+  Snapshots.save(std::max(Site.lastChange(), Routes.lastChange()),
+                 [this] { return makeSnapshot(); });
+}
+
 void directory::impl::writeSelf() {
   if (!Site.known() || SelfWritePending || Timers.now() < NextSelfWrite)
     return;
--- a/src/directory/object_feed.cpp
+++ b/src/directory/object_feed.cpp
@@ -38,28 +38,43 @@
   };
 }
 
-void object_feed::start() { list(); }
+void object_feed::start() { listFirst(); }
 
 void object_feed::startOnDemand() {
   ListsOnDemand = true;
   follow();
 }
 
+void object_feed::listFirst() {
+  if (Known)
+    return follow();
+  auto Done =
+      guarded([this, RequestedAt = Timers.now()](const platform_reply &Reply) {
+        listed(Reply, RequestedAt, &object_feed::listFirst);
+      });
+  if (Hooks.FirstList)
+    Hooks.FirstList(std::move(Done));
+  else
+    Store.List(Kind, std::move(Done));
+}
+
 void object_feed::list() {
   Store.List(Kind, guarded([this, RequestedAt = Timers.now()](
                                const platform_reply &Reply) {
-               listed(Reply, RequestedAt);
+               listed(Reply, RequestedAt, &object_feed::list);
              }));
 }
 
-void object_feed::listed(const platform_reply &Reply, instant RequestedAt) {
+void object_feed::listed(const platform_reply &Reply, instant RequestedAt,
+                         step Again) {
   if (Reply.Outcome != platform_outcome::Ok)
-    return retry(Reply,
-                 ListsOnDemand ? &object_feed::follow : &object_feed::list);
+    return retry(Reply, ListsOnDemand ? &object_feed::follow : Again);
   setAnswering(true, "");
   if (Reply.StoreVersion >= Version) {
     applyList(Reply);
-    advance(Reply.StoreVersion, RequestedAt);
+    Version = Reply.StoreVersion;
+    if (!Reply.IsUndated)
+      advance(Version, RequestedAt);
   }
   Hooks.OnBatch();
   follow();
@@ -142,6 +157,7 @@
 }
 
 void object_feed::applyList(const platform_reply &Reply) {
+  VersionBeforeList = Known ? std::optional(Version) : std::nullopt;
   std::set<std::string> Names;
   for (const platform_object &Object : Reply.Objects) {
     Names.insert(Object.Key.Name);
@@ -179,6 +195,7 @@
           [](const auto &A, const auto &B) { return A.second < B.second; });
       DeletionsSince = std::max(DeletionsSince, Oldest->second);
       Deletions.erase(Oldest);
+      VersionBeforeList.reset();
     }
   } else {
     Deletions.erase(Name);
@@ -221,7 +238,7 @@
 
 std::optional<std::vector<platform_object>>
 object_feed::changesSince(std::uint64_t Since) const {
-  if (!Known || Since < DeletionsSince)
+  if (!Known || (Since < DeletionsSince && Since != VersionBeforeList))
     return std::nullopt;
   std::vector<platform_object> Changes;
   for (const auto &[Name, Object] : Objects)
@@ -278,8 +295,7 @@
     Hooks.OnAvailability(Answers, Reason);
 }
 
-void object_feed::retry(const platform_reply &Reply,
-                        void (object_feed::*Step)()) {
+void object_feed::retry(const platform_reply &Reply, step Step) {
   setAnswering(false, Reply.Reason);
   const duration Most = Known ? Hooks.MaxRetryInterval : MaxStartRetryInterval;
   const duration Wait =
--- a/src/directory/object_feed.h
+++ b/src/directory/object_feed.h
@@ -34,6 +34,8 @@
     /// Longest wait between a failed call and the next one, once a list is
     /// known.
     duration MaxRetryInterval = std::chrono::milliseconds(800);
+    /// Requests the first list; if empty, it is requested from the store.
+    std::function<void(platform_callback)> FirstList = {};
   };
 
   object_feed(timer_service &Timers, platform_api Store, std::string Kind,
@@ -90,8 +92,13 @@
   void applyPeerList(const platform_reply &List);
 
 private:
+  using step = void (object_feed::*)();
+
+  /// Requests lists until the objects are known, from here or from a peer.
+  void listFirst();
   void list();
-  void listed(const platform_reply &Reply, instant RequestedAt);
+  /// Handles the answer to a list; \p Again repeats a failed one.
+  void listed(const platform_reply &Reply, instant RequestedAt, step Again);
   void follow();
   struct pending_watch {
     std::uint64_t Number = 0;
@@ -107,7 +114,7 @@
   void applyList(const platform_reply &Reply);
   bool applyObject(platform_object Object);
   void advance(std::uint64_t NewVersion, instant Moment);
-  void retry(const platform_reply &Reply, void (object_feed::*Step)());
+  void retry(const platform_reply &Reply, step Step);
   void setAnswering(bool Answers, const std::string &Reason);
   platform_callback guarded(platform_callback Task);
 
@@ -120,6 +127,9 @@
   /// Sent to peers that request changes, and used to ignore outdated updates.
   std::map<std::string, std::uint64_t> Deletions;
   std::uint64_t DeletionsSince = 0;
+  /// The version that was known when the objects were last listed again. All
+  /// deletions after it are known too, as they are missing from that list.
+  std::optional<std::uint64_t> VersionBeforeList;
   bool HistoryRequested = false;
   bool Known = false;
   /// Lists are only requested while hooks::Wait returns a value.
--- a/src/directory/watch_schedule.cpp
+++ b/src/directory/watch_schedule.cpp
@@ -32,6 +32,9 @@
 /// How long a balancer that is not the first waits between two attempts while
 /// the store is unavailable: every call is charged for, including refused ones.
 static constexpr duration BackgroundRetryInterval = std::chrono::seconds(3);
+/// Balancers that rank lower, or are no contacts of their zones, learn the age
+/// of a snapshot from the others.
+static constexpr std::size_t MaxContactRank = 40;
 /// How often a balancer that the store refuses, and that gets its data from
 /// peers, checks whether the store answers again.
 static constexpr duration AvailabilityCheckInterval = std::chrono::seconds(1);
@@ -57,6 +60,10 @@
 }
 
 static std::optional<duration> dataWatchWait(const watch_state &State) {
+  // Without a date no lost flow can be reset, and its packets are passed from
+  // agent to agent again and again.
+  if (!State.IsDated && State.Rank < MaxContactRank)
+    return ShortWait;
   if (State.DataAge && *State.DataAge <= confirmationAgeOf(State))
     return changesWatchWait(State);
   if (State.LivePeers == 0)
--- a/src/directory/watch_schedule.h
+++ b/src/directory/watch_schedule.h
@@ -47,6 +47,9 @@
   duration StartupTime = duration::zero();
   /// Age of its data of the kind; nothing if it has none.
   std::optional<duration> DataAge;
+  /// The age is known; otherwise the data comes from a snapshot, and DataAge is
+  /// the time since the start.
+  bool IsDated = true;
   /// The last call of the kind was answered; time since the last that was not.
   bool IsAnswering = true;
   std::optional<duration> SinceFailure;
--- a/test/directory/directory_cluster.h
+++ b/test/directory/directory_cluster.h
@@ -159,6 +159,11 @@
       ++CallsByPurpose["list " + Kind];
       List(Kind, std::move(Done));
     };
+    Api.ReadStale = [this, Read = Api.ReadStale](const object_key &Key,
+                                                 platform_callback Done) {
+      ++CallsByPurpose["stale read " + Key.Kind];
+      Read(Key, std::move(Done));
+    };
     Api.Watch = [this, Kind, Watch = Api.Watch](std::uint64_t Since,
                                                 duration Wait,
                                                 platform_callback Done) {
--- a/test/directory/object_feed_test.cpp
+++ b/test/directory/object_feed_test.cpp
@@ -252,3 +252,23 @@
     return Object.Key.Name == "a" && Object.Deleted;
   }));
 }
+
+TEST_CASE_FIXTURE(feed_fixture,
+                  "a second list shows what was deleted since the first") {
+  // All balancers of a site start from the same snapshot. The first one lists
+  // the objects again, as the store has dropped its history.
+  Store.put("site", "a", "1");
+  Store.put("site", "b", "1");
+  Feed.start();
+  pass(10ms);
+  const std::uint64_t Snapshot = Feed.version();
+  Faults.HistoryGone = true;
+  Store.erase("site", "a");
+  pass(300ms);
+
+  const auto Changes = Feed.changesSince(Snapshot);
+  REQUIRE(Changes);
+  REQUIRE(Changes->size() == 1);
+  CHECK(Changes->front().Key.Name == "a");
+  CHECK(Changes->front().Deleted);
+}
--- a/test/directory/watch_schedule_test.cpp
+++ b/test/directory/watch_schedule_test.cpp
@@ -1,6 +1,7 @@
 #include "directory/watch_schedule.h"
 
 #include <doctest/doctest.h>
+#include <limits>
 
 using namespace marjoramrail;
 using namespace marjoramrail::internal;
@@ -108,3 +109,22 @@
   CHECK(evacuationsWatchWait(ranked(1)));
   CHECK_FALSE(evacuationsWatchWait(ranked(2)));
 }
+
+TEST_CASE("contacts date a snapshot at once, the others wait") {
+  // All balancers of a large site start from a snapshot of unknown age.
+  watch_state State = ranked(0, 10ms);
+  State.IsDated = false;
+  State.RunTime = 10ms;
+  State.StartupTime = 3s;
+  for (const std::size_t Rank : {0U, 1U, 9U}) {
+    State.Rank = Rank;
+    REQUIRE(siteWatchWait(State));
+    CHECK(*siteWatchWait(State) <= 50ms);
+  }
+
+  State.Rank = std::numeric_limits<std::size_t>::max();
+  State.DataAge = State.RunTime = 1500ms;
+  CHECK_FALSE(siteWatchWait(State));
+  State.DataAge = State.RunTime = 3500ms;
+  CHECK(siteWatchWait(State));
+}
--- a/test/directory_load/large_fleet_test.cpp
+++ b/test/directory_load/large_fleet_test.cpp
@@ -47,6 +47,12 @@
     pass(15s);
   }
 
+  void stopAll() {
+    for (unsigned Number = 1; Number <= Count; ++Number)
+      stop(Number);
+    resetCounts();
+  }
+
   void resetCounts() {
     CallsByPurpose.clear();
     Sync = {};
@@ -69,6 +75,13 @@
         }));
   }
 
+  std::size_t inForce(std::uint64_t Version) const {
+    return static_cast<std::size_t>(std::count_if(
+        Balancers.begin(), Balancers.end(), [Version](const auto &Balancer) {
+          return Balancer.second.Directory->routesVersion() == Version;
+        }));
+  }
+
   double currentShareFor(duration Time) {
     std::size_t Current = 0;
     std::size_t Checks = 0;
@@ -113,6 +126,46 @@
   CHECK(callsOf("watch") < 10 * 6);
 }
 
+TEST_CASE_FIXTURE(large_fleet, "a restart of all balancers needs no lists") {
+  // The lists of a large site have hundreds of kilobytes. Guards against a
+  // restart in which each balancer waits for the store to send it all of them.
+  startSite();
+  stopAll();
+  startAllWithin(600ms);
+  pass(200ms);
+
+  CHECK(knowingAllTargets() == Count);
+  CHECK(inForce(1) == Count);
+  CHECK(callsOf("list config") == 0);
+  CHECK(callsOf("list marjoramrail") == 0);
+  pass(1s);
+  CHECK(currentShareFor(2s) > 0.98);
+  CHECK(callsOf("watch") < 60);
+  CHECK(Copies == 0);
+}
+
+TEST_CASE_FIXTURE(large_fleet, "changes after the snapshot reach all") {
+  // The snapshot that balancers start from is older than the last changes.
+  startSite();
+  stopAll();
+  Store.erase("marjoramrail", "target.number-7");
+  addTarget("late");
+  configure(2, {"archive"});
+  startAllWithin(600ms);
+  pass(2500ms);
+
+  CHECK(inForce(2) == Count);
+  for (auto &[Number, Balancer] : Balancers) {
+    const auto Targets = Balancer.Directory->targets();
+    CHECK(std::none_of(Targets.begin(), Targets.end(), [](const auto &Target) {
+      return Target.Name == "target.number-7";
+    }));
+    CHECK(std::any_of(Targets.begin(), Targets.end(), [](const auto &Target) {
+      return Target.Name == "target.late";
+    }));
+  }
+}
+
 TEST_CASE_FIXTURE(large_fleet, "the contacts of zones are replaced") {
   // Only contacts exchange messages with other zones. Guards against zones that
   // hear of no change because all their contacts fail with it.
