Balancers: a change of the configuration is recorded by few of a large zone

Cause: a balancer counts its wait for others to write the record of services from the first change that it has not seen recorded. With a change every two seconds the wait of the one before has passed when the next arrives, and all of them write it at once; contacts wait only .2 s for each other, less than a change takes to reach them. Change, in large zones only: the wait starts again with each change, and contacts wait .5 s for each one ahead, 1 s at most. The first in rank does not wait, so a storm delays nothing. Model: at most 10 writes for five changes.

--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -113,6 +113,11 @@
   // Others may have known it for longer than it has to wait.
   Activation.advance(Now);
   RulesChanged = true;
+  // Changes may come faster than balancers wait for each other to record one.
+  // In a large zone the wait starts again with each; otherwise all of them
+  // would write the second one at once.
+  if (Peers.isZoneLarge())
+    RecordNeededSince.reset();
   requestRecordUpdate();
   Hooks.OnRoutesProgress(event_kind::RoutesKnown,
                          RoutesProgress.noteKnown(
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -155,8 +155,13 @@
     return discoveryTime(Now);
   if (!isSiteStarting(Now) && Peers.isZoneLarge() && !Peers.isContact(Now))
     return RankDelay * static_cast<std::int64_t>(2 * MaxRanks);
-  const std::size_t Ranks = std::min(rank(Now), MaxRanks);
-  return RankDelay * static_cast<std::int64_t>(Ranks);
+  const auto Ranks = static_cast<std::int64_t>(std::min(rank(Now), MaxRanks));
+  // A write of the first one is known to the others only after this time.
+  constexpr duration LargeZoneDelay = std::chrono::milliseconds(500);
+  if (Peers.isZoneLarge())
+    return std::min(LargeZoneDelay * Ranks,
+                    RankDelay * static_cast<std::int64_t>(MaxRanks));
+  return RankDelay * Ranks;
 }
 
 void directory::impl::maintainRecord() {
--- a/test/directory_load/large_fleet_test.cpp
+++ b/test/directory_load/large_fleet_test.cpp
@@ -166,6 +166,20 @@
   }
 }
 
+TEST_CASE_FIXTURE(large_fleet, "few balancers record a new configuration") {
+  // Guards against contacts that each write the record of services because they
+  // have not heard yet that the first one did.
+  startSite();
+  resetCounts();
+  for (std::uint64_t Version = 2; Version <= 6; ++Version) {
+    configure(Version, {"service-" + std::to_string(Version)});
+    pass(2s);
+  }
+
+  CHECK(inForce(6) == Count);
+  CHECK(callsOf("write routes") <= 2 * 5);
+}
+
 TEST_CASE_FIXTURE(large_fleet, "the contacts of zones are replaced") {
   // Only contacts exchange messages with other zones. Guards against zones that
   // hear of no change because all their contacts fail with it.
