Balancers: in an outage only the first of a large zone call the store

Cause: data older than 1.2 s makes every balancer call the store itself, for both kinds. Besides, one whose call fails is passed over, and the next one took over until all had failed. Change: a balancer of a large zone that a contact answers makes no call of its own; if its data is old, the store does not answer the contacts. Only the first six balancers of a zone (three for each contact) replace each other as contacts. Test: an outage costs calls of the contacts only.

--- a/src/directory/directory_feeds.cpp
+++ b/src/directory/directory_feeds.cpp
@@ -58,6 +58,7 @@
   State.DiscoveryTime = discoveryTime(Now);
   if (Peers.isZoneLarge())
     State.StartupTime = LargeZoneStartupTime;
+  State.ReliesOnContacts = Peers.reliesOnContacts(Now);
   State.Rank = rank(Now);
   State.RankInZone = rankInZone(Now);
   State.Watchers = Peers.watchers(Now);
--- a/src/directory/peer_selector.cpp
+++ b/src/directory/peer_selector.cpp
@@ -74,37 +74,62 @@
   return InZone >= LargeZone && HasOtherZone;
 }
 
+peer_selector::peer_range
+peer_selector::firstOf(std::uint32_t Of, instant Now,
+                       bool (peer::*Counts)(instant Now) const,
+                       bool AssumesRunning) const {
+  const std::size_t Most = ContactCandidates * contactsOfZone(liveIn(Of, Now));
+  peer_range First;
+  for (const auto &[Peer, State] : Peers) {
+    if (First.Peers.size() == Most)
+      break;
+    const bool IsRunning =
+        (State.*Counts)(Now) || (AssumesRunning && !State.LastMessageAt);
+    if (State.Zone != Of || !IsRunning)
+      continue;
+    First.Peers.push_back(Peer);
+    First.AnyServed |= State.IsServed;
+  }
+  return First;
+}
+
 std::size_t peer_selector::placeInZone(instant Now) const {
-  const bool AnyServed = anyServed(Now);
   const bool AssumesRunning =
       DiscoversSince && Now - *DiscoversSince < DiscoveryTime;
-  return static_cast<std::size_t>(
-      std::count_if(Peers.begin(), Peers.end(), [&](const auto &Item) {
-        const auto &[Peer, State] = Item;
-        const bool IsRunning =
-            State.isResponding(Now) || (AssumesRunning && !State.LastMessageAt);
-        return Peer < Self && State.Zone == Zone && IsRunning &&
-               (State.IsServed || !AnyServed);
-      }));
+  const peer_range First =
+      firstOf(Zone, Now, &peer::isResponding, AssumesRunning);
+  std::size_t Ahead = 0;
+  std::size_t EligibleAhead = 0;
+  for (const endpoint &Peer : First.Peers) {
+    if (Peer > Self)
+      break;
+    ++Ahead;
+    EligibleAhead += Peers.at(Peer).IsServed || !First.AnyServed;
+  }
+  // All candidates are ahead: one of them is a contact even if none is served.
+  const bool IsCandidate =
+      Ahead < ContactCandidates * contactsOfZone(liveIn(Zone, Now));
+  return IsCandidate ? EligibleAhead : Ahead;
 }
 
 bool peer_selector::isContact(instant Now) const {
   return placeInZone(Now) < contactsOfZone(liveIn(Zone, Now) + 1);
 }
 
+bool peer_selector::reliesOnContacts(instant Now) const {
+  return isZoneLarge() && !isContact(Now) &&
+         !contactsOf(Zone, Now, &peer::isResponding).empty();
+}
+
 std::vector<endpoint>
 peer_selector::contactsOf(std::uint32_t Of, instant Now,
                           bool (peer::*Counts)(instant Now) const) const {
   const std::size_t Most = contactsOfZone(liveIn(Of, Now));
-  const bool AnyServed = anyServed(Now);
+  const peer_range First = firstOf(Of, Now, Counts, /*AssumesRunning=*/false);
   std::vector<endpoint> Contacts;
-  for (const auto &[Peer, State] : Peers) {
-    if (Contacts.size() == Most)
-      break;
-    if (State.Zone == Of && (State.*Counts)(Now) &&
-        (State.IsServed || !AnyServed))
+  for (const endpoint &Peer : First.Peers)
+    if (Contacts.size() < Most && (Peers.at(Peer).IsServed || !First.AnyServed))
       Contacts.push_back(Peer);
-  }
   return Contacts;
 }
 
--- a/src/directory/peer_selector.h
+++ b/src/directory/peer_selector.h
@@ -91,6 +91,10 @@
   /// messages with other zones. Random peers suffice to connect smaller zones,
   /// and their traffic is small.
   static constexpr std::size_t LargeZone = 24;
+  /// Contacts that the store refuses are replaced by others of the first
+  /// balancers of the zone, this many for each contact. In an outage the store
+  /// refuses all; if the next balancer always took over, each would call it.
+  static constexpr std::size_t ContactCandidates = 3;
   /// A peer that has not answered for this time, and not at least
   /// MaxTriesOfLowerRank messages, is not used as a contact or watcher.
   static constexpr duration ResponseTime = std::chrono::milliseconds(200);
@@ -121,6 +125,8 @@
   bool isZoneLarge() const;
   /// Whether this balancer is a contact of its zone.
   bool isContact(instant Now) const;
+  /// Whether this balancer is no contact of its large zone, and one answers it.
+  bool reliesOnContacts(instant Now) const;
   /// Selects the peers for the next round of sync messages.
   std::vector<endpoint> choosePeers(instant Now,
                                     data_age Age = data_age::Current);
@@ -160,6 +166,18 @@
   };
 
   candidates candidatesAt(instant Now) const;
+  /// The first peers of a zone, by address.
+  struct peer_range {
+    std::vector<endpoint> Peers;
+    bool AnyServed = false;
+  };
+
+  /// The candidates for contacts among the peers of \p Of: the first ones for
+  /// which \p Counts is true or, if \p AssumesRunning is set, that have not
+  /// been heard of yet.
+  peer_range firstOf(std::uint32_t Of, instant Now,
+                     bool (peer::*Counts)(instant Now) const,
+                     bool AssumesRunning) const;
   /// The peers of \p Of that are contacts: the first ones by address for which
   /// \p Counts is true and that the store serves.
   std::vector<endpoint> contactsOf(std::uint32_t Of, instant Now,
--- a/src/directory/watch_schedule.cpp
+++ b/src/directory/watch_schedule.cpp
@@ -66,6 +66,8 @@
     return ShortWait;
   if (State.DataAge && *State.DataAge <= confirmationAgeOf(State))
     return changesWatchWait(State);
+  if (State.ReliesOnContacts)
+    return std::nullopt;
   if (State.LivePeers == 0)
     return SoloWatchWait;
   // The first balancer retries on behalf of all.
--- a/src/directory/watch_schedule.h
+++ b/src/directory/watch_schedule.h
@@ -45,6 +45,10 @@
   /// For this time since the start, a balancer that is no watcher leaves it to
   /// others to confirm the age of the data.
   duration StartupTime = duration::zero();
+  /// A balancer of a large zone that gets its data from a contact that answers.
+  /// If the data is old, the store does not answer the contacts; a call of each
+  /// other balancer would not change that.
+  bool ReliesOnContacts = false;
   /// Age of its data of the kind; nothing if it has none.
   std::optional<duration> DataAge;
   /// The age is known; otherwise the data comes from a snapshot, and DataAge is
--- a/test/directory/watch_schedule_test.cpp
+++ b/test/directory/watch_schedule_test.cpp
@@ -128,3 +128,11 @@
   State.DataAge = State.RunTime = 3500ms;
   CHECK(siteWatchWait(State));
 }
+
+TEST_CASE("a balancer that relies on contacts makes no calls of its own") {
+  watch_state State = ranked(std::numeric_limits<std::size_t>::max(), 5s);
+  CHECK(siteWatchWait(State));
+  State.ReliesOnContacts = true;
+  CHECK_FALSE(siteWatchWait(State));
+  CHECK_FALSE(routesWatchWait(State));
+}
--- a/test/directory_load/large_fleet_test.cpp
+++ b/test/directory_load/large_fleet_test.cpp
@@ -180,6 +180,26 @@
   CHECK(callsOf("write routes") <= 2 * 5);
 }
 
+TEST_CASE_FIXTURE(large_fleet, "an outage costs calls of the contacts only") {
+  // Guards against balancers that each ask a store that answers nobody.
+  startSite();
+  Store.Down = true;
+  pass(2s);
+  resetCounts();
+  pass(10s);
+  // The first balancers of each zone call once a second at most, and the first
+  // one of all five times.
+  const int Candidates = Zones * 2 * 3;
+  CHECK(callsOf("") < 10 * (Candidates + 5));
+
+  Store.Down = false;
+  addTarget("late");
+  pass(2s);
+  for (auto &[Number, Balancer] : Balancers)
+    CHECK(Balancer.Directory->targets().size() == Targets + 1);
+  CHECK(currentShareFor(2s) > 0.98);
+}
+
 TEST_CASE_FIXTURE(large_fleet, "the contacts of zones are replaced") {
   // Only contacts exchange messages with other zones. Guards against zones that
   // hear of no change because all their contacts fail with it.
