--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -42,6 +42,7 @@
   object_feed::hooks feedHooks(const std::string &Kind,
                                void (impl::*OnObject)(const platform_object &),
                                const object_feed &Own, watch_decision Wait);
+  /// The objects of marjoramrail's own kind have become known.
   void onFirstList();
   watch_state watchStateOf(const object_feed &Feed) const;
   evacuation_watch::hooks evacuationHooks();
@@ -52,6 +53,10 @@
   std::size_t rankInZone(instant Now) const;
   /// Whether this balancer has been running for at least \p After.
   bool hasRunFor(duration After, instant Now) const;
+  /// This balancer does no tasks for others for this time since its start.
+  duration discoveryTime(instant Now) const;
+  /// Whether the site is being started for the first time.
+  bool isSiteStarting(instant Now) const;
 
   void onRoutesObject(const platform_object &Object);
   void onSiteObject(const platform_object &Object);
@@ -72,11 +77,14 @@
   void noteRoutesKnown(std::uint64_t ObjectVersion, instant Since);
 
   void sendSyncMessages();
+  /// The age of the data, for the choice of peers.
   data_age dataAge(instant Now) const;
   void tellPeersSoon();
   void input(const endpoint &From, std::span<const std::uint8_t> Bytes);
   sync_message makeSyncMessage() const;
   replication_state replicationStateOf(const object_feed &Feed) const;
+  /// Gets the changes from the store that the sender of \p Request needs and
+  /// this balancer cannot tell.
   void provideHistory(const sync_message &Request);
   void applyChanges(sync_message &Reply);
   void applySyncState(const endpoint &Peer, object_feed &Feed,
@@ -101,6 +109,7 @@
   void registerTarget(const target_entry &Target);
   std::string selfBody() const;
   snapshot_reader::hooks snapshotHooks();
+  /// Writes the snapshot if this balancer is the first of a large site.
   void maintainSnapshot();
   site_snapshot makeSnapshot() const;
 
@@ -130,9 +139,6 @@
   std::optional<instant> KnownBeforeLoading;
   std::uint32_t ZoneNumber;
   std::optional<instant> StartedAt;
-  /// Takes no tasks for others for this time since the start.
-  duration discoveryTime(instant Now) const;
-  bool isSiteStarting(instant Now) const;
   /// This balancer's address is among the seeds.
   bool IsSeed = false;
   /// The number of other balancers known when the first list was complete.
