Balancers: a configuration that is late is logged with the step that holds it

Callers saw an older configuration for seconds, and the record of the incident showed nothing at all while it lasted: no call was made, so no call failed, and the log of each balancer looked like a time without changes. Whom a balancer leaves the next call to was in no line either. No message and no call is added. Ruled out: a comparison by messages of its own; the sync messages already tell it.

--- a/daemons/forwarder/event_log.h
+++ b/daemons/forwarder/event_log.h
@@ -16,14 +16,6 @@
 
 namespace marjoramrail::daemons {
 
-/// The units of log lines and of metrics.
-inline std::int64_t inMilliseconds(duration Time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
-}
-inline double inSeconds(duration Time) {
-  return std::chrono::duration<double>(Time).count();
-}
-
 class event_log {
 public:
   event_log(event_loop &Loop, const std::string &Process);
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -435,6 +435,9 @@
   /// The flow limits of the configuration routesVersion().
   std::vector<service_flow_limit> flowLimits() const;
   std::uint64_t newestRoutesVersion() const;
+  /// For how long the newest configuration has been held up at one step, or has
+  /// not been confirmed, if that is longer than it should be.
+  std::optional<duration> routesLateFor() const;
   /// Every change that the store accepted before this moment is known here.
   std::optional<instant> knownAsOf() const;
   /// The same for marjoramrail's own objects alone: the store answered a call
--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -103,6 +103,10 @@
   RoutesKnown,
   RoutesActivated,
   RoutesRefused,
+  /// The newest configuration is held up, or has not been confirmed for long;
+  /// and no longer.
+  RoutesLate,
+  RoutesCurrent,
   ObjectRefused,
   CopiedFromPeer,
   /// The set of evacuated zones, as this process knows it, has changed.
@@ -122,7 +126,7 @@
   LinesDropped,
 };
 
-inline constexpr name_table<event_kind, 57> EventKindNames = {{
+inline constexpr name_table<event_kind, 59> EventKindNames = {{
     {event_kind::ProcessStarted, "process-started"},
     {event_kind::ProcessStopping, "process-stopping"},
     {event_kind::ViewTaken, "view-taken"},
@@ -171,6 +175,8 @@
     {event_kind::RoutesKnown, "routes-known"},
     {event_kind::RoutesActivated, "routes-in-force"},
     {event_kind::RoutesRefused, "routes-refused"},
+    {event_kind::RoutesLate, "routes-late"},
+    {event_kind::RoutesCurrent, "routes-current"},
     {event_kind::ObjectRefused, "object-refused"},
     {event_kind::CopiedFromPeer, "copied-from-peer"},
     {event_kind::EvacuationsChanged, "evacuations-changed"},
@@ -182,6 +188,14 @@
     {event_kind::LinesDropped, "lines-left-out"},
 }};
 
+/// The units of log lines and of metrics.
+inline std::int64_t inMilliseconds(duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+inline double inSeconds(duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
 /// One logged event; fields that do not apply stay empty.
 struct timeline_event {
   event_kind What{};
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -11,6 +11,7 @@
 constexpr duration SyncPeriod = std::chrono::milliseconds(200);
 constexpr duration RecordCheckPeriod = std::chrono::milliseconds(200);
 constexpr duration SnapshotCheckPeriod = std::chrono::seconds(1);
+constexpr duration LagCheckPeriod = std::chrono::milliseconds(500);
 /// A balancer does the tasks of the first one of its zone only after this time
 /// since its start. Before, it may not have heard of those ahead of it.
 constexpr duration ZonePeerDiscoveryTime = std::chrono::seconds(2);
@@ -208,6 +209,8 @@
                      Impl->guarded([this] { Impl->maintainRecord(); }));
   Impl->Timers.every(SnapshotCheckPeriod,
                      Impl->guarded([this] { Impl->maintainSnapshot(); }));
+  Impl->Timers.every(LagCheckPeriod,
+                     Impl->guarded([this] { Impl->checkRoutesLag(); }));
 }
 
 /// Peers learn of it from the next sync messages, which are sent at once.
@@ -291,8 +294,7 @@
 }
 
 std::uint64_t directory::newestRoutesVersion() const {
-  const route_table *Newest = Impl->Activation.newest();
-  return Newest ? Newest->Version : 0;
+  return Impl->newestVersion();
 }
 
 std::optional<instant> directory::knownAsOf() const {
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -4,7 +4,8 @@
 /// The implementation class of directory. Its functions are grouped by subject:
 /// the public functions and the activation of routes in directory.cpp, data
 /// from the store in directory_feeds.cpp, exchange with peers in
-/// directory_peers.cpp, writes to the store in directory_writes.cpp.
+/// directory_peers.cpp, writes to the store in directory_writes.cpp, late
+/// configurations in directory_lag.cpp.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -21,6 +22,7 @@
 #include "directory/route_activation.h"
 #include "directory/route_loader.h"
 #include "directory/route_table_codec.h"
+#include "directory/routes_lag.h"
 #include "directory/routes_progress_log.h"
 #include "directory/snapshot_store.h"
 #include "directory/sync_message.h"
@@ -75,6 +77,14 @@
   void armActivation();
   /// Some balancer has known the object \p ObjectVersion since \p Since.
   void noteRoutesKnown(std::uint64_t ObjectVersion, instant Since);
+  /// The newest configuration that has been read, or 0.
+  std::uint64_t newestVersion() const;
+  /// The step at which the newest configuration is.
+  routes_position routesPosition(instant Now) const;
+  /// Which balancer's call would confirm the configuration.
+  std::string confirmationSource(instant Now) const;
+  /// Logs when the configuration becomes late, and when it is no more.
+  void checkRoutesLag();
 
   void sendSyncMessages();
   /// The age of the data, for the choice of peers.
@@ -153,6 +163,7 @@
   std::uint64_t DecodedObjectVersion = 0;
   first_known RoutesFirstKnown;
   routes_progress_log RoutesProgress;
+  routes_lag RoutesLag;
   /// When the timer that activates the next table fires, the earliest one if
   /// there are several.
   std::optional<instant> ActivationDue;
--- a/src/directory/peer_selector.cpp
+++ b/src/directory/peer_selector.cpp
@@ -28,17 +28,37 @@
   });
 }
 
+bool peer_selector::isAhead(const endpoint &Peer, const peer &State,
+                            instant Now, bool AnyServed) const {
+  const bool IsEligible = State.IsServed || !AnyServed;
+  return Peer < Self && State.isLive(Now) && IsEligible;
+}
+
 std::size_t peer_selector::countAhead(
     instant Now, const std::function<bool(const peer &)> &Counts) const {
   const bool AnyServed = anyServed(Now);
   return static_cast<std::size_t>(
       std::count_if(Peers.begin(), Peers.end(), [&](const auto &Item) {
         const auto &[Peer, State] = Item;
-        const bool IsEligible = State.IsServed || !AnyServed;
-        return Peer < Self && State.isLive(Now) && IsEligible && Counts(State);
+        return isAhead(Peer, State, Now, AnyServed) && Counts(State);
       }));
 }
 
+std::optional<endpoint> peer_selector::firstAhead(instant Now) const {
+  if (isZoneLarge())
+    return std::nullopt;
+  const bool AnyServed = anyServed(Now);
+  for (const auto &[Peer, State] : Peers)
+    if (isAhead(Peer, State, Now, AnyServed))
+      return Peer;
+  return std::nullopt;
+}
+
+bool peer_selector::isServed(const endpoint &Peer) const {
+  const auto Found = Peers.find(Peer);
+  return Found != Peers.end() && Found->second.IsServed;
+}
+
 std::size_t peer_selector::rank(instant Now) const {
   if (isZoneLarge())
     return rankAmongContacts(Now);
--- a/src/directory/peer_selector.h
+++ b/src/directory/peer_selector.h
@@ -112,6 +112,11 @@
   /// counted. In a large zone only contacts have a rank, among the contacts of
   /// all zones; the others come after them.
   std::size_t rank(instant Now) const;
+  /// The first of the peers that rank() counts. In a large zone the contacts
+  /// are not told apart, and nothing is returned.
+  std::optional<endpoint> firstAhead(instant Now) const;
+  /// Whether the store answers \p Peer, as far as this balancer has heard.
+  bool isServed(const endpoint &Peer) const;
   /// The number of live peers among \p Addresses that are ahead.
   std::size_t rankAmong(const std::vector<endpoint> &Addresses,
                         instant Now) const;
@@ -205,8 +210,11 @@
   std::optional<endpoint> unknownLowerPeer(bool OfZone, instant Now) const;
   std::size_t liveIn(std::uint32_t Zone, instant Now) const;
   bool anyServed(instant Now) const;
-  /// The number of live peers with a lower address for which \p Counts is true.
-  /// Peers that the store refuses are not counted, unless it refuses all.
+  /// Whether \p Peer, whose state is \p State, is live and has a lower address.
+  /// Peers that the store refuses do not count, unless it refuses all.
+  bool isAhead(const endpoint &Peer, const peer &State, instant Now,
+               bool AnyServed) const;
+  /// The number of peers ahead for which \p Counts is true.
   std::size_t countAhead(instant Now,
                          const std::function<bool(const peer &)> &Counts) const;
   /// Adds a random element of \p Peers to \p Chosen if there is room for it.
--- a/src/directory/watch_schedule.cpp
+++ b/src/directory/watch_schedule.cpp
@@ -59,6 +59,13 @@
   return State.Rank == 1 ? std::optional(LongWatchWait) : std::nullopt;
 }
 
+/// The first balancer retries on behalf of all.
+bool leavesRetryToOthers(const watch_state &State) {
+  const bool HasTried =
+      State.SinceFailure && *State.SinceFailure < BackgroundRetryInterval;
+  return State.Rank > 0 && !State.IsAnswering && HasTried;
+}
+
 static std::optional<duration> dataWatchWait(const watch_state &State) {
   // Without a date no lost flow can be reset, and its packets are passed from
   // agent to agent again and again.
@@ -70,10 +77,7 @@
     return std::nullopt;
   if (State.LivePeers == 0)
     return SoloWatchWait;
-  // The first balancer retries on behalf of all.
-  const bool HasTried =
-      State.SinceFailure && *State.SinceFailure < BackgroundRetryInterval;
-  if (State.Rank > 0 && !State.IsAnswering && HasTried)
+  if (leavesRetryToOthers(State))
     return std::nullopt;
   return ShortWait;
 }
--- a/test/directory/directory_cluster.h
+++ b/test/directory/directory_cluster.h
@@ -62,6 +62,8 @@
   std::map<unsigned, int> Compared;
   /// The configurations that came into effect on each balancer.
   std::map<unsigned, std::vector<routes_progress>> Activated;
+  /// The events that each balancer has logged.
+  std::map<unsigned, std::vector<std::pair<event_kind, std::string>>> Events;
   /// How often each balancer's set of evacuated zones changed.
   std::map<unsigned, int> EvacuationChanges;
 
@@ -87,7 +89,9 @@
     Hooks.OnCallback = [this, Number](const callback_timing &Turn) {
       Compared[Number] += Turn.What == callback_kind::CompareRecord;
     };
-    Hooks.OnEvent = [](event_kind, const std::string &) {};
+    Hooks.OnEvent = [this, Number](event_kind What, const std::string &Why) {
+      Events[Number].emplace_back(What, Why);
+    };
     Hooks.OnRoutesProgress = [this, Number](event_kind What,
                                             const routes_progress &Step) {
       if (What == event_kind::RoutesActivated)
--- a/test/directory/routes_progress_test.cpp
+++ b/test/directory/routes_progress_test.cpp
@@ -58,3 +58,38 @@
   CHECK(Activated[1].back().Version == 2);
   CHECK(*Activated[1].back().ActiveAt - Activated[1].back().KnownAt == 0s);
 }
+
+TEST_CASE_FIXTURE(directory_cluster,
+                  "a configuration that nobody can confirm is logged") {
+  // The store stops answering without a word. Without the line a balancer that
+  // hears of no change cannot be told from one for which there is none.
+  configure(1, {"ledger"});
+  for (unsigned Number = 1; Number <= 3; ++Number)
+    start(Number, {addressOf(1)});
+  pass(25s);
+  Events.clear();
+  Store.Down = true;
+  pass(5s);
+  const auto Late = [this](unsigned Number) {
+    std::vector<std::string> Reasons;
+    for (const auto &[What, Why] : Events[Number])
+      if (What == event_kind::RoutesLate)
+        Reasons.push_back(Why);
+    return Reasons;
+  };
+  for (unsigned Number = 1; Number <= 3; ++Number) {
+    REQUIRE(Late(Number).size() == 1);
+    CHECK(Late(Number)[0].starts_with("version 1: not confirmed for "));
+    CHECK(at(Number).routesLateFor());
+  }
+  CHECK(Late(1)[0].ends_with("the store does not answer"));
+  CHECK(Late(3)[0].ends_with("left to " + toText(addressOf(1)) +
+                             ", which the store refuses"));
+
+  Store.Down = false;
+  pass(5s);
+  for (unsigned Number = 1; Number <= 3; ++Number) {
+    CHECK(Events[Number].back().first == event_kind::RoutesCurrent);
+    CHECK_FALSE(at(Number).routesLateFor());
+  }
+}
