Tests: configurations while balancers are cut off from the store longer than others

The stand-in of the store can now leave its watches silent, drop its history and close all watches, and a call that it does not answer can take as long as a time-out.

--- a/test/directory_load/routes_in_force_test.cpp
+++ b/test/directory_load/routes_in_force_test.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <numeric>
 #include <random>
 
 using namespace marjoramrail;
@@ -20,6 +22,9 @@
 /// for what a model does not show, such as processors that are short of time.
 constexpr duration Budget = 2s;
 constexpr duration BudgetWithFault = 2500ms;
+/// From the end of an outage on: for 4 s the users expect no bound to hold, and
+/// half a second of them is left like above.
+constexpr duration BudgetAfterOutage = 3500ms;
 
 /// A site of three zones of about the same size.
 struct three_zones : directory_cluster {
@@ -50,6 +55,26 @@
     Balancers.at(Number).Faults->Link.Cut = true;
   }
 
+  /// The store no longer answers the balancer, which notices it only by
+  /// time-outs.
+  void cutFromStore(unsigned Number) {
+    platform_link &Link = Balancers.at(Number).Faults->Link;
+    Link.Cut = true;
+    Link.Timeout = 1500ms;
+  }
+
+  /// The store accepts a configuration while no watch is told of any change,
+  /// then drops its history and closes all watches.
+  void changeUnnoticed() {
+    Store.WatchesAreSilent = true;
+    pass(100ms);
+    change();
+    pass(900ms);
+    Store.WatchesAreSilent = false;
+    Store.dropHistory();
+    AcceptedAt[Version] = Timers.now();
+  }
+
   /// Accepts a configuration whose service none before it had.
   void change() {
     ++Version;
@@ -115,6 +140,74 @@
   CHECK(Longest < SettleTime + 100ms);
 }
 
+TEST_CASE("closed watches are renewed while some balancers are cut off from "
+          "the store" *
+          doctest::should_fail()) {
+  // The store drops its history and closes all watches, and no watch has told
+  // of the change before that. Guards against balancers that take this for an
+  // outage and leave the next call to one that cannot make it.
+  for (const unsigned Count : {5U, 35U})
+    for (unsigned Seed = 1; Seed <= 20; ++Seed) {
+      three_zones Site;
+      std::mt19937 Random(Seed);
+      Site.startAll(Count);
+      Site.cutFromStore(1);
+      Site.cutFromStore(Count / 2 + 1);
+      Site.pass(6s + std::chrono::milliseconds(Random() % 2000));
+      Site.changeUnnoticed();
+      Site.measureFor(InForceBound + 2s);
+
+      CAPTURE(Count);
+      CAPTURE(Seed);
+      CAPTURE(Site.Longest.count());
+      CHECK(Site.Longest < BudgetWithFault);
+    }
+}
+
+/// The longest time until a configuration is in force that the store accepts at
+/// the end of an outage for all, while it still refuses some balancers. \p
+/// Timeout: how long a refused call takes.
+static duration longestAfterOutage(unsigned Count, unsigned Served,
+                                   duration Timeout, unsigned Seed) {
+  three_zones Site;
+  std::mt19937 Random(Seed);
+  Site.startAll(Count);
+  std::vector<unsigned> Numbers(Count);
+  std::iota(Numbers.begin(), Numbers.end(), 1);
+  std::shuffle(Numbers.begin(), Numbers.end(), Random);
+  for (const unsigned Number : Numbers) {
+    platform_link &Link = Site.Balancers.at(Number).Faults->Link;
+    Link.Timeout = Timeout;
+    Link.Cut = true;
+  }
+  Site.pass(4s + std::chrono::milliseconds(Random() % 4000));
+  for (unsigned I = 0; I < Served; ++I)
+    Site.Balancers.at(Numbers[I]).Faults->Link.Cut = false;
+  Site.change();
+  Site.measureFor(10s);
+  return Site.Longest;
+}
+
+TEST_CASE("a configuration is in force soon after an outage that lasts longer "
+          "for some balancers" *
+          doctest::should_fail()) {
+  // Guards against balancers that the store answers again and that leave their
+  // next call to a balancer that it still refuses.
+  for (const unsigned Count : {5U, 35U})
+    for (const duration Timeout : {2ms, 1500ms})
+      for (unsigned Seed = 1; Seed <= 20; ++Seed)
+        for (const unsigned Served : {1U, Count / 2}) {
+          const duration Longest =
+              longestAfterOutage(Count, Served, Timeout, Seed);
+          CAPTURE(Count);
+          CAPTURE(Timeout.count());
+          CAPTURE(Seed);
+          CAPTURE(Served);
+          CAPTURE(Longest.count());
+          CHECK(Longest < BudgetAfterOutage);
+        }
+}
+
 /// Checks that each configuration of many series is in force within \p Bound.
 static void
 checkSeries(duration Bound,
--- a/test/fleet/fake_platform.h
+++ b/test/fleet/fake_platform.h
@@ -21,6 +21,8 @@
 struct platform_link {
   /// Requests of the process are lost.
   bool Cut = false;
+  /// How long the process waits for the answer to a lost request.
+  duration Timeout = duration::zero();
   /// How long a request takes to reach the platform and take effect.
   duration RequestDelay = duration::zero();
   /// Delay of answers in addition to that of the platform.
@@ -44,6 +46,8 @@
   /// Only lists and watches answer from that state, as from another replica
   /// than reads.
   bool ListOlder = false;
+  /// Watches are not answered, though changes are accepted.
+  bool WatchesAreSilent = false;
   /// Stale reads answer from that state.
   bool ReadStaleOlder = false;
   std::uint64_t Calls = 0;
@@ -84,7 +88,8 @@
     Api.Watch = [this, Link](std::uint64_t Since, duration Wait,
                              platform_callback Callback) {
       ++Calls;
-      watch(Link, Since, Timers.now() + Wait, std::move(Callback));
+      watch(Link, {Since, Timers.now() + Wait, TimesClosed},
+            std::move(Callback));
     };
     return Api;
   }
@@ -112,6 +117,12 @@
 
   instant now() const { return Timers.now(); }
 
+  /// Drops the history up to now and closes all watches without an answer.
+  void dropHistory() {
+    HistorySince = StoreVersion;
+    ++TimesClosed;
+  }
+
   void saveOlder() {
     Older = Objects;
     OlderVersion = StoreVersion;
@@ -213,20 +224,34 @@
         Link != nullptr ? Link->ReplyDelay : duration::zero();
     const duration RequestDelay =
         Link != nullptr ? Link->RequestDelay : duration::zero();
-    Timers.after(RequestDelay, [this, Lost, ReplyDelay, Act = std::move(Act),
-                                Callback = std::move(Callback)] {
-      platform_reply Reply;
-      Reply.Outcome = platform_outcome::Unavailable;
-      Reply.RetryAfter = std::chrono::seconds(1);
-      if (!Down && !Lost)
-        Reply = Act();
-      Timers.after(Delay + ReplyDelay, [Reply, Callback] { Callback(Reply); });
-    });
+    const duration Timeout = Link != nullptr ? Link->Timeout : duration::zero();
+    Timers.after(RequestDelay,
+                 [this, Lost, ReplyDelay, Timeout, Act = std::move(Act),
+                  Callback = std::move(Callback)] {
+                   platform_reply Reply;
+                   Reply.Outcome = platform_outcome::Unavailable;
+                   Reply.RetryAfter = std::chrono::seconds(1);
+                   if (!Down && !Lost)
+                     Reply = Act();
+                   const duration Answer = Delay + ReplyDelay;
+                   Timers.after(Lost ? std::max(Timeout, Answer) : Answer,
+                                [Reply, Callback] { Callback(Reply); });
+                 });
   }
 
-  void watch(const platform_link *Link, std::uint64_t Since, instant Until,
-             platform_callback Callback) {
+  struct pending_watch {
+    std::uint64_t Since = 0;
+    instant Until;
+    /// The value of fake_platform::TimesClosed when it began.
+    std::uint64_t TimesClosed = 0;
+  };
+
+  platform_reply replyToWatch(std::uint64_t Since) const {
     platform_reply Reply;
+    if (Since < HistorySince) {
+      Reply.Outcome = platform_outcome::HistoryGone;
+      return Reply;
+    }
     Reply.Outcome = platform_outcome::Ok;
     const bool Behind = ServeOlder || ListOlder;
     Reply.StoreVersion = Behind ? OlderVersion : StoreVersion;
@@ -237,15 +262,27 @@
           Ordered[Object.Version] = Object;
     for (const auto &[Version, Object] : Ordered)
       Reply.Objects.push_back(Object);
-    if (Down || (Link != nullptr && Link->Cut)) {
-      Reply = platform_reply();
-      Reply.Outcome = platform_outcome::Unavailable;
-    } else if (Reply.Objects.empty() && Timers.now() < Until) {
-      Timers.after(std::chrono::milliseconds(50),
-                   [=, this] { watch(Link, Since, Until, Callback); });
-      return;
+    return Reply;
+  }
+
+  void watch(const platform_link *Link, const pending_watch &Watch,
+             platform_callback Callback) {
+    const bool IsLost = Link != nullptr && Link->Cut;
+    platform_reply Reply;
+    Reply.Outcome = platform_outcome::Unavailable;
+    if (!Down && !IsLost && Watch.TimesClosed == TimesClosed) {
+      Reply = replyToWatch(Watch.Since);
+      const bool IsAnswered = Reply.Outcome != platform_outcome::Ok ||
+                              !Reply.Objects.empty() ||
+                              Timers.now() >= Watch.Until;
+      if (WatchesAreSilent || !IsAnswered) {
+        Timers.after(std::chrono::milliseconds(50),
+                     [=, this] { watch(Link, Watch, Callback); });
+        return;
+      }
     }
-    Timers.after(Delay, [Reply, Callback] { Callback(Reply); });
+    Timers.after(IsLost ? std::max(Link->Timeout, Delay) : Delay,
+                 [Reply, Callback] { Callback(Reply); });
   }
 
   timer_service &Timers;
@@ -253,6 +290,10 @@
   std::map<object_key, platform_object> Older;
   std::uint64_t StoreVersion = 0;
   std::uint64_t OlderVersion = 0;
+  /// Watches from earlier versions are told that the history is gone.
+  std::uint64_t HistorySince = 0;
+  /// How often all watches were closed.
+  std::uint64_t TimesClosed = 0;
 };
 
 } // namespace marjoramrail::testing
