Balancers: the first of a zone does not repeat refused calls for the configuration

Found while the calls of an outage were counted. The first balancer of each zone watches the configuration whatever its other data says. One that gets its data from peers has made no call for marjoramrail's own objects, so it takes the store for available and repeats a refused call every 0.8 s; its peers pass over it only when that other call fails. Change: after a refused call it waits like any other balancer that is not the first.

--- a/src/directory/watch_schedule.cpp
+++ b/src/directory/watch_schedule.cpp
@@ -96,7 +96,7 @@
 }
 
 std::optional<duration> routesWatchWait(const watch_state &State) {
-  if (State.IsStoreLost)
+  if (State.IsStoreLost || leavesRetryToOthers(State))
     return std::nullopt;
   const auto Wait = dataWatchWait(State);
   // The configuration is too large for a datagram, and copies within the zone
--- a/test/directory/watch_schedule_test.cpp
+++ b/test/directory/watch_schedule_test.cpp
@@ -104,6 +104,16 @@
   CHECK_FALSE(routesWatchWait(State));
 }
 
+TEST_CASE("the first balancer of a zone does not repeat refused calls") {
+  // In an outage a balancer that gets its data from peers has not made a call
+  // for marjoramrail's own objects, and still takes the store for available.
+  watch_state State = ranked(9, 5s);
+  State.RankInZone = 0;
+  State.IsAnswering = false;
+  State.SinceFailure = 500ms;
+  CHECK_FALSE(routesWatchWait(State));
+}
+
 TEST_CASE("two balancers of the site watch for evacuations") {
   CHECK(evacuationsWatchWait(ranked(0)));
   CHECK(evacuationsWatchWait(ranked(1)));
