Balancers: after an outage the configuration is asked for as soon as the store answers

Found with the model of the incident: a balancer whose call for marjoramrail's own objects the store had answered again still left the next call for the configuration to the first one in rank until 3 s after its own last failure, and decided about it every 0.2 s only. Change: an answer to the other feed ends that wait and has the configuration decided about at once; the time between two attempts counts from the start of one, as an attempt that hangs takes 1.5 s by itself.

--- a/src/directory/directory_feeds.cpp
+++ b/src/directory/directory_feeds.cpp
@@ -36,11 +36,14 @@
   };
   if (&Own == &Site)
     Feed.MaxRetryInterval = SiteRetryInterval;
-  Feed.OnAvailability = [this, Kind](bool Answers, const std::string &Reason) {
+  Feed.OnAvailability = [this, &Own, Kind](bool Answers,
+                                           const std::string &Reason) {
     Hooks.OnEvent(Answers ? event_kind::StoreRecovered : event_kind::StoreLost,
                   Kind + ": " + Reason);
     if (Answers)
       tellPeersSoon();
+    if (Answers && &Own == &Site)
+      Timers.after(duration::zero(), guarded([this] { Routes.reconsider(); }));
   };
   return Feed;
 }
@@ -73,8 +76,12 @@
   }
   State.IsAnswering = Feed.answering();
   State.IsStoreLost = &Feed != &Site && !Site.answering();
-  if (const auto FailedAt = Feed.failedAt())
-    State.SinceFailure = Now - *FailedAt;
+  if (const auto &Failure = Feed.lastFailure()) {
+    State.SinceFailure = Now - Failure->EndedAt;
+    // An answer to another call since then says that the store is back.
+    if (!Site.answeredAt() || *Site.answeredAt() < Failure->EndedAt)
+      State.SinceFailedCall = Now - Failure->BegunAt;
+  }
   return State;
 }
 
--- a/src/directory/object_feed.cpp
+++ b/src/directory/object_feed.cpp
@@ -68,7 +68,8 @@
 void object_feed::listed(const platform_reply &Reply, instant RequestedAt,
                          step Again) {
   if (Reply.Outcome != platform_outcome::Ok)
-    return retry(Reply, ListsOnDemand ? &object_feed::follow : Again);
+    return retry(Reply, RequestedAt,
+                 ListsOnDemand ? &object_feed::follow : Again);
   setAnswering(true, "");
   if (Reply.StoreVersion >= Version) {
     applyList(Reply);
@@ -83,12 +84,20 @@
 void object_feed::follow() {
   if (const auto Wait = Hooks.Wait())
     return Known ? watch(*Wait) : list();
-  Timers.after(IdlePeriod, [this, Alive = Alive] {
-    if (*Alive)
-      follow();
+  IsPaused = true;
+  Timers.after(IdlePeriod, [this, Alive = Alive, Pause = ++LastPause] {
+    if (*Alive && Pause == LastPause)
+      reconsider();
   });
 }
 
+void object_feed::reconsider() {
+  if (!std::exchange(IsPaused, false))
+    return;
+  ++LastPause;
+  follow();
+}
+
 void object_feed::watch(duration Wait) {
   const pending_watch Watch{++LastWatch, Timers.now(), Wait};
   Store.Watch(Version, Wait,
@@ -129,7 +138,7 @@
   if (isFirstClosure(Reply))
     return watch(Watch.Wait);
   if (Reply.Outcome != platform_outcome::Ok)
-    return retry(Reply, &object_feed::follow);
+    return retry(Reply, Watch.RequestedAt, &object_feed::follow);
   setAnswering(true, "");
   if (!applyEvents(Reply, Watch))
     return follow();
@@ -300,14 +309,15 @@
   if (Answers) {
     Failures = 0;
     IsClosed = false;
-  } else {
-    FailedAt = Timers.now();
+    AnsweredAt = Timers.now();
   }
   if (std::exchange(Answering, Answers) != Answers)
     Hooks.OnAvailability(Answers, Reason);
 }
 
-void object_feed::retry(const platform_reply &Reply, step Step) {
+void object_feed::retry(const platform_reply &Reply, instant RequestedAt,
+                        step Step) {
+  LastFailure = {RequestedAt, Timers.now()};
   setAnswering(false, Reply.Reason);
   const duration Most = Known ? Hooks.MaxRetryInterval : MaxStartRetryInterval;
   const duration Wait =
--- a/src/directory/object_feed.h
+++ b/src/directory/object_feed.h
@@ -57,8 +57,17 @@
   std::optional<instant> asOf() const { return AsOf; }
   /// The last call to the store was answered.
   bool answering() const { return Answering; }
-  /// When the last call without an answer ended.
-  std::optional<instant> failedAt() const { return FailedAt; }
+  /// When the last call without an answer began and ended.
+  struct failed_call {
+    instant BegunAt;
+    instant EndedAt;
+  };
+  const std::optional<failed_call> &lastFailure() const { return LastFailure; }
+  /// When the store last answered a call of this feed.
+  std::optional<instant> answeredAt() const { return AnsweredAt; }
+
+  /// Decides at once about the next watch, if that waits for its turn.
+  void reconsider();
   const std::map<std::string, platform_object> &objects() const {
     return Objects;
   }
@@ -117,7 +126,7 @@
   void applyList(const platform_reply &Reply);
   bool applyObject(platform_object Object);
   void advance(std::uint64_t NewVersion, instant Moment);
-  void retry(const platform_reply &Reply, step Step);
+  void retry(const platform_reply &Reply, instant RequestedAt, step Step);
   void setAnswering(bool Answers, const std::string &Reason);
   platform_callback guarded(platform_callback Task);
 
@@ -138,8 +147,13 @@
   /// Lists are only requested while hooks::Wait returns a value.
   bool ListsOnDemand = false;
   bool Answering = true;
-  std::optional<instant> FailedAt;
+  std::optional<failed_call> LastFailure;
+  std::optional<instant> AnsweredAt;
   int Failures = 0;
+  /// Number of the pause in which no watch is pending or due; earlier ones have
+  /// ended.
+  std::uint64_t LastPause = 0;
+  bool IsPaused = false;
   /// The store has closed a watch and answered none since.
   bool IsClosed = false;
   /// Number of the current watch; earlier ones have ended or were replaced.
--- a/src/directory/watch_schedule.cpp
+++ b/src/directory/watch_schedule.cpp
@@ -29,8 +29,11 @@
 /// A balancer that has received few messages from peers yet ranks first of its
 /// zone, for longer than first of all.
 static constexpr duration ZonePeerDiscoveryTime = std::chrono::seconds(2);
-/// How long a balancer that is not the first waits between two attempts while
-/// the store is unavailable: every call is charged for, including refused ones.
+/// The time from one attempt to the next of a balancer that is not the first
+/// while the store is unavailable: every call is charged for, including refused
+/// ones. The store may answer this balancer only, so the interval is part of
+/// the time until a change is known after an outage. It counts from the start
+/// of an attempt, since one that the store does not answer takes as long.
 static constexpr duration BackgroundRetryInterval = std::chrono::seconds(3);
 /// Balancers that rank lower, or are no contacts of their zones, learn the age
 /// of a snapshot from the others.
@@ -62,7 +65,7 @@
 /// The first balancer retries on behalf of all.
 bool leavesRetryToOthers(const watch_state &State) {
   const bool HasTried =
-      State.SinceFailure && *State.SinceFailure < BackgroundRetryInterval;
+      State.SinceFailedCall && *State.SinceFailedCall < BackgroundRetryInterval;
   return State.Rank > 0 && !State.IsAnswering && HasTried;
 }
 
--- a/src/directory/watch_schedule.h
+++ b/src/directory/watch_schedule.h
@@ -54,9 +54,13 @@
   /// The age is known; otherwise the data comes from a snapshot, and DataAge is
   /// the time since the start.
   bool IsDated = true;
-  /// The last call of the kind was answered; time since the last that was not.
+  /// The last call of the kind was answered; time since the end of the last one
+  /// that was not.
   bool IsAnswering = true;
   std::optional<duration> SinceFailure;
+  /// Time since the last call that was not answered began; nothing if the store
+  /// has answered another one since.
+  std::optional<duration> SinceFailedCall;
 
   /// The store did not answer this balancer's last call for marjoramrail's own
   /// objects, which are asked for first after an outage.
--- a/test/directory/watch_schedule_test.cpp
+++ b/test/directory/watch_schedule_test.cpp
@@ -58,16 +58,31 @@
   watch_state State = ranked(7, 5s);
   State.IsAnswering = false;
   State.SinceFailure = 1s;
+  State.SinceFailedCall = 1s;
   CHECK_FALSE(siteWatchWait(State));
 
   State.SinceFailure = 4s;
+  State.SinceFailedCall = 4s;
   CHECK(siteWatchWait(State));
 
   State = ranked(1, 5s);
   State.SinceFailure = 100ms;
+  State.SinceFailedCall = 100ms;
   CHECK(siteWatchWait(State));
 }
 
+TEST_CASE("an answer to another call ends the wait for the first balancer") {
+  // Guards against a balancer that knows that the store is back and still
+  // leaves the next call for the configuration to others.
+  watch_state State = ranked(7, 5s);
+  State.IsAnswering = false;
+  State.SinceFailure = 100ms;
+  CHECK(routesWatchWait(State));
+
+  State.SinceFailedCall = 100ms;
+  CHECK_FALSE(routesWatchWait(State));
+}
+
 TEST_CASE("a balancer that the store refuses checks it now and then") {
   watch_state State = ranked(7);
   State.IsAnswering = false;
@@ -111,6 +126,7 @@
   State.RankInZone = 0;
   State.IsAnswering = false;
   State.SinceFailure = 500ms;
+  State.SinceFailedCall = 500ms;
   CHECK_FALSE(routesWatchWait(State));
 }
 
