Tests: evacuations and targets around closed watches and outages that last longer for some

The cause of the incident looked for in the other kinds of object: evacuations and targets are followed by the same feeds.

--- a/test/directory/evacuations_test.cpp
+++ b/test/directory/evacuations_test.cpp
@@ -182,3 +182,49 @@
 
   CHECK(evacuatedOn("brugge") == 8);
 }
+
+TEST_CASE("evacuations and targets are known after an outage that lasts longer "
+          "for the first balancers") {
+  // The store answers again, but not the balancers that watch it for all.
+  // Guards against others that leave the call to them.
+  for (const unsigned Count : {5U, 35U}) {
+    running_site Site;
+    Site.startAll(Count);
+    Site.Store.Down = true;
+    Site.pass(6s);
+    for (unsigned Number = 1; Number <= 3; ++Number)
+      Site.Balancers.at(Number).Faults->Link.Cut = true;
+    Site.Store.Down = false;
+    Site.evacuate("brugge");
+    Site.addTarget("late");
+    Site.pass(3s);
+
+    CAPTURE(Count);
+    CHECK(Site.evacuatedOn("brugge") == Count);
+    for (unsigned Number = 1; Number <= Count; ++Number)
+      CHECK(Site.at(Number).targets().size() == 1);
+  }
+}
+
+TEST_CASE("evacuations and targets are known after watches were closed") {
+  // No watch tells of the changes, then the store closes all of them. Guards
+  // against balancers that take this for an outage.
+  for (unsigned Phase = 0; Phase < 20; ++Phase) {
+    running_site Site;
+    Site.startAll(5);
+    Site.Balancers.at(1).Faults->Link.Cut = true;
+    Site.pass(4s + Phase * 40ms);
+    Site.Store.WatchesAreSilent = true;
+    Site.evacuate("brugge");
+    Site.addTarget("late");
+    Site.pass(1s);
+    Site.Store.WatchesAreSilent = false;
+    Site.Store.dropHistory();
+    Site.pass(1500ms);
+
+    CAPTURE(Phase);
+    CHECK(Site.evacuatedOn("brugge") == 5);
+    for (unsigned Number = 1; Number <= 5; ++Number)
+      CHECK(Site.at(Number).targets().size() == 1);
+  }
+}
