Logs: lines reach a shared pipe as a whole or not at all

Change: whole lines in writes of up to PIPE_BUF bytes, which a pipe takes as a whole or not at all. Lines longer than that are written as before. Ruled out: a write for each line, which costs a system call a line.

--- a/include/marjoramrail/runtime.h
+++ b/include/marjoramrail/runtime.h
@@ -176,7 +176,8 @@
 
 /// Writes lines to a file descriptor without blocking. With blocking writes, a
 /// reader that stops reading would stop this process. Lines that do not fit
-/// into the buffer are dropped and counted.
+/// into the buffer are dropped and counted. Lines of up to PIPE_BUF bytes are
+/// written to a pipe as a whole, so that processes can share one.
 class line_writer {
 public:
   /// Holds some hundred lines, so that a brief delay of the reader drops none.
