Directory: what the calls of a feed say about the store has a class of its own

object_feed had six members for whether the store answers, since when it does not, how long to wait and whether it has closed a watch.

--- a/src/directory/directory_feeds.cpp
+++ b/src/directory/directory_feeds.cpp
@@ -74,12 +74,13 @@
     State.DataAge = State.RunTime;
     State.IsDated = false;
   }
-  State.IsAnswering = Feed.answering();
-  State.IsStoreLost = &Feed != &Site && !Site.answering();
-  if (const auto &Failure = Feed.lastFailure()) {
+  const store_availability &ForSite = Site.availability();
+  State.IsAnswering = Feed.availability().answering();
+  State.IsStoreLost = &Feed != &Site && !ForSite.answering();
+  if (const auto &Failure = Feed.availability().lastFailure()) {
     State.SinceFailure = Now - Failure->EndedAt;
     // An answer to another call since then says that the store is back.
-    if (!Site.answeredAt() || *Site.answeredAt() < Failure->EndedAt)
+    if (!ForSite.answeredAt() || *ForSite.answeredAt() < Failure->EndedAt)
       State.SinceFailedCall = Now - Failure->BegunAt;
   }
   return State;
--- a/src/directory/directory_lag.cpp
+++ b/src/directory/directory_lag.cpp
@@ -30,7 +30,7 @@
     return "the next call is left to " + toText(*First) +
            (Peers.isServed(*First) ? "" : ", which the store refuses");
   }
-  return Site.answering() && Routes.answering()
+  return Site.availability().answering() && Routes.availability().answering()
              ? "the store has not been asked, or its answer is due"
              : "the store does not answer";
 }
--- a/src/directory/directory_peers.cpp
+++ b/src/directory/directory_peers.cpp
@@ -54,7 +54,7 @@
   Message.Self = Settings.Self;
   Message.Zone = ZoneNumber;
   Message.RequestedAtUs = Timers.now().time_since_epoch().count();
-  Message.IsServed = Site.answering() && !IsLeaving;
+  Message.IsServed = Site.availability().answering() && !IsLeaving;
   Message.Routes = replicationStateOf(Routes);
   Message.Site = replicationStateOf(Site);
   Message.Evacuations = Evacuations.table();
--- a/src/directory/object_feed.cpp
+++ b/src/directory/object_feed.cpp
@@ -5,12 +5,8 @@
 
 namespace marjoramrail::internal {
 
-/// Wait after the first failure; doubled up to hooks::MaxRetryInterval. Short,
-/// because a balancer cannot work after a restart without data from the store,
-/// and one balancer makes few calls a second.
-static constexpr duration InitialRetryInterval = std::chrono::milliseconds(100);
-/// The same maximum until the first list: all balancers of a site may be
-/// starting, and each retries by itself.
+/// Longest wait between a failed call and the next one until the first list:
+/// all balancers of a site may be starting, and each retries by itself.
 static constexpr duration MaxStartRetryInterval =
     std::chrono::milliseconds(800);
 /// After a change the next watch starts with this delay, so that changes in
@@ -70,7 +66,7 @@
   if (Reply.Outcome != platform_outcome::Ok)
     return retry(Reply, RequestedAt,
                  ListsOnDemand ? &object_feed::follow : Again);
-  setAnswering(true, "");
+  noteAnswer("");
   if (Reply.StoreVersion >= Version) {
     applyList(Reply);
     Version = Reply.StoreVersion;
@@ -132,14 +128,18 @@
   // The answer ends this watch, so that it is not replaced any more.
   ++LastWatch;
   if (Reply.Outcome == platform_outcome::HistoryGone) {
-    setAnswering(true, "change history no longer available");
+    noteAnswer("change history no longer available");
     return list();
   }
-  if (isFirstClosure(Reply))
+  // A store that drops its history closes the watches of all balancers at once.
+  // If each took that for an outage, the next call would be left to one of
+  // them, and changes would not be seen until then. So the watch is renewed at
+  // once, and only a failure of that call counts.
+  if (Reply.IsConnectionClosed && Availability.noteClosure())
     return watch(Watch.Wait);
   if (Reply.Outcome != platform_outcome::Ok)
     return retry(Reply, Watch.RequestedAt, &object_feed::follow);
-  setAnswering(true, "");
+  noteAnswer("");
   if (!applyEvents(Reply, Watch))
     return follow();
   Timers.after(UpdateDelay, [this, Alive = Alive] {
@@ -148,14 +148,6 @@
   });
 }
 
-/// A store that drops its history closes the watches of all balancers at once.
-/// If each took that for an outage, the next call would be left to one of them,
-/// and changes would not be seen until then. So the watch is renewed at once,
-/// and only a failure of that call counts.
-bool object_feed::isFirstClosure(const platform_reply &Reply) {
-  return Reply.IsConnectionClosed && !std::exchange(IsClosed, true);
-}
-
 bool object_feed::applyEvents(const platform_reply &Reply,
                               const pending_watch &Watch) {
   if (Reply.Outcome != platform_outcome::Ok)
@@ -305,24 +297,17 @@
     Hooks.OnBatch();
 }
 
-void object_feed::setAnswering(bool Answers, const std::string &Reason) {
-  if (Answers) {
-    Failures = 0;
-    IsClosed = false;
-    AnsweredAt = Timers.now();
-  }
-  if (std::exchange(Answering, Answers) != Answers)
-    Hooks.OnAvailability(Answers, Reason);
+void object_feed::noteAnswer(const std::string &Reason) {
+  if (Availability.noteAnswer(Timers.now()))
+    Hooks.OnAvailability(true, Reason);
 }
 
 void object_feed::retry(const platform_reply &Reply, instant RequestedAt,
                         step Step) {
-  LastFailure = {RequestedAt, Timers.now()};
-  setAnswering(false, Reply.Reason);
+  if (Availability.noteFailure(RequestedAt, Timers.now()))
+    Hooks.OnAvailability(false, Reply.Reason);
   const duration Most = Known ? Hooks.MaxRetryInterval : MaxStartRetryInterval;
-  const duration Wait =
-      std::min(InitialRetryInterval * (1 << std::min(Failures++, 3)), Most);
-  Timers.after(Wait, [this, Alive = Alive, Step] {
+  Timers.after(Availability.retryWait(Most), [this, Alive = Alive, Step] {
     if (*Alive)
       (this->*Step)();
   });
--- a/src/directory/object_feed.h
+++ b/src/directory/object_feed.h
@@ -11,6 +11,7 @@
 #ifndef MARJORAMRAIL_DIRECTORY_OBJECT_FEED_H
 #define MARJORAMRAIL_DIRECTORY_OBJECT_FEED_H
 
+#include "directory/store_availability.h"
 #include "marjoramrail/platform.h"
 
 #include <algorithm>
@@ -55,16 +56,8 @@
   std::uint64_t version() const { return Version; }
   /// Every change accepted before this moment is known.
   std::optional<instant> asOf() const { return AsOf; }
-  /// The last call to the store was answered.
-  bool answering() const { return Answering; }
-  /// When the last call without an answer began and ended.
-  struct failed_call {
-    instant BegunAt;
-    instant EndedAt;
-  };
-  const std::optional<failed_call> &lastFailure() const { return LastFailure; }
-  /// When the store last answered a call of this feed.
-  std::optional<instant> answeredAt() const { return AnsweredAt; }
+  /// What the calls of this feed say about the store.
+  const store_availability &availability() const { return Availability; }
 
   /// Decides at once about the next watch, if that waits for its turn.
   void reconsider();
@@ -117,9 +110,6 @@
 
   void watch(duration Wait);
   void watched(const platform_reply &Reply, const pending_watch &Watch);
-  /// Whether \p Reply is that of a watch which the store has closed, and the
-  /// store has answered since it last closed one.
-  bool isFirstClosure(const platform_reply &Reply);
   void reconsiderLater(const pending_watch &Watch);
   /// Applies the changes that a watch has returned; true if there were any.
   bool applyEvents(const platform_reply &Reply, const pending_watch &Watch);
@@ -127,7 +117,7 @@
   bool applyObject(platform_object Object);
   void advance(std::uint64_t NewVersion, instant Moment);
   void retry(const platform_reply &Reply, instant RequestedAt, step Step);
-  void setAnswering(bool Answers, const std::string &Reason);
+  void noteAnswer(const std::string &Reason);
   platform_callback guarded(platform_callback Task);
 
   timer_service &Timers;
@@ -146,16 +136,11 @@
   bool Known = false;
   /// Lists are only requested while hooks::Wait returns a value.
   bool ListsOnDemand = false;
-  bool Answering = true;
-  std::optional<failed_call> LastFailure;
-  std::optional<instant> AnsweredAt;
-  int Failures = 0;
+  store_availability Availability;
   /// Number of the pause in which no watch is pending or due; earlier ones have
   /// ended.
   std::uint64_t LastPause = 0;
   bool IsPaused = false;
-  /// The store has closed a watch and answered none since.
-  bool IsClosed = false;
   /// Number of the current watch; earlier ones have ended or were replaced.
   std::uint64_t LastWatch = 0;
   std::uint64_t Version = 0;
--- a/src/directory/routes_lag.h
+++ b/src/directory/routes_lag.h
@@ -46,8 +46,8 @@
   instant Since;
 };
 
-/// How long a step may take before the configuration counts as late: all steps
-/// take less together while one source of data fails.
+/// A configuration whose current step takes longer than this is late: all steps
+/// together take less while one source of data fails.
 inline constexpr duration MaxStepTime = std::chrono::milliseconds(2500);
 
 class routes_lag {
--- a/src/directory/watch_schedule.cpp
+++ b/src/directory/watch_schedule.cpp
@@ -33,7 +33,7 @@
 /// while the store is unavailable: every call is charged for, including refused
 /// ones. The store may answer this balancer only, so the interval is part of
 /// the time until a change is known after an outage. It counts from the start
-/// of an attempt, since one that the store does not answer takes as long.
+/// of an attempt: one that gets no answer ends by a time-out nearly as long.
 static constexpr duration BackgroundRetryInterval = std::chrono::seconds(2);
 /// Balancers that rank lower, or are no contacts of their zones, learn the age
 /// of a snapshot from the others.
--- a/src/directory/watch_schedule.h
+++ b/src/directory/watch_schedule.h
@@ -69,8 +69,8 @@
   bool isFresh() const { return DataAge && *DataAge <= PeerStateMaxAge; }
 };
 
-/// The data is old and the store did not answer this balancer's last call, but
-/// the next one is left to another balancer for now.
+/// The store did not answer this balancer's last call, and the next one is left
+/// to another balancer for now.
 bool leavesRetryToOthers(const watch_state &State);
 /// How long the next watch of marjoramrail's own objects may wait; nothing if
 /// no watch is needed now.
--- a/test/directory/object_feed_test.cpp
+++ b/test/directory/object_feed_test.cpp
@@ -309,5 +309,5 @@
   Store.Down = true;
   pass(100ms);
 
-  CHECK_FALSE(Feed.answering());
+  CHECK_FALSE(Feed.availability().answering());
 }
