--- a/test/directory_fleet/large_fleet_test.cpp
+++ b/test/directory_fleet/large_fleet_test.cpp
@@ -271,3 +271,18 @@
     CHECK(Time < 3500ms);
   }
 }
+
+TEST_CASE_FIXTURE(large_fleet, "closed watches cost calls of the contacts") {
+  // The store drops its history and closes all watches. Guards against
+  // balancers that each list all objects because of that.
+  startSite();
+  resetCounts();
+  Store.dropHistory();
+  configure(2, {"archive"});
+  pass(2s);
+
+  CHECK(inForce(2) == Count);
+  const int Contacts = Zones * 2;
+  CHECK(callsOf("list") <= 2 * Contacts);
+  CHECK(callsOf("watch") <= 4 * Contacts);
+}
