--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -103,8 +103,8 @@
   RoutesKnown,
   RoutesActivated,
   RoutesRefused,
-  /// The newest configuration is held up, or has not been confirmed for long;
-  /// and no longer.
+  /// The newest configuration is held up or has not been confirmed for long; it
+  /// is current again.
   RoutesLate,
   RoutesCurrent,
   ObjectRefused,
