--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 # Figures of vvc-rail-now-grown.
 DRAIN_SECONDS, CONTACT_SECONDS = 5.0, 5.0
 STEP_SECONDS = 2.4
-ROUTE = ("198.18.0.1", 8080)
+ROUTE = ("127.198.0.1", 8080)
 Host.WORK_SECONDS = 0.029
 
 
