Agent: a refused report's log line says what was compared

A report that an agent answers and does not use was logged as "late", with its id alone.

The line now holds id, start time and sequence of both the report and the present run, and reports of other runs have a counter of their own, marjoramrail_target_reports_other_run_total, beside that of older reports of the same run.

No behaviour changes.

--- a/daemons/forwarder/agent_target.cpp
+++ b/daemons/forwarder/agent_target.cpp
@@ -18,6 +18,12 @@
 /// On the same VM a connection is established or refused within this time.
 constexpr duration ProbeTimeout = std::chrono::milliseconds(300);
 
+/// What identifies a report and its run, for the log.
+std::string describe(const target_report &Report) {
+  return Report.Id + " born " + std::to_string(Report.Born) + " sequence " +
+         std::to_string(Report.Sequence);
+}
+
 } // namespace
 
 std::optional<page_answer>
@@ -50,8 +56,14 @@
     return {409, "{}"};
   }
   if (Verdict == report_verdict::Stale) {
-    ++Late;
-    Log.record(event_kind::ReportRefused, "late", Report.Id);
+    const bool IsSameRun =
+        Report.Id == Reports.last().Id && Report.Born == Reports.last().Born;
+    ++(IsSameRun ? Late : FromOtherRuns);
+    Log.record(event_kind::ReportRefused,
+               std::string(IsSameRun ? "late: " : "another run: ") +
+                   describe(Report) +
+                   "; present run: " + describe(Reports.last()),
+               Report.Id);
     return {200, "{}"};
   }
   if (Report.Draining != WasDraining || Report.Sequence <= 1)
--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -39,7 +39,9 @@
       Flows(makeReporter()), CallsPage(Loop, Metrics, callsPage()),
       ReadyPage(Loop, Metrics, readyPage()), MetricsPage(Loop, Metrics, {}),
       Malformed(Metrics.counter("marjoramrail_target_reports_malformed_total")),
-      Late(Metrics.counter("marjoramrail_target_reports_late_total")) {
+      Late(Metrics.counter("marjoramrail_target_reports_late_total")),
+      FromOtherRuns(
+          Metrics.counter("marjoramrail_target_reports_other_run_total")) {
   Core.setIdleFlow(Settings.FlowLife);
   showMetrics();
 }
--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -99,7 +99,10 @@
   bool Withdrawn = false;
   instant StopBy;
   std::uint64_t &Malformed;
+  /// Reports older than one that was accepted from the same run.
   std::uint64_t &Late;
+  /// Reports of runs that are not taken for the present one.
+  std::uint64_t &FromOtherRuns;
 };
 
 } // namespace marjoramrail::daemons
