Agent: runs of a target are told apart by who goes on reporting

Cause: target_reports ordered two runs of a target by the time of day of their starts (isLate). After a step of the clock the running host is taken for an earlier run for its whole life. The agent answered each report with 200 and ignored it: draining, slots, warm-up, and its Deregister too.

Change: no field orders two runs. The start times may be out of order, the sequences start anew, the id may be the same. What a run that is over cannot do is to go on reporting while no other does. So another run replaces the present one - at once if it started later by the clock and the present one has left, has stopped (its port refuses connections) or has missed a report; - else once it has reported twice, half an interval apart or more, and no other run has for 1.5 intervals. That covers a clock that went back, one that was ahead and is right again, the same id, and the same id and start time. A run that was replaced in error comes back in the same way. After a restart of the agent a single "ready" does not outweigh an entry in the store that says draining, also if the report comes before the store's answer. A report or Deregister that has no effect is answered with 503, so that the host does not rely on it; a repeated one that says nothing new still gets 200.

--- a/daemons/forwarder/agent_target.cpp
+++ b/daemons/forwarder/agent_target.cpp
@@ -20,6 +20,8 @@
 
 /// What identifies a report and its run, for the log.
 std::string describe(const target_report &Report) {
+  if (Report.Id.empty())
+    return "none has reported";
   return Report.Id + " born " + std::to_string(Report.Born) + " sequence " +
          std::to_string(Report.Sequence);
 }
@@ -48,27 +50,11 @@
 /// holds when the answer is sent, because only this agent admits flows.
 page_answer forward_agent_process::onReport(const target_report &Report) {
   const instant Now = Loop.timers().now();
-  const bool WasDraining = Reports.last().Draining;
+  const target_report Previous = Reports.last();
   const report_verdict Verdict = Reports.take(Report, Now);
-  if (Verdict == report_verdict::WrongService) {
-    Log.record(event_kind::ReportRefused, "wrong service " + Report.Service,
-               Report.Id);
-    return {409, "{}"};
-  }
-  if (Verdict == report_verdict::Stale) {
-    const bool IsSameRun =
-        Report.Id == Reports.last().Id && Report.Born == Reports.last().Born;
-    ++(IsSameRun ? Late : FromOtherRuns);
-    Log.record(event_kind::ReportRefused,
-               std::string(IsSameRun ? "late: " : "another run: ") +
-                   describe(Report) +
-                   "; present run: " + describe(Reports.last()),
-               Report.Id);
-    return {200, "{}"};
-  }
-  if (Report.Draining != WasDraining || Report.Sequence <= 1)
-    Log.record(event_kind::ReportTaken, Report.Draining ? "draining" : "ready",
-               Report.Id);
+  if (Verdict != report_verdict::Accepted)
+    return refuseReport(Report, Verdict);
+  recordAccepted(Report, Previous);
   if (Core.targetStopped())
     onTargetRecovered("the target sent a report");
   if (Flows)
@@ -80,15 +66,57 @@
   return {200, "{}"};
 }
 
+/// A report that has no effect is not acknowledged: the target would rely on
+/// it, for example on getting no new flows while it is draining. A report that
+/// says no more than a later one of the same run is.
+page_answer forward_agent_process::refuseReport(const target_report &Report,
+                                                report_verdict Verdict) {
+  const target_report &Last = Reports.last();
+  std::string Why(nameOf(ReportVerdictNames, Verdict));
+  if (Verdict == report_verdict::WrongService)
+    Why += " " + Report.Service;
+  else
+    Why += ": " + describe(Report) + "; present run: " + describe(Last);
+  Log.record(event_kind::ReportRefused, Why, Report.Id);
+  if (Verdict == report_verdict::WrongService)
+    return {409, "{}"};
+  ++(Verdict == report_verdict::Stale ? Late : FromOtherRuns);
+  const bool IsKnown =
+      Verdict == report_verdict::Stale && (Last.Draining || !Report.Draining);
+  if (IsKnown)
+    return {200, "{}"};
+  return {503, "{}"};
+}
+
+void forward_agent_process::recordAccepted(const target_report &Report,
+                                           const target_report &Previous) {
+  const bool IsNewRun = Report.Id != Previous.Id ||
+                        Report.Born != Previous.Born ||
+                        Report.Sequence <= Previous.Sequence;
+  if (!IsNewRun && Report.Draining == Previous.Draining)
+    return;
+  std::string Why = Report.Draining ? "draining" : "ready";
+  if (IsNewRun) {
+    ++Runs;
+    Why += ": " + describe(Report);
+  }
+  if (IsNewRun && !Previous.Id.empty()) {
+    RunsWithEarlierStart += Report.Born <= Previous.Born ? 1 : 0;
+    Why += "; replaces " + describe(Previous);
+  }
+  Log.record(event_kind::ReportTaken, Why, Report.Id);
+}
+
 page_answer forward_agent_process::onLeave(const std::string &Id) {
   const report_verdict Verdict = Reports.leave(Id, Loop.timers().now());
-  Log.record(Verdict == report_verdict::Accepted ? event_kind::ReportTaken
-                                                 : event_kind::ReportRefused,
-             "leaves", Id);
-  if (Verdict == report_verdict::Accepted) {
-    updateAdmission("the target left");
-    withdrawWhenStopped();
+  if (Verdict != report_verdict::Accepted) {
+    Log.record(event_kind::ReportRefused,
+               "leaves; present run: " + describe(Reports.last()), Id);
+    return {503, "{}"};
   }
+  Log.record(event_kind::ReportTaken, "leaves", Id);
+  updateAdmission("the target left");
+  withdrawWhenStopped();
   return {200, "{}"};
 }
 
@@ -174,6 +202,7 @@
     return;
   Log.record(event_kind::TargetGone, Reason, toText(Settings.Target));
   Core.setTargetStopped(true, Loop.timers().now());
+  Reports.onTargetStopped();
   Core.reportNow(Loop.timers().now());
   Routed.flush();
 }
--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -33,7 +33,8 @@
             .DisabledMechanisms = Settings.DisabledMechanisms,
             .Warmup = Settings.Warmup},
            Adapter.Codec, coreHooks()),
-      Reports(Settings.Service),
+      Reports(Settings.Service, Settings.TargetReportPeriod,
+              Loop.timers().now()),
       Registrar(Loop.timers(), Store.api(), directory_settings().SiteKind,
                 registrarHooks()),
       Flows(makeReporter()), CallsPage(Loop, Metrics, callsPage()),
@@ -41,7 +42,10 @@
       Malformed(Metrics.counter("marjoramrail_target_reports_malformed_total")),
       Late(Metrics.counter("marjoramrail_target_reports_late_total")),
       FromOtherRuns(
-          Metrics.counter("marjoramrail_target_reports_other_run_total")) {
+          Metrics.counter("marjoramrail_target_reports_other_run_total")),
+      Runs(Metrics.counter("marjoramrail_target_runs_total")),
+      RunsWithEarlierStart(
+          Metrics.counter("marjoramrail_target_runs_earlier_start_total")) {
   Core.setIdleFlow(Settings.FlowLife);
   showMetrics();
 }
--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -44,6 +44,9 @@
   std::optional<page_answer> onTargetCall(const page_request &Request);
   page_answer onReport(const target_report &Report);
   page_answer onLeave(const std::string &Id);
+  page_answer refuseReport(const target_report &Report, report_verdict Verdict);
+  void recordAccepted(const target_report &Report,
+                      const target_report &Previous);
   void onTargetRecovered(const char *Why);
   void registerTarget();
   void withdraw();
@@ -103,6 +106,10 @@
   std::uint64_t &Late;
   /// Reports of runs that are not taken for the present one.
   std::uint64_t &FromOtherRuns;
+  /// Runs that became the present one, and those of them whose start time is
+  /// not later than that of the run before: a clock was stepped.
+  std::uint64_t &Runs;
+  std::uint64_t &RunsWithEarlierStart;
 };
 
 } // namespace marjoramrail::daemons
--- a/daemons/forwarder/forwarder_settings.cpp
+++ b/daemons/forwarder/forwarder_settings.cpp
@@ -93,6 +93,8 @@
   for (const endpoint &Seed : Reader.addresses("seeds", /*Required=*/false))
     Settings.Balancers.push_back({Seed.Address, PeersPort});
   Settings.KeepFlows = Reader.flag("keep_flows", false);
+  Settings.TargetReportPeriod = std::chrono::milliseconds(Reader.number(
+      "target_report_ms", /*Default=*/2000, 1, MostSeconds * 1000));
   Settings.Warmup = readWarmup(Reader);
   Settings.DisabledMechanisms = readDisabledMechanisms(Reader);
   if (auto Finished = Reader.finish(); !Finished)
--- a/daemons/forwarder/forwarder_settings.h
+++ b/daemons/forwarder/forwarder_settings.h
@@ -67,6 +67,8 @@
   /// Checkpoints open flows in the store, so that they can be reset after the
   /// VM has lost power.
   bool KeepFlows = false;
+  /// The interval at which the target reports.
+  duration TargetReportPeriod;
   /// By how much a target that is warming up may exceed its rate of new flows;
   /// nothing if the site states no limit.
   std::optional<warmup_limit::settings> Warmup;
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -203,32 +203,57 @@
 
 enum class report_verdict {
   Accepted,
-  /// From an earlier run, or older than a report already accepted from the same
-  /// run.
+  /// Older than a report already accepted from the same run.
   Stale,
+  /// From a run that is not known to be the present one.
+  OtherRun,
   /// The report names a service other than the agent's.
   WrongService,
 };
 
-inline constexpr name_table<report_verdict, 3> ReportVerdictNames = {{
+inline constexpr name_table<report_verdict, 4> ReportVerdictNames = {{
     {report_verdict::Accepted, "taken"},
     {report_verdict::Stale, "late"},
+    {report_verdict::OtherRun, "other_run"},
     {report_verdict::WrongService, "wrong_service"},
 }};
 
-/// The latest accepted report of an agent's own target. A report that was
-/// delayed by a network partition can arrive after the next run has registered.
-/// If it were accepted, it would stop new flows to a healthy target or start
-/// them to one that has left.
+/// The latest accepted report of an agent's own target, and with it the run of
+/// the target's process that is the present one.
+///
+/// A report that was delayed by a network partition can arrive after the next
+/// run has registered. If it were accepted, it would stop new flows to a
+/// healthy target or start them to one that has left. If, on the other hand,
+/// the reports of the present run were taken for delayed ones, the target's
+/// draining, slots and warm-up would be unknown for its whole life.
+///
+/// No field of a report tells which of two runs is the later one: the time of
+/// day may have been stepped between their starts, sequence numbers start anew,
+/// and the id may be the same. So runs are told apart by what a run that is
+/// over cannot do, which is to go on reporting while no other run does:
+///
+/// - A report of the present run is accepted.
+/// - A run that started later by the clock replaces the present one at once if
+///   that one has left, has stopped, or has missed a report.
+/// - Any other run replaces it once it has reported again while no other run
+///   did for longer than the interval of reports. A run that was replaced in
+///   error comes back in the same way.
 class target_reports {
 public:
-  explicit target_reports(std::string Service) : Service(std::move(Service)) {}
+  /// \p ReportPeriod: the interval at which a target reports. \p Now: when the
+  /// agent began to receive reports.
+  target_reports(std::string Service, duration ReportPeriod, instant Now)
+      : Service(std::move(Service)), ReportPeriod(ReportPeriod),
+        StartedAt(Now) {}
 
   report_verdict take(const target_report &Report, instant Now);
   /// Handles the target's message that the run \p Id has ended.
   report_verdict leave(const std::string &Id, instant Now);
+  /// The process of the target has stopped, so that the present run is over.
+  void onTargetStopped() { IsOver = true; }
   /// Sets the state from the target's entry in the store, used until the target
-  /// sends its first report.
+  /// sends its first report. If the entry says that the target is draining, a
+  /// single report does not outweigh it, since that may be a delayed one.
   void restore(bool Draining, std::uint32_t Slots, instant Now);
 
   /// Whether the target accepts new flows according to its last report.
@@ -237,19 +262,59 @@
   }
   bool hasReport() const { return HasReport; }
   bool hasLeft() const { return HasLeft; }
+  /// The present run has reported again while no other run did. Until then the
+  /// run may be an earlier one whose delayed report was the first to arrive.
+  bool isRunConfirmed() const { return IsConfirmed; }
   const target_report &last() const { return Last; }
   /// The remaining warm-up time at \p Now.
   duration warmupLeft(instant Now) const;
 
 private:
-  bool isLate(const target_report &Report) const;
+  /// A run whose reports have arrived.
+  struct run {
+    std::string Id;
+    std::int64_t Born = 0;
+    /// Of its latest report.
+    std::uint64_t Sequence = 0;
+    /// The first report after the latest one of any other run.
+    instant FirstAt;
+    instant LastAt;
+
+    bool isContinuedBy(const target_report &Report) const {
+      return isSameRun(Report) && Report.Sequence > Sequence;
+    }
+    bool isSameRun(const target_report &Report) const {
+      return Report.Id == Id && Report.Born == Born;
+    }
+  };
+
+  static run runOf(const target_report &Report, instant Now);
+  run &noteOther(const target_report &Report, instant Now);
+  void noteReport(run &Run, const target_report &Report, instant Now) const;
+  instant othersHeardAt(const run &Run) const;
+  bool isAlone(const run &Run, instant Now) const;
+  bool isFollowedBy(const target_report &Report, instant Now) const;
+  bool replacesPresent(const run &Run, const target_report &Report,
+                       instant Now) const;
+  void makePresent(const run &Run, instant Now);
+  void accept(const target_report &Report, instant Now);
 
   std::string Service;
+  duration ReportPeriod;
+  instant StartedAt;
+  /// The accepted state: the last report of the present run, or what the entry
+  /// in the store says.
   target_report Last;
   instant LastAt;
   bool HasReport = false;
   bool HasLeft = false;
-  bool OnlyRestored = false;
+  /// Nothing until a report has been accepted.
+  std::optional<run> Present;
+  /// The present run has left or stopped.
+  bool IsOver = false;
+  bool IsConfirmed = false;
+  /// Other runs that have reported, at most MaxOthers.
+  std::vector<run> Others;
 };
 
 /// Keeps an agent's entry in the store up to date. Every write is conditional
--- a/src/directory/target_reports.cpp
+++ b/src/directory/target_reports.cpp
@@ -1,46 +1,142 @@
 #include "marjoramrail/directory.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace marjoramrail {
 
-/// Reports of the same run are ordered by sequence number, those of different
-/// runs by the start time of the run.
-bool target_reports::isLate(const target_report &Report) const {
-  if (!HasReport || OnlyRestored)
-    return false;
-  if (Report.Id == Last.Id && Report.Born == Last.Born)
-    return Report.Sequence <= Last.Sequence;
-  return Report.Born < Last.Born;
+/// Bounds the memory used for runs that are over.
+static constexpr std::size_t MaxOthers = 8;
+
+target_reports::run target_reports::runOf(const target_report &Report,
+                                          instant Now) {
+  return {Report.Id, Report.Born, Report.Sequence, Now, Now};
 }
 
-report_verdict target_reports::take(const target_report &Report, instant Now) {
-  if (Report.Service != Service)
-    return report_verdict::WrongService;
-  if (isLate(Report))
-    return report_verdict::Stale;
+/// When a run other than \p Run last reported; the present one does not count
+/// if it is over.
+instant target_reports::othersHeardAt(const run &Run) const {
+  instant HeardAt = StartedAt;
+  if (Present && &*Present != &Run && !IsOver)
+    HeardAt = std::max(HeardAt, Present->LastAt);
+  for (const run &Other : Others)
+    if (&Other != &Run)
+      HeardAt = std::max(HeardAt, Other.LastAt);
+  return HeardAt;
+}
+
+void target_reports::noteReport(run &Run, const target_report &Report,
+                                instant Now) const {
+  if (othersHeardAt(Run) >= Run.FirstAt)
+    Run.FirstAt = Now;
+  Run.Sequence = Report.Sequence;
+  Run.LastAt = Now;
+}
+
+/// \p Run has reported more than once, at an interval at which a run that goes
+/// on would have reported in between, and no other run has for longer than the
+/// interval of reports. Several delayed reports may arrive at the same moment.
+bool target_reports::isAlone(const run &Run, instant Now) const {
+  return Now - Run.FirstAt >= ReportPeriod / 2 &&
+         Now - othersHeardAt(Run) >= ReportPeriod * 3 / 2;
+}
+
+/// Notes a report of a run that is not the present one. A run with the id and
+/// the start time of the present one whose sequence numbers are lower is
+/// another run as well: the clock may have been stepped back by the time
+/// between the two starts.
+target_reports::run &target_reports::noteOther(const target_report &Report,
+                                               instant Now) {
+  const auto Known =
+      std::find_if(Others.begin(), Others.end(),
+                   [&](const run &Run) { return Run.isSameRun(Report); });
+  if (Known != Others.end()) {
+    if (Known->isContinuedBy(Report))
+      noteReport(*Known, Report, Now);
+    return *Known;
+  }
+  if (Others.size() >= MaxOthers)
+    Others.erase(std::min_element(
+        Others.begin(), Others.end(),
+        [](const run &A, const run &B) { return A.LastAt < B.LastAt; }));
+  return Others.emplace_back(runOf(Report, Now));
+}
+
+/// Whether \p Report, the first that is used of its run, can be accepted on its
+/// own. Before any report, only a target that is draining or has left needs
+/// more: a delayed report that says "ready" would start new flows to it.
+bool target_reports::isFollowedBy(const target_report &Report,
+                                  instant Now) const {
+  if (!Present)
+    return !HasReport || acceptsNewFlows() || Report.Draining;
+  const bool IsSilent = IsOver || Now - Present->LastAt >= ReportPeriod * 3 / 2;
+  return IsSilent && Report.Born > Present->Born;
+}
+
+bool target_reports::replacesPresent(const run &Run,
+                                     const target_report &Report,
+                                     instant Now) const {
+  return Report.Sequence == Run.Sequence &&
+         (isAlone(Run, Now) || isFollowedBy(Report, Now));
+}
+
+/// The previous run is kept: should it go on to report, it is the present one
+/// after all.
+void target_reports::makePresent(const run &Run, instant Now) {
+  IsConfirmed = isAlone(Run, Now);
+  const std::optional<run> Previous =
+      std::exchange(Present, std::optional<run>(Run));
+  Others.erase(Others.begin() + (&Run - Others.data()));
+  if (Previous && !IsOver)
+    Others.push_back(*Previous);
+}
+
+void target_reports::accept(const target_report &Report, instant Now) {
   Last = Report;
   LastAt = Now;
   HasReport = true;
   HasLeft = false;
-  OnlyRestored = false;
+  IsOver = false;
+}
+
+report_verdict target_reports::take(const target_report &Report, instant Now) {
+  if (Report.Service != Service)
+    return report_verdict::WrongService;
+  if (Present && Present->isContinuedBy(Report)) {
+    noteReport(*Present, Report, Now);
+    IsConfirmed |= isAlone(*Present, Now);
+    accept(Report, Now);
+    return report_verdict::Accepted;
+  }
+  const bool IsSameRun = Present && Present->isSameRun(Report);
+  const run &Run = noteOther(Report, Now);
+  if (!replacesPresent(Run, Report, Now))
+    return IsSameRun ? report_verdict::Stale : report_verdict::OtherRun;
+  makePresent(Run, Now);
+  accept(Report, Now);
   return report_verdict::Accepted;
 }
 
 report_verdict target_reports::leave(const std::string &Id, instant Now) {
-  if (HasReport && !OnlyRestored && Id != Last.Id)
-    return report_verdict::Stale;
+  if (Present && Id != Present->Id)
+    return report_verdict::OtherRun;
   HasLeft = true;
   HasReport = true;
+  IsOver = true;
   LastAt = Now;
   return report_verdict::Accepted;
 }
 
 void target_reports::restore(bool Draining, std::uint32_t Slots, instant Now) {
-  if (HasReport)
+  const bool AgreesWithReport = Last.Draining || !Draining;
+  if (HasLeft || IsConfirmed || (HasReport && AgreesWithReport))
     return;
+  if (Present)
+    Others.push_back(*Present);
+  Present.reset();
   Last.Draining = Draining;
   Last.Slots = Slots;
   HasReport = true;
-  OnlyRestored = true;
   LastAt = Now;
 }
 
--- a/test/daemons/target_admission_test.cpp
+++ b/test/daemons/target_admission_test.cpp
@@ -10,7 +10,7 @@
 
 struct admission_fixture {
   instant Start{10s};
-  target_reports Reports{"ledger"};
+  target_reports Reports{"ledger", 1200ms, Start};
   target_admission Admission;
 
   admission_fixture() { report(/*Draining=*/false); }
