Agent: which flows a restart has lost no longer rests on start times

What callers would see: after a loss of power the agent sends resets for the flows that the checkpoint names, so that callers open new ones before their next request. It did so only if the target's present run had a later start time than the saved one. With the clock stepped back in between, callers get no resets and requests that may run only once fail on lost flows.

Change: onRun() is told whether the run is known to be the present one (target_reports::isRunConfirmed(): it has reported again while no other run did). Flows of another saved run are reset then, not before, whatever the start times; and until then no report of the agent may overwrite the saved run's flows in the checkpoint. Cost: after a loss of power the resets wait for one more report of the target.

Tests: both of them fail on the code before (the first: no resets; the second: two flows reset). "A late report of an earlier run resets no flow" now passes an unconfirmed run, as the agent does; it checks as much.

--- a/daemons/forwarder/agent_target.cpp
+++ b/daemons/forwarder/agent_target.cpp
@@ -58,7 +58,7 @@
   if (Core.targetStopped())
     onTargetRecovered("the target sent a report");
   if (Flows)
-    Flows->onRun({Report.Id, Report.Born});
+    Flows->onRun({Report.Id, Report.Born}, Reports.isRunConfirmed());
   Core.setTarget(Report.Slots, Report.WarmupLeft, Now);
   TargetPackets.flush();
   updateAdmission("the target reported");
--- a/include/marjoramrail/flowstore.h
+++ b/include/marjoramrail/flowstore.h
@@ -12,7 +12,7 @@
 ///   flow_reporter Reporter(Timers, Store, {"target.web-1", "brugge"},
 ///                          {.OpenFlows = ..., .OnLost = ...});
 ///   Reporter.start(/*HasPrevious=*/true);
-///   Reporter.onRun({"run-2", Born});          // each time the target reports
+///   Reporter.onRun({"run-2", Born}, true);    // each time the target reports
 ///   Reporter.input(From, Datagram);           // a request of a collector
 ///
 ///   flow_collector Collector(Timers, Store, checkpointKey("brugge"),
@@ -144,8 +144,8 @@
     /// Returns the flows that were open at \p Moment and still are, the oldest
     /// first.
     std::function<std::vector<open_flow>(instant Moment)> OpenFlows;
-    /// Called with the flows of the previous run once a later run of the target
-    /// has begun; these flows are lost.
+    /// Called with the flows of the previous run once another run of the target
+    /// is known to be the present one; these flows are lost.
     std::function<void(const std::vector<open_flow> &)> OnLost;
     /// Sends a datagram to a collector.
     std::function<void(const endpoint &To, std::span<const std::uint8_t>)> Send;
@@ -169,8 +169,12 @@
   /// if only the agent was restarted; otherwise the latest one is read as soon
   /// as the target has reported another run.
   void start(bool HasPrevious);
-  /// The target has reported that it runs as \p Run.
-  void onRun(const target_run &Run);
+  /// The target has reported that it runs as \p Run. \p IsConfirmed: this is
+  /// known to be its present run, not one that is over and whose delayed report
+  /// arrives first after a restart of the agent. Until then the target may
+  /// still hold the flows of the run that was saved: they get no reset and
+  /// remain in the checkpoint.
+  void onRun(const target_run &Run, bool IsConfirmed);
   /// The target has deregistered: no flows are reported until another run
   /// begins.
   void leave();
--- a/src/flowstore/flow_reporter.cpp
+++ b/src/flowstore/flow_reporter.cpp
@@ -35,6 +35,7 @@
   void completeReading();
   void reportLostFlows();
   std::vector<open_flow> current() const;
+  bool mayReport() const;
   void refresh();
   bool isReported(const std::vector<open_flow> &Flows) const;
   void sendReport(const endpoint &To);
@@ -54,6 +55,8 @@
   /// The flows whose callers have been sent resets.
   std::set<flow_key> Lost;
   std::optional<target_run> Run;
+  /// Run is known to be the target's present one.
+  bool IsConfirmed = false;
   /// When the target last reported that this run goes on. A flow that was
   /// opened later may belong to the next run already.
   instant ConfirmedAt;
@@ -126,10 +129,11 @@
     Hooks.OnError(toText(*Failure));
 }
 
-/// Only a run that began later proves that the previous one is over. A delayed
-/// report names an earlier run; the present target may still hold the flows.
+/// A delayed report names an earlier run, and the present one may still hold
+/// the flows. Start times do not tell which run is the later one, since the
+/// clock may have been stepped between them.
 void flow_reporter::impl::reportLostFlows() {
-  if (!Previous || !Run || Run->Born <= Previous->Run.Born)
+  if (!Previous || !Run || !IsConfirmed || *Run == Previous->Run)
     return;
   const flow_checkpoint Ended = *std::exchange(Previous, std::nullopt);
   std::vector<open_flow> New;
@@ -140,6 +144,12 @@
     Hooks.OnLost(New);
 }
 
+/// The flows of a run that may be over would overwrite those of the present one
+/// in the checkpoint.
+bool flow_reporter::impl::mayReport() const {
+  return IsReady && Run && (IsConfirmed || !Previous || Previous->Run == *Run);
+}
+
 /// Flows that have ended do no harm in the checkpoint. They stay there until
 /// something else has to be reported.
 bool flow_reporter::impl::isReported(
@@ -223,8 +233,9 @@
     Impl->IsReady = true;
 }
 
-void flow_reporter::onRun(const target_run &Run) {
+void flow_reporter::onRun(const target_run &Run, bool IsConfirmed) {
   Impl->Run = Run;
+  Impl->IsConfirmed = IsConfirmed;
   Impl->ConfirmedAt = Impl->Timers.now();
   Impl->HasLeft = false;
   Impl->reportLostFlows();
@@ -238,7 +249,7 @@
   const auto Request = decodeFlowReportRequest(Bytes);
   if (!Request)
     return false;
-  if (!Impl->IsReady || !Impl->Run)
+  if (!Impl->mayReport())
     return true;
   Impl->refresh();
   if (Request->Sequence != Impl->Sequence)
--- a/test/flowstore/flow_checkpoint_test.cpp
+++ b/test/flowstore/flow_checkpoint_test.cpp
@@ -42,7 +42,7 @@
   reporter_process &Agent = startAgent(Web);
   advanceTime(100ms);
   CHECK(Agent.Lost.empty());
-  Agent.Reporter.onRun(SecondRun);
+  Agent.Reporter.onRun(SecondRun, /*IsConfirmed=*/true);
 
   CHECK(Agent.Lost == TwoFlows);
 }
@@ -69,7 +69,7 @@
   checkpointAndLosePower();
   reporter_process &Agent = startAgent(Web);
   advanceTime(100ms);
-  Agent.Reporter.onRun(FirstRun);
+  Agent.Reporter.onRun(FirstRun, /*IsConfirmed=*/true);
   advanceTime(10s);
 
   CHECK(Agent.Lost.empty());
@@ -99,18 +99,51 @@
   checkpointAndLosePower();
   reporter_process &Agent = startAgent(Web);
   advanceTime(100ms);
-  Agent.Reporter.onRun({"run-0", 50});
+  Agent.Reporter.onRun({"run-0", 50}, /*IsConfirmed=*/false);
 
   CHECK(Agent.Lost.empty());
 }
 
+TEST_CASE_FIXTURE(checkpoint_fixture,
+                  "callers get resets although the clock was stepped back") {
+  // Guards against callers that are told nothing after a loss of power because
+  // the target's start time is earlier than that of its previous run.
+  checkpointAndLosePower();
+  reporter_process &Agent = startAgent(Web);
+  advanceTime(100ms);
+  Agent.Reporter.onRun({"run-2", FirstRun.Born - 50}, /*IsConfirmed=*/true);
+
+  CHECK(Agent.Lost == TwoFlows);
+}
+
+TEST_CASE_FIXTURE(
+    checkpoint_fixture,
+    "a late report of an earlier run whose clock was ahead resets "
+    "no flow and leaves the checkpoint as it is") {
+  // Guards against resets of flows that the target holds. The agent alone was
+  // restarted, and a delayed report with a later start time arrives first.
+  checkpointAndLosePower();
+  const auto Second = startCollector();
+  reporter_process &Agent = startAgent(Web);
+  advanceTime(100ms);
+  Agent.Reporter.onRun({"run-0", FirstRun.Born + 50}, /*IsConfirmed=*/false);
+  advanceTime(3s);
+  CHECK(Agent.Lost.empty());
+  CHECK(checkpointOf(Web) == flow_checkpoint{FirstRun, TwoFlows});
+  Agent.Reporter.onRun(FirstRun, /*IsConfirmed=*/false);
+  advanceTime(3s);
+
+  CHECK(Agent.Lost.empty());
+  CHECK(checkpointOf(Web) == flow_checkpoint{FirstRun, TwoFlows});
+}
+
 TEST_CASE_FIXTURE(checkpoint_fixture, "callers get one reset per lost flow") {
   checkpointAndLosePower();
   reporter_process &Agent = startAgent(Web);
   advanceTime(100ms);
-  Agent.Reporter.onRun(SecondRun);
-  Agent.Reporter.onRun(SecondRun);
-  Agent.Reporter.onRun({"run-3", 300});
+  Agent.Reporter.onRun(SecondRun, /*IsConfirmed=*/true);
+  Agent.Reporter.onRun(SecondRun, /*IsConfirmed=*/true);
+  Agent.Reporter.onRun({"run-3", 300}, /*IsConfirmed=*/true);
 
   CHECK(Agent.Lost.size() == TwoFlows.size());
 }
@@ -130,7 +163,7 @@
   Collector.reset();
   reporter_process &Agent = startAgent("target.7");
   advanceTime(100ms);
-  Agent.Reporter.onRun(SecondRun);
+  Agent.Reporter.onRun(SecondRun, /*IsConfirmed=*/true);
 
   CHECK(Agent.Lost.size() == 3);
 }
@@ -335,7 +368,7 @@
   };
   flow_reporter Reporter(Timers, Store.api(), {Web, "brugge"}, Hooks);
   Reporter.start(/*HasPrevious=*/false);
-  Reporter.onRun(FirstRun);
+  Reporter.onRun(FirstRun, /*IsConfirmed=*/true);
   const instant Confirmed = Timers.now();
   advanceTime(700ms);
   Reporter.input({}, encodeFlowReportRequest({}));
@@ -387,7 +420,7 @@
   advanceTime(4s);
   Agent.Reporter.leave();
   advanceTime(4s);
-  Agent.Reporter.onRun(SecondRun);
+  Agent.Reporter.onRun(SecondRun, /*IsConfirmed=*/true);
   advanceTime(10s);
 
   CHECK(checkpointOf(Web) == flow_checkpoint{SecondRun, TwoFlows});
--- a/test/flowstore/flow_zone.h
+++ b/test/flowstore/flow_zone.h
@@ -131,7 +131,7 @@
   reporter_process &runAgent(const std::string &Name, const target_run &Run,
                              std::vector<open_flow> Open = {}) {
     reporter_process &Agent = startAgent(Name, std::move(Open));
-    Agent.Reporter.onRun(Run);
+    Agent.Reporter.onRun(Run, /*IsConfirmed=*/true);
     return Agent;
   }
 
