Flow checkpoints: agents' reports are ordered by their numbers

What callers would see: the collector ignored an agent's flow reports when their run had an earlier start time than the saved one. After a step back of the clock the flows of the present run were not saved until the agent's previous report expired (70 s). If power was lost meanwhile, their callers got no resets.

Change: reports are ordered by sequence number, which an agent takes from its VM's steady clock, across runs of its target. A lower number is that of a delayed datagram, unless the VM was restarted; then the agent answers the next request with a lower number too, and that one is taken. Should a delayed datagram be taken all the same, the agent's next answer, at most 500 ms later, replaces it, because its number differs from the collector's.

Tests: "flows of a run whose clock went back are saved" fails on the code before; "an agent whose steady clock starts anew is heard" passes on both and guards the new order.

--- a/src/flowstore/flow_collector.cpp
+++ b/src/flowstore/flow_collector.cpp
@@ -40,6 +40,9 @@
     /// Bit mask of the received parts of report Sequence.
     std::uint32_t ReceivedParts = 0;
     instant LastReportAt;
+    /// When the first of the reports came that are older than this one by their
+    /// sequence numbers.
+    std::optional<instant> OlderSince;
 
     bool isComplete() const { return ReceivedParts + 1 == 1U << Parts.size(); }
   };
@@ -51,6 +54,7 @@
   void read();
   void onRead(const platform_reply &Reply);
   void loadCheckpoint(const platform_object &Object);
+  bool isDelayed(reporter &Reporter, const flow_report &Report) const;
   void applyReport(flow_report Report);
   void removeExpired();
   zone_checkpoint buildCheckpoint() const;
@@ -168,11 +172,26 @@
     Hooks.OnError(toText(*Failure));
 }
 
+/// An agent numbers its reports by its VM's steady clock, so that a lower
+/// number is that of a delayed report unless the VM was restarted. Then the
+/// agent answers the next request with a lower number too. The start times of
+/// the runs do not order the reports: the time of day may have been stepped in
+/// between.
+bool flow_collector::impl::isDelayed(reporter &Reporter,
+                                     const flow_report &Report) const {
+  const instant Now = Timers.now();
+  const std::optional<instant> Since =
+      std::exchange(Reporter.OlderSince, std::nullopt);
+  if (Report.Sequence >= Reporter.Sequence)
+    return false;
+  const bool IsRepeated = Since && Now - *Since <= 2 * RequestPeriod;
+  Reporter.OlderSince = IsRepeated ? *Since : Now;
+  return !IsRepeated || Now - *Since < RequestPeriod / 2;
+}
+
 void flow_collector::impl::applyReport(flow_report Report) {
   reporter &Reporter = Reporters[Report.Name];
-  // The report was delayed, or comes from an agent that was restarted together
-  // with its target.
-  if (Report.Run.Born < Reporter.Run.Born)
+  if (isDelayed(Reporter, Report))
     return;
   if (Report.Run != Reporter.Run) {
     Reporter.Parts.clear();
--- a/test/flowstore/flow_checkpoint_test.cpp
+++ b/test/flowstore/flow_checkpoint_test.cpp
@@ -390,6 +390,37 @@
   CHECK(checkpointOf(Web) == flow_checkpoint{SecondRun, TwoFlows});
 }
 
+TEST_CASE_FIXTURE(checkpoint_fixture,
+                  "flows of a run whose clock went back are saved") {
+  // Guards against flows that get no reset after a loss of power, because the
+  // run that holds them has an earlier start time than the one before.
+  runAgent(Web, SecondRun, TwoFlows);
+  advanceTime(4s);
+  Agents.at(Web)->Open = manyFlows(3);
+  Agents.at(Web)->Reporter.onRun(FirstRun, /*IsConfirmed=*/true);
+  advanceTime(4s);
+
+  CHECK(checkpointOf(Web) == flow_checkpoint{FirstRun, manyFlows(3)});
+}
+
+TEST_CASE_FIXTURE(checkpoint_fixture,
+                  "an agent whose steady clock starts anew is heard") {
+  // Guards against flows that are not saved after a restart of the VM, because
+  // the agent's sequence numbers are lower than before.
+  runAgent(Web, FirstRun, TwoFlows);
+  runAgent("target.web-2", FirstRun, TwoFlows);
+  advanceTime(4s);
+  Agents.erase(Web);
+  for (int Second = 0; Second < 3; ++Second) {
+    Collector->Collector.input(
+        encodeFlowReport({Web, SecondRun, 5, 0, 1, manyFlows(3)}));
+    advanceTime(500ms);
+  }
+  advanceTime(2s);
+
+  CHECK(checkpointOf(Web) == flow_checkpoint{SecondRun, manyFlows(3)});
+}
+
 TEST_CASE_FIXTURE(checkpoint_fixture,
                   "flows of a deregistered target are removed") {
   reporter_process &Agent = runAgent(Web, FirstRun, TwoFlows);
