Flow checkpoints: a VM's restart shows by its steady clock

The steady clock of a VM never goes back while the VM runs. An agent's reports are now numbered by it (they began with it and counted up), and the checkpoint keeps the number. An agent whose clock is below the number knows that its VM was restarted: no run of before holds the flows, and their callers get resets as soon as the checkpoint is read, before the target has reported.

Where a VM's clock starts anew at zero, this shows nearly always. On the users' platform it starts anywhere, so it shows in about half of the cases; the others wait as before.

Not taken: also comparing the elapsed time of day, which would show the rest. It would reset live flows after a large step of the clock.

Checkpoints of earlier versions have no number, which counts as unknown.

--- a/include/marjoramrail/flowstore.h
+++ b/include/marjoramrail/flowstore.h
@@ -64,6 +64,8 @@
 struct flow_checkpoint {
   target_run Run;
   std::vector<open_flow> Flows;
+  /// flow_report::Sequence of the report; 0 if unknown.
+  std::uint64_t Sequence = 0;
 
   bool operator==(const flow_checkpoint &) const = default;
 };
@@ -101,7 +103,9 @@
   /// Name of the target's entry in the store.
   std::string Name;
   target_run Run;
-  /// Changes whenever the reported flows change.
+  /// Increases whenever the reported flows change: the steady clock of the
+  /// agent's VM at that time, in microseconds. A lower number than before shows
+  /// that the VM was started anew.
   std::uint64_t Sequence = 0;
   std::uint8_t Part = 0;
   std::uint8_t Parts = 1;
@@ -144,8 +148,9 @@
     /// Returns the flows that were open at \p Moment and still are, the oldest
     /// first.
     std::function<std::vector<open_flow>(instant Moment)> OpenFlows;
-    /// Called with the flows of the previous run once another run of the target
-    /// is known to be the present one; these flows are lost.
+    /// Called with the flows of the previous run once it is known to be over,
+    /// because the VM was started anew or because another run of the target is
+    /// the present one; these flows are lost.
     std::function<void(const std::vector<open_flow> &)> OnLost;
     /// Sends a datagram to a collector.
     std::function<void(const endpoint &To, std::span<const std::uint8_t>)> Send;
--- a/src/flowstore/flow_checkpoint.cpp
+++ b/src/flowstore/flow_checkpoint.cpp
@@ -46,6 +46,7 @@
   for (const auto &[Name, Checkpoint] : Zone)
     Targets[Name] = {{"run", Checkpoint.Run.Id},
                      {"born", Checkpoint.Run.Born},
+                     {"sequence", Checkpoint.Sequence},
                      {"flows", encodeByAddress(Checkpoint.Flows)}};
   return json{{"targets", Targets}}.dump();
 }
@@ -92,6 +93,10 @@
   flow_checkpoint Checkpoint;
   Checkpoint.Run = {Item["run"].get<std::string>(),
                     Item["born"].get<std::int64_t>()};
+  // Earlier versions do not write the number.
+  if (const auto Sequence = Item.find("sequence");
+      Sequence != Item.end() && Sequence->is_number_unsigned())
+    Checkpoint.Sequence = Sequence->get<std::uint64_t>();
   for (const auto &[Address, Digits] : Item["flows"].items()) {
     const auto Service = parseEndpoint(Address);
     if (!Service || !Digits.is_string())
--- a/src/flowstore/flow_collector.cpp
+++ b/src/flowstore/flow_collector.cpp
@@ -162,6 +162,7 @@
     for (auto &[Name, Checkpoint] : Zone) {
       reporter Reporter;
       Reporter.Run = std::move(Checkpoint.Run);
+      Reporter.Sequence = Checkpoint.Sequence;
       Reporter.Parts = {std::move(Checkpoint.Flows)};
       Reporter.LastReportAt = Timers.now();
       Reporters.try_emplace(Name, std::move(Reporter));
@@ -224,6 +225,7 @@
   for (const auto &[Name, Reporter] : Reporters) {
     flow_checkpoint &Checkpoint = Zone[Name];
     Checkpoint.Run = Reporter.Run;
+    Checkpoint.Sequence = Reporter.Sequence;
     for (const std::vector<open_flow> &Part : Reporter.Parts)
       Checkpoint.Flows.insert(Checkpoint.Flows.end(), Part.begin(), Part.end());
     if (Checkpoint.Flows.size() > Share)
--- a/src/flowstore/flow_reporter.cpp
+++ b/src/flowstore/flow_reporter.cpp
@@ -23,6 +23,11 @@
 /// The longest life of a flow.
 static constexpr duration PreviousFlowsLifetime = std::chrono::minutes(1);
 
+/// flow_report::Sequence at \p Moment.
+static std::uint64_t clockNumber(instant Moment) {
+  return static_cast<std::uint64_t>(Moment.time_since_epoch().count());
+}
+
 struct flow_reporter::impl {
   impl(timer_service &Timers, platform_api Store, settings Settings,
        hooks Hooks)
@@ -33,6 +38,7 @@
   void onRead(const platform_reply &Reply);
   void loadPrevious(const platform_object &Object);
   void completeReading();
+  bool wasVmRestarted() const;
   void reportLostFlows();
   std::vector<open_flow> current() const;
   bool mayReport() const;
@@ -61,8 +67,6 @@
   /// opened later may belong to the next run already.
   instant ConfirmedAt;
   bool HasLeft = false;
-  /// Starts with the clock, so that it differs from the sequence numbers of an
-  /// earlier process.
   std::uint64_t Sequence = 0;
   target_run ReportedRun;
   std::map<flow_key, std::uint32_t> Reported;
@@ -129,11 +133,19 @@
     Hooks.OnError(toText(*Failure));
 }
 
+/// The steady clock of a VM never goes back while the VM runs, so its target
+/// has ended too.
+bool flow_reporter::impl::wasVmRestarted() const {
+  return Previous && clockNumber(StartedAt) < Previous->Sequence;
+}
+
 /// A delayed report names an earlier run, and the present one may still hold
 /// the flows. Start times do not tell which run is the later one, since the
 /// clock may have been stepped between them.
 void flow_reporter::impl::reportLostFlows() {
-  if (!Previous || !Run || !IsConfirmed || *Run == Previous->Run)
+  const bool IsOtherRunPresent =
+      Previous && Run && IsConfirmed && *Run != Previous->Run;
+  if (!IsOtherRunPresent && !wasVmRestarted())
     return;
   const flow_checkpoint Ended = *std::exchange(Previous, std::nullopt);
   std::vector<open_flow> New;
@@ -193,7 +205,7 @@
   const bool AllEnded = Current.empty() && !Flows.empty();
   if (isReported(Current) && !AllEnded)
     return;
-  ++Sequence;
+  Sequence = std::max(Sequence + 1, clockNumber(Timers.now()));
   ReportedRun = *Run;
   Flows = std::move(Current);
   Reported.clear();
@@ -225,8 +237,6 @@
 
 void flow_reporter::start(bool HasPrevious) {
   Impl->StartedAt = Impl->Timers.now();
-  Impl->Sequence =
-      static_cast<std::uint64_t>(Impl->StartedAt.time_since_epoch().count());
   if (HasPrevious)
     Impl->read();
   else
--- a/test/flowstore/flow_zone.h
+++ b/test/flowstore/flow_zone.h
@@ -135,8 +135,15 @@
     return Agent;
   }
 
-  /// Returns the flows of \p Name that the store holds.
+  /// Returns what the store holds of \p Name, without the number of the report,
+  /// which depends on the time.
   flow_checkpoint checkpointOf(const std::string &Name) const {
+    flow_checkpoint Checkpoint = numberedCheckpointOf(Name);
+    Checkpoint.Sequence = 0;
+    return Checkpoint;
+  }
+
+  flow_checkpoint numberedCheckpointOf(const std::string &Name) const {
     const object_key Key = checkpointKey("brugge");
     const auto Zone = decodeCheckpoint(Key, Store.get(Key.Kind, Key.Name).Body);
     if (!Zone || !Zone->contains(Name))
