Fleet: an agent whose clock went back continues above its earlier incarnation

What callers would see: an agent's incarnation is the time of day of its start, in seconds. After a restart with the clock stepped back, balancers ignored its heartbeats for its whole life and sent it no view: its host got no new flows, and its drain was not heard.

Change: a balancer answers such a heartbeat with the view, which names the higher incarnation, and an agent that finds a higher one at its own address continues above it, as it does when it was declared dead. A heartbeat that was only delayed changes nothing: its sender is gone or has the view.

Balancers were looked at too: their incarnations are refuted as in any gossip of this kind, and "a balancer that is restarted after its clock went back comes back" passes before and after.

Test: "an agent that is restarted after its clock went back comes back", with a restart before and after the agent was declared dead; on the code before, 6 of its 14 checks fail.

--- a/include/marjoramrail/fleet.h
+++ b/include/marjoramrail/fleet.h
@@ -128,7 +128,9 @@
   /// Control endpoints of the balancers to contact first.
   std::vector<endpoint> Seeds = {};
   std::uint32_t Slots = 1;
-  /// Must be larger after each restart; seconds since 1970 will do.
+  /// Should be larger after each restart: seconds since 1970. If it is not,
+  /// because the time of day was stepped back, the agent continues above the
+  /// incarnation that the view names.
   std::uint32_t Incarnation = 1;
   duration Period = std::chrono::seconds(1);
   /// Number of balancers that receive heartbeats. With three, the host stays
@@ -156,9 +158,10 @@
   /// Called with a newer view of the agent's service. Versions only grow.
   std::function<void(const membership &)> OnView = nullptr;
   /// Called when the fleet declared this agent dead while it was frozen or cut
-  /// off. Its flows were given up and other targets may have answered for it,
-  /// so the agent continues under the new incarnation and must drop all flows
-  /// of the previous one.
+  /// off, or knows a higher incarnation of an earlier process. Its flows were
+  /// given up and other targets may have answered for it, so the agent
+  /// continues under the new incarnation and must drop all flows of the
+  /// previous one.
   std::function<void(std::uint32_t Incarnation)> OnDeclaredDead = nullptr;
 };
 
@@ -207,7 +210,9 @@
   std::uint32_t Shards = 8;
   /// Makes random choices, such as which peers to contact, repeatable.
   std::uint64_t Seed = 1;
-  /// Must be larger after each restart, as for agents.
+  /// Should be larger after each restart, as for agents. A balancer whose
+  /// number is lower is known by its own messages; if an earlier process was
+  /// declared dead, it refutes that with a higher number.
   std::uint32_t Incarnation = 1;
   /// A shard whose lease was not renewed for this long is taken over. Longer
   /// than a usual pause of a VM, so that shards don't move at each pause.
--- a/src/fleet/heartbeat_receiver.cpp
+++ b/src/fleet/heartbeat_receiver.cpp
@@ -57,7 +57,7 @@
       Found != Hosts.end() && Found->second.ProbeRequested;
   if (Found != Hosts.end() &&
       Found->second.Last.Incarnation > Heartbeat.Incarnation)
-    return;
+    return showView(From, Heartbeat);
   host &Host = Hosts[Key];
   Host.Last = Heartbeat;
   Host.From = From;
@@ -86,6 +86,17 @@
     Hosts.erase(Key);
 }
 
+/// An agent with a lower incarnation than a known one either sent its heartbeat
+/// long ago or was restarted after a step back of its clock. The view names the
+/// higher incarnation, and an agent that is running continues above it.
+void heartbeat_receiver::showView(const endpoint &To,
+                                  const host_heartbeat &Heartbeat) {
+  const membership *Members = Views.find(Heartbeat.Service);
+  if (Members != nullptr &&
+      Heartbeat.Report.ViewVersion < Members->View.Version)
+    Hooks.Send(To, view_full{*Members});
+}
+
 void heartbeat_receiver::answer(host &Host,
                                 const std::vector<endpoint> &Assigned) {
   assignment Answer;
--- a/src/fleet/heartbeat_receiver.h
+++ b/src/fleet/heartbeat_receiver.h
@@ -80,6 +80,7 @@
     bool Primary = false;
   };
 
+  void showView(const endpoint &To, const host_heartbeat &Heartbeat);
   void answer(host &Host, const std::vector<endpoint> &Assigned);
   /// Returns how long this host may send no heartbeat here before it is pinged.
   duration timeoutFor(const host &Host) const;
--- a/src/fleet/heartbeat_sender.cpp
+++ b/src/fleet/heartbeat_sender.cpp
@@ -88,27 +88,36 @@
         Members.View.Version <= View.View.Version)
       return;
     View = Members;
-    const bool Dead = declaredDead(Members);
-    if (Dead)
-      ++Settings.Incarnation;
+    const auto Ended = endedIncarnation(Members);
+    if (Ended)
+      Settings.Incarnation = *Ended + 1;
     Hooks.OnView(Members);
-    if (!Dead)
+    if (!Ended)
       return;
     if (Hooks.OnDeclaredDead)
       Hooks.OnDeclaredDead(Settings.Incarnation);
     sendHeartbeats(true);
   }
 
-  /// True if the fleet declared exactly this incarnation dead. Callers have
-  /// been told that its flows are lost, so continuing under the same number
-  /// would revive flows that other targets may have answered for.
-  bool declaredDead(const membership &Members) const {
+  /// An incarnation that is not below this one and has ended, so that this
+  /// process must continue above it.
+  ///
+  /// The fleet may have declared this incarnation dead. Callers have been told
+  /// that its flows are lost, so continuing under the same number would revive
+  /// flows that other targets may have answered for. Or an earlier process had
+  /// a higher number, because the time of day was stepped back since its start;
+  /// balancers ignore the heartbeats of a lower one.
+  std::optional<std::uint32_t>
+  endedIncarnation(const membership &Members) const {
     const auto Place = findTarget(Members, Settings.Agent);
     if (!Place)
-      return false;
+      return std::nullopt;
     const target &Me = Members.View.Targets[*Place];
-    return Me.State == target_state::Down &&
-           Me.Incarnation >= Settings.Incarnation;
+    const bool IsDead = Me.State == target_state::Down &&
+                        Me.Incarnation == Settings.Incarnation;
+    if (!IsDead && Me.Incarnation <= Settings.Incarnation)
+      return std::nullopt;
+    return Me.Incarnation;
   }
 
   template <typename Other> void take(const endpoint &, const Other &) {
--- a/test/fleet/fleet_node_test.cpp
+++ b/test/fleet/fleet_node_test.cpp
@@ -71,6 +71,33 @@
   CHECK(Took);
 }
 
+TEST_CASE("an agent that is restarted after its clock went back comes back") {
+  // Guards against an agent whose heartbeats are ignored for its whole life,
+  // because its incarnation is the time of day of its start.
+  for (const duration Downtime : {duration(500ms), duration(20s)}) {
+    CAPTURE(Downtime.count());
+    site Site;
+    REQUIRE(Site.settle());
+    test_agent &Ahead =
+        Site.restartAgent(Site.agent("ledger-3"), "ledger", /*Incarnation=*/12);
+    Site.run(10s);
+    REQUIRE(Site.agreed("ledger", 7));
+    Ahead.Dead = true;
+    Site.run(Downtime);
+
+    test_agent &Agent = Site.restartAgent(Ahead, "ledger", /*Incarnation=*/9);
+    Site.run(20s);
+
+    CHECK(Site.agreed("ledger", 7));
+    CHECK(Site.seenByAll("ledger-3", target_state::Ready));
+    REQUIRE(Agent.View);
+    CHECK(Agent.HeartbeatSender->incarnation() > 12);
+    Agent.Report.Draining = true;
+    Site.run(10s);
+    CHECK_FALSE(Site.seenByAll("ledger-3", target_state::Ready));
+  }
+}
+
 TEST_CASE("a host that one balancer cannot reach is not declared dead") {
   // A link between one balancer and one host fails in one direction. The host
   // still serves all others; declaring it dead would break its flows.
--- a/test/fleet/gossip_test.cpp
+++ b/test/fleet/gossip_test.cpp
@@ -13,6 +13,7 @@
 using namespace marjoramrail::internal;
 using marjoramrail::testing::process;
 using marjoramrail::testing::small_fleet;
+using marjoramrail::testing::test_balancer;
 using namespace std::chrono_literals;
 
 namespace {
@@ -276,3 +277,27 @@
   CHECK(Peers.self().Incarnation == 8);
   CHECK(Peers.living().size() == 1);
 }
+
+TEST_CASE("a balancer that is restarted after its clock went back comes back") {
+  // Guards against a balancer that its peers do not count as alive for its
+  // whole life, because its incarnation is the time of day of its start.
+  for (const duration Downtime : {duration(500ms), duration(60s)}) {
+    CAPTURE(Downtime.count());
+    wide_fleet Fleet(5);
+    test_balancer &Ahead = Fleet.addBalancer("late", "zone", 12);
+    REQUIRE(Fleet.settle());
+    Ahead.Dead = true;
+    Fleet.run(Downtime);
+    test_balancer &Balancer =
+        Fleet.startBalancer("late", "zone", Ahead.At.Address, 9);
+    Fleet.run(30s);
+
+    for (const auto &Peer : Fleet.Balancers)
+      if (Peer->isRunning())
+        CHECK(Peer->Node->balancers().size() == 6);
+    Fleet.change(0);
+    Fleet.run(5s);
+    CHECK(Fleet.isAppliedEverywhere(0));
+    CHECK(Balancer.Node->ready());
+  }
+}
--- a/test/fleet/small_fleet.h
+++ b/test/fleet/small_fleet.h
@@ -95,10 +95,16 @@
 
   test_balancer &addBalancer(const std::string &Name, const std::string &Zone,
                              std::uint32_t Incarnation = 1) {
+    return startBalancer(Name, Zone, 0x0a000000U + ++LastAddress, Incarnation);
+  }
+
+  test_balancer &startBalancer(const std::string &Name, const std::string &Zone,
+                               std::uint32_t Address,
+                               std::uint32_t Incarnation) {
     auto Fresh = std::make_unique<test_balancer>();
     test_balancer &Balancer = *Fresh;
     Balancer.Name = Name;
-    start(Balancer, Zone, 0x0a000000U + ++LastAddress);
+    start(Balancer, Zone, Address);
     Balancer.Node = std::make_unique<fleet_node>(
         Balancer.Timers, platformFor(Balancer),
         fleet_settings{.Name = Name,
@@ -128,10 +134,25 @@
 
   test_agent &addAgent(const std::string &Service, const std::string &Host,
                        const std::string &Zone, std::uint32_t Incarnation = 1) {
+    return startAgent(Service, Host, Zone, 0x0b000000U + ++LastAddress,
+                      Incarnation);
+  }
+
+  /// Ends the process of \p Agent and starts another one on the same VM.
+  test_agent &restartAgent(test_agent &Agent, const std::string &Service,
+                           std::uint32_t Incarnation) {
+    Agent.Dead = true;
+    return startAgent(Service, std::exchange(Agent.Host, "gone"), Agent.Zone,
+                      Agent.At.Address, Incarnation);
+  }
+
+  test_agent &startAgent(const std::string &Service, const std::string &Host,
+                         const std::string &Zone, std::uint32_t Address,
+                         std::uint32_t Incarnation) {
     auto Fresh = std::make_unique<test_agent>();
     test_agent &Agent = *Fresh;
     Agent.Host = Host;
-    start(Agent, Zone, 0x0b000000U + ++LastAddress);
+    start(Agent, Zone, Address);
     Agent.HeartbeatSender = std::make_unique<heartbeat_sender>(
         Agent.Timers,
         heartbeat_settings{.Host = Host,
