Flow checkpoints: saved flows that outlived their longest life get resets

All flows of a report were open at the moment that its number stands for. If that is longer ago than flows live (flow_life_seconds), none of them can be open, whatever has happened since. A steady clock that begins anywhere after a new start nearly always shows one of the two: below the number, or far above it. No time of day is compared.

The numbers of agents of earlier versions begin with the start of the process and count, so they stand for no moment; the new ones are marked, so that a rolling update resets no live flow. Earlier versions read both alike.

Tests: saved flows before and after their longest life; numbers of earlier versions.

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -181,7 +181,8 @@
   };
   return std::make_unique<flow_reporter>(
       Loop.timers(), Store.api(),
-      flow_reporter::settings{Settings.entryName(), Settings.Zone},
+      flow_reporter::settings{Settings.entryName(), Settings.Zone,
+                              Settings.FlowLife},
       std::move(Hooks));
 }
 
--- a/include/marjoramrail/flowstore.h
+++ b/include/marjoramrail/flowstore.h
@@ -103,9 +103,7 @@
   /// Name of the target's entry in the store.
   std::string Name;
   target_run Run;
-  /// Increases whenever the reported flows change: the steady clock of the
-  /// agent's VM at that time, in microseconds. A lower number than before shows
-  /// that the VM was started anew.
+  /// Increases whenever the reported flows change; see reportSequence().
   std::uint64_t Sequence = 0;
   std::uint8_t Part = 0;
   std::uint8_t Parts = 1;
@@ -114,6 +112,15 @@
   bool operator==(const flow_report &) const = default;
 };
 
+/// The sequence number of a report whose flows were all open at \p Moment, by
+/// the steady clock of the agent's VM. That clock is not stepped and does not
+/// go back until the VM is started anew, so that numbers order the reports of
+/// all runs in between.
+std::uint64_t reportSequence(instant Moment);
+/// The moment that \p Sequence stands for; nothing for a number of an agent of
+/// an earlier version, which is not a moment.
+std::optional<instant> reportMoment(std::uint64_t Sequence);
+
 std::vector<std::uint8_t>
 encodeFlowReportRequest(const flow_report_request &Request);
 std::optional<flow_report_request>
@@ -142,15 +149,17 @@
     /// Name of the target's entry in the store.
     std::string Name;
     std::string Zone;
+    /// The longest life of a flow.
+    duration FlowLife = std::chrono::minutes(1);
   };
 
   struct hooks {
     /// Returns the flows that were open at \p Moment and still are, the oldest
     /// first.
     std::function<std::vector<open_flow>(instant Moment)> OpenFlows;
-    /// Called with the flows of the previous run once it is known to be over,
-    /// because the VM was started anew or because another run of the target is
-    /// the present one; these flows are lost.
+    /// Called with the flows of the previous run once none of them can be open:
+    /// the VM was started anew, another run of the target is the present one,
+    /// or their longest life is over.
     std::function<void(const std::vector<open_flow> &)> OnLost;
     /// Sends a datagram to a collector.
     std::function<void(const endpoint &To, std::span<const std::uint8_t>)> Send;
--- a/src/flowstore/flow_messages.cpp
+++ b/src/flowstore/flow_messages.cpp
@@ -24,6 +24,21 @@
          Reader.take<std::uint8_t>() == Format;
 }
 
+/// Distinguishes the numbers from those of earlier versions, which begin with
+/// the clock at the start of the agent's process and count reports.
+static constexpr std::uint64_t MomentMark = 1ULL << 63;
+
+std::uint64_t reportSequence(instant Moment) {
+  return MomentMark |
+         static_cast<std::uint64_t>(Moment.time_since_epoch().count());
+}
+
+std::optional<instant> reportMoment(std::uint64_t Sequence) {
+  if ((Sequence & MomentMark) == 0)
+    return std::nullopt;
+  return instant(duration(static_cast<std::int64_t>(Sequence & ~MomentMark)));
+}
+
 std::vector<std::uint8_t>
 encodeFlowReportRequest(const flow_report_request &Request) {
   std::vector<std::uint8_t> Bytes(RequestBytes);
--- a/src/flowstore/flow_reporter.cpp
+++ b/src/flowstore/flow_reporter.cpp
@@ -20,13 +20,6 @@
 /// Callers of flows that were lost longer ago have sent their next request
 /// already, so a reset would come too late.
 static constexpr duration ReadTimeout = std::chrono::seconds(15);
-/// The longest life of a flow.
-static constexpr duration PreviousFlowsLifetime = std::chrono::minutes(1);
-
-/// flow_report::Sequence at \p Moment.
-static std::uint64_t clockNumber(instant Moment) {
-  return static_cast<std::uint64_t>(Moment.time_since_epoch().count());
-}
 
 struct flow_reporter::impl {
   impl(timer_service &Timers, platform_api Store, settings Settings,
@@ -38,7 +31,7 @@
   void onRead(const platform_reply &Reply);
   void loadPrevious(const platform_object &Object);
   void completeReading();
-  bool wasVmRestarted() const;
+  bool areSavedFlowsOver() const;
   void reportLostFlows();
   std::vector<open_flow> current() const;
   bool mayReport() const;
@@ -133,10 +126,15 @@
     Hooks.OnError(toText(*Failure));
 }
 
-/// The steady clock of a VM never goes back while the VM runs, so its target
-/// has ended too.
-bool flow_reporter::impl::wasVmRestarted() const {
-  return Previous && clockNumber(StartedAt) < Previous->Sequence;
+/// The saved flows were open at the moment that the report's number stands for.
+/// If that moment is in the future, the VM was started anew and its target has
+/// ended. If it is longer ago than flows live, they have ended in any case;
+/// this also shows a new start of the VM, after which the clock begins
+/// anywhere.
+bool flow_reporter::impl::areSavedFlowsOver() const {
+  const auto Saved = Previous ? reportMoment(Previous->Sequence) : std::nullopt;
+  return Saved &&
+         (StartedAt < *Saved || StartedAt - *Saved > Settings.FlowLife);
 }
 
 /// A delayed report names an earlier run, and the present one may still hold
@@ -145,7 +143,7 @@
 void flow_reporter::impl::reportLostFlows() {
   const bool IsOtherRunPresent =
       Previous && Run && IsConfirmed && *Run != Previous->Run;
-  if (!IsOtherRunPresent && !wasVmRestarted())
+  if (!IsOtherRunPresent && !areSavedFlowsOver())
     return;
   const flow_checkpoint Ended = *std::exchange(Previous, std::nullopt);
   std::vector<open_flow> New;
@@ -184,7 +182,7 @@
     return {};
   std::vector<open_flow> Flows = Hooks.OpenFlows(ConfirmedAt);
   const bool IsSameRun = Previous && Previous->Run == *Run &&
-                         Timers.now() - StartedAt < PreviousFlowsLifetime;
+                         Timers.now() - StartedAt < Settings.FlowLife;
   if (!IsSameRun)
     return Flows;
   std::set<flow_key> Seen;
@@ -205,7 +203,7 @@
   const bool AllEnded = Current.empty() && !Flows.empty();
   if (isReported(Current) && !AllEnded)
     return;
-  Sequence = std::max(Sequence + 1, clockNumber(Timers.now()));
+  Sequence = std::max(Sequence + 1, reportSequence(Timers.now()));
   ReportedRun = *Run;
   Flows = std::move(Current);
   Reported.clear();
--- a/test/flowstore/flow_checkpoint_test.cpp
+++ b/test/flowstore/flow_checkpoint_test.cpp
@@ -122,7 +122,7 @@
     "VM was restarted") {
   // Guards against callers that wait for reports of the target, although its VM
   // has lost power and no run of before can hold their flows.
-  const std::uint64_t LaterNumber = 3'600'000'000;
+  const std::uint64_t LaterNumber = reportSequence(Timers.now() + 1h);
   runAgent("target.web-2", FirstRun);
   advanceTime(1s);
   Collector->Collector.input(
@@ -139,6 +139,46 @@
   CHECK(Agent.Lost == TwoFlows);
 }
 
+TEST_CASE_FIXTURE(checkpoint_fixture,
+                  "saved flows that are older than flows live get resets") {
+  // After a new start of the VM its steady clock may begin above the saved
+  // moment; then it is nearly always far above it.
+  runAgent(Web, FirstRun, TwoFlows);
+  advanceTime(4s);
+  Agents.clear();
+  Collector.reset();
+  SUBCASE("not before") {
+    advanceTime(50s);
+    reporter_process &Agent = startAgent(Web);
+    advanceTime(100ms);
+    CHECK(Agent.Lost.empty());
+  }
+  SUBCASE("but after the longest life of a flow") {
+    advanceTime(61s);
+    reporter_process &Agent = startAgent(Web);
+    advanceTime(100ms);
+    CHECK(Agent.Lost == TwoFlows);
+  }
+}
+
+TEST_CASE_FIXTURE(checkpoint_fixture,
+                  "numbers of an earlier version are not taken for moments") {
+  // Guards against resets of live flows in a rolling update: agents of earlier
+  // versions numbered their reports from the start of their process.
+  runAgent("target.web-2", FirstRun);
+  advanceTime(1s);
+  Collector->Collector.input(
+      encodeFlowReport({Web, FirstRun, 3'600'000'000, 0, 1, TwoFlows}));
+  advanceTime(4s);
+  reporter_process &Agent = startAgent(Web);
+  advanceTime(100ms);
+  Agent.Reporter.onRun(FirstRun, /*IsConfirmed=*/false);
+  advanceTime(4s);
+
+  CHECK(Agent.Lost.empty());
+  CHECK(checkpointOf(Web).Flows == TwoFlows);
+}
+
 TEST_CASE_FIXTURE(checkpoint_fixture,
                   "the number of a report is kept by the next collector") {
   // Guards against a restart of the VM that does not show, since the balancer
