Agent: a silent target gets a flow on trial, at once after its start

What callers saw: a host that crashed with flows open and was started again half a second later reports, is admitted and gets no request, while the other hosts carry all (three balancers, seven hosts, 200 requests a second: 0 requests in the first 12 s here, 0 in 35 s when it was found).

Cause: a new flow that a target does not answer in 60 ms marks it silent, and its agent reports that it does not answer. Balancers then place new flows elsewhere as long as others have room, and only a packet of the target ended the state. The flows of the crashed process are gone, so it sends none. Neither the end of target-gone nor a report of the new run changed that.

Evidence: the agent's page in that state, "answering": false with 0 flows and "admitting": true, after target-silent, target-gone, target-regained.

Change: silence_watch. Once another run of the target's process is accepted, the next new flow is a trial: balancers are told that the target answers until one flow is offered, and the agent passes on others until it has been answered or has timed out. A trial also comes 1, 2, 4 and then each 8 s after the last flow that was offered, so that a process that was paused or mute is found out too. A trial that fails delays its flow by 60 ms. The end of a silence is logged, gauges show silent and declining targets, and target-silent is a reason in flows-not-offered.

--- a/daemons/forwarder/agent_target.cpp
+++ b/daemons/forwarder/agent_target.cpp
@@ -26,6 +26,12 @@
          std::to_string(Report.Sequence);
 }
 
+/// Whether accepted reports that follow each other are of different runs.
+bool isNewRun(const target_report &Report, const target_report &Previous) {
+  return Report.Id != Previous.Id || Report.Born != Previous.Born ||
+         Report.Sequence <= Previous.Sequence;
+}
+
 } // namespace
 
 std::optional<page_answer>
@@ -54,6 +60,8 @@
   const report_verdict Verdict = Reports.take(Report, Now);
   if (Verdict != report_verdict::Accepted)
     return refuseReport(Report, Verdict);
+  if (isNewRun(Report, Previous))
+    Core.onTargetStarted();
   recordAccepted(Report, Previous);
   if (Core.targetStopped())
     onTargetRecovered("the target sent a report");
@@ -90,9 +98,7 @@
 
 void forward_agent_process::recordAccepted(const target_report &Report,
                                            const target_report &Previous) {
-  const bool IsNewRun = Report.Id != Previous.Id ||
-                        Report.Born != Previous.Born ||
-                        Report.Sequence <= Previous.Sequence;
+  const bool IsNewRun = isNewRun(Report, Previous);
   if (!IsNewRun && Report.Draining == Previous.Draining)
     return;
   std::string Why = Report.Draining ? "draining" : "ready";
--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -242,6 +242,10 @@
   Metrics.gauge("marjoramrail_zone_evacuated", [this] {
     return Core.report(Loop.timers().now()).Evacuated ? 1.0 : 0.0;
   });
+  Metrics.gauge("marjoramrail_target_silent",
+                [this] { return Core.targetSilent() ? 1.0 : 0.0; });
+  Metrics.gauge("marjoramrail_target_declining",
+                [this] { return Core.targetDeclining() ? 1.0 : 0.0; });
   Metrics.gauge("marjoramrail_target_flows", [this] {
     return static_cast<double>(Core.report(Loop.timers().now()).Flows);
   });
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -354,6 +354,8 @@
   AnotherService,
   NotAdmitting,
   TargetStopped,
+  /// The target was silent, and another flow shows whether it still is.
+  TargetSilent,
   ZoneEvacuated,
   /// The target holds as many flows as its service's limit allows.
   FlowLimit,
@@ -362,10 +364,11 @@
   WarmingUp,
 };
 
-inline constexpr name_table<flow_refusal, 7> FlowRefusalNames = {{
+inline constexpr name_table<flow_refusal, 8> FlowRefusalNames = {{
     {flow_refusal::AnotherService, "another service"},
     {flow_refusal::NotAdmitting, "not admitting"},
     {flow_refusal::TargetStopped, "target gone"},
+    {flow_refusal::TargetSilent, "target silent"},
     {flow_refusal::ZoneEvacuated, "zone evacuated"},
     {flow_refusal::FlowLimit, "flow limit"},
     {flow_refusal::NoFreeSlot, "no free slot"},
@@ -409,6 +412,13 @@
   /// flow, and every packet counts as declined.
   void setTargetStopped(bool Stopped, instant Now);
   bool targetStopped() const;
+  /// The target's process has been started anew. If it was silent, the next new
+  /// flow shows whether it still is.
+  void onTargetStarted();
+  /// The target has not answered the last new flow that it was offered in time.
+  bool targetSilent() const;
+  /// The target has declined several new flows in a row.
+  bool targetDeclining() const;
   /// The target has reported how many requests it processes at once and for how
   /// long it is slower after its start.
   void setTarget(std::uint32_t Slots, duration Warmup, instant Now);
--- a/src/forward/forward_agent.cpp
+++ b/src/forward/forward_agent.cpp
@@ -45,7 +45,7 @@
       Declines.isDeclining() &&
       !Settings.DisabledMechanisms.has(mechanism::DeclineWatch);
   const bool Exhausted = isWarmingUp(Now) && WarmupLimit.isExhausted(Now);
-  Report.Answering = !TargetUnresponsive && !Declining && !Exhausted;
+  Report.Answering = !Silence.isAvoided() && !Declining && !Exhausted;
   Report.Active = Load.active();
   Report.Slots = static_cast<std::uint16_t>(std::min(Slots, 65535U));
   Report.Flows = Load.open();
@@ -104,6 +104,14 @@
 
 bool forward_agent::targetStopped() const { return Impl->TargetStopped; }
 
+void forward_agent::onTargetStarted() { Impl->Silence.onStarted(); }
+
+bool forward_agent::targetSilent() const { return Impl->Silence.isSilent(); }
+
+bool forward_agent::targetDeclining() const {
+  return Impl->Declines.isDeclining();
+}
+
 /// The flows of a process that has ended are lost. Their callers get a reset
 /// before they send their next request: a request that may run only once cannot
 /// be repeated after it was sent on a lost flow, because it is unknown
@@ -221,8 +229,7 @@
 std::optional<instant> forward_agent::expire(instant Now) {
   while (offered_packet *Expired = Impl->Offered.takeExpired(Now)) {
     ++Impl->Counters.TimedOut;
-    if (!Impl->TargetUnresponsive) {
-      Impl->TargetUnresponsive = true;
+    if (Impl->Silence.onTimeout()) {
       Impl->logEvent(event_kind::TargetSilent, "no answer in time",
                      Expired->Head.Flow, {});
       Impl->Hooks.TargetUnresponsive();
@@ -244,6 +251,7 @@
     Impl->Scheduler.onEnd(Flow, Now);
   });
   Impl->releaseReady(Now);
+  Impl->Silence.tick(Now);
   Impl->Declines.tick(Now);
   Impl->Failures.tick(Now);
   Impl->ReportedExhausted &= Impl->WarmupLimit.isExhausted(Now);
@@ -312,6 +320,8 @@
   const load_report Report = Impl->report(Now);
   return nlohmann::json{{"admitting", Report.Admitting},
                         {"answering", Report.Answering},
+                        {"silent", targetSilent()},
+                        {"declining", targetDeclining()},
                         {"active", Report.Active},
                         {"slots", Report.Slots},
                         {"flows", Report.Flows},
--- a/src/forward/forward_agent_impl.h
+++ b/src/forward/forward_agent_impl.h
@@ -20,6 +20,7 @@
 #include "forward/level_cache.h"
 #include "forward/offered_packets.h"
 #include "forward/request_scheduler.h"
+#include "forward/silence_watch.h"
 #include "forward/target_load.h"
 
 #include <map>
@@ -80,6 +81,9 @@
                            instant Now);
   bool sendReset(const tcp_packet &Packet);
   agent_outcome resetLostFlow(const tcp_packet &Head);
+  agent_outcome offer(const routed_packet &Routed, const tcp_packet &Head,
+                      instant Now);
+  void noteTargetPacket(const flow_key &Flow);
   void noteDeclined(const flow_key &Flow, instant Now);
   void noteAnswer(const flow_key &Flow, bool Failed, instant Now);
   void noteAbortedRequest(const tcp_packet &Head, instant Now);
@@ -132,8 +136,7 @@
   bool TargetStopped = false;
   /// The process is about to end; nothing is held any more.
   bool IsStopping = false;
-  /// The target has not answered the last packet that required an answer.
-  bool TargetUnresponsive = false;
+  internal::silence_watch Silence;
   internal::decline_watch Declines;
   internal::failure_watch Failures;
   std::uint32_t Slots = 1;
--- a/src/forward/routed_packets.cpp
+++ b/src/forward/routed_packets.cpp
@@ -52,7 +52,7 @@
     if (schedules() &&
         Levels.update(Segment.Head.Flow.Service, Routed.Level, Now))
       Scheduler.reserveSlot(Segment.Head.Flow, Now);
-    return deliver(Routed, Segment.Head, /*NeedsAnswer=*/true, Now);
+    return offer(Routed, Segment.Head, Now);
   }
   ++Counters.Refusals[static_cast<std::size_t>(*Refusal)];
   if (Refusal == flow_refusal::WarmingUp)
@@ -63,6 +63,15 @@
                     Segment.Head, nameOf(FlowRefusalNames, *Refusal));
 }
 
+/// Balancers learn of a trial at once, so that they place no more flows here
+/// until the target has answered.
+agent_outcome forward_agent::impl::offer(const routed_packet &Routed,
+                                         const tcp_packet &Head, instant Now) {
+  if (Silence.onOffered(Now))
+    reportNow(Now);
+  return deliver(Routed, Head, /*NeedsAnswer=*/true, Now);
+}
+
 /// Returns why a new flow is not offered to the target, if it is not.
 std::optional<flow_refusal>
 forward_agent::impl::refusalOf(const routed_packet &Routed,
@@ -75,6 +84,8 @@
     return flow_refusal::NotAdmitting;
   if (TargetStopped)
     return flow_refusal::TargetStopped;
+  if (Silence.isOnTrial())
+    return flow_refusal::TargetSilent;
   if (Policy.Evacuated)
     return flow_refusal::ZoneEvacuated;
   if (const auto Refusal = capacityRefusal(Routed, Flow, Now))
@@ -107,7 +118,7 @@
   }
   const agent_outcome Outcome =
       deliver(Routed, Segment.Head, /*NeedsAnswer=*/false, Now);
-  if (TargetUnresponsive)
+  if (Silence.isSilent())
     passToNextIncomplete(Routed, Segment.Head);
   return Outcome;
 }
--- a/src/forward/target_packets.cpp
+++ b/src/forward/target_packets.cpp
@@ -7,7 +7,7 @@
 agent_outcome forward_agent::impl::onDeclined(const segment &Segment,
                                               bytes_view Bytes, instant Now) {
   ++Counters.Declined;
-  TargetUnresponsive = false;
+  noteTargetPacket(Segment.Head.Flow);
   offered_packet *Packet = Offered.findDeclined(Segment.Tag, Segment.Head.Flow);
   if (!Packet)
     return agent_outcome::Indeterminate;
@@ -27,6 +27,11 @@
   return passToNext(Routed, Packet->Head, "declined");
 }
 
+void forward_agent::impl::noteTargetPacket(const flow_key &Flow) {
+  if (Silence.onAnswered())
+    logEvent(event_kind::TargetRecovered, "the target answers again", Flow, {});
+}
+
 void forward_agent::impl::noteDeclined(const flow_key &Flow, instant Now) {
   if (!Declines.onDeclined(Now))
     return;
@@ -83,7 +88,7 @@
                                             instant Now) {
   tcp_packet &Head = Segment.Head;
   std::swap(Head.Flow.Caller, Head.Flow.Service);
-  TargetUnresponsive = false;
+  noteTargetPacket(Head.Flow);
   if (Head.Syn)
     Declines.onAccepted();
   if (Head.Syn)
