Agent: a repeated report is no sign that a run goes on

A report of another run that arrives twice, with the same sequence number, counted as its second one, so that a late call that is repeated could have replaced the present run once that had missed a report. Found on reading the change again; the new case of target_reports_test fails on the code before.

--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -288,14 +288,14 @@
     }
   };
 
-  static run runOf(const target_report &Report, instant Now);
-  run &noteOther(const target_report &Report, instant Now);
+  /// A run that goes on has reported again within this time.
+  duration maxSilence() const { return ReportPeriod * 3 / 2; }
+  run *noteOther(const target_report &Report, instant Now);
+  run &addOther(const run &Run);
   void noteReport(run &Run, const target_report &Report, instant Now) const;
   instant othersHeardAt(const run &Run) const;
   bool isAlone(const run &Run, instant Now) const;
-  bool isFollowedBy(const target_report &Report, instant Now) const;
-  bool replacesPresent(const run &Run, const target_report &Report,
-                       instant Now) const;
+  bool isAcceptedAtOnce(const target_report &Report, instant Now) const;
   void makePresent(const run &Run, instant Now);
   void accept(const target_report &Report, instant Now);
 
@@ -313,7 +313,7 @@
   /// The present run has left or stopped.
   bool IsOver = false;
   bool IsConfirmed = false;
-  /// Other runs that have reported, at most MaxOthers.
+  /// Other runs that have reported.
   std::vector<run> Others;
 };
 
--- a/src/directory/target_reports.cpp
+++ b/src/directory/target_reports.cpp
@@ -8,11 +8,6 @@
 /// Bounds the memory used for runs that are over.
 static constexpr std::size_t MaxOthers = 8;
 
-target_reports::run target_reports::runOf(const target_report &Report,
-                                          instant Now) {
-  return {Report.Id, Report.Born, Report.Sequence, Now, Now};
-}
-
 /// When a run other than \p Run last reported; the present one does not count
 /// if it is over.
 instant target_reports::othersHeardAt(const run &Run) const {
@@ -38,48 +33,48 @@
 /// interval of reports. Several delayed reports may arrive at the same moment.
 bool target_reports::isAlone(const run &Run, instant Now) const {
   return Now - Run.FirstAt >= ReportPeriod / 2 &&
-         Now - othersHeardAt(Run) >= ReportPeriod * 3 / 2;
+         Now - othersHeardAt(Run) >= maxSilence();
 }
 
-/// Notes a report of a run that is not the present one. A run with the id and
-/// the start time of the present one whose sequence numbers are lower is
-/// another run as well: the clock may have been stepped back by the time
-/// between the two starts.
-target_reports::run &target_reports::noteOther(const target_report &Report,
-                                               instant Now) {
-  const auto Known =
-      std::find_if(Others.begin(), Others.end(),
-                   [&](const run &Run) { return Run.isSameRun(Report); });
-  if (Known != Others.end()) {
-    if (Known->isContinuedBy(Report))
-      noteReport(*Known, Report, Now);
-    return *Known;
-  }
+/// The run that was heard longest ago makes room.
+target_reports::run &target_reports::addOther(const run &Run) {
   if (Others.size() >= MaxOthers)
     Others.erase(std::min_element(
         Others.begin(), Others.end(),
         [](const run &A, const run &B) { return A.LastAt < B.LastAt; }));
-  return Others.emplace_back(runOf(Report, Now));
+  return Others.emplace_back(Run);
 }
 
-/// Whether \p Report, the first that is used of its run, can be accepted on its
-/// own. Before any report, only a target that is draining or has left needs
-/// more: a delayed report that says "ready" would start new flows to it.
-bool target_reports::isFollowedBy(const target_report &Report,
-                                  instant Now) const {
+/// Notes a report of a run that is not the present one, and returns that run;
+/// nothing if the report is not its latest. A run with the id and the start
+/// time of the present one whose sequence numbers are lower is another run as
+/// well: the clock may have been stepped back by the time between the two
+/// starts.
+target_reports::run *target_reports::noteOther(const target_report &Report,
+                                               instant Now) {
+  const auto Known =
+      std::find_if(Others.begin(), Others.end(),
+                   [&](const run &Run) { return Run.isSameRun(Report); });
+  if (Known == Others.end())
+    return &addOther({Report.Id, Report.Born, Report.Sequence, Now, Now});
+  if (!Known->isContinuedBy(Report))
+    return nullptr;
+  noteReport(*Known, Report, Now);
+  return &*Known;
+}
+
+/// Whether \p Report of another run can be accepted whatever its run has
+/// reported before. Before the first report, only a target that is draining or
+/// has left needs more: a delayed report that says "ready" would start new
+/// flows to it.
+bool target_reports::isAcceptedAtOnce(const target_report &Report,
+                                      instant Now) const {
   if (!Present)
     return !HasReport || acceptsNewFlows() || Report.Draining;
-  const bool IsSilent = IsOver || Now - Present->LastAt >= ReportPeriod * 3 / 2;
+  const bool IsSilent = IsOver || Now - Present->LastAt >= maxSilence();
   return IsSilent && Report.Born > Present->Born;
 }
 
-bool target_reports::replacesPresent(const run &Run,
-                                     const target_report &Report,
-                                     instant Now) const {
-  return Report.Sequence == Run.Sequence &&
-         (isAlone(Run, Now) || isFollowedBy(Report, Now));
-}
-
 /// The previous run is kept: should it go on to report, it is the present one
 /// after all.
 void target_reports::makePresent(const run &Run, instant Now) {
@@ -88,7 +83,7 @@
       std::exchange(Present, std::optional<run>(Run));
   Others.erase(Others.begin() + (&Run - Others.data()));
   if (Previous && !IsOver)
-    Others.push_back(*Previous);
+    addOther(*Previous);
 }
 
 void target_reports::accept(const target_report &Report, instant Now) {
@@ -109,10 +104,10 @@
     return report_verdict::Accepted;
   }
   const bool IsSameRun = Present && Present->isSameRun(Report);
-  const run &Run = noteOther(Report, Now);
-  if (!replacesPresent(Run, Report, Now))
+  const run *Run = noteOther(Report, Now);
+  if (!Run || !(isAlone(*Run, Now) || isAcceptedAtOnce(Report, Now)))
     return IsSameRun ? report_verdict::Stale : report_verdict::OtherRun;
-  makePresent(Run, Now);
+  makePresent(*Run, Now);
   accept(Report, Now);
   return report_verdict::Accepted;
 }
@@ -132,7 +127,7 @@
   if (HasLeft || IsConfirmed || (HasReport && AgreesWithReport))
     return;
   if (Present)
-    Others.push_back(*Present);
+    addOther(*Present);
   Present.reset();
   Last.Draining = Draining;
   Last.Slots = Slots;
--- a/test/directory/target_reports_test.cpp
+++ b/test/directory/target_reports_test.cpp
@@ -327,6 +327,17 @@
   CHECK_FALSE(Reports.acceptsNewFlows());
 }
 
+TEST_CASE_FIXTURE(reports_fixture,
+                  "a repeated report does not count as another one") {
+  target_report First = report("a", FirstBorn, 1);
+  reportRegularly(First, 2);
+  const target_report Repeated = report("b", FirstBorn - 2'400, 3);
+  for (int I = 0; I < 5; ++I) {
+    CHECK(take(Repeated) == report_verdict::OtherRun);
+    Now += Period;
+  }
+}
+
 TEST_CASE_FIXTURE(reports_fixture,
                   "a delayed Deregister ends no run with another id") {
   target_report Live = report("b", FirstBorn, 1);
