--- a/test/flowstore/flow_zone.h
+++ b/test/flowstore/flow_zone.h
@@ -152,6 +152,30 @@
   }
 };
 
+inline const target_run FirstRun{"run-1", 100};
+inline const target_run SecondRun{"run-2", 200};
+inline const std::string Web = "target.web-1";
+
+/// A zone with a running collector.
+struct checkpoint_fixture : flow_zone {
+  std::unique_ptr<collector_process> Collector = startCollector();
+
+  /// Saves a target's flows; then its VM and the collector's VM lose power.
+  void checkpointAndLosePower() {
+    runAgent(Web, FirstRun, TwoFlows);
+    advanceTime(std::chrono::seconds(10));
+    Agents.clear();
+    Collector.reset();
+  }
+};
+
+inline std::vector<open_flow> manyFlows(std::uint16_t Count) {
+  std::vector<open_flow> Many;
+  for (std::uint16_t Port = 1; Port <= Count; ++Port)
+    Many.push_back({{{0x6440ffff, Port}, {0xc612ffff, 65535}}, 0xffffffff});
+  return Many;
+}
+
 } // namespace marjoramrail::testing
 
 #endif // MARJORAMRAIL_TEST_FLOWSTORE_FLOW_ZONE_H
