Agent: a flow on trial that ends unseen does not turn away all others

Found on reading the change again, not seen on a site. While a flow is on trial at a silent target, the agent offers it no other. The trial ended by a packet of the target or by its timeout; but the timeout is that of a stored packet, whose slot may be used again before (src/forward/offered_packets.h), or whose caller may reset the flow. Then the target would have got no new flow for ever. And a start of the process during a trial makes the next flow a trial, instead of waiting for the outcome of one that was offered to the previous process.

--- a/src/forward/silence_watch.h
+++ b/src/forward/silence_watch.h
@@ -51,7 +51,8 @@
 
   /// The target's process has been started anew.
   void onStarted() {
-    if (State == state::Silent)
+    TrialInterval = MinTrialInterval;
+    if (State != state::Answering)
       State = state::TrialDue;
   }
 
@@ -64,8 +65,11 @@
     return true;
   }
 
-  /// Has to be called regularly.
+  /// Has to be called regularly. A flow on trial may end without an answer or a
+  /// timeout, for example when its caller gives up.
   void tick(instant Now) {
+    if (State == state::OnTrial && Now - OfferedAt >= MinTrialInterval)
+      onTimeout();
     if (State == state::Silent && Now - OfferedAt >= TrialInterval)
       State = state::TrialDue;
   }
--- a/test/forward/silent_targets_test.cpp
+++ b/test/forward/silent_targets_test.cpp
@@ -94,3 +94,33 @@
     return Event.What == event_kind::TargetRecovered;
   }));
 }
+
+TEST_CASE("a trial whose flow ends unseen does not turn away all flows") {
+  // Guards against a target that gets no flow for ever, since the outcome of
+  // the one on trial is waited for.
+  silence_watch Silence;
+  instant Now{10s};
+  Silence.onOffered(Now);
+  Silence.onTimeout();
+  Silence.onStarted();
+  REQUIRE(Silence.onOffered(Now));
+  REQUIRE(Silence.isOnTrial());
+  Now += silence_watch::MinTrialInterval;
+  Silence.tick(Now);
+  CHECK_FALSE(Silence.isOnTrial());
+  Now += silence_watch::MaxTrialInterval;
+  Silence.tick(Now);
+
+  CHECK_FALSE(Silence.isAvoided());
+}
+
+TEST_CASE("a start during a trial makes the next flow a trial") {
+  silence_watch Silence;
+  Silence.onTimeout();
+  Silence.onStarted();
+  Silence.onOffered(instant(10s));
+  Silence.onStarted();
+
+  CHECK_FALSE(Silence.isAvoided());
+  CHECK(Silence.onOffered(instant(10s)));
+}
