--- a/review/standins-2/site_2.py
+++ b/review/standins-2/site_2.py
@@ -353,6 +353,7 @@
         self.alive, self.runs, self.state = False, 0, "ready"
         # The last crash or the start after it.
         self.disturbed_at = -1000.0
+        self.declined = 0
 
     async def start(self):
         self.runs += 1
@@ -418,6 +419,7 @@
 
     def back(self, raw):
         """Returns a packet that this host does not take."""
+        self.declined += 1
         self.datagrams.sendto(
             bytes([raw[0] | BOUNCED]) + b"\0\0\0" + raw[4:],
             (self.address, self.site.ports["outbound"]))
@@ -511,7 +513,7 @@
         self.state, self.buffer, self.wanted = "opening", b"", None
         self.sender = Sender(self.send, 20)
         self.opened, self.answered = asyncio.Event(), asyncio.Event()
-        self.opened_at = self.last_at = None
+        self.started_at = self.opened_at = self.last_at = None
 
     def send(self, packet):
         self.last_at = self.client.site.now()
@@ -520,6 +522,7 @@
     async def open(self):
         """Whether the flow opened; copies of the SYN follow after 200 and
         600 ms, and 1.4 s after the first the attempt ends."""
+        self.started_at = self.client.site.now()
         for copy, wait in enumerate((0.2, 0.4, 0.8)):
             if self.state != "opening":
                 break
