--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,5 @@
-"""A host crashes and starts again, and a report of the run that is over arrives
-late; then, as planned work, the node beside the host is stopped and started."""
+"""Manifests that move routes come in quick succession; later, as planned work,
+the balancers of a zone are stopped and started in turn."""
 import asyncio
 import os
 import sys
@@ -8,60 +8,64 @@
                                 "..", "standins-2"))
 from site_2 import main  # noqa: E402
 
-PORT = 8001
-# After the crash: the host's next start, the first new flow, the arrival of the
-# late report, and the stop of the node.
-START_S, FLOWS_S, LATE_S, STOP_S = 0.3, 0.4, 1.3, 3.0
+# Each manifest moves the next route to the service `second`, and the route
+# before it back to `first`.
+PORTS = list(range(8001, 8026))
+# The pause between two manifests: of the storm, and without the disruption.
+GAP_S, CALM_GAP_S = 0.16, 1.0
+# When clients open flows to a route, counted from its manifest, and how often.
+OPENING_S, OPENINGS = (0.9, 1.7), 20
 
 
-async def use(site, client, serial):
-    """A flow with a request when it opens and the next one after 9 s."""
-    flow = client.flow(site.destination(PORT))
+async def use(site, client, port, serial):
+    """A flow that stays open, with a request every 3 s."""
+    flow = client.flow(site.destination(port))
     if not await flow.open():
         return
-    await flow.ask("q-%d-1" % serial)
-    await asyncio.sleep(9.0)
-    if flow.state == "open":
-        await flow.ask("q-%d-2" % serial)
+    turn = 0
+    while flow.state == "open" and not site.quiet:
+        turn += 1
+        await flow.ask("q-%d-%d-%d" % (port, serial, turn))
+        await asyncio.sleep(3.0)
     flow.close()
 
 
+async def open_flows(site, port):
+    first, last = OPENING_S
+    await asyncio.sleep(first)
+    uses = []
+    for serial in range(OPENINGS):
+        client = site.clients[serial % len(site.clients)]
+        uses.append(asyncio.ensure_future(use(site, client, port, serial)))
+        await asyncio.sleep((last - first) / OPENINGS)
+    return uses
+
+
 async def case(site, trouble):
+    site.quiet = False
     for at, zone in enumerate(("a", "a", "b"), 1):
         await site.add_machine("balancer", at, zone)
-    for at in range(8):
-        await site.add_host(at + 1, "first", "ab"[at // 4])
+    for at, service in enumerate(("first", "second") * 3):
+        await site.add_host(at + 1, service, "ab"[at // 4])
     for at, zone in enumerate(("a", "a", "b"), 1):
         await site.add_client(at, zone)
-    site.manifest({PORT: "first"})
+    routes = {port: "first" for port in PORTS}
+    site.manifest(routes)
     site.start_routers()
     if not await site.ready():
         return "the site did not become ready"
+    await asyncio.sleep(3)
+    opening = []
+    for port in PORTS:
+        await asyncio.sleep(GAP_S if trouble else CALM_GAP_S)
+        site.manifest({**routes, port: "second"})
+        opening.append(asyncio.ensure_future(open_flows(site, port)))
+    uses = [flow for flows in await asyncio.gather(*opening) for flow in flows]
     await asyncio.sleep(6)
-    host = site.hosts["side-a-1"]
-    begin = site.now()
-
-    async def until(after):
-        await asyncio.sleep(max(0, begin + after - site.now()))
-
-    if trouble:
-        late = host.report()
-        host.crash()
-        site.note("host-crashed", host=host.address, id=host.id)
-        await until(START_S)
-        await host.start()
-        site.note("host-started", host=host.address, id=host.id)
-    await until(FLOWS_S)
-    uses = []
-    for serial in range(90):
-        client = site.clients[serial % len(site.clients)]
-        uses.append(asyncio.ensure_future(use(site, client, serial)))
-        await asyncio.sleep(0.01)
-    await until(LATE_S)
-    if trouble:
-        await host.tell(late)
-    await until(STOP_S)
-    await site.restart(host.machine)
+    for name in ("edge-a-1", "edge-a-2"):
+        await site.restart(name)
+        await asyncio.sleep(6)
+    site.quiet = True
     await asyncio.gather(*uses)
     if site.exits():
         site.broken("Fault", "processes ended by themselves", site.exits())
