--- a/review/standins-2/site_2.py
+++ b/review/standins-2/site_2.py
@@ -34,6 +34,8 @@
           "rollback_slack_ms": 250, "skew_max_ms": 12000, "recovery_s": 12,
           "reorder_ms": 2000, "flow_ttl_s": 60}
 HEARTBEAT_S = 1.2
+# The address of all routes; no socket uses it.
+ROUTES_ADDRESS = "127.255.0.1"
 IDLE_TIMEOUT_MS = 15000
 
 
@@ -817,7 +819,7 @@
         self.version += step
         listed = []
         for port, service in sorted(routes.items()):
-            route = {"name": "r-%d" % port, "host": "198.18.0.1",
+            route = {"name": "r-%d" % port, "host": ROUTES_ADDRESS,
                      "path_prefix": "/%d/" % port, "type": "unsafe",
                      "timeout_ms": 3000, "target_latency_ms": 500,
                      "priority": 1, "max_attempts": 2}
@@ -841,7 +843,7 @@
             routes, sort_keys=True).replace(" ", ""))
 
     def destination(self, port):
-        return (number("198.18.0.1"), port)
+        return (number(ROUTES_ADDRESS), port)
 
     # Begin and end
 
