--- a/review/standins-2/site_2.py
+++ b/review/standins-2/site_2.py
@@ -503,6 +503,9 @@
     async def open(self):
         """Whether the flow opened; copies of the SYN follow after 200 and
         600 ms, and 1.4 s after the first the attempt ends."""
+        site = self.client.site
+        site.note("opens", client=self.client.address, port=self.key[0][1],
+                  route=self.route[1])
         for copy, wait in enumerate((0.2, 0.4, 0.8)):
             if self.state != "opening":
                 break
@@ -513,6 +516,9 @@
                 pass
         if self.state == "opening":
             self.state = "not opened"
+        if self.state != "open":
+            site.note("not-opened", client=self.client.address,
+                      port=self.key[0][1], how=self.state.replace(" ", "-"))
         return self.state == "open"
 
     def take(self, packet):
