Directory: log writes of the record, and configurations in force without it

The logs did not tell which version came into effect before its services were on record, nor when the record was written: the answer to a write was dropped without a line, whatever it said.

Two events, record-written and routes-unrecorded.

--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -107,6 +107,10 @@
   /// is current again.
   RoutesLate,
   RoutesCurrent,
+  /// A balancer's write of the record of services has ended.
+  RecordWritten,
+  /// A configuration came into effect before its services were on record.
+  RoutesUnrecorded,
   ObjectRefused,
   CopiedFromPeer,
   /// The set of evacuated zones, as this process knows it, has changed.
@@ -126,7 +130,7 @@
   LinesDropped,
 };
 
-inline constexpr name_table<event_kind, 59> EventKindNames = {{
+inline constexpr name_table<event_kind, 61> EventKindNames = {{
     {event_kind::ProcessStarted, "process-started"},
     {event_kind::ProcessStopping, "process-stopping"},
     {event_kind::ViewTaken, "view-taken"},
@@ -177,6 +181,8 @@
     {event_kind::RoutesRefused, "routes-refused"},
     {event_kind::RoutesLate, "routes-late"},
     {event_kind::RoutesCurrent, "routes-current"},
+    {event_kind::RecordWritten, "record-written"},
+    {event_kind::RoutesUnrecorded, "routes-unrecorded"},
     {event_kind::ObjectRefused, "object-refused"},
     {event_kind::CopiedFromPeer, "copied-from-peer"},
     {event_kind::EvacuationsChanged, "evacuations-changed"},
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -147,6 +147,19 @@
   Progress->FirstKnownAt = std::min(
       Progress->FirstKnownAt, routesAvailableSince(Progress->ObjectVersion));
   Hooks.OnRoutesProgress(event_kind::RoutesActivated, *Progress);
+  reportUnrecordedServices();
+}
+
+/// Until they are on record, a balancer that starts does not know that these
+/// services may own flows.
+void directory::impl::reportUnrecordedServices() {
+  const route_services Active(Activation.active());
+  const std::size_t Unrecorded = Active.without(Record.all()).size();
+  if (Unrecorded > 0)
+    Hooks.OnEvent(event_kind::RoutesUnrecorded,
+                  "version " + std::to_string(Activation.activeVersion()) +
+                      ": " + std::to_string(Unrecorded) +
+                      " services of routes are not on record");
 }
 
 void directory::impl::noteRoutesKnown(std::uint64_t ObjectVersion,
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -69,6 +69,8 @@
   void activateNewestRoutes();
   /// Reports the active configuration, once for each version.
   void reportActiveRoutes();
+  /// Logs the services in effect that are not on record.
+  void reportUnrecordedServices();
   /// Since when the object \p ObjectVersion could have been in use here.
   instant routesAvailableSince(std::uint64_t ObjectVersion) const;
   void notifyChanges();
@@ -112,6 +114,7 @@
   duration recordDelay(instant Now) const;
   std::optional<std::string> compareRecord();
   void writeRecord(const std::string &Body);
+  void logRecordWrite(const platform_reply &Reply, instant BegunAt);
   void writeSelf();
   void removeDeadPeers();
   void onRegistrationRequest(const endpoint &From,
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -192,7 +192,9 @@
   Write.Object.Body = Body;
   Write.Expected = Held == Site.objects().end() ? 0 : Held->second.Version;
   RecordWritePending = true;
-  Platform.Site.Write(Write, guarded([this](const platform_reply &) {
+  Platform.Site.Write(Write, guarded([this, BegunAt = Timers.now()](
+                                         const platform_reply &Reply) {
+                        logRecordWrite(Reply, BegunAt);
                         RecordWritePending = false;
                         // The watch returns the new record; until then it need
                         // not be written again.
@@ -201,4 +203,16 @@
                       }));
 }
 
+void directory::impl::logRecordWrite(const platform_reply &Reply,
+                                     instant BegunAt) {
+  const bool IsWritten = Reply.Outcome == platform_outcome::Ok;
+  const std::string Result =
+      IsWritten ? "as version " + std::to_string(Reply.Object.Version)
+                : "failed: " + Reply.Reason;
+  Hooks.OnEvent(event_kind::RecordWritten,
+                Result + ", after " +
+                    std::to_string(inMilliseconds(Timers.now() - BegunAt)) +
+                    " ms");
+}
+
 } // namespace marjoramrail
