Routes: a configuration also waits, for a limited time, until its services are on record

Cause: a version came into effect SettleTime after it was known, whether or not its services were on record by then. When every balancer's write was refused, lost or late, flows were opened whose service a balancer that starts cannot know. Last in rank, a balancer writes after 1.0 to 1.2 s, so that without a fault of the store too a version could be in effect a call's time before its record.

Weighed: no limit (an operator's change would never take effect while the store refuses our writes); the same wait for the first table of a process (a site's first start would serve 0.8 s later; test "a balancer reads routes and targets from the store" failed); no wait, as before.

Change: a table with new services waits up to MaxRecordWait (0.8 s) longer until they are on record as far as this balancer knows, and a table on record does not wait for an older one that is not.

Four tests of route_activation, one of the site.

--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -12,6 +12,10 @@
 constexpr duration RecordCheckPeriod = std::chrono::milliseconds(200);
 constexpr duration SnapshotCheckPeriod = std::chrono::seconds(1);
 constexpr duration LagCheckPeriod = std::chrono::milliseconds(500);
+/// How much longer than SettleTime a configuration waits until its services are
+/// on record. The store may refuse writes for any time, and operators rely on a
+/// bound for their changes as well.
+constexpr duration MaxRecordWait = std::chrono::milliseconds(800);
 /// A balancer does the tasks of the first one of its zone only after this time
 /// since its start. Before, it may not have heard of those ahead of it.
 constexpr duration ZonePeerDiscoveryTime = std::chrono::seconds(2);
@@ -34,6 +38,7 @@
       Record(this->Settings.FlowLife),
       RecordWriter(Timers, Record, {this->Settings.SiteKind, RecordName},
                    recordHooks()),
+      Activation(MaxRecordWait),
       FirstLists(this->Platform.Routes, this->Platform.Site,
                  this->Settings.RoutesKind, this->Settings.SiteKind,
                  snapshotHooks()),
@@ -85,6 +90,7 @@
 
 void directory::impl::notifyChanges() {
   activateNewestRoutes();
+  advanceRoutes();
   notifyRules();
   if (std::exchange(TargetsChanged, false))
     Hooks.OnTargets();
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -142,7 +142,10 @@
   Writer.Write = [this](const platform_write &Write, platform_callback Done) {
     Platform.Site.Write(Write, std::move(Done));
   };
-  Writer.OnRecord = [this] { RulesChanged = true; };
+  Writer.OnRecord = [this] {
+    RulesChanged = true;
+    Activation.noteRecord(Record);
+  };
   Writer.OnWritten = [this](const platform_reply &Reply, duration Took) {
     logRecordWrite(Reply, Took);
     notifyChanges();
--- a/src/directory/route_activation.cpp
+++ b/src/directory/route_activation.cpp
@@ -32,7 +32,7 @@
     Active = Newest;
     Waiting.clear();
   } else {
-    enqueueNewest(Origin, Now);
+    enqueueNewest(Origin, Record, Now);
   }
   return true;
 }
@@ -41,7 +41,8 @@
 /// as long as all tables from some place in the queue on have it; a service
 /// that a table in between does not have is unknown to balancers that only know
 /// that table.
-void route_activation::enqueueNewest(const origin &Origin, instant Now) {
+void route_activation::enqueueNewest(const origin &Origin,
+                                     const route_record &Record, instant Now) {
   instant Until = Now + SettleTime;
   const std::vector<route_service> New =
       Newest->Services.without(Active->Services);
@@ -51,7 +52,8 @@
     Until = Place->Until;
   }
   Waiting.erase(Place, Waiting.end());
-  Waiting.push_back({Newest, Origin.ObjectVersion, Until});
+  Waiting.push_back({Newest, Origin.ObjectVersion, Until,
+                     Newest->Services.without(Record.all())});
   noteKnown({Origin.ObjectVersion, std::min(Origin.FirstKnownAt, Now)});
 }
 
@@ -99,15 +101,28 @@
   return false;
 }
 
+void route_activation::noteRecord(const route_record &Record) {
+  const auto IsRecorded = [&Record](const route_service &Service) {
+    return Record.holds(Service);
+  };
+  for (waiting_table &Upcoming : Waiting)
+    std::erase_if(Upcoming.Unrecorded, IsRecorded);
+}
+
 bool route_activation::advance(instant Now) {
   bool Changed = false;
   if (!Withheld.empty() && Now >= WithheldUntil) {
     Withheld.clear();
     Changed = true;
   }
-  while (!Waiting.empty() && Now >= Waiting.front().Until) {
-    Active = std::move(Waiting.front().Table);
-    Waiting.pop_front();
+  // A table whose services are on record does not wait for an older one whose
+  // services are not.
+  const auto Last = std::find_if(
+      Waiting.rbegin(), Waiting.rend(),
+      [&](const waiting_table &Table) { return Now >= endOfWait(Table); });
+  if (Last != Waiting.rend()) {
+    Active = Last->Table;
+    Waiting.erase(Waiting.begin(), Last.base());
     Changed = true;
   }
   return Changed;
@@ -117,9 +132,8 @@
   std::optional<instant> Next;
   if (!Withheld.empty())
     Next = WithheldUntil;
-  if (!Waiting.empty())
-    Next =
-        std::min(Next.value_or(Waiting.front().Until), Waiting.front().Until);
+  for (const waiting_table &Upcoming : Waiting)
+    Next = std::min(Next.value_or(instant::max()), endOfWait(Upcoming));
   return Next;
 }
 
--- a/src/directory/route_activation.h
+++ b/src/directory/route_activation.h
@@ -19,6 +19,10 @@
 /// all balancers with current data have it. If each balancer counted from its
 /// own knowledge, the time until it gets a copy would add to the wait.
 ///
+/// A configuration also waits until its services are on record (route_record),
+/// which is how a balancer that starts later knows them. That wait is limited,
+/// because the store may refuse the write for any time.
+///
 /// A version never replaces a newer one, in whatever order updates arrive.
 ///
 //===----------------------------------------------------------------------===//
@@ -42,6 +46,11 @@
     instant FirstKnownAt = instant::max();
   };
 
+  /// \p MaxRecordWait: how much longer than SettleTime a table waits while its
+  /// services are not on record.
+  explicit route_activation(duration MaxRecordWait = duration::zero())
+      : MaxRecordWait(MaxRecordWait) {}
+
   /// Accepts a newer table; false if it is not newer than the newest one known.
   bool take(route_table Table, const route_record &Record, instant Now,
             const origin &Origin);
@@ -51,6 +60,8 @@
   }
   /// Some balancer knew the object of \p Origin, and those before it.
   void noteKnown(const origin &Origin);
+  /// The stored record has changed.
+  void noteRecord(const route_record &Record);
   /// Activates what has waited long enough; true if something changed.
   bool advance(instant Now);
   /// When advance() has to be called next, if at all.
@@ -88,7 +99,10 @@
     std::shared_ptr<const sorted_table> Table;
     /// The store version of the object that it was read from.
     std::uint64_t ObjectVersion = 0;
+    /// Until all balancers know it.
     instant Until;
+    /// Its services that are not on record yet.
+    std::vector<route_service> Unrecorded;
   };
 
   /// One service in a route's rule.
@@ -132,11 +146,18 @@
   bool addsToActive(const sorted_table &Table) const;
   bool addsTo(const sorted_table &Upcoming,
               const std::vector<route_service> &New) const;
-  void enqueueNewest(const origin &Origin, instant Now);
+  void enqueueNewest(const origin &Origin, const route_record &Record,
+                     instant Now);
+  /// When \p Upcoming takes effect unless the record changes.
+  instant endOfWait(const waiting_table &Upcoming) const {
+    return Upcoming.Unrecorded.empty() ? Upcoming.Until
+                                       : Upcoming.Until + MaxRecordWait;
+  }
   bool isWithheld(const route_service &Entry) const;
   static route_rule ruleOf(const rule_view &View);
   static std::uint64_t hashOf(const rule_view &View);
 
+  duration MaxRecordWait;
   std::shared_ptr<const sorted_table> Active =
       std::make_shared<const sorted_table>(route_table());
   /// The tables that are not in effect yet, in the order of their versions and
--- a/test/directory/recorded_services_test.cpp
+++ b/test/directory/recorded_services_test.cpp
@@ -192,6 +192,20 @@
     CHECK_MESSAGE(isRecorded(Moved), serviceOf(Moved));
 }
 
+TEST_CASE_FIXTURE(moving_route, "a configuration waits a limited time for a "
+                                "record that the store refuses") {
+  // Guards against operators' changes that never take effect.
+  startAll(3);
+  for (const unsigned Number : {1U, 2U, 3U})
+    Balancers.at(Number).Faults->WritesRefused = true;
+  move();
+  pass(SettleTime + 500ms);
+  CHECK(at(3).routesVersion() == 1);
+  pass(400ms);
+
+  CHECK(at(3).routesVersion() == 2);
+}
+
 TEST_CASE_FIXTURE(moving_route, "a service is on record although the next "
                                 "version withdraws it before it gets flows") {
   // A balancer that does not hear of the next version puts this one in effect
--- a/test/directory/route_activation_test.cpp
+++ b/test/directory/route_activation_test.cpp
@@ -457,3 +457,68 @@
   Activation.advance(Later + SettleTime);
   CHECK(sharesNow() == names{"vault", "archive"});
 }
+
+namespace {
+
+/// Activations that wait for the record, too.
+struct recorded_activation_fixture {
+  static constexpr duration MaxRecordWait = 800ms;
+
+  instant Now{1s};
+  route_record Record{60s};
+  route_activation Activation{MaxRecordWait};
+
+  recorded_activation_fixture() {
+    recordServices(R"(["ledger"])");
+    Activation.take(tableOf(1, {"ledger"}), Record, Now);
+  }
+
+  void recordServices(const std::string &Names) {
+    Record.load(R"({"10.0.0.1:443": )" + Names + "}");
+    Activation.noteRecord(Record);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(recorded_activation_fixture,
+                  "a new service gets flows only once it is on record") {
+  // Guards against flows whose service a balancer that starts cannot know.
+  Activation.take(tableOf(2, {"archive"}), Record, Now);
+  CHECK_FALSE(Activation.advance(Now + SettleTime + MaxRecordWait - 1ms));
+  recordServices(R"(["ledger", "archive"])");
+
+  CHECK(Activation.advance(Now + SettleTime));
+  CHECK(Activation.activeVersion() == 2);
+}
+
+TEST_CASE_FIXTURE(recorded_activation_fixture,
+                  "a service on record waits for SettleTime as well") {
+  Activation.take(tableOf(2, {"archive"}), Record, Now);
+  recordServices(R"(["ledger", "archive"])");
+
+  CHECK(Activation.nextChange() == Now + SettleTime);
+  CHECK_FALSE(Activation.advance(Now + SettleTime - 1ms));
+}
+
+TEST_CASE_FIXTURE(recorded_activation_fixture,
+                  "a table whose services are on record does not wait for an "
+                  "older one") {
+  Activation.take(tableOf(2, {"archive"}), Record, Now);
+  Activation.take(tableOf(3, {"lookup"}), Record, Now + 100ms);
+  recordServices(R"(["ledger", "lookup"])");
+
+  CHECK(Activation.nextChange() == Now + 100ms + SettleTime);
+  CHECK(Activation.advance(Now + 100ms + SettleTime));
+  CHECK(Activation.activeVersion() == 3);
+  CHECK_FALSE(Activation.nextChange());
+}
+
+TEST_CASE_FIXTURE(recorded_activation_fixture,
+                  "the wait for the record ends after a limited time") {
+  Activation.take(tableOf(2, {"archive"}), Record, Now);
+
+  CHECK(Activation.nextChange() == Now + SettleTime + MaxRecordWait);
+  CHECK(Activation.advance(Now + SettleTime + MaxRecordWait));
+  CHECK(Activation.activeVersion() == 2);
+}
