Record: missing services in one sorted array

Change: an array in the order of the record, merged only while something is missing; the log's pass over all services only then.

--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -191,6 +191,8 @@
 /// Until they are on record, a balancer that starts does not know that these
 /// services may own flows.
 void directory::impl::reportUnrecordedServices() {
+  if (Record.missing() == 0)
+    return;
   const std::size_t Unrecorded =
       Activation.activeServices().without(Record.all()).size();
   if (Unrecorded == 0)
--- a/src/directory/route_record.cpp
+++ b/src/directory/route_record.cpp
@@ -2,6 +2,7 @@
 #include "directory/address_list.h"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 namespace marjoramrail::internal {
@@ -59,9 +60,14 @@
 void route_record::load(const std::string &Body) {
   Loaded = true;
   Services = decodeRecord(Body);
-  std::erase_if(Missing,
-                [this](const auto &Service) { return holds(Service.first); });
-  mergeMissing();
+  std::erase_if(Missing, [this](const missing_service &Service) {
+    return holds(Service.Entry);
+  });
+  route_services Left;
+  for (const missing_service &Service : Missing)
+    Left.add(Service.Entry.Address, WithMissing.nameOf(Service.Entry.Service));
+  Left.sort();
+  WithMissing = Left.empty() ? route_services() : Services.merged(Left, {});
 }
 
 bool route_record::holds(const endpoint &Address,
@@ -90,7 +96,7 @@
 
 std::optional<instant> route_record::missingSince() const {
   std::optional<instant> Earliest;
-  for (const auto &[Entry, Service] : Missing)
+  for (const missing_service &Service : Missing)
     Earliest = std::min(Earliest.value_or(Service.Since), Service.Since);
   return Earliest;
 }
@@ -114,34 +120,41 @@
     Previous.try_emplace(Entry, previous_service{Now});
 }
 
+/// The previous services that have to be on record.
+route_services route_record::previousOwners(instant Now) const {
+  route_services Owners;
+  for (const auto &[Entry, Service] : Previous)
+    if (mayOwnFlows(Service, Now))
+      Owners.add(Entry.Address, *Service.Name);
+  Owners.sort();
+  return Owners;
+}
+
 /// A previous service may be missing too: another balancer, which has not heard
 /// of its last use, has removed it from the record. That is not repeated: the
 /// service's time on record then begins anew there, and is longer by
 /// RecordRetentionMargin than the time for which it is put back.
 void route_record::noteMissing(const route_services &Current, instant Now) {
-  std::map<route_service, missing_service> Found;
-  const auto Add = [&](const route_service &Entry, const std::string &Name) {
-    const auto Known = Missing.find(Entry);
-    Found.emplace(Entry, Known == Missing.end() ? missing_service{Now, Name}
-                                                : Known->second);
-  };
-  for (const route_service &Entry : Current.without(Services))
-    Add(Entry, Current.nameOf(Entry.Service));
-  for (const auto &[Entry, Service] : Previous)
-    if (mayOwnFlows(Service, Now) && !holds(Entry))
-      Add(Entry, *Service.Name);
+  const route_services PreviousOwners = previousOwners(Now);
+  const std::vector<route_service> OfCurrent = Current.without(Services);
+  const std::vector<route_service> OfPrevious =
+      PreviousOwners.without(Services);
+  std::vector<route_service> Entries;
+  std::set_union(OfCurrent.begin(), OfCurrent.end(), OfPrevious.begin(),
+                 OfPrevious.end(), std::back_inserter(Entries));
+  std::vector<missing_service> Found;
+  auto Known = Missing.begin();
+  for (const route_service &Entry : Entries) {
+    Known = std::find_if(Known, Missing.end(), [&](const auto &Service) {
+      return Entry <= Service.Entry;
+    });
+    const bool IsKnown = Known != Missing.end() && Known->Entry == Entry;
+    Found.push_back({Entry, IsKnown ? Known->Since : Now});
+  }
   Missing = std::move(Found);
-  mergeMissing();
-}
-
-void route_record::mergeMissing() {
-  WithMissing = route_services();
-  if (Missing.empty())
-    return;
-  for (const auto &[Entry, Service] : Missing)
-    WithMissing.add(Entry.Address, Service.Name);
-  WithMissing.sort();
-  WithMissing = WithMissing.merged(Services, {});
+  WithMissing = Missing.empty()
+                    ? route_services()
+                    : Services.merged(Current, {}).merged(PreviousOwners, {});
 }
 
 std::optional<std::string> route_record::update(const route_services &Current,
@@ -154,7 +167,8 @@
       Expired.push_back(Entry);
   if (Expired.empty() && Missing.empty())
     return std::nullopt;
-  return encodeRecord(owners().merged(route_services(), Expired));
+  return encodeRecord(
+      Expired.empty() ? owners() : owners().merged(route_services(), Expired));
 }
 
 std::optional<instant> route_record::nextExpiry() const {
--- a/src/directory/route_record.h
+++ b/src/directory/route_record.h
@@ -84,15 +84,15 @@
     std::optional<std::string> Name = {};
   };
   struct missing_service {
+    route_service Entry;
     instant Since;
-    std::string Name;
   };
 
   bool mayOwnFlows(const previous_service &Service, instant Now) const;
   bool isExpired(const previous_service &Service, instant Now) const;
   void notePrevious(const route_services &Current, instant Now);
+  route_services previousOwners(instant Now) const;
   void noteMissing(const route_services &Current, instant Now);
-  void mergeMissing();
 
   duration FlowLife;
   bool Loaded = false;
@@ -104,8 +104,8 @@
   /// or may own flows.
   std::map<route_service, previous_service> Previous;
   /// The services that are not on record and may own flows or will get new
-  /// ones.
-  std::map<route_service, missing_service> Missing;
+  /// ones. Sorted.
+  std::vector<missing_service> Missing;
   /// Services and the missing ones, if there are any.
   route_services WithMissing;
 };
