Balancer: tells for how long a service has not been on record

A balancer whose writes are refused showed it in the log only when a version came into effect. The gauge marjoramrail_services_missing_seconds shows it until the service is on record. Two more tests of the site: the gauge, and a balancer that starts in the midst of a storm.

--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -251,6 +251,9 @@
   Metrics.gauge("marjoramrail_routes_late_seconds", [this] {
     return inSeconds(Directory.routesLateFor().value_or(duration::zero()));
   });
+  Metrics.gauge("marjoramrail_services_missing_seconds", [this] {
+    return inSeconds(Directory.servicesMissingFor().value_or(duration::zero()));
+  });
   Metrics.gauge("marjoramrail_known_age_seconds", [this] {
     const auto AsOf = Directory.knownAsOf();
     return AsOf ? inSeconds(Loop.timers().now() - *AsOf) : -1.0;
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -503,6 +503,10 @@
   /// For how long the newest configuration has been held up at one step, or has
   /// not been confirmed, if that is longer than it should be.
   std::optional<duration> routesLateFor() const;
+  /// For how long a service that may own flows has not been on record, the one
+  /// that is missing for longest; nothing if all are on record. A balancer that
+  /// starts does not know a missing service.
+  std::optional<duration> servicesMissingFor() const;
   /// Every change that the store accepted before this moment is known here.
   std::optional<instant> knownAsOf() const;
   /// The same for marjoramrail's own objects alone: the store answered a call
--- a/src/directory/directory_lag.cpp
+++ b/src/directory/directory_lag.cpp
@@ -64,4 +64,9 @@
   return Impl->RoutesLag.lateFor();
 }
 
+std::optional<duration> directory::servicesMissingFor() const {
+  const auto Since = Impl->Record.missingSince();
+  return Since ? std::optional(Impl->Timers.now() - *Since) : std::nullopt;
+}
+
 } // namespace marjoramrail
--- a/test/directory/recorded_services_test.cpp
+++ b/test/directory/recorded_services_test.cpp
@@ -106,6 +106,36 @@
     CHECK_MESSAGE(Owners.contains(Service), Service);
 }
 
+TEST_CASE_FIXTURE(moving_route,
+                  "a balancer that starts in the midst of a storm "
+                  "knows every service that had flows") {
+  // Guards against versions that were replaced before this balancer started.
+  startAll(3);
+  storm(12, 160ms);
+  start(4, {addressOf(1)});
+  storm(12, 160ms);
+  watchFor(3s);
+
+  const names Owners = ownersAt(4);
+  for (const std::string &Service : Used)
+    CHECK_MESSAGE(Owners.contains(Service), Service);
+  CHECK(UsedUnrecorded == names());
+}
+
+TEST_CASE_FIXTURE(moving_route,
+                  "missing services are told until they are on record") {
+  startAll(1);
+  CHECK_FALSE(at(1).servicesMissingFor());
+  Balancers.at(1).Faults->WritesRefused = true;
+  move();
+  pass(3s);
+  CHECK(at(1).servicesMissingFor() > 2s);
+  Balancers.at(1).Faults->WritesRefused = false;
+  pass(1s);
+
+  CHECK_FALSE(at(1).servicesMissingFor());
+}
+
 TEST_CASE("a service is on record before it gets flows, however fast versions "
           "follow each other") {
   // Guards against versions that arrive between two comparisons of the record,
