Balancer: offers flows to agents whose refusal is old, in place of refusing for good

Cause: balancers ask agents of other zones for reports only while these do not respond, and idle agents report to nobody; so "admits no flows", heard once, counted for ever, and flows were refused without a packet to any agent.

Change: a flow that no target is known to take is offered to the agents whose refusal is over a second old; one that has not answered is left out. The same for an agent's word that its zone is evacuated (related path).

--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -193,6 +193,15 @@
   bool isPermitted(const region_restriction &Regions,
                    const internal::agent_state &Agent) const;
   std::string_view refusalReason(const internal::route_state &Route) const;
+  /// Ends open() for a flow that no target takes.
+  forward_outcome refuseUnplaced(const internal::route_state &Route,
+                                 const segment &Segment, instant Now);
+  bool isRefusalOutdated(const internal::route_state &Route,
+                         const internal::agent_state &Agent, instant Now) const;
+  void requestReports(const internal::candidate_list &List, instant Now);
+  /// Returns false if there is no agent to offer the flow to.
+  bool offerToOutdated(const internal::route_state &Route,
+                       const segment &Segment, bytes_view Bytes, instant Now);
   void notifyUnregistered(const endpoint &Agent, instant Now);
   void notifyRegistered(const internal::agent_state &Agent, instant Now);
   void reportLostAgents(instant Now);
@@ -227,6 +236,8 @@
   token_bucket FirstLookupRequests{8, 16};
   /// The same for repeated lookups; the burst covers one full list.
   token_bucket RepeatedLookupRequests{40, MaxRoutedOwners};
+  /// The same for agents that once reported that they admit no flows.
+  token_bucket OutdatedRefusalRequests{8, 16};
   forward_balancer_counters Counters;
   int Ticks = 0;
 };
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -170,13 +170,10 @@
   // first one is then the last choice.
   const auto Before = previousPlacement(Flow, Now);
   const auto Chosen = place(Route, Segment, Before, Now);
-  if (!Chosen) {
-    const std::string_view Reason = refusalReason(Route);
-    const bool IsByOrder = Reason != NoTargetAdmits;
-    if (Route.Shares.empty() || (!IsByOrder && !isKnowledgeCurrent(Now)))
-      return forward_outcome::Indeterminate;
-    return refuse(Segment, forward_outcome::NoTarget, Reason, Now);
-  }
+  if (!Chosen)
+    return offerToOutdated(Route, Segment, Bytes, Now)
+               ? forward_outcome::Placed
+               : refuseUnplaced(Route, Segment, Now);
   agent_state &Agent = AgentTable.at(*Chosen);
   // A flow that was placed before may be open by now.
   if (!Before && isRefusedByThreshold(Route, Agent.Service) &&
@@ -204,6 +201,76 @@
   return forward_outcome::Placed;
 }
 
+forward_outcome forward_balancer::impl::refuseUnplaced(const route_state &Route,
+                                                       const segment &Segment,
+                                                       instant Now) {
+  const std::string_view Reason = refusalReason(Route);
+  const bool IsByOrder = Reason != NoTargetAdmits;
+  if (Route.Shares.empty() || (!IsByOrder && !isKnowledgeCurrent(Now)))
+    return forward_outcome::Indeterminate;
+  return refuse(Segment, forward_outcome::NoTarget, Reason, Now);
+}
+
+/// Whether the agent once reported that it takes no flows, and may take them by
+/// now. One that has not answered since is not used: the caller would wait in
+/// vain.
+bool forward_balancer::impl::isRefusalOutdated(const route_state &Route,
+                                               const agent_state &Agent,
+                                               instant Now) const {
+  const bool Refuses = !Agent.Report.Admitting || Agent.Report.Evacuated;
+  const bool IsOutdated =
+      !Agent.hasReportedSince(Now - agent_table::ReportRequestDelay);
+  const bool IsPermittedNow = !Agent.Draining &&
+                              !AgentTable.zoneOf(Agent).EvacuatedSince &&
+                              isPermitted(Route.Regions, Agent);
+  return Refuses && IsOutdated && IsPermittedNow && !Agent.Suspect &&
+         !Agent.isUnresponsiveFor(agent_state::ReportResponseTime, Now);
+}
+
+/// Only the first agent of a list is known to have received the packet. If the
+/// others were not asked, each of them that has failed would cost a caller its
+/// first packet.
+void forward_balancer::impl::requestReports(const candidate_list &List,
+                                            instant Now) {
+  for (const endpoint &Agent : List)
+    if (!AgentTable.find(Agent)->FirstRequestedAt &&
+        OutdatedRefusalRequests.take(Now))
+      requestReport(Agent, Now);
+}
+
+/// Offers a flow that no target is known to take to the agents whose last word
+/// is old. Idle agents of other zones are not asked for reports, and send none
+/// by themselves when they admit flows again: without this, a balancer whose
+/// zone has no target of the service would refuse its flows for good. An agent
+/// that still admits none refuses the flow at once, and its report follows.
+bool forward_balancer::impl::offerToOutdated(const route_state &Route,
+                                             const segment &Segment,
+                                             bytes_view Bytes, instant Now) {
+  const flow_key &Flow = Segment.Head.Flow;
+  for (const service_id Service : servicesByPreference(Route, Flow)) {
+    outgoing_packet Packet = outgoing(Route, Service, Segment, Bytes);
+    candidate_list List(Packet.size());
+    const auto &Agents = AgentTable.ofService(Service);
+    for (const std::size_t Position : Order.forFlow(Agents, Flow)) {
+      const agent_state &Agent = AgentTable.at(Agents[Position]);
+      if (isRefusalOutdated(Route, Agent, Now))
+        List.add(Agent.Agent);
+    }
+    if (List.empty())
+      continue;
+    if (Packet.Level)
+      Packet.SubstituteWait = substituteWait(List, Packet.Level->Level, Now);
+    FlowCache.store(Flow, {List.front(), /*IsConfirmed=*/false}, Now);
+    logEvent(event_kind::FlowRouted, "its last report is old", Flow,
+             List.front(), Now, 0);
+    requestReports(List, Now);
+    send(List, Service, /*Flags=*/0, Hooks.Clock ? Hooks.Clock() : 0, Packet,
+         Now);
+    return true;
+  }
+  return false;
+}
+
 /// Adds the agents that may take the flow if the chosen target does not: those
 /// that are known to have a free slot, then the same zone, in the flow's own
 /// order, and last the agents whose target accepts nothing. If the order were
