Record: the log names the last failure, not a conflict that was resolved; a name

A conflict whose object was loaded is no failure: routes-unrecorded would have named it as the reason later. offerToOutdated is named for what it does.

--- a/src/directory/record_writer.cpp
+++ b/src/directory/record_writer.cpp
@@ -99,12 +99,13 @@
     load(Reply.Object.Version, Body);
     return Hooks.OnWritten(Reply, Now - SentAt);
   }
-  LastFailure = Reply.Reason;
   requestUpdate();
   const bool IsReplaced = Reply.Outcome == platform_outcome::Conflict &&
                           load(Reply.Object.Version, Reply.Object.Body);
-  if (!IsReplaced)
+  if (!IsReplaced) {
+    LastFailure = Reply.Reason;
     NextWriteAt = Now + RetryInterval + Hooks.WaitForOthers(Now);
+  }
   Hooks.OnWritten(Reply, Now - SentAt);
   // Two balancers that check at the same moments, of which one knows a service
   // that the other has not heard of: if this one waited for its next check, it
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -200,8 +200,9 @@
                          const internal::agent_state &Agent, instant Now) const;
   void requestReports(const internal::candidate_list &List, instant Now);
   /// Returns false if there is no agent to offer the flow to.
-  bool offerToOutdated(const internal::route_state &Route,
-                       const segment &Segment, bytes_view Bytes, instant Now);
+  bool offerDespiteOldRefusals(const internal::route_state &Route,
+                               const segment &Segment, bytes_view Bytes,
+                               instant Now);
   void notifyUnregistered(const endpoint &Agent, instant Now);
   void notifyRegistered(const internal::agent_state &Agent, instant Now);
   void reportLostAgents(instant Now);
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -171,7 +171,7 @@
   const auto Before = previousPlacement(Flow, Now);
   const auto Chosen = place(Route, Segment, Before, Now);
   if (!Chosen)
-    return offerToOutdated(Route, Segment, Bytes, Now)
+    return offerDespiteOldRefusals(Route, Segment, Bytes, Now)
                ? forward_outcome::Placed
                : refuseUnplaced(Route, Segment, Now);
   agent_state &Agent = AgentTable.at(*Chosen);
@@ -243,9 +243,10 @@
 /// by themselves when they admit flows again: without this, a balancer whose
 /// zone has no target of the service would refuse its flows for good. An agent
 /// that still admits none refuses the flow at once, and its report follows.
-bool forward_balancer::impl::offerToOutdated(const route_state &Route,
-                                             const segment &Segment,
-                                             bytes_view Bytes, instant Now) {
+bool forward_balancer::impl::offerDespiteOldRefusals(const route_state &Route,
+                                                     const segment &Segment,
+                                                     bytes_view Bytes,
+                                                     instant Now) {
   const flow_key &Flow = Segment.Head.Flow;
   for (const service_id Service : servicesByPreference(Route, Flow)) {
     outgoing_packet Packet = outgoing(Route, Service, Segment, Bytes);
