Routes: the first table of a process waits for the record as later ones do

Seen in a test, not on a site: a loss of power right after a change leaves the change's service off the record. The balancers that start withheld it from new flows for SettleTime, whether or not it was on record by then. If the store refuses writes in that time, flows are opened whose service a balancer that starts later cannot know, and it resets them.

Ruled out: a price at a site's first start, which was the reason for leaving it so.

Change: withheld services also wait up to MaxRecordWait for the record, if the site has one.

--- a/src/directory/route_activation.cpp
+++ b/src/directory/route_activation.cpp
@@ -26,6 +26,10 @@
     Active = Newest;
     Withheld = Newest->Services.without(Record.all());
     WithheldUntil = Now + SettleTime;
+    // A site without a record starts for the first time. No flows exist that a
+    // balancer could reset, and those that write the record may start last.
+    if (Record.loaded())
+      WithheldUnrecorded = Withheld;
     return true;
   }
   if (!addsToActive(*Newest)) {
@@ -105,13 +109,14 @@
   const auto IsRecorded = [&Record](const route_service &Service) {
     return Record.holds(Service);
   };
+  std::erase_if(WithheldUnrecorded, IsRecorded);
   for (waiting_table &Upcoming : Waiting)
     std::erase_if(Upcoming.Unrecorded, IsRecorded);
 }
 
 bool route_activation::advance(instant Now) {
   bool Changed = false;
-  if (!Withheld.empty() && Now >= WithheldUntil) {
+  if (!Withheld.empty() && Now >= endOfWithholding()) {
     Withheld.clear();
     Changed = true;
   }
@@ -131,7 +136,7 @@
 std::optional<instant> route_activation::nextChange() const {
   std::optional<instant> Next;
   if (!Withheld.empty())
-    Next = WithheldUntil;
+    Next = endOfWithholding();
   for (const waiting_table &Upcoming : Waiting)
     Next = std::min(Next.value_or(instant::max()), endOfWait(Upcoming));
   return Next;
--- a/src/directory/route_activation.h
+++ b/src/directory/route_activation.h
@@ -154,6 +154,11 @@
                                        : Upcoming.Until + MaxRecordWait;
   }
   bool isWithheld(const route_service &Entry) const;
+  /// When the withheld services get new flows unless the record changes.
+  instant endOfWithholding() const {
+    return WithheldUnrecorded.empty() ? WithheldUntil
+                                      : WithheldUntil + MaxRecordWait;
+  }
   static route_rule ruleOf(const rule_view &View);
   static std::uint64_t hashOf(const rule_view &View);
 
@@ -166,9 +171,12 @@
   /// The newest table: Active, or the last one that waits.
   std::shared_ptr<const sorted_table> Newest;
   /// Services of the first table that were not on record and get no new flows
-  /// until WithheldUntil. Sorted.
+  /// until endOfWithholding(). Sorted.
   std::vector<route_service> Withheld;
+  /// Until all balancers know them.
   instant WithheldUntil;
+  /// Those that are not on record yet.
+  std::vector<route_service> WithheldUnrecorded;
   /// The rules that changes() last returned, sorted by address.
   std::vector<rule_fingerprint> ReportedRules;
 };
--- a/test/directory/recorded_services_test.cpp
+++ b/test/directory/recorded_services_test.cpp
@@ -122,6 +122,28 @@
   CHECK(UsedUnrecorded == names());
 }
 
+TEST_CASE_FIXTURE(moving_route,
+                  "a site that starts again gives flows to a new service only "
+                  "once it is on record") {
+  // Guards against flows of the last configuration before a loss of power whose
+  // service no balancer that starts later can know.
+  startAll(3);
+  move();
+  for (const unsigned Number : {1U, 2U, 3U})
+    stop(Number);
+  for (const unsigned Number : {1U, 2U, 3U}) {
+    start(Number, {addressOf(1), addressOf(3)});
+    Balancers.at(Number).Faults->WritesRefused = true;
+  }
+  watchFor(SettleTime + 300ms);
+  for (auto &[Number, Balancer] : Balancers)
+    Balancer.Faults->WritesRefused = false;
+  watchFor(3s);
+
+  CHECK(Used.contains(serviceOf(Version)));
+  CHECK(UsedUnrecorded == names());
+}
+
 TEST_CASE_FIXTURE(moving_route,
                   "missing services are told until they are on record") {
   startAll(1);
--- a/test/directory/route_activation_test.cpp
+++ b/test/directory/route_activation_test.cpp
@@ -522,3 +522,29 @@
   CHECK(Activation.advance(Now + SettleTime + MaxRecordWait));
   CHECK(Activation.activeVersion() == 2);
 }
+
+TEST_CASE("a service that is missing when a process starts gets flows only "
+          "once it is on record") {
+  // Guards against flows of the last configuration before all processes ended,
+  // whose service a balancer that starts later cannot know.
+  recorded_activation_fixture Fixture;
+  route_activation Activation{Fixture.MaxRecordWait};
+  Activation.take(tableOf(2, {"archive"}), Fixture.Record, Fixture.Now);
+  CHECK_FALSE(Activation.advance(Fixture.Now + SettleTime +
+                                 Fixture.MaxRecordWait - 1ms));
+  Fixture.recordServices(R"(["ledger", "archive"])");
+  Activation.noteRecord(Fixture.Record);
+
+  CHECK(Activation.nextChange() == Fixture.Now + SettleTime);
+  CHECK(Activation.advance(Fixture.Now + SettleTime));
+}
+
+TEST_CASE("a site without a record serves after SettleTime") {
+  // Its first start: the balancers that write the record may be the last ones.
+  const route_record Record{60s};
+  route_activation Activation{800ms};
+  Activation.take(tableOf(1, {"ledger"}), Record, instant{1s});
+
+  CHECK(Activation.nextChange() == instant{1s} + SettleTime);
+  CHECK(Activation.advance(instant{1s} + SettleTime));
+}
