Flow checkpoint: flows are saved for a run only as far as reports show that they are its own

Cause: each report of the present run counted as proof that the run goes on at the moment of its arrival, and the flows open by then were saved as its flows. A late report of a run that is over proves nothing: what the next run had opened meanwhile was saved under the wrong run, and was reset once the next run was confirmed.

Ruled out by the log of the run: a wrong present run after the agent's restart (only the new run is accepted); flows counted as over by their age or the clock (the resets come with the confirmation, not with the read).

Change: target_reports::onlyRunAsOf is the moment up to which the open flows are certainly those of the present run. It moves on only while no other run is heard and the run has reported twice since, goes back to the last but one report when another run reports, and needs two reports after the target's process was found stopped. The agent saves flows up to there, and replaces a report that named more. flows-lost logs the run that lost flows had been saved for.

The lost_flows_test and flow_checkpoint_test cases pass the moment in place of true and false; what they check is the same.

--- a/daemons/forwarder/agent_target.cpp
+++ b/daemons/forwarder/agent_target.cpp
@@ -58,15 +58,16 @@
   const instant Now = Loop.timers().now();
   const target_report Previous = Reports.last();
   const report_verdict Verdict = Reports.take(Report, Now);
-  if (Verdict != report_verdict::Accepted)
+  if (Verdict != report_verdict::Accepted) {
+    notifyRun();
     return refuseReport(Report, Verdict);
+  }
   if (isNewRun(Report, Previous))
     Core.onTargetStarted();
   recordAccepted(Report, Previous);
   if (Core.targetStopped())
     onTargetRecovered("the target sent a report");
-  if (Flows)
-    Flows->onRun({Report.Id, Report.Born}, Reports.isRunConfirmed());
+  notifyRun();
   Core.setTarget(Report.Slots, Report.WarmupLeft, Now);
   TargetPackets.flush();
   updateAdmission("the target reported");
@@ -74,6 +75,22 @@
   return {200, "{}"};
 }
 
+/// A report that was refused may be of a run that has opened flows.
+void forward_agent_process::notifyRun() {
+  const target_report &Last = Reports.last();
+  if (Flows && !Last.Id.empty() && !Reports.hasLeft())
+    Flows->onRun({Last.Id, Last.Born}, Reports.onlyRunAsOf());
+}
+
+void forward_agent_process::onFlowsLost(const flow_checkpoint &Ended) {
+  Log.record(event_kind::FlowsLost,
+             std::to_string(Ended.Flows.size()) + " flows of " + Ended.Run.Id +
+                 " born " + std::to_string(Ended.Run.Born) +
+                 "; present run: " + describe(Reports.last()));
+  Core.resetPreviousFlows(Ended.Flows);
+  Routed.flush();
+}
+
 /// A report that has no effect is not acknowledged: the target would rely on
 /// it, for example on getting no new flows while it is draining. A report that
 /// says no more than a later one of the same run is.
--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -169,10 +169,7 @@
     return nullptr;
   flow_reporter::hooks Hooks;
   Hooks.OpenFlows = [this](instant Moment) { return Core.openFlows(Moment); };
-  Hooks.OnLost = [this](const std::vector<open_flow> &Lost) {
-    Core.resetPreviousFlows(Lost);
-    Routed.flush();
-  };
+  Hooks.OnLost = [this](const flow_checkpoint &Ended) { onFlowsLost(Ended); };
   Hooks.Send = [this](const endpoint &To, bytes_view Bytes) {
     sendToPeer(message_kind::FlowReport, To, Bytes);
   };
--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -45,6 +45,8 @@
   page_answer onReport(const target_report &Report);
   page_answer onLeave(const std::string &Id);
   page_answer refuseReport(const target_report &Report, report_verdict Verdict);
+  void notifyRun();
+  void onFlowsLost(const flow_checkpoint &Ended);
   void recordAccepted(const target_report &Report,
                       const target_report &Previous);
   void onTargetRecovered(const char *Why);
--- a/include/marjoramrail/directory.h
+++ b/include/marjoramrail/directory.h
@@ -265,6 +265,12 @@
   /// The present run has reported again while no other run did. Until then the
   /// run may be an earlier one whose delayed report was the first to arrive.
   bool isRunConfirmed() const { return IsConfirmed; }
+  /// The latest moment for which the reports show that the open flows are those
+  /// of the present run; nothing if there is none. A run that has just started
+  /// can open flows before its first report, and a late report of the run
+  /// before may arrive after that: it shows nothing about flows that were
+  /// opened meanwhile.
+  std::optional<instant> onlyRunAsOf() const { return OnlyRunAsOf; }
   const target_report &last() const { return Last; }
   /// The remaining warm-up time at \p Now.
   duration warmupLeft(instant Now) const;
@@ -297,6 +303,8 @@
   bool isAlone(const run &Run, instant Now) const;
   bool isAcceptedAtOnce(const target_report &Report, instant Now) const;
   void makePresent(const run &Run, instant Now);
+  void continuePresent(const target_report &Report, instant Now);
+  void noteAlone(instant Now);
   void accept(const target_report &Report, instant Now);
 
   std::string Service;
@@ -313,6 +321,10 @@
   /// The present run has left or stopped.
   bool IsOver = false;
   bool IsConfirmed = false;
+  std::optional<instant> OnlyRunAsOf;
+  /// What OnlyRunAsOf was before the last report, or before the last ones if
+  /// these arrived together.
+  std::optional<instant> PreviousOnlyRunAsOf;
   /// Other runs that have reported.
   std::vector<run> Others;
 };
--- a/include/marjoramrail/flowstore.h
+++ b/include/marjoramrail/flowstore.h
@@ -12,7 +12,7 @@
 ///   flow_reporter Reporter(Timers, Store, {"target.web-1", "brugge"},
 ///                          {.OpenFlows = ..., .OnLost = ...});
 ///   Reporter.start(/*HasPrevious=*/true);
-///   Reporter.onRun({"run-2", Born}, true);    // each time the target reports
+///   Reporter.onRun({"run-2", Born}, OnlyRunAsOf); // after each report of it
 ///   Reporter.input(From, Datagram);           // a request of a collector
 ///
 ///   flow_collector Collector(Timers, Store, checkpointKey("brugge"),
@@ -157,10 +157,10 @@
     /// Returns the flows that were open at \p Moment and still are, the oldest
     /// first.
     std::function<std::vector<open_flow>(instant Moment)> OpenFlows;
-    /// Called with the flows of the previous run once none of them can be open:
+    /// Called with flows of a run that is over once none of them can be open:
     /// the VM was started anew, another run of the target is the present one,
     /// or their longest life is over.
-    std::function<void(const std::vector<open_flow> &)> OnLost;
+    std::function<void(const flow_checkpoint &Ended)> OnLost;
     /// Sends a datagram to a collector.
     std::function<void(const endpoint &To, std::span<const std::uint8_t>)> Send;
     /// Called when a call to the store or the decoding of a checkpoint has
@@ -183,12 +183,14 @@
   /// if only the agent was restarted; otherwise the latest one is read as soon
   /// as the target has reported another run.
   void start(bool HasPrevious);
-  /// The target has reported that it runs as \p Run. \p IsConfirmed: this is
-  /// known to be its present run, not one that is over and whose delayed report
-  /// arrives first after a restart of the agent. Until then the target may
-  /// still hold the flows of the run that was saved: they get no reset and
-  /// remain in the checkpoint.
-  void onRun(const target_run &Run, bool IsConfirmed);
+  /// \p Run is the target's present run as far as its reports tell, of which
+  /// one has just arrived. \p OnlyRunAsOf: the latest moment for which they
+  /// show that the open flows are those of \p Run, see target_reports. Flows
+  /// that were opened later are not reported yet. If there is no such moment,
+  /// \p Run may be one that is over and whose delayed report came first after a
+  /// restart of the agent: the target may still hold the flows of the run that
+  /// was saved, which get no reset and remain in the checkpoint.
+  void onRun(const target_run &Run, std::optional<instant> OnlyRunAsOf);
   /// The target has deregistered: no flows are reported until another run
   /// begins.
   void leave();
--- a/include/marjoramrail/timeline.h
+++ b/include/marjoramrail/timeline.h
@@ -96,6 +96,8 @@
   /// A report of the target was accepted, or rejected as outdated or malformed.
   ReportTaken,
   ReportRefused,
+  /// Saved flows are taken for lost; their callers get a reset.
+  FlowsLost,
   /// New flows are now sent to the target, or no longer sent.
   AdmissionChanged,
   StoreLost,
@@ -130,7 +132,7 @@
   LinesDropped,
 };
 
-inline constexpr name_table<event_kind, 61> EventKindNames = {{
+inline constexpr name_table<event_kind, 62> EventKindNames = {{
     {event_kind::ProcessStarted, "process-started"},
     {event_kind::ProcessStopping, "process-stopping"},
     {event_kind::ViewTaken, "view-taken"},
@@ -173,6 +175,7 @@
     {event_kind::TargetRecovered, "target-regained"},
     {event_kind::ReportTaken, "report-taken"},
     {event_kind::ReportRefused, "report-refused"},
+    {event_kind::FlowsLost, "flows-lost"},
     {event_kind::AdmissionChanged, "admission-changed"},
     {event_kind::StoreLost, "store-lost"},
     {event_kind::StoreRecovered, "store-regained"},
--- a/src/directory/target_reports.cpp
+++ b/src/directory/target_reports.cpp
@@ -79,6 +79,8 @@
 /// after all.
 void target_reports::makePresent(const run &Run, instant Now) {
   IsConfirmed = isAlone(Run, Now);
+  OnlyRunAsOf = IsConfirmed ? std::optional(Now) : std::nullopt;
+  PreviousOnlyRunAsOf.reset();
   const std::optional<run> Previous =
       std::exchange(Present, std::optional<run>(Run));
   Others.erase(Others.begin() + (&Run - Others.data()));
@@ -86,6 +88,23 @@
     addOther(*Previous);
 }
 
+/// After the process of the target has stopped, a single report may be one that
+/// was sent before.
+void target_reports::continuePresent(const target_report &Report, instant Now) {
+  if (IsOver)
+    Present->FirstAt = Now;
+  noteReport(*Present, Report, Now);
+  if (isAlone(*Present, Now))
+    noteAlone(Now);
+}
+
+void target_reports::noteAlone(instant Now) {
+  IsConfirmed = true;
+  if (!OnlyRunAsOf || Now - *OnlyRunAsOf >= ReportPeriod / 2)
+    PreviousOnlyRunAsOf = OnlyRunAsOf;
+  OnlyRunAsOf = Now;
+}
+
 void target_reports::accept(const target_report &Report, instant Now) {
   Last = Report;
   LastAt = Now;
@@ -98,11 +117,13 @@
   if (Report.Service != Service)
     return report_verdict::WrongService;
   if (Present && Present->isContinuedBy(Report)) {
-    noteReport(*Present, Report, Now);
-    IsConfirmed |= isAlone(*Present, Now);
+    continuePresent(Report, Now);
     accept(Report, Now);
     return report_verdict::Accepted;
   }
+  // The last report of the present run may have been a late one, and the other
+  // run may have opened flows before it.
+  OnlyRunAsOf = PreviousOnlyRunAsOf;
   const bool IsSameRun = Present && Present->isSameRun(Report);
   const run *Run = noteOther(Report, Now);
   if (!Run || !(isAlone(*Run, Now) || isAcceptedAtOnce(Report, Now)))
--- a/src/flowstore/flow_reporter.cpp
+++ b/src/flowstore/flow_reporter.cpp
@@ -54,12 +54,12 @@
   /// The flows whose callers have been sent resets.
   std::set<flow_key> Lost;
   std::optional<target_run> Run;
-  /// Run is known to be the target's present one.
-  bool IsConfirmed = false;
-  /// When the target last reported that this run goes on. A flow that was
-  /// opened later may belong to the next run already.
-  instant ConfirmedAt;
+  /// A flow that was opened later than this may belong to another run. Nothing
+  /// while Run is not known to be the target's present one.
+  std::optional<instant> OnlyRunAsOf;
   bool HasLeft = false;
+  /// The last report has to be replaced although it names all flows.
+  bool IsReportOutdated = false;
   std::uint64_t Sequence = 0;
   target_run ReportedRun;
   std::map<flow_key, std::uint32_t> Reported;
@@ -142,22 +142,21 @@
 /// clock may have been stepped between them.
 void flow_reporter::impl::reportLostFlows() {
   const bool IsOtherRunPresent =
-      Previous && Run && IsConfirmed && *Run != Previous->Run;
+      Previous && Run && OnlyRunAsOf && *Run != Previous->Run;
   if (!IsOtherRunPresent && !areSavedFlowsOver())
     return;
-  const flow_checkpoint Ended = *std::exchange(Previous, std::nullopt);
-  std::vector<open_flow> New;
-  for (const open_flow &Open : Ended.Flows)
-    if (Lost.insert(Open.Flow).second)
-      New.push_back(Open);
-  if (!New.empty())
-    Hooks.OnLost(New);
+  flow_checkpoint Ended = *std::exchange(Previous, std::nullopt);
+  std::erase_if(Ended.Flows, [this](const open_flow &Open) {
+    return !Lost.insert(Open.Flow).second;
+  });
+  if (!Ended.Flows.empty())
+    Hooks.OnLost(Ended);
 }
 
 /// The flows of a run that may be over would overwrite those of the present one
 /// in the checkpoint.
 bool flow_reporter::impl::mayReport() const {
-  return IsReady && Run && (IsConfirmed || !Previous || Previous->Run == *Run);
+  return IsReady && Run && (OnlyRunAsOf || !Previous || Previous->Run == *Run);
 }
 
 /// Flows that have ended do no harm in the checkpoint. They stay there until
@@ -180,7 +179,9 @@
 std::vector<open_flow> flow_reporter::impl::current() const {
   if (HasLeft)
     return {};
-  std::vector<open_flow> Flows = Hooks.OpenFlows(ConfirmedAt);
+  std::vector<open_flow> Flows;
+  if (OnlyRunAsOf)
+    Flows = Hooks.OpenFlows(*OnlyRunAsOf);
   const bool IsSameRun = Previous && Previous->Run == *Run &&
                          Timers.now() - StartedAt < Settings.FlowLife;
   if (!IsSameRun)
@@ -201,8 +202,9 @@
   if (Current.size() > MaxFlowsPerReport)
     Current.resize(MaxFlowsPerReport);
   const bool AllEnded = Current.empty() && !Flows.empty();
-  if (isReported(Current) && !AllEnded)
+  if (isReported(Current) && !AllEnded && !IsReportOutdated)
     return;
+  IsReportOutdated = false;
   Sequence = std::max(Sequence + 1, reportSequence(Timers.now()));
   ReportedRun = *Run;
   Flows = std::move(Current);
@@ -241,10 +243,13 @@
     Impl->IsReady = true;
 }
 
-void flow_reporter::onRun(const target_run &Run, bool IsConfirmed) {
+void flow_reporter::onRun(const target_run &Run,
+                          std::optional<instant> OnlyRunAsOf) {
+  // Flows that were reported as those of the run, and may be another run's.
+  if (OnlyRunAsOf < Impl->OnlyRunAsOf)
+    Impl->IsReportOutdated = true;
   Impl->Run = Run;
-  Impl->IsConfirmed = IsConfirmed;
-  Impl->ConfirmedAt = Impl->Timers.now();
+  Impl->OnlyRunAsOf = OnlyRunAsOf;
   Impl->HasLeft = false;
   Impl->reportLostFlows();
   Impl->completeReading();
--- a/test/directory/target_reports_test.cpp
+++ b/test/directory/target_reports_test.cpp
@@ -448,3 +448,49 @@
   CHECK(Reports.isRunConfirmed());
   CHECK(Reports.last().Id == "a");
 }
+
+//===----------------------------------------------------------------------===//
+// Whose flows are open
+//===----------------------------------------------------------------------===//
+
+TEST_CASE_FIXTURE(reports_fixture,
+                  "each report of the only run shows that the open flows are "
+                  "its own, once the run is confirmed") {
+  target_report Live = report("a", FirstBorn, 1);
+  take(Live);
+  CHECK_FALSE(Reports.onlyRunAsOf());
+  advanceToNext(Live);
+  reportRegularly(Live, 3);
+
+  CHECK(Reports.onlyRunAsOf() == Now - Period);
+}
+
+TEST_CASE_FIXTURE(reports_fixture,
+                  "the last report before another run's shows nothing about "
+                  "open flows, nor do those that arrived together with it") {
+  // Guards against flows of the next run that are taken for those of the run
+  // before because that one's last reports were late.
+  target_report Earlier = report("a", FirstBorn, 1);
+  reportRegularly(Earlier, 5);
+  const instant LastInTime = Now - Period;
+  for (int I = 0; I < 3; ++I) {
+    take(Earlier);
+    ++Earlier.Sequence;
+    Now += 10ms;
+  }
+  take(report("b", FirstBorn + 8'000, 1));
+
+  CHECK(Reports.onlyRunAsOf() == LastInTime);
+}
+
+TEST_CASE_FIXTURE(reports_fixture,
+                  "a single report shows nothing about open flows after the "
+                  "target's process has stopped") {
+  target_report Earlier = report("a", FirstBorn, 1);
+  reportRegularly(Earlier, 5);
+  const instant LastInTime = Now - Period;
+  Reports.onTargetStopped();
+  take(Earlier);
+
+  CHECK(Reports.onlyRunAsOf() == LastInTime);
+}
--- a/test/flowstore/flow_checkpoint_test.cpp
+++ b/test/flowstore/flow_checkpoint_test.cpp
@@ -37,7 +37,7 @@
   Collector.reset();
   reporter_process &Agent = startAgent("target.7");
   advanceTime(100ms);
-  Agent.Reporter.onRun(SecondRun, /*IsConfirmed=*/true);
+  Agent.Reporter.onRun(SecondRun, Timers.now());
 
   CHECK(Agent.Lost.size() == 3);
 }
@@ -242,7 +242,7 @@
   };
   flow_reporter Reporter(Timers, Store.api(), {Web, "brugge"}, Hooks);
   Reporter.start(/*HasPrevious=*/false);
-  Reporter.onRun(FirstRun, /*IsConfirmed=*/true);
+  Reporter.onRun(FirstRun, Timers.now());
   const instant Confirmed = Timers.now();
   advanceTime(700ms);
   Reporter.input({}, encodeFlowReportRequest({}));
@@ -271,7 +271,7 @@
   runAgent(Web, SecondRun, TwoFlows);
   advanceTime(4s);
   Agents.at(Web)->Open = manyFlows(3);
-  Agents.at(Web)->Reporter.onRun(FirstRun, /*IsConfirmed=*/true);
+  Agents.at(Web)->Reporter.onRun(FirstRun, Timers.now());
   advanceTime(4s);
 
   CHECK(checkpointOf(Web) == flow_checkpoint{FirstRun, manyFlows(3)});
@@ -325,7 +325,7 @@
   advanceTime(4s);
   Agent.Reporter.leave();
   advanceTime(4s);
-  Agent.Reporter.onRun(SecondRun, /*IsConfirmed=*/true);
+  Agent.Reporter.onRun(SecondRun, Timers.now());
   advanceTime(10s);
 
   CHECK(checkpointOf(Web) == flow_checkpoint{SecondRun, TwoFlows});
--- a/test/flowstore/flow_zone.h
+++ b/test/flowstore/flow_zone.h
@@ -27,9 +27,9 @@
 
   flow_reporter::hooks hooks() {
     flow_reporter::hooks Hooks;
-    Hooks.OpenFlows = [this](instant) { return Open; };
-    Hooks.OnLost = [this](const std::vector<open_flow> &Flows) {
-      Lost.insert(Lost.end(), Flows.begin(), Flows.end());
+    Hooks.OpenFlows = [this](instant Moment) { return openAt(Moment); };
+    Hooks.OnLost = [this](const flow_checkpoint &Ended) {
+      Lost.insert(Lost.end(), Ended.Flows.begin(), Ended.Flows.end());
     };
     Hooks.Send = [this](const endpoint &, std::span<const std::uint8_t> Bytes) {
       Sent.emplace_back(Bytes.begin(), Bytes.end());
@@ -38,9 +38,25 @@
     return Hooks;
   }
 
+  /// Opens a flow; those in Open at the start were opened before.
+  void open(const open_flow &Flow, instant Now) {
+    Open.push_back(Flow);
+    OpenedAt[Flow.Flow] = Now;
+  }
+
+  std::vector<open_flow> openAt(instant Moment) const {
+    std::vector<open_flow> Flows = Open;
+    std::erase_if(Flows, [&](const open_flow &Flow) {
+      const auto Found = OpenedAt.find(Flow.Flow);
+      return Found != OpenedAt.end() && Found->second > Moment;
+    });
+    return Flows;
+  }
+
   endpoint Self;
   store_faults Faults;
   std::vector<open_flow> Open;
+  std::map<flow_key, instant> OpenedAt;
   std::vector<open_flow> Lost;
   /// Datagrams in flight to a collector.
   std::vector<std::vector<std::uint8_t>> Sent;
@@ -131,7 +147,7 @@
   reporter_process &runAgent(const std::string &Name, const target_run &Run,
                              std::vector<open_flow> Open = {}) {
     reporter_process &Agent = startAgent(Name, std::move(Open));
-    Agent.Reporter.onRun(Run, /*IsConfirmed=*/true);
+    Agent.Reporter.onRun(Run, Timers.now());
     return Agent;
   }
 
--- a/test/flowstore/lost_flows_test.cpp
+++ b/test/flowstore/lost_flows_test.cpp
@@ -15,7 +15,7 @@
   reporter_process &Agent = startAgent(Web);
   advanceTime(100ms);
   CHECK(Agent.Lost.empty());
-  Agent.Reporter.onRun(SecondRun, /*IsConfirmed=*/true);
+  Agent.Reporter.onRun(SecondRun, Timers.now());
 
   CHECK(Agent.Lost == TwoFlows);
 }
@@ -42,7 +42,7 @@
   checkpointAndLosePower();
   reporter_process &Agent = startAgent(Web);
   advanceTime(100ms);
-  Agent.Reporter.onRun(FirstRun, /*IsConfirmed=*/true);
+  Agent.Reporter.onRun(FirstRun, Timers.now());
   advanceTime(10s);
 
   CHECK(Agent.Lost.empty());
@@ -72,7 +72,7 @@
   checkpointAndLosePower();
   reporter_process &Agent = startAgent(Web);
   advanceTime(100ms);
-  Agent.Reporter.onRun({"run-0", 50}, /*IsConfirmed=*/false);
+  Agent.Reporter.onRun({"run-0", 50}, std::nullopt);
 
   CHECK(Agent.Lost.empty());
 }
@@ -84,7 +84,7 @@
   checkpointAndLosePower();
   reporter_process &Agent = startAgent(Web);
   advanceTime(100ms);
-  Agent.Reporter.onRun({"run-2", FirstRun.Born - 50}, /*IsConfirmed=*/true);
+  Agent.Reporter.onRun({"run-2", FirstRun.Born - 50}, Timers.now());
 
   CHECK(Agent.Lost == TwoFlows);
 }
@@ -106,7 +106,7 @@
   reporter_process &Agent = startAgent(Web);
   advanceTime(100ms);
   CHECK(Agent.Lost == TwoFlows);
-  Agent.Reporter.onRun(SecondRun, /*IsConfirmed=*/false);
+  Agent.Reporter.onRun(SecondRun, std::nullopt);
   advanceTime(100ms);
 
   CHECK(Agent.Lost == TwoFlows);
@@ -145,7 +145,7 @@
   advanceTime(4s);
   reporter_process &Agent = startAgent(Web);
   advanceTime(100ms);
-  Agent.Reporter.onRun(FirstRun, /*IsConfirmed=*/false);
+  Agent.Reporter.onRun(FirstRun, std::nullopt);
   advanceTime(4s);
 
   CHECK(Agent.Lost.empty());
@@ -162,11 +162,11 @@
   const auto Second = startCollector();
   reporter_process &Agent = startAgent(Web);
   advanceTime(100ms);
-  Agent.Reporter.onRun({"run-0", FirstRun.Born + 50}, /*IsConfirmed=*/false);
+  Agent.Reporter.onRun({"run-0", FirstRun.Born + 50}, std::nullopt);
   advanceTime(3s);
   CHECK(Agent.Lost.empty());
   CHECK(checkpointOf(Web) == flow_checkpoint{FirstRun, TwoFlows});
-  Agent.Reporter.onRun(FirstRun, /*IsConfirmed=*/false);
+  Agent.Reporter.onRun(FirstRun, std::nullopt);
   advanceTime(3s);
 
   CHECK(Agent.Lost.empty());
@@ -177,9 +177,9 @@
   checkpointAndLosePower();
   reporter_process &Agent = startAgent(Web);
   advanceTime(100ms);
-  Agent.Reporter.onRun(SecondRun, /*IsConfirmed=*/true);
-  Agent.Reporter.onRun(SecondRun, /*IsConfirmed=*/true);
-  Agent.Reporter.onRun({"run-3", 300}, /*IsConfirmed=*/true);
+  Agent.Reporter.onRun(SecondRun, Timers.now());
+  Agent.Reporter.onRun(SecondRun, Timers.now());
+  Agent.Reporter.onRun({"run-3", 300}, Timers.now());
 
   CHECK(Agent.Lost.size() == TwoFlows.size());
 }
