Record: few balancers repeat a write that the store refuses

Weighed: only the first one repeats (it may be the one that cannot write); a longer interval for all (the record comes later where one balancer is refused).

Change: the first balancer repeats after 0.6 s, each other one after 0.6 s more for each one ahead of it; those without a rank in a large zone count as the last ones. Balancers that the store refuses altogether do not count as ahead, so that the first one that is served repeats after 0.6 s as before.

--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -114,6 +114,8 @@
   void maintainRecord();
   /// How long this balancer waits for others to write the record.
   duration recordDelay(instant Now) const;
+  /// How long it waits after its own write of the record has failed.
+  duration recordRetryDelay(instant Now) const;
   record_writer::hooks recordHooks();
   void logRecordWrite(const platform_reply &Reply, duration Took);
   void writeSelf();
--- a/src/directory/directory_writes.cpp
+++ b/src/directory/directory_writes.cpp
@@ -17,6 +17,10 @@
 /// longer than SettleTime if many balancers cannot reach the store.
 static constexpr std::size_t MaxRanks = 5;
 
+/// The first balancer repeats a write of the record that has failed after this
+/// time, and each other one after that much longer than the one ahead of it.
+static constexpr duration RecordRetryInterval = std::chrono::milliseconds(600);
+
 /// A store's list has up to this number of objects in one answer; beyond that a
 /// snapshot saves calls as well as bytes.
 static constexpr std::size_t SnapshotMinObjects = 500;
@@ -139,6 +143,7 @@
                : std::shared_ptr<const route_services>();
   };
   Writer.WaitForOthers = [this](instant Now) { return recordDelay(Now); };
+  Writer.RetryDelay = [this](instant Now) { return recordRetryDelay(Now); };
   Writer.Write = [this](const platform_write &Write, platform_callback Done) {
     Platform.Site.Write(Write, std::move(Done));
   };
@@ -171,6 +176,14 @@
   return RankDelay * Ranks;
 }
 
+/// Every call is charged for, including refused ones. If all balancers repeated
+/// a refused write after the same time, their calls would grow with the site.
+/// Those that have no rank count as the last ones.
+duration directory::impl::recordRetryDelay(instant Now) const {
+  const std::size_t Ahead = std::min(rank(Now), Peers.size());
+  return RecordRetryInterval * static_cast<std::int64_t>(1 + Ahead);
+}
+
 void directory::impl::maintainRecord() {
   writeSelf();
   removeDeadPeers();
--- a/src/directory/record_writer.cpp
+++ b/src/directory/record_writer.cpp
@@ -104,7 +104,7 @@
                           load(Reply.Object.Version, Reply.Object.Body);
   if (!IsReplaced) {
     LastFailure = Reply.Reason;
-    NextWriteAt = Now + RetryInterval + Hooks.WaitForOthers(Now);
+    NextWriteAt = Now + Hooks.RetryDelay(Now);
   }
   Hooks.OnWritten(Reply, Now - SentAt);
   // Two balancers that check at the same moments, of which one knows a service
--- a/src/directory/record_writer.h
+++ b/src/directory/record_writer.h
@@ -29,6 +29,8 @@
     std::function<std::shared_ptr<const route_services>()> Configured;
     /// How long this balancer waits for others to write.
     std::function<duration(instant Now)> WaitForOthers;
+    /// How long it waits after a write of its own has failed.
+    std::function<duration(instant Now)> RetryDelay;
     std::function<void(const platform_write &, platform_callback)> Write;
     /// The stored record has changed and has been loaded.
     std::function<void()> OnRecord;
@@ -37,10 +39,6 @@
     callback_hook OnCallback;
   };
 
-  /// Longest time between two attempts while writes fail, in addition to the
-  /// wait for others: every call is charged for, including refused ones.
-  static constexpr duration RetryInterval = std::chrono::milliseconds(600);
-
   /// \p Key: the stored object of \p Record.
   record_writer(timer_service &Timers, route_record &Record, object_key Key,
                 hooks Hooks);
--- a/test/directory/record_writer_test.cpp
+++ b/test/directory/record_writer_test.cpp
@@ -20,6 +20,7 @@
   timer_service Timers;
   route_record Record{60s};
   duration WaitForOthers = 0ms;
+  duration RetryDelay = 600ms;
   std::vector<sent_write> Sent;
   std::shared_ptr<const route_services> Current =
       std::make_shared<const route_services>();
@@ -29,6 +30,7 @@
     record_writer::hooks Hooks;
     Hooks.Configured = [this] { return Current; };
     Hooks.WaitForOthers = [this](instant) { return WaitForOthers; };
+    Hooks.RetryDelay = [this](instant) { return RetryDelay; };
     Hooks.Write = [this](const platform_write &Write, platform_callback Done) {
       Sent.push_back({Write, std::move(Done)});
     };
@@ -152,7 +154,7 @@
     answer(Outcome);
     check();
     CHECK(Sent.size() == Before);
-    pass(record_writer::RetryInterval);
+    pass(RetryDelay);
     check();
     CHECK(Sent.size() == Before + 1);
   }
@@ -167,7 +169,7 @@
   check();
   answer(platform_outcome::Unavailable);
   configure(2, "ledger");
-  pass(record_writer::RetryInterval);
+  pass(RetryDelay);
   check();
 
   REQUIRE(Sent.size() == 2);
--- a/test/directory/recorded_services_test.cpp
+++ b/test/directory/recorded_services_test.cpp
@@ -226,6 +226,25 @@
   CHECK(UsedUnrecorded == names());
 }
 
+TEST_CASE("while the store refuses writes of the record, balancers make few "
+          "calls at any size of the site") {
+  // Guards against hundreds of balancers that each repeat the refused write.
+  constexpr int MostCallsPerSecond = 10;
+  for (const unsigned Count : {3U, 20U, 60U, 120U}) {
+    moving_route Site;
+    Site.startAll(Count, Count >= 60 ? Count / 30 : 1);
+    for (auto &[Number, Balancer] : Site.Balancers)
+      Balancer.Faults->WritesRefused = true;
+    Site.move();
+    Site.pass(3s);
+    Site.CallsByPurpose.clear();
+    Site.pass(6s);
+
+    CAPTURE(Count);
+    CHECK(Site.CallsByPurpose["write routes"] <= 6 * MostCallsPerSecond);
+  }
+}
+
 TEST_CASE_FIXTURE(moving_route, "services are recorded after the store has "
                                 "refused writes, though newer ones exist") {
   // Guards against a refused write that ends the need for it. The versions of
