Balancer: repeats an owner lookup that ended at an agent that is down

Cause: a lookup is one datagram that passes from agent to agent. It ends unnoticed at one that is down, and only the caller's next copy, up to 1.6 s later, started another, which ended at the next agent that was being restarted.

The timer of the agent's held packets and that of the lookups are one class, due_timer.

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -39,6 +39,7 @@
                 registrarHooks()),
       Flows(makeReporter()), CallsPage(Loop, Metrics, callsPage()),
       ReadyPage(Loop, Metrics, readyPage()), MetricsPage(Loop, Metrics, {}),
+      Expiry(Loop.timers(), [this](instant Now) { return expire(Now); }),
       Malformed(Metrics.counter("marjoramrail_target_reports_malformed_total")),
       Late(Metrics.counter("marjoramrail_target_reports_late_total")),
       FromOtherRuns(
@@ -314,7 +315,7 @@
       Core.onRouted(Datagram.From, Datagram.Bytes, Now);
   TargetPackets.flush();
   Routed.flush();
-  armExpiry(Core.expire(Now));
+  Expiry.arm(Core.expire(Now));
 }
 
 void forward_agent_process::onTargetPackets(std::span<const datagram> Batch) {
@@ -336,20 +337,13 @@
   Core.setTargetStopped(false, Loop.timers().now());
 }
 
-/// A packet that the target has not answered may be due before the held
-/// requests, so a timer that ends later is replaced.
-void forward_agent_process::armExpiry(std::optional<instant> Due) {
-  if (!Due || (ExpiryAt && *ExpiryAt <= *Due))
-    return;
-  if (ExpiryAt)
-    Loop.timers().cancel(ExpiryTimer);
-  ExpiryAt = Due;
-  ExpiryTimer = Loop.timers().after(*Due - Loop.timers().now(), [this] {
-    ExpiryAt.reset();
-    armExpiry(Core.expire(Loop.timers().now()));
-    TargetPackets.flush();
-    Routed.flush();
-  });
+/// Handles packets that the target has not answered and held requests that are
+/// due.
+std::optional<instant> forward_agent_process::expire(instant Now) {
+  const auto Next = Core.expire(Now);
+  TargetPackets.flush();
+  Routed.flush();
+  return Next;
 }
 
 } // namespace marjoramrail::daemons
--- a/daemons/forwarder/forward_agent_process.h
+++ b/daemons/forwarder/forward_agent_process.h
@@ -11,6 +11,7 @@
 #define MARJORAMRAIL_DAEMONS_FORWARDER_FORWARD_AGENT_PROCESS_H
 
 #include "callback_log.h"
+#include "due_timer.h"
 #include "event_log.h"
 #include "forwarder_settings.h"
 #include "request_log.h"
@@ -56,7 +57,7 @@
   void registerAgain();
   void withdrawWhenStopped();
   void updateAdmission(const char *Why);
-  void armExpiry(std::optional<instant> Due);
+  std::optional<instant> expire(instant Now);
   void endWhenDone();
   void probeTarget();
   void endProbe();
@@ -94,9 +95,7 @@
   status_page ReadyPage;
   status_page MetricsPage;
   std::unique_ptr<tcp_stream> TargetProbe;
-  /// When Core.expire() is called next; nothing while no timer runs.
-  std::optional<instant> ExpiryAt;
-  timer_id ExpiryTimer{};
+  due_timer Expiry;
   timer_id ProbeTimer{};
   instant LastFromTarget;
   bool Stopping = false;
--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -92,6 +92,8 @@
             flowHooks()),
       ReadyPage(Loop, Metrics, readyPage()),
       PeerPage(Loop, Metrics, peerPage()), MetricsPage(Loop, Metrics, {}),
+      LookupRepetitions(Loop.timers(),
+                        [this](instant Now) { return repeatLookups(Now); }),
       Packets(Metrics.counter("marjoramrail_caller_packets_total")) {
   showMetrics();
 }
@@ -228,6 +230,9 @@
   Metrics.counterOf("marjoramrail_walks_continued", [this] {
     return static_cast<double>(Core.counters().LookupsContinued);
   });
+  Metrics.counterOf("marjoramrail_lookups_repeated", [this] {
+    return static_cast<double>(Core.counters().LookupsRepeated);
+  });
   Metrics.counterOf("marjoramrail_flows_refused_by_threshold", [this] {
     return static_cast<double>(Core.counters().RefusedByThreshold);
   });
@@ -311,8 +316,15 @@
   Core.setKnownAsOf(Directory.knownAsOf());
   for (const datagram &Datagram : Batch)
     Core.onCallerPacket(Datagram.Bytes, LastPacketAt);
-  Peers.flush();
   Callers.flush();
+  LookupRepetitions.arm(Core.repeatLookups(LastPacketAt));
+}
+
+std::optional<instant> forward_balancer_process::repeatLookups(instant Now) {
+  Core.setKnownAsOf(Directory.knownAsOf());
+  const auto Next = Core.repeatLookups(Now);
+  Peers.flush();
+  return Next;
 }
 
 void forward_balancer_process::onPeers(std::span<const datagram> Batch) {
@@ -326,6 +338,7 @@
     else
       Core.onAgentMessage(Datagram.From, Datagram.Bytes, Loop.timers().now());
   }
+  LookupRepetitions.arm(Core.repeatLookups(Loop.timers().now()));
 }
 
 void forward_balancer_process::reload(
--- a/daemons/forwarder/forward_balancer_process.h
+++ b/daemons/forwarder/forward_balancer_process.h
@@ -10,6 +10,7 @@
 #define MARJORAMRAIL_DAEMONS_FORWARDER_FORWARD_BALANCER_PROCESS_H
 
 #include "callback_log.h"
+#include "due_timer.h"
 #include "event_log.h"
 #include "forwarder_settings.h"
 #include "routes_log.h"
@@ -38,6 +39,7 @@
 private:
   void onCallers(std::span<const datagram> Batch);
   void onPeers(std::span<const datagram> Batch);
+  std::optional<instant> repeatLookups(instant Now);
   void takeTargets();
   void listFromPeer(const endpoint &Peer, const std::string &Kind,
                     platform_callback Done);
@@ -72,6 +74,7 @@
   status_page ReadyPage;
   status_page PeerPage;
   status_page MetricsPage;
+  due_timer LookupRepetitions;
   bool Stopping = false;
   instant StopAskedAt;
   instant LastPacketAt;
--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -218,6 +218,8 @@
   std::uint64_t Suspicions = 0;
   /// Lists sent after the first one for the same packet.
   std::uint64_t LookupsContinued = 0;
+  /// Owner lookups that the balancer has repeated by itself.
+  std::uint64_t LookupsRepeated = 0;
   /// New flows refused because no target could serve them in time.
   std::uint64_t RefusedByThreshold = 0;
 };
@@ -257,6 +259,10 @@
   void onAgentMessage(const endpoint &From, bytes_view Bytes, instant Now);
   /// Has to be called every TickPeriod.
   void tick(instant Now);
+  /// Repeats owner lookups that seem to have ended at an agent that is down.
+  /// Returns when it has to be called next, which later packets may bring
+  /// forward; nothing if no lookup is pending.
+  std::optional<instant> repeatLookups(instant Now);
 
   const forward_balancer_counters &counters() const;
   std::size_t flows() const;
--- a/include/marjoramrail/mechanism.h
+++ b/include/marjoramrail/mechanism.h
@@ -62,6 +62,9 @@
   /// If the list of owner candidates was truncated, the balancer continues the
   /// owner lookup.
   LookupContinuation,
+  /// A balancer repeats an owner lookup that seems to have ended at an agent
+  /// that is down.
+  LookupRepetition,
   /// Agents hold requests that their target cannot run yet and deliver them in
   /// the order of their service levels.
   RequestScheduling,
@@ -71,7 +74,7 @@
   AdmissionThreshold,
 };
 
-inline constexpr name_table<mechanism, 18> MechanismNames = {{
+inline constexpr name_table<mechanism, 19> MechanismNames = {{
     {mechanism::TwoChoices, "two_choices"},
     {mechanism::ZoneOverflow, "zone_overflow"},
     {mechanism::QueueWeight, "queue_weight"},
@@ -87,6 +90,7 @@
     {mechanism::EarlyStoreRetry, "early_store_retry"},
     {mechanism::SettleTime, "settle_time"},
     {mechanism::LookupContinuation, "walk_continuation"},
+    {mechanism::LookupRepetition, "lookup_repetition"},
     {mechanism::RequestScheduling, "request_scheduling"},
     {mechanism::FreeSlotHandover, "free_slot_handover"},
     {mechanism::AdmissionThreshold, "admission_threshold"},
--- a/src/forward/agent_table.cpp
+++ b/src/forward/agent_table.cpp
@@ -158,6 +158,8 @@
 
 void agent_table::applyReport(agent_state &State, const load_report &Report,
                               instant Now) {
+  if (State.isUnverified(Now))
+    State.RecoveredAt = Now;
   State.Report = Report;
   State.ReportedAt = Now;
   State.FirstSentAt.reset();
--- a/src/forward/agent_table.h
+++ b/src/forward/agent_table.h
@@ -67,6 +67,8 @@
   std::optional<instant> FirstSentAt;
   /// When the first request since the last report was sent.
   std::optional<instant> FirstRequestedAt;
+  /// When the agent last reported while it was unverified.
+  std::optional<instant> RecoveredAt;
   std::uint32_t Placed = 0;
   bool Suspect = false;
   /// Since when the agent has been suspect.
@@ -114,8 +116,20 @@
   /// Returns true if the agent may have failed, so that a lookup that goes
   /// there may end there.
   bool isUnverified(instant Now) const {
-    return Suspect ||
-           (FirstRequestedAt && Now - *FirstRequestedAt > ReportResponseTime);
+    return unverifiedSince(Now).has_value();
+  }
+  /// Since when the agent may have failed, if so.
+  std::optional<instant> unverifiedSince(instant Now) const {
+    if (FirstRequestedAt && Now - *FirstRequestedAt > ReportResponseTime)
+      return *FirstRequestedAt + ReportResponseTime;
+    return Suspect ? std::optional(SuspectSince) : std::nullopt;
+  }
+  /// Whether the agent has become unverified since \p Moment, or has reported
+  /// although it was unverified then.
+  bool hasChangedSince(instant Moment, instant Now) const {
+    const auto Unverified = unverifiedSince(Now);
+    return Unverified ? *Unverified >= Moment
+                      : RecoveredAt && *RecoveredAt >= Moment;
   }
 };
 
--- a/src/forward/forward_balancer.cpp
+++ b/src/forward/forward_balancer.cpp
@@ -274,6 +274,7 @@
       ++Owner->Placed;
   }
   FlowCache.store(Notice.Flow, {Notice.Owner, /*IsConfirmed=*/true}, Now);
+  PendingLookups.remove(Notice.Flow);
 }
 
 void forward_balancer::impl::onReport(const load_report &Report, instant Now) {
@@ -336,6 +337,12 @@
   Impl->reportLostAgents(Now);
 }
 
+std::optional<instant> forward_balancer::repeatLookups(instant Now) {
+  while (auto Due = Impl->PendingLookups.takeDue(Now))
+    Impl->reviewLookup(std::move(*Due), Now);
+  return Impl->PendingLookups.nextDue();
+}
+
 const forward_balancer_counters &forward_balancer::counters() const {
   return Impl->Counters;
 }
--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -3,7 +3,8 @@
 /// \file
 /// The implementation class behind forward_balancer. new_flows.cpp places new
 /// flows, owner_lookup.cpp sends packets of open flows to their owner or to the
-/// owner candidates, service_capacity.cpp keeps track of free slots and refuses
+/// owner candidates, repeated_lookups.cpp repeats owner lookups that ended at a
+/// failed VM, service_capacity.cpp keeps track of free slots and refuses
 /// new flows that no target can serve in time, and forward_balancer.cpp does
 /// the rest.
 ///
@@ -16,6 +17,7 @@
 #include "forward/candidate_list.h"
 #include "forward/capacity_estimate.h"
 #include "forward/flow_cache.h"
+#include "forward/pending_lookups.h"
 #include "forward/recent_lookups.h"
 #include "forward/time_limits.h"
 
@@ -35,6 +37,10 @@
   std::uint64_t TotalWeight = 0;
   /// Every service whose targets may still own flows of the route.
   std::vector<service_id> OwnerServices;
+  /// The one of them that packets of open flows name.
+  service_id ownerService() const {
+    return OwnerServices.empty() ? service_id{} : OwnerServices.front();
+  }
   /// The regions of new flows and of owner lookups, see route_rule.
   region_restriction Regions;
   region_restriction OwnerRegions;
@@ -158,6 +164,15 @@
                       const flow_key &Flow, std::size_t PacketBytes,
                       instant Now);
   bool collectCandidates(const internal::route_state &Route, instant Now);
+  void beginLookup(const internal::route_state &Route, const flow_key &Flow,
+                   bool IsCurrent, const internal::outgoing_packet &Packet,
+                   instant ArrivedAt, instant Now);
+  void keepForRepetition(const flow_key &Flow,
+                         const internal::outgoing_packet &Packet,
+                         instant ArrivedAt, instant Now);
+  void reviewLookup(internal::pending_lookup Lookup, instant Now);
+  bool haveCandidatesChangedSince(instant Moment, instant Now) const;
+  bool requestReportsSince(instant Moment, instant Now);
   void sendToCandidates(const internal::route_state &Route,
                         const flow_key &Flow,
                         const std::optional<endpoint> &First,
@@ -219,6 +234,7 @@
   internal::candidate_order Order{AgentTable};
   internal::flow_cache FlowCache;
   internal::recent_lookups RecentLookups;
+  internal::pending_lookups PendingLookups;
   /// Buffers that are reused for each packet.
   std::vector<placement_candidate> Views;
   std::vector<std::size_t> Candidates;
@@ -237,6 +253,9 @@
   token_bucket FirstLookupRequests{8, 16};
   /// The same for repeated lookups; the burst covers one full list.
   token_bucket RepeatedLookupRequests{40, MaxRoutedOwners};
+  /// Lookups that are repeated per second, and the largest burst. After a power
+  /// failure many lookups find no owner.
+  token_bucket LookupRepetitions{40, 64};
   /// The same for agents that once reported that they admit no flows.
   token_bucket OutdatedRefusalRequests{8, 16};
   forward_balancer_counters Counters;
--- a/src/forward/owner_lookup.cpp
+++ b/src/forward/owner_lookup.cpp
@@ -9,12 +9,6 @@
 /// additional bytes.
 static constexpr std::size_t ShortLookupTargets = 8;
 
-/// The service that packets of open flows name, of those that may own the flow.
-static service_id ownerService(const route_state &Route) {
-  return Route.OwnerServices.empty() ? service_id{}
-                                     : Route.OwnerServices.front();
-}
-
 std::optional<endpoint>
 forward_balancer::impl::cachedOwner(const flow_key &Flow, instant Now) {
   const auto Place = FlowCache.find(Flow, Now);
@@ -48,7 +42,7 @@
                                         bytes_view Bytes, instant Now) {
   const flow_key &Flow = Segment.Head.Flow;
   const outgoing_packet Packet =
-      outgoing(Route, ownerService(Route), Segment, Bytes);
+      outgoing(Route, Route.ownerService(), Segment, Bytes);
   const auto CachedOwner = cachedOwner(Flow, Now);
   const bool HasAll = collectCandidates(Route, Now);
   if (Candidates.empty() && !CachedOwner)
@@ -62,14 +56,27 @@
                 Now);
     return forward_outcome::SentFromCache;
   }
+  const bool IsCurrent = HasAll && isKnowledgeCurrent(Now);
+  if (!CachedOwner) {
+    beginLookup(Route, Flow, IsCurrent, Packet, /*ArrivedAt=*/Now, Now);
+    return forward_outcome::Sent;
+  }
   // Behind a cached owner, the flow's own order is not needed.
-  if (CachedOwner)
-    Order.sortForLookup(Candidates, Flow, /*OwnOrder=*/false, Now);
-  else
-    sortFromCursor(Order.initialCursor(), Flow, Packet.size(), Now);
-  sendToCandidates(Route, Flow, CachedOwner, /*Listed=*/0,
-                   HasAll && isKnowledgeCurrent(Now), Packet, Now);
-  return CachedOwner ? forward_outcome::SentFromCache : forward_outcome::Sent;
+  Order.sortForLookup(Candidates, Flow, /*OwnOrder=*/false, Now);
+  sendToCandidates(Route, Flow, CachedOwner, /*Listed=*/0, IsCurrent, Packet,
+                   Now);
+  return forward_outcome::SentFromCache;
+}
+
+/// Sends the packet through all candidates.
+void forward_balancer::impl::beginLookup(const route_state &Route,
+                                         const flow_key &Flow, bool IsCurrent,
+                                         const outgoing_packet &Packet,
+                                         instant ArrivedAt, instant Now) {
+  sortFromCursor(Order.initialCursor(), Flow, Packet.size(), Now);
+  sendToCandidates(Route, Flow, std::nullopt, /*Listed=*/0, IsCurrent, Packet,
+                   Now);
+  keepForRepetition(Flow, Packet, ArrivedAt, Now);
 }
 
 /// A lookup with a single list places the agents that are unverified now at the
@@ -100,7 +107,7 @@
   routed_flags Flags = flagsOf({routed_flag::Continues});
   if (IsCurrent)
     Flags |= flagsOf({routed_flag::CompleteSoFar});
-  send(List, ownerService(Route), Flags, Begin, Packet, Now);
+  send(List, Route.ownerService(), Flags, Begin, Packet, Now);
 }
 
 bool forward_balancer::impl::hasRemoteCandidates() const {
@@ -126,7 +133,7 @@
   Order.list(/*Listed=*/0, std::nullopt, List);
   logLookup("in the own zone only, as an owner lookup is in progress", Flow,
             List, Now);
-  send(List, ownerService(Route), flagsOf({routed_flag::OwnerUnknown}), 0,
+  send(List, Route.ownerService(), flagsOf({routed_flag::OwnerUnknown}), 0,
        Packet, Now);
   return forward_outcome::Sent;
 }
@@ -218,7 +225,7 @@
     Flags |= flagsOf({routed_flag::CompleteSoFar});
   if (IsCurrent && !Rest)
     Flags |= flagsOf({routed_flag::Complete});
-  send(List, ownerService(Route), Flags, HasMore ? encodeCursor(*Rest) : 0,
+  send(List, Route.ownerService(), Flags, HasMore ? encodeCursor(*Rest) : 0,
        Packet, Now);
 }
 
@@ -239,7 +246,7 @@
   const flow_key &Flow = Segment.Head.Flow;
   const route_state &Route = Found->second;
   const outgoing_packet Packet =
-      outgoing(Route, ownerService(Route), Segment, Routed.Packet);
+      outgoing(Route, Route.ownerService(), Segment, Routed.Packet);
   const lookup_cursor Cursor = decodeCursor(Routed.Version);
   const bool HasAll = collectCandidates(Route, Now);
   const bool Begins = Cursor.Listed == 0 && hasRemoteCandidates();
@@ -252,6 +259,8 @@
                          isKnowledgeCurrent(Now) && Order.hasSamePrefix(Cursor);
   sendToCandidates(Route, Flow, std::nullopt, Cursor.Listed, IsCurrent, Packet,
                    Now);
+  if (Cursor.Listed == 0)
+    keepForRepetition(Flow, Packet, /*ArrivedAt=*/Now, Now);
 }
 
 void forward_balancer::impl::send(const candidate_list &List,
--- a/test/forward/forward_world.h
+++ b/test/forward/forward_world.h
@@ -380,6 +380,8 @@
       for (auto &[Number, Host] : Hosts)
         if (Host.Agent)
           Host.Agent->expire(Now);
+      for (auto &[Number, Balancer] : Balancers)
+        Balancer->repeatLookups(Now);
       if (++Steps % 10 == 0)
         tick();
       run();
