Evacuations: their watch is renewed when another call has shown silent connections

Cause: only the end of a watch shows that its connection is silent. Both watches of evacuations wait for 5 s, in step, and time out 1.5 s later. The first balancer's short watch of the own objects had shown the silence after 2 s, but the watch of evacuations went on.

Weighed: watches of 2.5 s (twice the calls at all times), watches out of step (each change ends both and puts them in step again).

Change: when the store has not answered a call for the own objects and answers again, a pending watch of evacuations is replaced. No call more at rest, one a watcher after an outage.

--- a/src/directory/directory_feeds.cpp
+++ b/src/directory/directory_feeds.cpp
@@ -43,7 +43,7 @@
     if (Answers)
       tellPeersSoon();
     if (Answers && &Own == &Site)
-      Timers.after(duration::zero(), guarded([this] { Routes.reconsider(); }));
+      Timers.after(duration::zero(), guarded([this] { onSiteRecovered(); }));
   };
   return Feed;
 }
@@ -55,6 +55,15 @@
     tellPeersSoon();
 }
 
+/// The watches of the own objects are short, so they are the first to show that
+/// connections have gone silent. A watch for evacuations on such a connection
+/// would wait for seconds before it is renewed, and an operator relies on the
+/// evacuation by then.
+void directory::impl::onSiteRecovered() {
+  Routes.reconsider();
+  Evacuations.renew();
+}
+
 watch_state directory::impl::watchStateOf(const object_feed &Feed) const {
   const instant Now = Timers.now();
   watch_state State;
--- a/src/directory/directory_impl.h
+++ b/src/directory/directory_impl.h
@@ -47,6 +47,8 @@
                                const object_feed &Own, watch_decision Wait);
   /// The objects of marjoramrail's own kind have become known.
   void onFirstList();
+  /// The store answers calls for the own objects again.
+  void onSiteRecovered();
   watch_state watchStateOf(const object_feed &Feed) const;
   evacuation_watch::hooks evacuationHooks();
   void onEvacuationsChanged(const std::string &Source);
--- a/src/directory/evacuation_watch.h
+++ b/src/directory/evacuation_watch.h
@@ -30,6 +30,8 @@
                    const std::string &Kind, hooks Hooks);
 
   void start() { Feed.startOnDemand(); }
+  /// The store did not answer another call in time, and answers now.
+  void renew() { Feed.renewWatch(); }
   /// Uses the table of a peer if it is newer.
   void takeFromPeer(const evacuations &PeerTable, const endpoint &Peer);
   const evacuations &table() const { return Table; }
--- a/src/directory/object_feed.cpp
+++ b/src/directory/object_feed.cpp
@@ -96,6 +96,7 @@
 
 void object_feed::watch(duration Wait) {
   const pending_watch Watch{++LastWatch, Timers.now(), Wait};
+  IsWatching = true;
   Store.Watch(Version, Wait,
               guarded([this, Watch](const platform_reply &Reply) {
                 if (Watch.Number == LastWatch)
@@ -107,6 +108,13 @@
     reconsiderLater(Watch);
 }
 
+void object_feed::renewWatch() {
+  if (!IsWatching)
+    return;
+  if (const auto Wait = Hooks.Wait())
+    watch(*Wait);
+}
+
 /// A balancer that only watches for changes lets its watches wait for long.
 /// When it has to confirm the age of the data instead, it cannot wait for the
 /// end of such a watch. A replaced watch stays pending; its changes are still
@@ -127,6 +135,7 @@
                           const pending_watch &Watch) {
   // The answer ends this watch, so that it is not replaced any more.
   ++LastWatch;
+  IsWatching = false;
   if (Reply.Outcome == platform_outcome::HistoryGone) {
     noteAnswer("change history no longer available");
     return list();
--- a/src/directory/object_feed.h
+++ b/src/directory/object_feed.h
@@ -61,6 +61,9 @@
 
   /// Decides at once about the next watch, if that waits for its turn.
   void reconsider();
+  /// Replaces a pending watch: its connection may have gone silent, which only
+  /// the end of the watch would show.
+  void renewWatch();
   const std::map<std::string, platform_object> &objects() const {
     return Objects;
   }
@@ -143,6 +146,7 @@
   bool IsPaused = false;
   /// Number of the current watch; earlier ones have ended or were replaced.
   std::uint64_t LastWatch = 0;
+  bool IsWatching = false;
   std::uint64_t Version = 0;
   std::uint64_t LastChange = 0;
   std::optional<instant> AsOf;
--- a/test/directory/evacuations_test.cpp
+++ b/test/directory/evacuations_test.cpp
@@ -228,3 +228,25 @@
       CHECK(Site.at(Number).targets().size() == 1);
   }
 }
+
+TEST_CASE("an evacuation is known in time after the connections to the store "
+          "went silent") {
+  // Only its end shows that a watch is on a silent connection. Guards against
+  // watches of evacuations that all wait out their time before they are
+  // renewed.
+  constexpr duration EvacuationBound = 5s;
+  for (const unsigned Count : {6U, 90U})
+    for (duration Phase = 0ms; Phase < 5s; Phase += 500ms) {
+      running_site Site;
+      Site.startAll(Count);
+      Site.pass(Phase);
+      Site.Store.silenceWatches();
+      Site.pass(100ms);
+      Site.evacuate("brugge");
+      Site.pass(EvacuationBound);
+
+      CAPTURE(Count);
+      CAPTURE(Phase.count());
+      CHECK(Site.evacuatedOn("brugge") == Count);
+    }
+}
--- a/test/fleet/fake_platform.h
+++ b/test/fleet/fake_platform.h
@@ -88,7 +88,7 @@
     Api.Watch = [this, Link](std::uint64_t Since, duration Wait,
                              platform_callback Callback) {
       ++Calls;
-      watch(Link, {Since, Timers.now() + Wait, TimesClosed},
+      watch(Link, {Since, Timers.now() + Wait, TimesClosed, TimesSilenced},
             std::move(Callback));
     };
     return Api;
@@ -123,6 +123,10 @@
     ++TimesClosed;
   }
 
+  /// The connections of all pending watches go silent: these are told of
+  /// nothing, and fail by the time-out of a call.
+  void silenceWatches() { ++TimesSilenced; }
+
   void saveOlder() {
     Older = Objects;
     OlderVersion = StoreVersion;
@@ -244,6 +248,7 @@
     instant Until;
     /// The value of fake_platform::TimesClosed when it began.
     std::uint64_t TimesClosed = 0;
+    std::uint64_t TimesSilenced = 0;
   };
 
   platform_reply replyToWatch(std::uint64_t Since) const {
@@ -268,10 +273,17 @@
   void watch(const platform_link *Link, const pending_watch &Watch,
              platform_callback Callback) {
     const bool IsLost = Link != nullptr && Link->Cut;
+    constexpr duration CallTimeout = std::chrono::milliseconds(1500);
+    const bool IsSilent = Watch.TimesSilenced != TimesSilenced;
+    if (IsSilent && Timers.now() < Watch.Until + CallTimeout) {
+      Timers.after(std::chrono::milliseconds(50),
+                   [=, this] { watch(Link, Watch, Callback); });
+      return;
+    }
     platform_reply Reply;
     Reply.Outcome = platform_outcome::Unavailable;
     Reply.IsConnectionClosed = Watch.TimesClosed != TimesClosed;
-    if (!Down && !IsLost && !Reply.IsConnectionClosed) {
+    if (!Down && !IsLost && !IsSilent && !Reply.IsConnectionClosed) {
       Reply = replyToWatch(Watch.Since);
       const bool IsAnswered = Reply.Outcome != platform_outcome::Ok ||
                               !Reply.Objects.empty() ||
@@ -295,6 +307,8 @@
   std::uint64_t HistorySince = 0;
   /// How often all watches were closed.
   std::uint64_t TimesClosed = 0;
+  /// How often all watches went silent.
+  std::uint64_t TimesSilenced = 0;
 };
 
 } // namespace marjoramrail::testing
