Store client: a call without an answer closes the idle connections too

After a call had timed out, the next one took the next idle connection, which was silent as well, and waited for its time-out again, up to once for each connection.

Change: when a call gets no answer, idle connections are closed, and the next call opens a new one. Watches and other calls under way are not touched.

--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -51,6 +51,7 @@
   void start(call Call);
   duration timeoutOf(const call &Call);
   void dispatchWaiting();
+  void closeIdleConnections();
   void scheduleDispatch();
   pooled_connection *connectionFor(const call &Call);
   void send(pooled_connection &Pooled, const call_ptr &Call);
@@ -251,6 +252,14 @@
   finish(Call, std::move(Reply));
 }
 
+/// Connections can go silent together, and nothing shows it on an idle one: the
+/// next call on it would wait for its time-out in vain.
+void platform_client::impl::closeIdleConnections() {
+  std::erase_if(Pool, [](const std::unique_ptr<pooled_connection> &Pooled) {
+    return !Pooled->Call;
+  });
+}
+
 /// Runs from a timer, never within a connection's callback, so that the
 /// connection can be closed at once. The server may still be processing the
 /// call.
@@ -262,6 +271,7 @@
     const std::string Where = toText(Settings.Servers[(*Held)->Http->server()]);
     Call->Bytes += (*Held)->Http->received();
     Pool.erase(Held);
+    closeIdleConnections();
     scheduleDispatch();
     return finish(Call, replyToFailure(*Call, call_failure::NoAnswer,
                                        Where + " did not answer in time"));
--- a/test/standins/platform/client_and_server_test.cpp
+++ b/test/standins/platform/client_and_server_test.cpp
@@ -441,3 +441,80 @@
   CHECK(Reply.Outcome == platform_outcome::Unavailable);
   CHECK(Reply.IsConnectionClosed);
 }
+
+namespace {
+
+/// Answers every request with an empty list, until the connections that are
+/// open at a moment go silent.
+class server_gone_silent {
+public:
+  explicit server_gone_silent(event_loop &Loop)
+      : Listener(Loop, [this](std::unique_ptr<tcp_stream> Stream) {
+          serve(std::move(Stream));
+        }) {
+    REQUIRE(Listener.open(AnyPort));
+  }
+
+  endpoint local() const { return Listener.local(); }
+  std::size_t connections() const { return Streams.size(); }
+  void silenceConnections() { Silenced = Streams.size(); }
+
+private:
+  void serve(std::unique_ptr<tcp_stream> Accepted) {
+    const std::size_t Number = Streams.size();
+    Streams.push_back(std::move(Accepted));
+    tcp_stream::hooks Hooks;
+    Hooks.OnConnected = [] {};
+    Hooks.OnData = [this, Number](std::string_view) { answer(Number); };
+    Hooks.OnClosed = [](const std::string &) {};
+    Hooks.OnDrained = [] {};
+    Streams.back()->setHooks(Hooks);
+  }
+
+  void answer(std::size_t Number) {
+    if (Number < Silenced)
+      return;
+    const std::string Text = encodeObjectList(platform_reply());
+    Streams[Number]->write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                           std::to_string(Text.size()) + "\r\n\r\n" + Text);
+  }
+
+  std::vector<std::unique_ptr<tcp_stream>> Streams;
+  std::size_t Silenced = 0;
+  tcp_listener Listener;
+};
+
+} // namespace
+
+TEST_CASE("after a call without an answer no other idle connection is used") {
+  // All open connections have gone silent. Guards against calls that each wait
+  // for their time-out on the next one of them.
+  event_loop Loop;
+  server_gone_silent Server(Loop);
+  platform_client Client(Loop, {.Servers = {Server.local()},
+                                .Writer = "test",
+                                .Timeout = milliseconds(300)});
+  Loop.timers().after(seconds(20), [&] { Loop.stop(); });
+  int Left = 3;
+  for (int I = 0; I < 3; ++I)
+    Client.api().List("config", [&](const platform_reply &) {
+      if (--Left == 0)
+        Loop.stop();
+    });
+  Loop.run();
+  REQUIRE(Server.connections() == 3);
+  Server.silenceConnections();
+  std::vector<platform_outcome> Outcomes;
+  const auto ListOnce = [&] {
+    Client.api().List("config", [&](const platform_reply &Reply) {
+      Outcomes.push_back(Reply.Outcome);
+      Loop.stop();
+    });
+    Loop.run();
+  };
+  ListOnce();
+  ListOnce();
+
+  CHECK(Outcomes == std::vector<platform_outcome>{platform_outcome::Unavailable,
+                                                  platform_outcome::Ok});
+}
