Agent: a target that left and returns waits until all balancers know its entry again

The agent kept since when the entry had been known, and admitted flows as soon as the next entry was written. A balancer that does not know it yet resets their packets.

Ruled out: a crash without Deregister (the entry stays), a replaced VM (another process). On the users' sites a returning target is rare, so that the wait of SettleTime, the one of every new target, costs little; balancers that have known the entry all along end it earlier, as before.

Change: the wait begins anew when the agent removes its entry.

Test: agent_reports_test, "a target that left and returns is made known again", failed before (flows 2 ms after the entry; 1.2 s asked) and passes three times of three now; restarted_host_test passes.

--- a/daemons/forwarder/forward_agent_process.cpp
+++ b/daemons/forwarder/forward_agent_process.cpp
@@ -189,6 +189,8 @@
     return;
   if (Flows)
     Flows->leave();
+  // Should the target return, its next entry is new to all balancers.
+  Admission.onUnregistered();
   Registrar.withdraw();
 }
 
