--- a/src/forward/forward_balancer_impl.h
+++ b/src/forward/forward_balancer_impl.h
@@ -183,6 +183,8 @@
   bool requestMissingReports(const flow_key &Flow,
                              const internal::candidate_list &List, instant Now);
   void requestReport(const endpoint &Agent, instant Now);
+  void requestReportOnce(const internal::agent_state &Agent,
+                         token_bucket &Budget, instant Now);
   report_span reportSpanFor(const endpoint &Agent);
   void sendReportRequest(const endpoint &Agent, report_span Span);
   forward_outcome sendWithinZone(const internal::route_state &Route,
--- a/src/forward/new_flows.cpp
+++ b/src/forward/new_flows.cpp
@@ -233,9 +233,7 @@
 void forward_balancer::impl::requestReports(const candidate_list &List,
                                             instant Now) {
   for (const endpoint &Agent : List)
-    if (!AgentTable.find(Agent)->FirstRequestedAt &&
-        OutdatedRefusalRequests.take(Now))
-      requestReport(Agent, Now);
+    requestReportOnce(*AgentTable.find(Agent), OutdatedRefusalRequests, Now);
 }
 
 /// Offers a flow that no target is known to take to the agents whose last word
--- a/src/forward/owner_lookup.cpp
+++ b/src/forward/owner_lookup.cpp
@@ -162,12 +162,19 @@
     if (!State || State->hasReportedSince(ReportedSince))
       continue;
     AnyMissing = true;
-    if (!State->FirstRequestedAt && Budget.take(Now))
-      requestReport(Agent, Now);
+    requestReportOnce(*State, Budget, Now);
   }
   return AnyMissing;
 }
 
+/// Requests a report within \p Budget unless a request is pending.
+void forward_balancer::impl::requestReportOnce(const agent_state &Agent,
+                                               token_bucket &Budget,
+                                               instant Now) {
+  if (!Agent.FirstRequestedAt && Budget.take(Now))
+    requestReport(Agent.Agent, Now);
+}
+
 /// The load figure of the event is the number of agents listed. Its agent is
 /// the first of them, where the lookup begins; the log events of the agents
 /// show the further hops.
--- a/src/forward/repeated_lookups.cpp
+++ b/src/forward/repeated_lookups.cpp
@@ -40,8 +40,7 @@
     if (Agent.hasReportedSince(Moment))
       continue;
     AnyMissing = true;
-    if (!Agent.FirstRequestedAt && RepeatedLookupRequests.take(Now))
-      requestReport(Agent.Agent, Now);
+    requestReportOnce(Agent, RepeatedLookupRequests, Now);
   }
   return AnyMissing;
 }
--- a/test/forward/outdated_refusals_test.cpp
+++ b/test/forward/outdated_refusals_test.cpp
@@ -98,10 +98,12 @@
   CHECK(resets() == 1);
   pass(200ms);
 
-  // Their reports are recent now.
+  // Their reports are recent now: the balancer refuses without a packet to any
+  // agent.
+  Hops = 0;
   CHECK(openNext() == forward_outcome::NoTarget);
   CHECK(resets() == 1);
-  CHECK(offered() == Hosts.at(1).Target.Offered + Hosts.at(2).Target.Offered);
+  CHECK(Hops == 0);
 }
 
 TEST_CASE_FIXTURE(zone_without_targets,
