Balancer: packets for agents are sent with their batch again

Found reading the diff: dropped the flush of packets for agents at the end of a batch of callers' packets, so that they went out in a later turn of the loop. Not seen by a test; the flush now comes after repeated lookups, which send too.

--- a/daemons/forwarder/forward_balancer_process.cpp
+++ b/daemons/forwarder/forward_balancer_process.cpp
@@ -316,8 +316,9 @@
   Core.setKnownAsOf(Directory.knownAsOf());
   for (const datagram &Datagram : Batch)
     Core.onCallerPacket(Datagram.Bytes, LastPacketAt);
-  Callers.flush();
   LookupRepetitions.arm(Core.repeatLookups(LastPacketAt));
+  Peers.flush();
+  Callers.flush();
 }
 
 std::optional<instant> forward_balancer_process::repeatLookups(instant Now) {
