Agent: drops a late copy of the first packet of a flow that its target holds

Its agent admits no flows by then and refuses the copy: the caller of an open flow is sent a reset (with a number that callers ignore on an open flow by the protocol).

Ruled out by the log: the target had lost the flow (it answers the next request), and a reset by another agent.

--- a/include/marjoramrail/forward.h
+++ b/include/marjoramrail/forward.h
@@ -330,7 +330,8 @@
   PassedOn,
   /// The packet belongs to a request that waits until the target has a slot.
   Held,
-  /// The caller has ended a flow whose request was still waiting.
+  /// The caller has ended a flow whose request was still waiting, or has a flow
+  /// of which this is a late copy of the first packet.
   Dropped,
   /// The target answered the caller.
   Answered,
--- a/src/forward/routed_packets.cpp
+++ b/src/forward/routed_packets.cpp
@@ -54,6 +54,13 @@
       Scheduler.reserveSlot(Segment.Head.Flow, Now);
     return offer(Routed, Segment.Head, Now);
   }
+  // A copy that was held up, for example in a balancer that was paused. Its
+  // caller has the flow already, and must not be told that it was refused.
+  if (Load.isOpen(Segment.Head.Flow)) {
+    logEvent(event_kind::FlowHandedOn, "dropped: its flow is open here",
+             Segment.Head.Flow, {});
+    return agent_outcome::Dropped;
+  }
   ++Counters.Refusals[static_cast<std::size_t>(*Refusal)];
   if (Refusal == flow_refusal::WarmingUp)
     reportExhaustion(Now);
--- a/src/forward/target_load.cpp
+++ b/src/forward/target_load.cpp
@@ -43,6 +43,12 @@
   return Last != 0 && isNear(Packet.Acknowledged, Last);
 }
 
+bool target_load::isOpen(const flow_key &Flow) const {
+  const auto Found = Flows.find(Flow);
+  return Found != Flows.end() && !Found->second.HalfOpen &&
+         !Found->second.CallerEnded && !Found->second.TargetEnded;
+}
+
 void target_load::integrate(instant Now) {
   const double Passed =
       std::chrono::duration<double>(Now - IntegratedAt).count();
--- a/src/forward/target_load.h
+++ b/src/forward/target_load.h
@@ -88,6 +88,8 @@
   /// new flow on a reused port has the same addresses; it is told apart by the
   /// number that the caller acknowledges.
   bool hasOpenFlow(const tcp_packet &Packet) const;
+  /// Whether \p Flow is open, as far as the agent has seen.
+  bool isOpen(const flow_key &Flow) const;
   /// Records a packet that is delivered to the target. Returns true if it
   /// begins a request.
   bool onCaller(const tcp_packet &Packet, instant Now);
--- a/test/forward/flows_test.cpp
+++ b/test/forward/flows_test.cpp
@@ -258,6 +258,47 @@
   CHECK(answers() == 2);
 }
 
+TEST_CASE_FIXTURE(small_site, "a late copy of its first packet is not refused "
+                              "by the agent of an open flow") {
+  // A balancer was paused and delivers a copy of a flow's first packet late.
+  // The owner's agent admits no flows by then. Its caller would be told that a
+  // flow which is open has been refused.
+  const flow_key Flow = flowOf(1001);
+  const std::uint32_t Ack = open(1, Flow);
+  const unsigned Owner = ownerOf(Flow);
+  Hosts[Owner].Agent->setAdmitting(false);
+  const auto Copy = bytesOf(syn(Flow, 1));
+  routed_packet Routed;
+  Routed.Service = serviceNumber("ledger");
+  Routed.Balancer = balancerAt(2);
+  Routed.Count = 1;
+  Routed.Owners[0] = agentAt(Owner);
+  Routed.Packet = Copy;
+  Received.clear();
+
+  CHECK(routed(Owner, 2, Routed) == agent_outcome::Dropped);
+  CHECK(resets() == 0);
+  packet(1, data(Flow, Ack + 50));
+  CHECK(answers() == 1);
+}
+
+TEST_CASE_FIXTURE(small_site, "an agent that admits no flows still refuses new "
+                              "ones at once") {
+  const unsigned Number = Hosts.begin()->first;
+  Hosts[Number].Agent->setAdmitting(false);
+  const auto First = bytesOf(syn(flowOf(1002)));
+  routed_packet Routed;
+  Routed.Service = serviceNumber("ledger");
+  Routed.Balancer = balancerAt(2);
+  Routed.Count = 1;
+  Routed.Owners[0] = agentAt(Number);
+  Routed.Packet = First;
+  Received.clear();
+
+  CHECK(routed(Number, 2, Routed) == agent_outcome::Refused);
+  CHECK(resets() == 1);
+}
+
 TEST_CASE_FIXTURE(small_site, "the flows of a stopped process are reset") {
   // A target's process has crashed. Callers that get a reset before they send
   // lose nothing; a request sent into a lost flow may not be safe to repeat.
